--- /dev/null
+++ b/src/dispatch/DispatchEngine.ts
@@ -0,0 +1,358 @@
+import {
+  isStepReady, type JobRecord, type RunRecord, type StepRecord, type TaskRecord
+} from '../jobs/index.js'
+import { chooseWorker, type ChoiceConditions } from './chooseWorker.js'
+import { decidePace } from './decidePace.js'
+import { JobTable } from './JobTable.js'
+import { rankJobs } from './rankJobs.js'
+import { applyReport, type ReportContext } from './applyReport.js'
+import { selectGangPlacement } from './selectGangPlacement.js'
+import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
+import {
+  addRun, createWorkerRecord, getEarliestWorkerTime, removeRun, type WorkerEntry, type WorkerRecord
+} from './WorkerRecord.js'
+
+/** What the owner has to send. */
+export type DispatchOrder =
+  | { kind: 'start', worker: WorkerRecord, run: RunRecord }
+  | { kind: 'stop', worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null }
+  | { kind: 'pace', worker: WorkerRecord, run: RunRecord, percent: number }
+
+/** How long a worker gets no new work after it turned a start away as unhealthy. */
+const UNHEALTHY_PAUSE_MILLISECONDS = 1500
+/** A worker whose lease ended this long ago on its own clock runs nothing any more. */
+const EXPIRY_MARGIN_MILLISECONDS = 100
+/** A draining worker's resumable tasks leave this long before its least remaining time ends. */
+const DRAIN_MARGIN_MILLISECONDS = 1200
+
+/** Options of an engine. */
+export interface DispatchEngineOptions {
+  /** The owner's epoch, which is the fencing token of all orders. */
+  epoch: number
+}
+
+/**
+ * Decides which task starts where, what is stopped, and what is told of jobs, for one shard.
+ *
+ * It reads no clock and sends nothing: each method gets the time, and orders are collected by `takeOrders`.
+ */
+export class DispatchEngine {
+  readonly jobs: JobTable
+  readonly workers = new Map<string, WorkerRecord>()
+  private orders: DispatchOrder[] = []
+  private dataCentresOut: ReadonlySet<string> = new Set()
+  /** Workers that may run tasks of earlier owners and have not answered: identifier and time of certain expiry. */
+  private readonly unresolved = new Map<string, number>()
+  private queueServices: ReadonlyMap<string, string> = new Map()
+  private dirty = true
+
+  private constructor (readonly epoch: number) {
+    this.jobs = JobTable.create({ epoch })
+  }
+
+  /**
+   * Creates an engine without jobs and workers.
+   * @param options The epoch.
+   * @returns The engine.
+   */
+  static create (options: DispatchEngineOptions): DispatchEngine {
+    return new DispatchEngine(options.epoch)
+  }
+
+  /** Returns and clears the orders that were decided. */
+  takeOrders (): DispatchOrder[] {
+    const { orders } = this
+    this.orders = []
+    return orders
+  }
+
+  /** Sets the service of each queue, as the newest configuration has it. */
+  setQueueServices (services: ReadonlyMap<string, string>): void {
+    this.queueServices = services
+    this.dirty = true
+  }
+
+  /** Sets the data centres that get no new work. */
+  setDataCentresOut (dataCentres: ReadonlySet<string>): void {
+    this.dataCentresOut = dataCentres
+    this.dirty = true
+  }
+
+  /** Notes that something changed that may let a waiting task start. */
+  markDirty (): void {
+    this.dirty = true
+  }
+
+  /**
+   * Adds a worker or takes note of a change of its entry.
+   * @param entry The entry of the platform's list.
+   * @param now The monotonic time.
+   * @returns The worker.
+   */
+  setWorker (entry: WorkerEntry, now: number): WorkerRecord {
+    this.dirty = true
+    const known = this.workers.get(entry.workerId)
+    if (known === undefined) {
+      const worker = createWorkerRecord(entry)
+      this.workers.set(entry.workerId, worker)
+      return worker
+    }
+    const isReborn = entry.bornAtMilliseconds > known.entry.bornAtMilliseconds && known.entry.bornAtMilliseconds > 0
+    if (isReborn) this.resetWorker(known, now)
+    known.entry = { ...entry, bornAtMilliseconds: Math.max(entry.bornAtMilliseconds, known.entry.bornAtMilliseconds) }
+    known.listed = true
+    if (entry.state === 'draining') this.leaveDraining(known)
+    return known
+  }
+
+  /** Notes that the platform's list does not name the worker any more; its tasks may still run. */
+  unlistWorker (workerId: string): void {
+    const worker = this.workers.get(workerId)
+    if (worker !== undefined) worker.listed = false
+  }
+
+  /**
+   * Notes a worker on which tasks of an earlier owner may run.
+   * @param workerId The worker.
+   * @param expiresAt Monotonic time from which nothing of an earlier owner can run there.
+   */
+  expectAnswer (workerId: string, expiresAt: number): void {
+    this.unresolved.set(workerId, expiresAt)
+  }
+
+  /** Tells whether the runs of all earlier owners are known or certainly over. */
+  isResolved (): boolean {
+    return this.unresolved.size === 0
+  }
+
+  /**
+   * Applies the lists of a worker.
+   * @param worker The worker.
+   * @param report The lists.
+   * @param sentAt Monotonic time at which the call was sent.
+   * @param now The monotonic time.
+   */
+  applyReport (worker: WorkerRecord, report: WorkerReport, sentAt: number, now: number): void {
+    const { entry } = worker
+    if (report.bornAtMilliseconds !== entry.bornAtMilliseconds && report.bornAtMilliseconds > 0) {
+      if (entry.bornAtMilliseconds > 0) this.resetWorker(worker, now)
+      worker.entry = { ...entry, bornAtMilliseconds: report.bornAtMilliseconds }
+    }
+    worker.clockReading = { workerMilliseconds: report.workerMilliseconds, receivedAt: now }
+    const context: ReportContext = {
+      jobs: this.jobs,
+      sentAt,
+      now,
+      stop: (taskName, attempt, run) => this.orderStop(worker, taskName, attempt, run),
+      failJob: job => this.failJob(job),
+      stopCopies: task => this.stopRuns(task)
+    }
+    const changed = applyReport(worker, report, context)
+    worker.knowledge = 'synchronized'
+    if (this.unresolved.delete(entry.workerId) || changed) this.dirty = true
+    const percent = decidePace(worker, now)
+    if (percent !== null) this.orderPace(worker, percent)
+  }
+
+  /** Notes that a worker gave no answer; it gets no new work until it does. */
+  markUnreachable (worker: WorkerRecord): void {
+    if (worker.knowledge === 'synchronized') worker.knowledge = 'unreachable'
+  }
+
+  /**
+   * Applies the outcome of a start.
+   * @param worker The worker.
+   * @param run The run.
+   * @param outcome What the worker answered.
+   * @param now The monotonic time.
+   */
+  applyStartOutcome (worker: WorkerRecord, run: RunRecord, outcome: OrderOutcome, now: number): void {
+    this.dirty = true
+    if (!run.task.runs.includes(run)) return
+    if (outcome.kind === 'accepted') {
+      run.startUncertain = false
+      if (run.state === 'starting') run.state = 'running'
+      run.settledAt = now
+      run.progressedAt = now
+      return
+    }
+    if (outcome.kind === 'unhealthy') worker.quarantinedUntil = now + UNHEALTHY_PAUSE_MILLISECONDS
+    if (outcome.kind === 'unknown' || run.startUncertain) {
+      run.startUncertain = true
+      if (run.state === 'starting') this.orderStop(worker, run.task.name, run.attempt, run)
+      return
+    }
+    if (run.state === 'starting' || run.state === 'stopping') removeRun(worker, run, now)
+  }
+
+  /**
+   * Applies the answer to a stop; a run that never began is over with the next list that does not name it.
+   * @param run The run that was stopped.
+   * @param outcome What the worker answered.
+   * @param now The monotonic time.
+   */
+  applyStopOutcome (run: RunRecord, outcome: OrderOutcome, now: number): void {
+    if (outcome.kind === 'accepted') run.settledAt ??= now
+  }
+
+  /** Cancels a job: its tasks are stopped and nothing of it starts any more. */
+  cancelJob (jobId: string): void {
+    const job = this.jobs.getJob(jobId)
+    if (job === undefined || job.finalState !== null) return
+    this.jobs.finish(job, 'cancelled')
+    this.stopJob(job)
+  }
+
+  /**
+   * Ends what can be known to be over by time alone, and starts what can start.
+   * @param now The monotonic time.
+   * @param wallMilliseconds The time of day.
+   * @param mayStart Whether new starts are allowed now.
+   */
+  plan (now: number, wallMilliseconds: number, mayStart: boolean): void {
+    this.expireWorkers(now)
+    if (!mayStart || !this.dirty) return
+    this.dirty = false
+    const blocked = new Set<string>()
+    for (const job of rankJobs(this.jobs.getJobs(), now)) {
+      if (job.finalState !== null || (job.recovered && !this.isResolved())) continue
+      this.jobs.openDueOccurrences(job, wallMilliseconds, now)
+      const serviceName = this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
+      for (const occurrence of job.occurrences.values()) {
+        for (const step of occurrence.steps) {
+          if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
+          this.startTasks(step, { serviceName, dataCentresOut: this.dataCentresOut, now }, blocked)
+        }
+      }
+    }
+  }
+
+  private startTasks (step: StepRecord, conditions: ChoiceConditions, blocked: Set<string>): void {
+    const { specification } = step
+    if (specification.gang) {
+      const placement = selectGangPlacement(step, this.workers.values(), conditions)
+      const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
+      for (const { task, worker } of placement) this.start(task, worker, attempt, conditions.now)
+      return
+    }
+    // A step whose size did not fit a moment ago does not fit now either; the search is the costly part.
+    const size = getSizeKey(step)
+    if (blocked.has(size)) return
+    for (const task of step.tasks) {
+      if (task.done || task.runs.length > 0) continue
+      const worker = chooseWorker(task, this.workers.values(), conditions)
+      if (worker === null) {
+        blocked.add(size)
+        return
+      }
+      this.start(task, worker, task.nextAttempt, conditions.now)
+    }
+  }
+
+  private start (task: TaskRecord, worker: WorkerRecord, attempt: number, now: number): void {
+    const run: RunRecord = {
+      task,
+      attempt,
+      workerId: worker.entry.workerId,
+      state: 'starting',
+      startedAt: now,
+      startUncertain: false,
+      settledAt: null,
+      percent: 0,
+      progressedAt: now,
+      usageFigure: 0,
+      pacePercent: 100
+    }
+    task.nextAttempt = attempt + 1
+    task.step.occurrence.job.hasStarted = true
+    addRun(worker, run)
+    this.orders.push({ kind: 'start', worker, run })
+  }
+
+  private orderStop (worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null): void {
+    if (run !== null) {
+      run.state = 'stopping'
+      // Only an answer to this stop settles a start that got none.
+      if (run.startUncertain) run.settledAt = null
+    }
+    this.orders.push({ kind: 'stop', worker, taskName, attempt, run })
+  }
+
+  private orderPace (worker: WorkerRecord, percent: number): void {
+    for (const run of worker.runs.values()) {
+      if (run.state !== 'running' || !run.task.step.specification.fills || run.pacePercent === percent) continue
+      run.pacePercent = percent
+      this.orders.push({ kind: 'pace', worker, run, percent })
+    }
+  }
+
+  private stopRuns (task: TaskRecord): void {
+    for (const run of [...task.runs]) {
+      const worker = this.workers.get(run.workerId)
+      if (worker !== undefined && run.state !== 'stopping') this.orderStop(worker, task.name, run.attempt, run)
+    }
+  }
+
+  private stopJob (job: JobRecord): void {
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of occurrence.steps) for (const task of step.tasks) this.stopRuns(task)
+    }
+  }
+
+  private failJob (job: JobRecord): void {
+    if (job.finalState !== null) return
+    this.jobs.finish(job, 'failed')
+    this.stopJob(job)
+  }
+
+  /** Tasks that can resume, or that never end, leave a draining worker; others get the time that is left. */
+  private leaveDraining (worker: WorkerRecord): void {
+    const remaining = worker.entry.remainingMilliseconds ?? 0
+    for (const run of worker.runs.values()) {
+      if (run.state !== 'running') continue
+      const { checkpointing, longRunning, estimateMilliseconds } = run.task.step.specification
+      const isTooLong = estimateMilliseconds > remaining - DRAIN_MARGIN_MILLISECONDS
+      if (longRunning || (checkpointing && isTooLong)) this.orderStop(worker, run.task.name, run.attempt, run)
+    }
+  }
+
+  /** The worker's process is another one: nothing of the earlier life runs. */
+  private resetWorker (worker: WorkerRecord, now: number): void {
+    for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+    worker.foreignRuns.clear()
+    worker.appliedEnd = 0
+    worker.acknowledgeableEnd = 0
+    worker.leaseDeadline = 0
+    worker.clockReading = null
+    worker.knowledge = 'unknown'
+    worker.failureStreak = 0
+    this.dirty = true
+  }
+
+  private expireWorkers (now: number): void {
+    for (const [workerId, expiresAt] of this.unresolved) {
+      if (now >= expiresAt) {
+        this.unresolved.delete(workerId)
+        this.dirty = true
+      }
+    }
+    for (const worker of this.workers.values()) {
+      if (worker.knowledge === 'synchronized') continue
+      const workerTime = getEarliestWorkerTime(worker, now)
+      const isOver = workerTime !== null && workerTime > worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS
+      if (isOver && worker.runs.size > 0) {
+        for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+        this.dirty = true
+      }
+      const isForgettable = !worker.listed && worker.runs.size === 0 && !this.unresolved.has(worker.entry.workerId)
+      if (isForgettable && (isOver || workerTime === null)) this.workers.delete(worker.entry.workerId)
+    }
+  }
+}
+
+function getSizeKey (step: StepRecord): string {
+  const { specification: s, occurrence } = step
+  const place = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
+  return `${occurrence.job.submission.queueName} ${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ` +
+    `${s.accelerators} ${s.requiredLabel} ${place}`
+}
--- /dev/null
+++ b/src/dispatch/JobTable.ts
@@ -0,0 +1,213 @@
+import {
+  decodeProgress, findTask, getOccurrence, getOccurrenceCount, measureWork, restoreProgress, type FinalJobState,
+  type JobRecord, type JobState, type JobSubmission, type TaskRecord
+} from '../jobs/index.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+
+/** How long a final state is told after it was reached, in milliseconds. */
+const FINAL_STATE_MILLISECONDS = 180_000
+
+/** Attempts of a later owner start this much higher, so that no number is used twice for a task. */
+const ATTEMPTS_PER_EPOCH = 1000
+
+/** A job that was loaded or newly accepted. */
+export interface NewJob {
+  submission: JobSubmission
+  rowVersion: number
+  progress: JsonValue | null
+  recovered: boolean
+}
+
+/** The jobs of one shard, and the states that their submitters are told. */
+export class JobTable {
+  private readonly jobs = new Map<string, JobRecord>()
+  private readonly finalStates = new Map<string, { state: FinalJobState, since: number }>()
+  private readonly changed = new Set<JobRecord>()
+
+  private constructor (private readonly epoch: number) {}
+
+  /**
+   * Creates an empty table.
+   * @param options The epoch of the owner, which numbers the starts.
+   * @returns The table.
+   */
+  static create (options: { epoch: number }): JobTable {
+    return new JobTable(options.epoch)
+  }
+
+  /** The number of the first start of a task by this owner. */
+  get firstAttempt (): number {
+    return (this.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+  }
+
+  /**
+   * Adds a job; one that is known already is left as it is.
+   * @param added The job and its durable progress.
+   * @param now The monotonic time.
+   */
+  add (added: NewJob, now: number): void {
+    const { submission } = added
+    if (this.jobs.has(submission.jobId) || this.finalStates.has(submission.jobId)) return
+    const work = measureWork(submission.specification.steps)
+    const job: JobRecord = {
+      submission,
+      rowVersion: added.rowVersion,
+      occurrences: new Map(),
+      finishedOccurrences: new Set(),
+      hasStarted: false,
+      recovered: added.recovered,
+      finalState: null,
+      finalStateDurable: false,
+      progressChanged: false,
+      knownSince: now,
+      ...work
+    }
+    if (added.progress !== null) restoreProgress(job, decodeProgress(added.progress), this.firstAttempt, now)
+    if (job.finalState !== null) this.setFinalState(submission.jobId, job.finalState, now)
+    else this.jobs.set(submission.jobId, job)
+  }
+
+  /** Remembers a final state that is durable. */
+  setFinalState (jobId: string, state: FinalJobState, now: number): void {
+    this.finalStates.set(jobId, { state, since: now })
+  }
+
+  /** Returns a live job, or one whose final state is not durable yet. */
+  getJob (jobId: string): JobRecord | undefined {
+    return this.jobs.get(jobId)
+  }
+
+  /** Returns all jobs whose final state is not durable. */
+  getJobs (): IterableIterator<JobRecord> {
+    return this.jobs.values()
+  }
+
+  /**
+   * Returns the state to tell a submitter.
+   * @param jobId The job.
+   * @returns The state, or null when the job is not known.
+   */
+  getState (jobId: string): JobState | null {
+    const job = this.jobs.get(jobId)
+    if (job === undefined) return this.finalStates.get(jobId)?.state ?? null
+    return job.hasStarted ? 'running' : 'pending'
+  }
+
+  /** Counts the jobs of a queue for which no task has started. */
+  countWaiting (queueName: string): number {
+    let count = 0
+    for (const job of this.jobs.values()) {
+      if (job.submission.queueName === queueName && !job.hasStarted && job.finalState === null) count++
+    }
+    return count
+  }
+
+  /**
+   * Finds a task by the name that workers use.
+   * @param taskName The name.
+   * @param now The monotonic time.
+   * @returns The task, or undefined when it belongs to no live job.
+   */
+  findTask (taskName: string, now: number): TaskRecord | undefined {
+    const separator = taskName.indexOf('.')
+    const job = this.jobs.get(taskName.slice(0, separator))
+    if (separator < 0 || job === undefined || job.finalState !== null) return undefined
+    return findTask(job, taskName.slice(separator + 1), this.firstAttempt, now)
+  }
+
+  /**
+   * Creates the occurrences that are due.
+   * @param job The job.
+   * @param wallMilliseconds The time of day.
+   * @param now The monotonic time.
+   */
+  openDueOccurrences (job: JobRecord, wallMilliseconds: number, now: number): void {
+    const { specification } = job.submission
+    for (let number = 0; number < getOccurrenceCount(job.submission); number++) {
+      const dueAt = specification.startAtMilliseconds + number * specification.intervalMilliseconds
+      if (specification.repeatCount > 0 && dueAt > wallMilliseconds) return
+      getOccurrence(job, number, this.firstAttempt, now)
+    }
+  }
+
+  /**
+   * Marks a task as done, and what follows from it for its occurrence and job.
+   * @param task The task.
+   */
+  markDone (task: TaskRecord): void {
+    if (task.done) return
+    const { step } = task
+    const { occurrence } = step
+    const { job } = occurrence
+    task.done = true
+    step.doneCount++
+    occurrence.doneCount++
+    this.markChanged(job)
+    if (occurrence.steps.some(other => other.doneCount < other.tasks.length)) return
+    job.occurrences.delete(occurrence.number)
+    job.finishedOccurrences.add(occurrence.number)
+    if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) job.finalState = 'completed'
+  }
+
+  /** Gives a job a final state, which is told once it is durable. */
+  finish (job: JobRecord, state: FinalJobState): void {
+    if (job.finalState !== null) return
+    job.finalState = state
+    this.markChanged(job)
+  }
+
+  /** Notes that the durable progress of a job is behind. */
+  markChanged (job: JobRecord): void {
+    this.changed.add(job)
+  }
+
+  /**
+   * Takes jobs whose progress must be made durable.
+   * @param limit The greatest number.
+   * @returns The jobs, which count as unchanged from now on.
+   */
+  takeChanged (limit: number): JobRecord[] {
+    const taken: JobRecord[] = []
+    for (const job of this.changed) {
+      if (taken.length === limit) break
+      taken.push(job)
+      this.changed.delete(job)
+    }
+    return taken
+  }
+
+  /** Tells how many jobs wait for their progress to become durable. */
+  get changedCount (): number {
+    return this.changed.size
+  }
+
+  /**
+   * Notes that the progress of jobs is durable as it was encoded.
+   * @param written The jobs and the final states that were written.
+   * @param now The monotonic time.
+   */
+  confirmDurable (written: Array<{ job: JobRecord, state: FinalJobState | null }>, now: number): void {
+    for (const { job, state } of written) {
+      if (state === null) continue
+      job.finalStateDurable = true
+      this.jobs.delete(job.submission.jobId)
+      this.changed.delete(job)
+      this.setFinalState(job.submission.jobId, state, now)
+    }
+  }
+
+  /**
+   * Forgets final states that were told long enough.
+   * @param now The monotonic time.
+   * @returns The jobs whose rows may be removed.
+   */
+  expireFinalStates (now: number): string[] {
+    const expired: string[] = []
+    for (const [jobId, { since }] of this.finalStates) {
+      if (now - since < FINAL_STATE_MILLISECONDS) break
+      this.finalStates.delete(jobId)
+      expired.push(jobId)
+    }
+    return expired
+  }
+}
--- /dev/null
+++ b/src/dispatch/WorkerRecord.ts
@@ -0,0 +1,170 @@
+import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
+
+/** What a worker offers to tasks. */
+export interface WorkerCapacity {
+  /** Thousandths of a processor. */
+  processorsMilli: number
+  memoryMegabytes: number
+  accelerators: number
+}
+
+/** A worker as the platform's list shows it. */
+export interface WorkerEntry {
+  workerId: string
+  serviceName: string
+  address: string
+  dataCentre: string
+  state: 'ready' | 'draining'
+  /** The kind of the worker and its rack. */
+  labels: string[]
+  capacity: WorkerCapacity
+  /** Identifies the life of the worker's process; 0 when it is not told. */
+  bornAtMilliseconds: number
+  /** The least time that a draining worker stays, or null. */
+  remainingMilliseconds: number | null
+}
+
+/**
+ * What this owner knows of a worker's runs: nothing yet (`unknown`), all of them (`synchronized`), or what it knew
+ * before calls began to fail (`unreachable`).
+ */
+export type WorkerKnowledge = 'unknown' | 'synchronized' | 'unreachable'
+
+/** One worker as the owner sees it. */
+export interface WorkerRecord {
+  entry: WorkerEntry
+  /** Whether the platform's list still names the worker. */
+  listed: boolean
+  /** Whether the store knows that this worker may hold tasks, so that a successor asks it. */
+  registered: boolean
+  knowledge: WorkerKnowledge
+  runs: Map<string, RunRecord>
+  /** Runs that belong to no live job, being stopped; the worker gets no work until they are gone. */
+  foreignRuns: Map<string, { name: string, attempt: number }>
+  reserved: WorkerCapacity
+  /** Processors wanted by tasks that fill, in thousandths. */
+  fillWanted: number
+  /** Processors reserved by serving tasks, in thousandths. */
+  servingReserved: number
+  /** The newest reading of the worker's clock and the monotonic time at which it arrived. */
+  clockReading: { workerMilliseconds: number, receivedAt: number } | null
+  /** The latest lease deadline ever sent, on the worker's clock. */
+  leaseDeadline: number
+  /** The highest number of an end that was applied, and the highest that may be acknowledged. */
+  appliedEnd: number
+  acknowledgeableEnd: number
+  /** Failed runs of different tasks since the last success. */
+  failureStreak: number
+  quarantinedUntil: number
+  quarantineMilliseconds: number
+  pace: { percent: number, changedAt: number, calmSince: number | null, overSince: number | null }
+}
+
+/** Leases are measured on clocks that may be this share slow. */
+const CLOCK_DRIFT_SHARE = 0.02
+
+/**
+ * Creates the record of a worker that has not been asked yet.
+ * @param entry The worker.
+ * @returns The record.
+ */
+export function createWorkerRecord (entry: WorkerEntry): WorkerRecord {
+  return {
+    entry,
+    listed: true,
+    registered: false,
+    knowledge: 'unknown',
+    runs: new Map(),
+    foreignRuns: new Map(),
+    reserved: { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 },
+    fillWanted: 0,
+    servingReserved: 0,
+    clockReading: null,
+    leaseDeadline: 0,
+    appliedEnd: 0,
+    acknowledgeableEnd: 0,
+    failureStreak: 0,
+    quarantinedUntil: 0,
+    quarantineMilliseconds: 0,
+    pace: { percent: 100, changedAt: -Infinity, calmSince: null, overSince: null }
+  }
+}
+
+/**
+ * Returns the key of a run among the runs of its worker.
+ * @param name The name of the task.
+ * @param attempt The number of the start.
+ * @returns The key.
+ */
+export function getRunKey (name: string, attempt: number): string {
+  return `${name}#${attempt}`
+}
+
+/**
+ * Adds a run to its task and worker and reserves its resources.
+ * @param worker The worker.
+ * @param run The run.
+ */
+export function addRun (worker: WorkerRecord, run: RunRecord): void {
+  worker.runs.set(getRunKey(run.task.name, run.attempt), run)
+  run.task.runs.push(run)
+  reserve(worker, run.task.step, 1)
+}
+
+/**
+ * Removes a run that is over and frees its resources.
+ * @param worker The worker.
+ * @param run The run.
+ * @param now The monotonic time, from which the task waits.
+ */
+export function removeRun (worker: WorkerRecord, run: RunRecord, now: number): void {
+  if (!worker.runs.delete(getRunKey(run.task.name, run.attempt))) return
+  run.task.runs = run.task.runs.filter(other => other !== run)
+  run.task.waitingSince = now
+  reserve(worker, run.task.step, -1)
+}
+
+/**
+ * Returns the least value that the worker's clock can show.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns The time on the worker's clock, or null when no reading is known.
+ */
+export function getEarliestWorkerTime (worker: WorkerRecord, now: number): number | null {
+  const reading = worker.clockReading
+  if (reading === null) return null
+  return reading.workerMilliseconds + (now - reading.receivedAt) * (1 - CLOCK_DRIFT_SHARE)
+}
+
+/**
+ * Counts the runs of a step on a worker.
+ * @param worker The worker.
+ * @param step The step.
+ * @returns The number of runs that are not over.
+ */
+export function countRunsOfStep (worker: WorkerRecord, step: StepRecord): number {
+  let count = 0
+  for (const run of worker.runs.values()) if (run.task.step === step) count++
+  return count
+}
+
+/**
+ * Tells whether a task serves its own users, so that its tail latency must be kept.
+ * @param task The task.
+ * @returns Whether it serves.
+ */
+export function isServing (task: TaskRecord): boolean {
+  return task.step.specification.targetMilliseconds > 0
+}
+
+function reserve (worker: WorkerRecord, step: StepRecord, sign: 1 | -1): void {
+  const { specification } = step
+  worker.reserved.memoryMegabytes += sign * specification.memoryMegabytes
+  worker.reserved.accelerators += sign * specification.accelerators
+  if (specification.fills) {
+    worker.fillWanted += sign * specification.processorsMilli
+  } else {
+    worker.reserved.processorsMilli += sign * specification.processorsMilli
+    if (specification.targetMilliseconds > 0) worker.servingReserved += sign * specification.processorsMilli
+  }
+}
--- /dev/null
+++ b/src/dispatch/applyReport.ts
@@ -0,0 +1,155 @@
+import type { JobRecord, RunRecord, TaskRecord } from '../jobs/index.js'
+import type { JobTable } from './JobTable.js'
+import type { ListedEnd, ListedRun, WorkerReport } from './WorkerProtocol.js'
+import { addRun, getRunKey, removeRun, type WorkerRecord } from './WorkerRecord.js'
+
+/** A worker lists at most this many ends at once; the rest follows after an acknowledgement. */
+const MAXIMUM_LISTED_ENDS = 500
+/** Failures of this many runs in a row, with no success between, point to the worker and not to the tasks. */
+const QUARANTINE_STREAK = 3
+const FIRST_QUARANTINE_MILLISECONDS = 3000
+const LONGEST_QUARANTINE_MILLISECONDS = 12_000
+
+/** What applying a report needs beside the worker. */
+export interface ReportContext {
+  jobs: JobTable
+  /** Monotonic time at which the call was sent: what was settled later may be missing from the lists. */
+  sentAt: number
+  now: number
+  stop (taskName: string, attempt: number, run: RunRecord | null): void
+  failJob (job: JobRecord): void
+  stopCopies (task: TaskRecord): void
+}
+
+/**
+ * Applies the lists of a worker to the runs that the owner knows.
+ * @param worker The worker.
+ * @param report The lists.
+ * @param context The jobs, the times, and what follows from ends.
+ * @returns Whether something changed that may let a task start.
+ */
+export function applyReport (worker: WorkerRecord, report: WorkerReport, context: ReportContext): boolean {
+  let changed = false
+  for (const ended of report.ended) {
+    if (ended.number <= worker.appliedEnd) continue
+    worker.appliedEnd = ended.number
+    applyEnd(worker, ended, context)
+    changed = true
+  }
+  const listed = new Set<string>()
+  for (const row of report.running) {
+    listed.add(getRunKey(row.taskName, row.attempt))
+    applyRunning(worker, row, context)
+  }
+  for (const key of worker.foreignRuns.keys()) {
+    if (!listed.has(key)) changed = worker.foreignRuns.delete(key) || changed
+  }
+  if (report.ended.length < MAXIMUM_LISTED_ENDS) changed = removeMissingRuns(worker, listed, context) || changed
+  return changed
+}
+
+function applyRunning (worker: WorkerRecord, row: ListedRun, context: ReportContext): void {
+  const key = getRunKey(row.taskName, row.attempt)
+  const { now } = context
+  let run = worker.runs.get(key)
+  if (run === undefined) {
+    const task = context.jobs.findTask(row.taskName, now)
+    if (task === undefined || task.done) {
+      const isKnown = worker.foreignRuns.has(key)
+      worker.foreignRuns.set(key, { name: row.taskName, attempt: row.attempt })
+      if (!isKnown) context.stop(row.taskName, row.attempt, null)
+      return
+    }
+    run = adoptRun(worker, task, row, now)
+    if (task.runs.length > 1 && !task.step.specification.speculative) context.stop(row.taskName, row.attempt, run)
+  }
+  if (run.state === 'starting') run.state = 'running'
+  run.startUncertain = false
+  run.settledAt ??= now
+  if (row.percent !== run.percent) run.progressedAt = now
+  run.percent = row.percent
+  run.usageFigure = row.usageFigure
+  if (row.checkpoint !== '') run.task.checkpoint = row.checkpoint
+}
+
+/** Takes over a run that an earlier owner started, or whose start seemed lost. */
+function adoptRun (worker: WorkerRecord, task: TaskRecord, row: ListedRun, now: number): RunRecord {
+  const run: RunRecord = {
+    task,
+    attempt: row.attempt,
+    workerId: worker.entry.workerId,
+    state: 'running',
+    startedAt: now,
+    startUncertain: false,
+    settledAt: now,
+    percent: row.percent,
+    progressedAt: now,
+    usageFigure: row.usageFigure,
+    pacePercent: -1
+  }
+  task.nextAttempt = Math.max(task.nextAttempt, row.attempt + 1)
+  task.step.occurrence.job.hasStarted = true
+  addRun(worker, run)
+  return run
+}
+
+function applyEnd (worker: WorkerRecord, ended: ListedEnd, context: ReportContext): void {
+  const run = worker.runs.get(getRunKey(ended.taskName, ended.attempt))
+  if (run !== undefined) removeRun(worker, run, context.now)
+  const task = run?.task ?? context.jobs.findTask(ended.taskName, context.now)
+  if (task === undefined) return
+  const { job } = task.step.occurrence
+  const isLive = job.finalState === null && !task.done
+  task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
+  if (ended.end === 'done') {
+    worker.failureStreak = 0
+    worker.quarantineMilliseconds = 0
+    if (isLive) finishTask(task, context)
+    return
+  }
+  if (ended.checkpoint !== '') {
+    task.checkpoint = ended.checkpoint
+    if (isLive) context.jobs.markChanged(job)
+  }
+  if (ended.end === 'failed') applyFailure(worker, task, isLive, context)
+}
+
+function finishTask (task: TaskRecord, context: ReportContext): void {
+  // One end stands for all members of a gang, which end together.
+  const members = task.step.specification.gang ? task.step.tasks : [task]
+  if (task.step.specification.longRunning) return
+  for (const member of members) {
+    context.jobs.markDone(member)
+    if (!task.step.specification.gang) context.stopCopies(member)
+  }
+}
+
+function applyFailure (worker: WorkerRecord, task: TaskRecord, isLive: boolean, context: ReportContext): void {
+  worker.failureStreak++
+  if (worker.failureStreak >= QUARANTINE_STREAK) {
+    worker.quarantineMilliseconds =
+      Math.min(LONGEST_QUARANTINE_MILLISECONDS, worker.quarantineMilliseconds * 2 || FIRST_QUARANTINE_MILLISECONDS)
+    worker.quarantinedUntil = context.now + worker.quarantineMilliseconds
+    // The first task after the quarantine is a probe: one more failure renews it.
+    worker.failureStreak = QUARANTINE_STREAK - 1
+  }
+  task.failedOn.add(worker.entry.workerId)
+  if (!isLive || task.step.specification.longRunning) return
+  const members = task.step.specification.gang ? task.step.tasks : [task]
+  for (const member of members) member.failures = task.failures + (member === task ? 0 : 1)
+  task.failures++
+  const { job } = task.step.occurrence
+  context.jobs.markChanged(job)
+  if (task.failures >= job.submission.attemptLimit) context.failJob(job)
+}
+
+/** A settled run that a later list names neither as running nor as ended is over. */
+function removeMissingRuns (worker: WorkerRecord, listed: Set<string>, context: ReportContext): boolean {
+  let changed = false
+  for (const [key, run] of worker.runs) {
+    if (listed.has(key) || run.settledAt === null || run.settledAt >= context.sentAt) continue
+    removeRun(worker, run, context.now)
+    changed = true
+  }
+  return changed
+}
--- /dev/null
+++ b/src/dispatch/chooseWorker.ts
@@ -0,0 +1,109 @@
+import type { TaskRecord } from '../jobs/index.js'
+import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
+
+/**
+ * Chooses where a task starts.
+ *
+ * Answers the load of a colocated site: serving tasks reserve most processors but use about half of them, urgent
+ * steps need reserved processors at once, and wide batch steps fill what is left. Spreading each kind over the
+ * workers with the most unused processors keeps all three from piling up on one worker.
+ */
+
+/** The share of its reservation that a serving task uses on average; the rest can be filled. */
+const SERVING_USE_SHARE = 0.5
+/** Filling beyond the unused processors slows every filling task of the worker, so more wait than start. */
+const FILL_LIMIT_SHARE = 1.0
+/** Workers on which this task failed before come last, by a margin that outweighs any other difference. */
+const FAILED_BEFORE_PENALTY = 10
+/** Data on another rack multiplies the run time, which outweighs a fuller worker. */
+const OTHER_RACK_PENALTY = 4
+
+/** What the choice depends on beside the task and the workers. */
+export interface ChoiceConditions {
+  /** Services whose workers may run the queue's tasks. */
+  serviceName: string
+  dataCentresOut: ReadonlySet<string>
+  now: number
+}
+
+/**
+ * Tells whether a worker may get new work at all.
+ * @param worker The worker.
+ * @param conditions The service, the data centres that are out, and the time.
+ * @returns Whether it may.
+ */
+export function isEligible (worker: WorkerRecord, conditions: ChoiceConditions): boolean {
+  return worker.listed && worker.registered && worker.knowledge === 'synchronized' &&
+    worker.entry.state === 'ready' && worker.entry.serviceName === conditions.serviceName &&
+    worker.foreignRuns.size === 0 && worker.quarantinedUntil <= conditions.now &&
+    !conditions.dataCentresOut.has(worker.entry.dataCentre)
+}
+
+/**
+ * Returns the processors that tasks which fill can expect on a worker.
+ * @param worker The worker.
+ * @returns Thousandths of a processor, not yet reduced by the tasks that fill already.
+ */
+export function getFillableProcessors (worker: WorkerRecord): number {
+  const used = worker.reserved.processorsMilli - worker.servingReserved * (1 - SERVING_USE_SHARE)
+  return Math.max(0, worker.entry.capacity.processorsMilli - used) * FILL_LIMIT_SHARE
+}
+
+/**
+ * Tells whether the task fits into what the worker has left.
+ * @param worker The worker.
+ * @param task The task.
+ * @returns Whether it fits.
+ */
+export function fits (worker: WorkerRecord, task: TaskRecord): boolean {
+  const { specification } = task.step
+  const { capacity } = worker.entry
+  if (worker.reserved.memoryMegabytes + specification.memoryMegabytes > capacity.memoryMegabytes) return false
+  if (worker.reserved.accelerators + specification.accelerators > capacity.accelerators) return false
+  if (specification.fills) {
+    return worker.fillWanted === 0 ||
+      worker.fillWanted + specification.processorsMilli <= getFillableProcessors(worker)
+  }
+  return worker.reserved.processorsMilli + specification.processorsMilli <= capacity.processorsMilli
+}
+
+/**
+ * Chooses the worker for a task.
+ * @param task The task.
+ * @param workers All workers.
+ * @param conditions The service, the data centres that are out, and the time.
+ * @returns The worker, or null when the task has to wait.
+ */
+export function chooseWorker (
+  task: TaskRecord, workers: Iterable<WorkerRecord>, conditions: ChoiceConditions
+): WorkerRecord | null {
+  const { specification } = task.step
+  let best: WorkerRecord | null = null
+  let bestCost = Infinity
+  for (const worker of workers) {
+    if (!isEligible(worker, conditions) || !fits(worker, task)) continue
+    const { labels } = worker.entry
+    if (specification.requiredLabel !== '' && !labels.includes(specification.requiredLabel)) continue
+    const limit = specification.maximumPerWorker
+    if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
+    let cost = getCost(worker, task)
+    if (specification.preferredRack !== '' && !labels.includes(specification.preferredRack)) cost += OTHER_RACK_PENALTY
+    if (task.failedOn.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
+    if (cost < bestCost) {
+      best = worker
+      bestCost = cost
+    }
+  }
+  return best
+}
+
+/** The share of the worker's processors in use after the start: reserved ones, or expected use where the task fills. */
+function getCost (worker: WorkerRecord, task: TaskRecord): number {
+  const { specification } = task.step
+  const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
+  if (specification.fills) {
+    return (worker.fillWanted + specification.processorsMilli) / Math.max(1, getFillableProcessors(worker)) +
+      (100 - worker.pace.percent) / 100
+  }
+  return (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
+}
--- /dev/null
+++ b/src/instance/Instance.ts
@@ -0,0 +1,165 @@
+import type { WorkerClient, WorkerEntry } from '../dispatch/index.js'
+import type { Fence } from '../leases/ShardLease.js'
+import type { Clock } from '../shared/Clock.js'
+import type { HttpCaller } from '../shared/HttpCaller.js'
+import type { Logger } from '../shared/Logger.js'
+import type { TableFeed } from '../table/TableFeed.js'
+import type { TableService } from '../table/TableService.js'
+import { JobGateway } from './JobGateway.js'
+import { OwnerElection } from './OwnerElection.js'
+import { OwnerPeer, type OwnerAnswers } from './OwnerPeer.js'
+import { OWNER_HOLD_LIMIT_MILLISECONDS, ShardDispatcher } from './ShardDispatcher.js'
+import { SiteWatch, type PlatformSite } from './SiteWatch.js'
+
+/** Options of an instance. */
+export interface InstanceOptions {
+  instanceId: string
+  region: string
+  /** Where peers reach this process. */
+  peerAddress: string
+  tableService: TableService
+  feed: TableFeed
+  platform: PlatformSite
+  caller: HttpCaller
+  clock: Clock
+  logger: Logger
+  /** The longest lease that workers grant. */
+  leaseMilliseconds: number
+  createWorkerClient (entry: WorkerEntry): WorkerClient
+  random (): number
+}
+
+/** All jobs of a site belong to one shard; see docs/platform.md for the sizes at which it is split. */
+const SHARD_ID = 'site'
+/** Without news of the configuration for this long, callers are better served by another process. */
+const READY_CONTACT_MILLISECONDS = 4000
+/** Leases are measured on clocks that may be 2% slow; the rest covers the way of the last renewal. */
+const LEASE_MARGIN_SHARE = 0.05
+
+/** One process of the system: it serves callers, and owns the shard when it is elected. */
+export class Instance {
+  readonly gateway: JobGateway
+  readonly answers: OwnerAnswers
+  private readonly election: OwnerElection
+  private readonly site: SiteWatch
+  private dispatcher: ShardDispatcher | null = null
+  private stopping = false
+
+  private constructor (private readonly options: InstanceOptions) {
+    const { tableService, clock, logger, caller, instanceId, region, peerAddress } = options
+    const peer = OwnerPeer.create({ caller })
+    this.site = SiteWatch.create({
+      platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
+    })
+    this.election = OwnerElection.create({
+      shardId: SHARD_ID,
+      instanceId,
+      address: peerAddress,
+      region,
+      tableService,
+      peer,
+      clock,
+      logger,
+      random: options.random,
+      onAcquired: (fence, earlierOwnerStopped) => this.startDispatcher(fence, earlierOwnerStopped),
+      onDeposed: reason => this.stopDispatcher(reason)
+    })
+    this.answers = this.createAnswers()
+    this.gateway = JobGateway.create({
+      tableService,
+      peer,
+      ownAnswers: this.answers,
+      isOwner: () => this.election.isOwner(),
+      getOwnerAddress: () => this.election.getOwnerAddress(),
+      clock,
+      logger
+    })
+  }
+
+  /**
+   * Creates an instance that does nothing before `start`.
+   * @param options The process, the store and the platform.
+   * @returns The instance.
+   */
+  static create (options: InstanceOptions): Instance {
+    return new Instance(options)
+  }
+
+  /** Starts to follow the site and to take part in the election. */
+  start (): void {
+    this.site.start()
+    void this.election.run()
+  }
+
+  /** Returns the newest configuration, or null before the first. */
+  getConfiguration () {
+    return this.site.getConfiguration()
+  }
+
+  /** Tells whether callers are served well here. */
+  isReady (): boolean {
+    const age = this.options.clock.monotonicMilliseconds() - this.site.getLastContactAt()
+    return !this.stopping && this.site.getConfiguration() !== null && age < READY_CONTACT_MILLISECONDS
+  }
+
+  /** Hands the ownership over and stops; callers are still served until the servers close. */
+  async stop (): Promise<void> {
+    this.stopping = true
+    const { dispatcher } = this
+    dispatcher?.drain()
+    await dispatcher?.flush()
+    dispatcher?.stop()
+    this.dispatcher = null
+    await this.election.stop()
+    this.site.stopWorkers()
+  }
+
+  private startDispatcher (fence: Fence, earlierOwnerStopped: boolean): void {
+    const { options } = this
+    const now = options.clock.monotonicMilliseconds()
+    const holdsEndWithin = earlierOwnerStopped ? 0 : OWNER_HOLD_LIMIT_MILLISECONDS
+    this.dispatcher?.stop()
+    this.dispatcher = ShardDispatcher.create({
+      shardId: SHARD_ID,
+      fence,
+      tableService: options.tableService,
+      feed: options.feed,
+      site: this.site,
+      clock: options.clock,
+      logger: options.logger,
+      leaseMilliseconds: options.leaseMilliseconds,
+      earlierOwnersOverAt: now + holdsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      createWorkerClient: options.createWorkerClient,
+      getRenewedAt: () => this.election.getRenewedAt(),
+      onDeposed: reason => this.election.depose(reason)
+    })
+    this.site.startWorkers()
+    void this.dispatcher.run()
+  }
+
+  private stopDispatcher (reason: string): void {
+    this.options.logger.warn('ownership lost', { reason })
+    this.dispatcher?.stop()
+    this.dispatcher = null
+    this.site.stopWorkers()
+  }
+
+  private updateDispatcher (): void {
+    if (this.site.areWorkersKnown()) this.dispatcher?.updateSite()
+  }
+
+  private createAnswers (): OwnerAnswers {
+    const getEngine = () => this.dispatcher?.isLoaded === true ? this.dispatcher.engine : null
+    return {
+      probe: () => ({
+        isOwner: this.election.isOwner(),
+        renewalAge: Math.round(Math.min(1e9, this.options.clock.monotonicMilliseconds() - this.election.getRenewedAt()))
+      }),
+      getJobState: jobId => {
+        const engine = getEngine()
+        return engine === null ? null : engine.jobs.getState(jobId) ?? 'unknown'
+      },
+      countWaiting: queueName => getEngine()?.jobs.countWaiting(queueName) ?? null
+    }
+  }
+}
--- /dev/null
+++ b/src/instance/OwnerElection.ts
@@ -0,0 +1,170 @@
+import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type Fence } from '../leases/ShardLease.js'
+import type { Clock } from '../shared/Clock.js'
+import type { Logger } from '../shared/Logger.js'
+import type { TableService } from '../table/TableService.js'
+import type { OwnerPeer } from './OwnerPeer.js'
+
+/** Options of an election. */
+export interface OwnerElectionOptions {
+  shardId: string
+  instanceId: string
+  /** Where peers reach this process. */
+  address: string
+  region: string
+  tableService: TableService
+  peer: OwnerPeer
+  clock: Clock
+  logger: Logger
+  /** A number from 0 to 1 that spreads the candidates. */
+  random (): number
+  onAcquired (fence: Fence, earlierOwnerStopped: boolean): void
+  onDeposed (reason: string): void
+}
+
+/** How often an owner renews; three renewals fit into the wait of a successor. */
+const RENEW_MILLISECONDS = 700
+/** How often other processes ask the owner whether it lives. */
+const PROBE_MILLISECONDS = 400
+/** A successor takes over when the heartbeat did not change for this long; fences make an early takeover safe. */
+const TAKEOVER_WAIT_MILLISECONDS = 2200
+/** An owner whose last renewal is older is asked for in the store. */
+const STALE_RENEWAL_MILLISECONDS = 2000
+/** Refused connections in a row that show that the owner's process is gone. */
+const REFUSALS_UNTIL_GONE = 2
+/** Candidates spread over this time, the ones near the store first. */
+const CANDIDATE_SPREAD_MILLISECONDS = 150
+/** A round trip to the store counts this many times in the candidates' order. */
+const STORE_DISTANCE_WEIGHT = 6
+const LONGEST_CANDIDATE_DELAY_MILLISECONDS = 400
+
+/** Decides which process owns the shard: it renews as owner, and watches the owner otherwise. */
+export class OwnerElection {
+  private readonly lease: ShardLease
+  private stopped = false
+  private refusals = 0
+  private ownerStopped = false
+
+  private constructor (private readonly options: OwnerElectionOptions) {
+    const { shardId, instanceId, address, region, tableService, clock } = options
+    this.lease = ShardLease.create({
+      shardId,
+      owner: instanceId,
+      address,
+      region,
+      tableService,
+      clock,
+      rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS }
+    })
+  }
+
+  /**
+   * Creates an election that does nothing before `run`.
+   * @param options The shard, this process, the store and the peers.
+   * @returns The election.
+   */
+  static create (options: OwnerElectionOptions): OwnerElection {
+    return new OwnerElection(options)
+  }
+
+  /** Returns the address of the owner as far as it is known, or null. */
+  getOwnerAddress (): string | null {
+    return this.lease.getObservedOwner()?.address ?? null
+  }
+
+  /** Tells whether this process owns the shard. */
+  isOwner (): boolean {
+    return this.lease.getFence() !== null
+  }
+
+  /** Returns the monotonic time of the last successful renewal. */
+  getRenewedAt (): number {
+    return this.lease.getRenewedAt()
+  }
+
+  /** Takes part until it is stopped. */
+  async run (): Promise<void> {
+    while (!this.stopped) {
+      if (this.isOwner()) {
+        await this.renew()
+        await this.pause(RENEW_MILLISECONDS)
+      } else {
+        await this.watch()
+        await this.pause(PROBE_MILLISECONDS)
+      }
+    }
+  }
+
+  /** Gives the ownership up in an orderly way and takes no further part. */
+  async stop (): Promise<void> {
+    this.stopped = true
+    if (this.isOwner()) await this.lease.release()
+  }
+
+  /** Drops the ownership after a receiver has seen a later owner. */
+  depose (reason: string): void {
+    if (!this.isOwner()) return
+    this.lease.depose()
+    this.options.onDeposed(reason)
+  }
+
+  private async renew (): Promise<void> {
+    const outcome = await this.lease.renew(null)
+    if (outcome === 'deposed' && !this.stopped) this.options.onDeposed('the store names another owner')
+  }
+
+  private async watch (): Promise<void> {
+    if (await this.isOwnerAlive()) return
+    const { shardId, tableService, clock } = this.options
+    const sentAt = clock.monotonicMilliseconds()
+    const read = await tableService.readMany([
+      { table: SHARD_TABLE, key: shardId }, { table: SHARD_HEARTBEAT_TABLE, key: shardId }
+    ])
+    if (read.kind !== 'ok' || this.stopped) return
+    const now = clock.monotonicMilliseconds()
+    const before = this.getOwnerAddress()
+    this.lease.observe(read.value[0], read.value[1], now)
+    if (before !== this.getOwnerAddress()) {
+      this.refusals = 0
+      this.ownerStopped = false
+      // Only a probe of the owner just learned of can tell whether it lives.
+      if (before === null && this.getOwnerAddress() !== this.options.address) return
+    }
+    const isOwnEarlierLife = this.getOwnerAddress() === this.options.address
+    const isGone = this.refusals >= REFUSALS_UNTIL_GONE || this.ownerStopped || isOwnEarlierLife
+    const vacantFrom = isGone ? now : this.lease.getVacantFrom()
+    if (vacantFrom === null || now < vacantFrom) return
+    await this.tryToAcquire(now - sentAt, isGone)
+  }
+
+  private async tryToAcquire (storeRoundTrip: number, isGone: boolean): Promise<void> {
+    const { random, logger, instanceId } = this.options
+    const delay = Math.min(LONGEST_CANDIDATE_DELAY_MILLISECONDS, storeRoundTrip * STORE_DISTANCE_WEIGHT) +
+      random() * CANDIDATE_SPREAD_MILLISECONDS
+    await this.pause(delay)
+    if (this.stopped) return
+    const stoppedBefore = isGone || this.lease.getObservedHeartbeat() === null ||
+      this.lease.getObservedHeartbeat()?.released === true
+    if (!await this.lease.acquire({ expectVacancy: isGone })) return
+    this.refusals = 0
+    this.ownerStopped = false
+    const fence = this.lease.getFence()
+    if (fence === null) return
+    logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped: stoppedBefore })
+    this.options.onAcquired(fence, stoppedBefore)
+  }
+
+  private async isOwnerAlive (): Promise<boolean> {
+    const address = this.getOwnerAddress()
+    if (address === null || address === this.options.address) return false
+    const outcome = await this.options.peer.probe(address)
+    if (outcome.kind === 'refused') this.refusals++
+    else this.refusals = 0
+    // A process that answers and does not own the shard has begun a new life or has given it up.
+    this.ownerStopped = outcome.kind === 'alive' && !outcome.isOwner
+    return outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
+  }
+
+  private pause (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
+  }
+}
--- /dev/null
+++ b/src/instance/OwnerPeer.ts
@@ -0,0 +1,73 @@
+import type { JobState } from '../jobs/index.js'
+import type { HttpCaller } from '../shared/HttpCaller.js'
+
+/** What a probe of the owner showed. */
+export type ProbeOutcome =
+  | { kind: 'alive', isOwner: boolean, renewalAge: number }
+  /** The machine answers and no process listens. */
+  | { kind: 'refused' }
+  | { kind: 'silent', reason: string }
+
+/** What an owner answers about a job; `unknown` when it does not know the job, null when it did not answer. */
+export type OwnerJobState = JobState | 'unknown' | null
+
+/** The answers of an owner to its peers. */
+export interface OwnerAnswers {
+  probe (): { isOwner: boolean, renewalAge: number }
+  getJobState (jobId: string): OwnerJobState
+  countWaiting (queueName: string): number | null
+}
+
+/** A probe that takes longer goes to a process that is frozen, off or cut off. */
+const PROBE_TIMEOUT_MILLISECONDS = 600
+/** An owner answers from memory; the store is asked when it takes longer. */
+const STATE_TIMEOUT_MILLISECONDS = 400
+const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
+
+/** The calls from one process of the system to the owner, as JSON over HTTP. */
+export class OwnerPeer {
+  private constructor (private readonly caller: HttpCaller) {}
+
+  /**
+   * Creates the client.
+   * @param options The caller to use.
+   * @returns The client.
+   */
+  static create (options: { caller: HttpCaller }): OwnerPeer {
+    return new OwnerPeer(options.caller)
+  }
+
+  /** Asks a process whether it owns the shard. */
+  async probe (address: string): Promise<ProbeOutcome> {
+    const answer = await this.caller.call({
+      address, method: 'GET', path: '/owner', timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS
+    })
+    if (answer.kind === 'answered' && answer.statusCode === 200) {
+      const body = JSON.parse(answer.body.toString()) as { isOwner: boolean, renewalAge: number }
+      return { kind: 'alive', ...body }
+    }
+    const reason = answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason
+    return REFUSED_CODES.has(reason) ? { kind: 'refused' } : { kind: 'silent', reason }
+  }
+
+  /** Asks the owner for the state of a job. */
+  async getJobState (address: string, jobId: string): Promise<OwnerJobState> {
+    const answer = await this.caller.call({
+      address, method: 'GET', path: `/jobs/${jobId}`, timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
+    })
+    if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
+    return (JSON.parse(answer.body.toString()) as { state: OwnerJobState }).state
+  }
+
+  /** Asks the owner how many jobs of a queue wait; null when it did not answer. */
+  async countWaiting (address: string, queueName: string): Promise<number | null> {
+    const answer = await this.caller.call({
+      address,
+      method: 'GET',
+      path: `/queues/${encodeURIComponent(queueName)}`,
+      timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
+    })
+    if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
+    return (JSON.parse(answer.body.toString()) as { waiting: number | null }).waiting
+  }
+}
--- /dev/null
+++ b/src/instance/ShardDispatcher.ts
@@ -0,0 +1,386 @@
+import {
+  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type OrderOutcome, type WorkerClient, type WorkerEntry,
+  type WorkerRecord
+} from '../dispatch/index.js'
+import type { RunRecord } from '../jobs/index.js'
+import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
+import type { Clock } from '../shared/Clock.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+import type { Logger } from '../shared/Logger.js'
+import type { RowChange, TableFeed } from '../table/TableFeed.js'
+import { TableFollower } from '../table/TableFollower.js'
+import type { Operation, Row, TableService } from '../table/TableService.js'
+import { decodeSubmission, getCancelledJob, HOLDING_TABLE, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { ProgressWriter } from './ProgressWriter.js'
+import type { SiteWatch } from './SiteWatch.js'
+import { WorkerLoop } from './WorkerLoop.js'
+
+/** Options of a dispatcher. */
+export interface ShardDispatcherOptions {
+  shardId: string
+  fence: Fence
+  tableService: TableService
+  feed: TableFeed
+  site: SiteWatch
+  clock: Clock
+  logger: Logger
+  /** The longest lease that workers grant. */
+  leaseMilliseconds: number
+  /** Monotonic time from which no order of an earlier owner can be in force. */
+  earlierOwnersOverAt: number
+  createWorkerClient (entry: WorkerEntry): WorkerClient
+  /** Tells the monotonic time of the last successful renewal of the ownership. */
+  getRenewedAt (): number
+  onDeposed (reason: string): void
+}
+
+/** An owner that could not renew for this long stops renewing leases of workers, so that a successor's wait ends. */
+export const OWNER_HOLD_LIMIT_MILLISECONDS = 10_000
+/** An owner that could not renew for this long starts nothing: its view of the configuration may be old. */
+const OWNER_START_LIMIT_MILLISECONDS = 6000
+/** Changes of this time are planned together. */
+const PLAN_DELAY_MILLISECONDS = 8
+/** How often time alone is looked at: leases that ended, occurrences that are due. */
+const TICK_MILLISECONDS = 200
+/** A start that arrives later than this is refused by the worker, so an order that was held up does no harm. */
+const START_WINDOW_MILLISECONDS = 1800
+/** A start without an answer is sent this often; it is the same attempt, which a worker runs at most once. */
+const START_TRIES = 3
+const STOP_RETRY_MILLISECONDS = 300
+const FEED_WAIT_MILLISECONDS = 10_000
+const LOAD_RETRY_MILLISECONDS = 200
+
+/** Runs one shard as its owner: loads its jobs, holds its workers, sends orders, and makes progress durable. */
+export class ShardDispatcher {
+  readonly engine: DispatchEngine
+  private readonly writer: ProgressWriter
+  private readonly loops = new Map<string, { loop: WorkerLoop, client: WorkerClient }>()
+  private jobFollower: TableFollower | null = null
+  private stopped = false
+  private draining = false
+  private planScheduled = false
+  private registering = false
+  private cancelTick: () => void = () => {}
+  private loaded = false
+
+  private constructor (private readonly options: ShardDispatcherOptions) {
+    this.engine = DispatchEngine.create({ epoch: options.fence.epoch })
+    this.writer = ProgressWriter.create({
+      ...options,
+      engine: this.engine,
+      onDurable: finished => {
+        for (const job of finished) {
+          options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
+        }
+      },
+      onDeposed: () => options.onDeposed('a progress write found another owner')
+    })
+  }
+
+  /**
+   * Creates a dispatcher that does nothing before `run`.
+   * @param options The shard, the fence and the outside.
+   * @returns The dispatcher.
+   */
+  static create (options: ShardDispatcherOptions): ShardDispatcher {
+    return new ShardDispatcher(options)
+  }
+
+  /** Whether the jobs were loaded, so that answers about them are complete. */
+  get isLoaded (): boolean {
+    return this.loaded
+  }
+
+  /** Loads the shard and works until it is stopped. */
+  async run (): Promise<void> {
+    while (!this.stopped && !await this.load()) await this.pause(LOAD_RETRY_MILLISECONDS)
+    if (this.stopped) return
+    this.loaded = true
+    const { jobs, workers } = this.engine
+    this.options.logger.info('shard loaded', { jobs: [...jobs.getJobs()].length, workers: workers.size })
+    this.updateSite()
+    void this.writer.run()
+    this.tick()
+  }
+
+  /** Stops starting tasks; leases are still renewed. */
+  drain (): void {
+    this.draining = true
+  }
+
+  /** Stops everything; calls in flight are ignored when they end. */
+  stop (): void {
+    this.stopped = true
+    this.cancelTick()
+    this.writer.stop()
+    this.jobFollower?.stop()
+    for (const workerId of [...this.loops.keys()]) this.stopLoop(workerId)
+  }
+
+  /** Writes what is not durable yet, before an orderly hand-over. */
+  async flush (): Promise<void> {
+    await this.writer.flush()
+  }
+
+  /** Applies the workers, queues and data centres of the site as they are known now. */
+  updateSite (): void {
+    if (!this.loaded || this.stopped) return
+    const { site, clock } = this.options
+    const now = clock.monotonicMilliseconds()
+    const configuration = site.getConfiguration()
+    if (configuration !== null) {
+      this.engine.setQueueServices(new Map(configuration.queues.map(queue => [queue.name, queue.serviceName])))
+    }
+    this.engine.setDataCentresOut(site.getDataCentresOut())
+    const entries = site.getWorkers()
+    for (const entry of entries.values()) {
+      const worker = this.engine.setWorker(entry, now)
+      if (!this.loops.has(entry.workerId)) this.startLoop(worker)
+    }
+    for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.unlistWorker(workerId)
+    void this.registerWorkers()
+    this.schedulePlan()
+  }
+
+  private async load (): Promise<boolean> {
+    const { feed, clock } = this.options
+    const jobs = await feed.readTable(JOB_TABLE)
+    const progress = await feed.readTable(PROGRESS_TABLE)
+    const holding = await feed.readTable(HOLDING_TABLE)
+    if (jobs.kind !== 'ok' || progress.kind !== 'ok' || holding.kind !== 'ok' || this.stopped) return false
+    const now = clock.monotonicMilliseconds()
+    const progressOf = new Map(progress.value.rows.map(row => [row.key, row.value]))
+    this.addJobs(jobs.value.rows, key => progressOf.get(key) ?? null, true)
+    for (const [jobId, value] of progressOf) {
+      const state = (value as { state?: 'completed' | 'failed' | 'cancelled' } | null)?.state
+      if (state !== undefined) this.engine.jobs.setFinalState(jobId, state, now)
+    }
+    for (const row of holding.value.rows) {
+      const entry = row.value as unknown as WorkerEntry
+      const worker = this.engine.setWorker(entry, now)
+      worker.registered = true
+      worker.listed = false
+      this.engine.expectAnswer(row.key, this.options.earlierOwnersOverAt)
+      this.startLoop(worker)
+    }
+    this.followJobs()
+    return true
+  }
+
+  private followJobs (): void {
+    const { feed, clock, logger } = this.options
+    this.jobFollower = TableFollower.create({
+      table: JOB_TABLE,
+      feed,
+      clock,
+      logger,
+      waitMilliseconds: FEED_WAIT_MILLISECONDS,
+      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => null, false),
+      onChanges: changes => this.applyJobChanges(changes)
+    })
+    void this.jobFollower.run()
+  }
+
+  private applyJobChanges (changes: RowChange[]): void {
+    this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]), () => null, false)
+  }
+
+  private addJobs (rows: Row[], getProgress: (jobId: string) => JsonValue | null, recovered: boolean): void {
+    const now = this.options.clock.monotonicMilliseconds()
+    for (const row of rows) {
+      if (getCancelledJob(row.key) !== null) continue
+      const submission = decodeSubmission(row.value)
+      if (submission === null) {
+        this.options.logger.warn('a row of the job table has another form', { key: row.key })
+        continue
+      }
+      const progress = getProgress(row.key)
+      this.engine.jobs.add({ submission, rowVersion: row.version, progress, recovered }, now)
+    }
+    for (const row of rows) {
+      const jobId = getCancelledJob(row.key)
+      if (jobId !== null) this.engine.cancelJob(jobId)
+    }
+    this.engine.markDirty()
+    this.schedulePlan()
+  }
+
+  private startLoop (worker: WorkerRecord): void {
+    const { clock, leaseMilliseconds, onDeposed } = this.options
+    const client = this.options.createWorkerClient(worker.entry)
+    const loop = WorkerLoop.create({
+      worker,
+      engine: this.engine,
+      client,
+      clock,
+      leaseMilliseconds,
+      mayHold: () => this.getRenewalAge() < OWNER_HOLD_LIMIT_MILLISECONDS,
+      onReport: () => this.schedulePlan(),
+      onFenced: () => onDeposed('a worker has seen a higher fencing token'),
+      waitForDurability: () => this.writer.waitForDurability()
+    })
+    this.loops.set(worker.entry.workerId, { loop, client })
+    void loop.run()
+  }
+
+  private stopLoop (workerId: string): void {
+    const entry = this.loops.get(workerId)
+    this.loops.delete(workerId)
+    entry?.loop.stop()
+    entry?.client.close()
+  }
+
+  /** Makes durable which workers may hold tasks before the first task is sent there. */
+  private async registerWorkers (): Promise<void> {
+    if (this.registering) return
+    const added = [...this.engine.workers.values()].filter(worker => !worker.registered).slice(0, 90)
+    if (added.length === 0) return
+    this.registering = true
+    const { shardId, fence, tableService } = this.options
+    const operations: Operation[] = added.map(worker => ({
+      kind: 'put',
+      table: HOLDING_TABLE,
+      key: worker.entry.workerId,
+      value: worker.entry as unknown as JsonValue,
+      condition: { kind: 'any' }
+    }))
+    operations.push({
+      kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
+    })
+    const outcome = await tableService.transact({ operations })
+    this.registering = false
+    if (this.stopped) return
+    if (outcome.kind === 'committed') {
+      for (const worker of added) worker.registered = true
+      this.engine.markDirty()
+      this.schedulePlan()
+    } else if (outcome.kind === 'conflict') {
+      return this.options.onDeposed('the registration of workers found another owner')
+    } else {
+      await this.pause(LOAD_RETRY_MILLISECONDS)
+    }
+    await this.registerWorkers()
+  }
+
+  private async unregisterWorker (workerId: string): Promise<void> {
+    this.stopLoop(workerId)
+    const outcome = await this.options.tableService.transact({
+      operations: [
+        { kind: 'delete', table: HOLDING_TABLE, key: workerId, condition: { kind: 'any' } },
+        {
+          kind: 'check',
+          table: SHARD_TABLE,
+          key: this.options.shardId,
+          condition: { kind: 'version', version: this.options.fence.rowVersion }
+        }
+      ]
+    })
+    if (outcome.kind !== 'committed') {
+      // A row that stays costs a successor one call to a worker that is gone.
+      this.options.logger.info('the row of a worker that is gone was not removed', { worker: workerId })
+    }
+  }
+
+  private tick (): void {
+    if (this.stopped) return
+    this.cancelTick = this.options.clock.setTimer(TICK_MILLISECONDS, () => this.tick())
+    const now = this.options.clock.monotonicMilliseconds()
+    this.engine.jobs.expireFinalStates(now)
+    this.engine.markDirty()
+    this.plan()
+    for (const workerId of this.loops.keys()) {
+      if (!this.engine.workers.has(workerId)) void this.unregisterWorker(workerId)
+    }
+  }
+
+  private schedulePlan (): void {
+    if (this.planScheduled || this.stopped) return
+    this.planScheduled = true
+    this.options.clock.setTimer(PLAN_DELAY_MILLISECONDS, () => {
+      this.planScheduled = false
+      this.plan()
+    })
+  }
+
+  private plan (): void {
+    if (this.stopped) return
+    const { clock, site } = this.options
+    const now = clock.monotonicMilliseconds()
+    const mayStart = !this.draining && this.loaded && site.getConfiguration() !== null &&
+      this.getRenewalAge() < OWNER_START_LIMIT_MILLISECONDS
+    this.engine.plan(now, clock.wallMilliseconds(), mayStart)
+    for (const order of this.engine.takeOrders()) void this.send(order)
+  }
+
+  private async send (order: DispatchOrder): Promise<void> {
+    const entry = this.loops.get(order.worker.entry.workerId)
+    if (entry === undefined) return
+    if (order.kind === 'start') return await this.sendStart(order.worker, order.run, entry.client)
+    if (order.kind === 'stop') return await this.sendStop(order, entry.client)
+    const { run, percent } = order
+    const outcome = await entry.client.setPace(run.task.name, run.attempt, percent, this.engine.epoch)
+    // A pace that may not have arrived is decided anew with the next report.
+    if (outcome.kind !== 'accepted') run.pacePercent = -1
+  }
+
+  private async sendStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<void> {
+    const { clock } = this.options
+    let outcome: OrderOutcome = { kind: 'unknown', reason: 'not sent' }
+    for (let attempt = 0; attempt < START_TRIES && outcome.kind === 'unknown'; attempt++) {
+      if (this.stopped || run.state !== 'starting') return
+      const workerTime = getEarliestWorkerTime(worker, clock.monotonicMilliseconds())
+      if (workerTime === null) break
+      const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
+      worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
+      outcome = await client.start({
+        taskName: run.task.name,
+        attempt: run.attempt,
+        taskDescription: run.task.step.occurrence.job.submission.specification.taskDescription,
+        checkpoint: run.task.checkpoint,
+        fencingToken: this.engine.epoch,
+        leaseDeadline
+      })
+      if (outcome.kind === 'unknown') run.startUncertain = true
+    }
+    if (this.stopped) return
+    if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a start of this epoch')
+    this.options.logger.info('task start', {
+      task: run.task.name, attempt: run.attempt, worker: run.workerId, outcome: outcome.kind
+    })
+    this.engine.applyStartOutcome(worker, run, outcome, clock.monotonicMilliseconds())
+    this.schedulePlan()
+  }
+
+  /** A stop is repeated until it is answered, or until its run is known to be over. */
+  private async sendStop (order: DispatchOrder & { kind: 'stop' }, client: WorkerClient): Promise<void> {
+    const { worker, taskName, attempt, run } = order
+    while (!this.stopped) {
+      const isOver = run === null
+        ? worker.foreignRuns.size === 0
+        : !run.task.runs.includes(run)
+      if (isOver) return
+      const outcome = await client.stop(taskName, attempt, this.engine.epoch)
+      if (this.stopped) return
+      if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a stop of this epoch')
+      if (outcome.kind !== 'unknown' && outcome.kind !== 'unhealthy') {
+        if (run !== null) {
+          this.engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
+        }
+        return
+      }
+      await this.pause(STOP_RETRY_MILLISECONDS)
+    }
+  }
+
+  private getRenewalAge (): number {
+    return this.now() - this.options.getRenewedAt()
+  }
+
+  private now (): number {
+    return this.options.clock.monotonicMilliseconds()
+  }
+
+  private pause (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
+  }
+}
--- /dev/null
+++ b/src/instance/SiteWatch.ts
@@ -0,0 +1,181 @@
+import type { WorkerEntry } from '../dispatch/index.js'
+import type { Clock } from '../shared/Clock.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+import type { Logger } from '../shared/Logger.js'
+import type { RowChange, TableFeed } from '../table/TableFeed.js'
+import { TableFollower } from '../table/TableFollower.js'
+import type { Row } from '../table/TableService.js'
+import type { SiteConfiguration } from './SiteConfiguration.js'
+
+/** What a row of the operators' table says. */
+export type OperatorRow =
+  | { kind: 'configuration', configuration: SiteConfiguration }
+  | { kind: 'data-centre-out', dataCentre: string }
+  | { kind: 'ignored', reason: string }
+
+/** The tables that operators and workers write, and how their rows are read. */
+export interface PlatformSite {
+  feed: TableFeed
+  operatorTable: string
+  workerTable: string
+  decodeOperatorRow (key: string, value: JsonValue): OperatorRow
+  /** Returns null for a row that names no worker to use. */
+  decodeWorker (key: string, value: JsonValue): WorkerEntry | null
+}
+
+/** Options of a watch. */
+export interface SiteWatchOptions {
+  platform: PlatformSite
+  clock: Clock
+  logger: Logger
+  onChange (): void
+}
+
+/** A lost call delays a configuration by this wait and the call's own margin, within the bound of 2.5 s. */
+const OPERATOR_WAIT_MILLISECONDS = 1500
+const WORKER_WAIT_MILLISECONDS = 5000
+
+/** Keeps the operators' wishes, and on an owner the list of workers, as the platform has them. */
+export class SiteWatch {
+  private configuration: SiteConfiguration | null = null
+  private readonly dataCentresOut = new Map<string, string>()
+  private readonly workers = new Map<string, WorkerEntry>()
+  private workersComplete = false
+  private readonly operatorFollower: TableFollower
+  private workerFollower: TableFollower | null = null
+
+  private constructor (private readonly options: SiteWatchOptions) {
+    const { platform, clock, logger } = options
+    this.operatorFollower = TableFollower.create({
+      table: platform.operatorTable,
+      feed: platform.feed,
+      clock,
+      logger,
+      waitMilliseconds: OPERATOR_WAIT_MILLISECONDS,
+      onSnapshot: snapshot => this.replaceOperatorRows(snapshot.rows),
+      onChanges: changes => this.applyOperatorChanges(changes)
+    })
+  }
+
+  /**
+   * Creates a watch that does nothing before `start`.
+   * @param options The platform's tables and what to do on a change.
+   * @returns The watch.
+   */
+  static create (options: SiteWatchOptions): SiteWatch {
+    return new SiteWatch(options)
+  }
+
+  /** Starts to follow the operators' table. */
+  start (): void {
+    void this.operatorFollower.run()
+  }
+
+  /** Starts to follow the list of workers; only an owner needs it. */
+  startWorkers (): void {
+    const { platform, clock, logger } = this.options
+    this.workersComplete = false
+    this.workers.clear()
+    this.workerFollower = TableFollower.create({
+      table: platform.workerTable,
+      feed: platform.feed,
+      clock,
+      logger,
+      waitMilliseconds: WORKER_WAIT_MILLISECONDS,
+      onSnapshot: snapshot => this.replaceWorkers(snapshot.rows),
+      onChanges: changes => this.applyWorkerChanges(changes)
+    })
+    void this.workerFollower.run()
+  }
+
+  /** Ends following the list of workers. */
+  stopWorkers (): void {
+    this.workerFollower?.stop()
+    this.workerFollower = null
+    this.workersComplete = false
+  }
+
+  /** Ends all following. */
+  stop (): void {
+    this.operatorFollower.stop()
+    this.stopWorkers()
+  }
+
+  /** Returns the newest configuration ever seen, or null before the first. */
+  getConfiguration (): SiteConfiguration | null {
+    return this.configuration
+  }
+
+  /** Returns the data centres that get no new work. */
+  getDataCentresOut (): ReadonlySet<string> {
+    return new Set(this.dataCentresOut.values())
+  }
+
+  /** Returns the listed workers; empty before the list was read. */
+  getWorkers (): ReadonlyMap<string, WorkerEntry> {
+    return this.workers
+  }
+
+  /** Tells whether the list of workers was read. */
+  areWorkersKnown (): boolean {
+    return this.workersComplete
+  }
+
+  /** Returns the monotonic time of the last answer about the operators' table. */
+  getLastContactAt (): number {
+    return this.operatorFollower.getLastContactAt()
+  }
+
+  private replaceOperatorRows (rows: Row[]): void {
+    this.dataCentresOut.clear()
+    for (const row of rows) this.applyOperatorRow(row.key, row.value)
+    this.options.onChange()
+  }
+
+  private applyOperatorChanges (changes: RowChange[]): void {
+    for (const { key, row } of changes) {
+      if (row !== null) this.applyOperatorRow(key, row.value)
+      else if (this.dataCentresOut.delete(key)) this.options.logger.info('data centre is back', { key })
+    }
+    this.options.onChange()
+  }
+
+  private applyOperatorRow (key: string, value: JsonValue): void {
+    const { platform, logger } = this.options
+    const row = platform.decodeOperatorRow(key, value)
+    if (row.kind === 'ignored') {
+      logger.info('a row of the operators is not used', { key, reason: row.reason })
+    } else if (row.kind === 'data-centre-out') {
+      logger.info('data centre gets no new work', { dataCentre: row.dataCentre })
+      this.dataCentresOut.set(key, row.dataCentre)
+    } else if (row.configuration.version > (this.configuration?.version ?? -1)) {
+      logger.info('configuration in force', { version: row.configuration.version })
+      this.configuration = row.configuration
+    }
+  }
+
+  private replaceWorkers (rows: Row[]): void {
+    this.workers.clear()
+    for (const row of rows) this.applyWorkerRow(row.key, row.value)
+    this.workersComplete = true
+    this.options.onChange()
+  }
+
+  private applyWorkerChanges (changes: RowChange[]): void {
+    for (const { key, row } of changes) {
+      if (row !== null) this.applyWorkerRow(key, row.value)
+      else this.workers.delete(key)
+    }
+    this.options.onChange()
+  }
+
+  private applyWorkerRow (key: string, value: JsonValue): void {
+    const entry = this.options.platform.decodeWorker(key, value)
+    if (entry === null) {
+      this.options.logger.info('an entry names no worker to use', { key })
+      this.workers.delete(key)
+    } else {
+      this.workers.set(key, entry)
+    }
+  }
+}
--- /dev/null
+++ b/src/instance/WorkerLoop.ts
@@ -0,0 +1,102 @@
+import { getEarliestWorkerTime, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
+import type { Clock } from '../shared/Clock.js'
+
+/** Options of the loop of one worker. */
+export interface WorkerLoopOptions {
+  worker: WorkerRecord
+  engine: DispatchEngine
+  client: WorkerClient
+  clock: Clock
+  leaseMilliseconds: number
+  /** Whether this process may still renew leases. */
+  mayHold (): boolean
+  onReport (worker: WorkerRecord): void
+  onFenced (): void
+  /** Resolves when the ends that were applied so far are durable, or after a while. */
+  waitForDurability (): Promise<void>
+}
+
+/** Wait for an end where nothing else needs a newer list. */
+const IDLE_WAIT_MILLISECONDS = 1500
+/** Wait where tasks that fill run beside serving tasks; the worker's figures cover half a second. */
+const WATCH_WAIT_MILLISECONDS = 600
+/** Pause between two calls: ends that come together are then reported together, at a lower price. */
+const GAP_MILLISECONDS = 30
+const RETRY_MILLISECONDS = 200
+
+/** Renews the lease of one worker and reads its lists, as long as this process owns the shard. */
+export class WorkerLoop {
+  private stopped = false
+  private lastCallFailed = false
+
+  private constructor (private readonly options: WorkerLoopOptions) {}
+
+  /**
+   * Creates a loop that does nothing before `run`.
+   * @param options The worker and the engine.
+   * @returns The loop.
+   */
+  static create (options: WorkerLoopOptions): WorkerLoop {
+    return new WorkerLoop(options)
+  }
+
+  get isStopped (): boolean {
+    return this.stopped
+  }
+
+  /** Ends the loop after the call in flight. */
+  stop (): void {
+    this.stopped = true
+  }
+
+  /** Calls the worker until the loop is stopped. */
+  async run (): Promise<void> {
+    while (!this.stopped) {
+      if (!this.options.mayHold()) await this.pause(RETRY_MILLISECONDS)
+      else await this.callOnce()
+    }
+  }
+
+  private async callOnce (): Promise<void> {
+    const { worker, engine, client, clock, leaseMilliseconds } = this.options
+    const sentAt = clock.monotonicMilliseconds()
+    const workerTime = getEarliestWorkerTime(worker, sentAt)
+    const leaseDeadline = workerTime === null ? null : Math.floor(workerTime + leaseMilliseconds)
+    if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
+    const outcome = await client.hold({
+      fencingToken: engine.epoch,
+      // After a failed call another life of the worker may answer, whose ends have other numbers.
+      acknowledgedEnd: this.lastCallFailed ? 0 : worker.acknowledgeableEnd,
+      leaseDeadline,
+      waitMilliseconds: this.getWait(leaseDeadline)
+    })
+    if (this.stopped) return
+    this.lastCallFailed = outcome.kind !== 'reported'
+    if (outcome.kind === 'fenced') {
+      this.stopped = true
+      this.options.onFenced()
+      return
+    }
+    if (outcome.kind !== 'reported') {
+      engine.markUnreachable(worker)
+      await this.pause(RETRY_MILLISECONDS)
+      return
+    }
+    engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
+    this.options.onReport(worker)
+    if (worker.appliedEnd > worker.acknowledgeableEnd) await this.options.waitForDurability()
+    else if (leaseDeadline !== null) await this.pause(GAP_MILLISECONDS)
+  }
+
+  private getWait (leaseDeadline: number | null): number {
+    const { worker } = this.options
+    const mustNotWait = leaseDeadline === null || this.lastCallFailed || worker.knowledge !== 'synchronized' ||
+      worker.appliedEnd > worker.acknowledgeableEnd
+    if (mustNotWait) return 0
+    return worker.servingReserved > 0 && worker.fillWanted > 0 ? WATCH_WAIT_MILLISECONDS : IDLE_WAIT_MILLISECONDS
+  }
+
+  private pause (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
+  }
+}
--- /dev/null
+++ b/src/instance/createPeerApplication.ts
@@ -0,0 +1,31 @@
+import type { ServerResponse } from 'node:http'
+import polka, { type Polka } from 'polka'
+import type { Registry } from 'prom-client'
+import type { OwnerAnswers } from './OwnerPeer.js'
+
+/**
+ * Creates the server for peers and for the collection of metrics.
+ * @param options The owner's answers and the metrics.
+ * @returns The application, which is not listening yet.
+ */
+export function createPeerApplication (options: { answers: OwnerAnswers, registry: Registry }): Polka {
+  const { answers, registry } = options
+  const application = polka()
+  application.get('/owner', (_request, response) => sendJson(response, answers.probe()))
+  application.get('/jobs/:jobId', (request, response) => {
+    sendJson(response, { state: answers.getJobState(request.params.jobId) })
+  })
+  application.get('/queues/:queueName', (request, response) => {
+    sendJson(response, { waiting: answers.countWaiting(decodeURIComponent(request.params.queueName)) })
+  })
+  application.get('/metrics', async (_request, response) => {
+    response.setHeader('content-type', registry.contentType)
+    response.end(await registry.metrics())
+  })
+  return application
+}
+
+function sendJson (response: ServerResponse, body: object): void {
+  response.writeHead(200, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(body))
+}
--- /dev/null
+++ b/src/instance/index.ts
@@ -0,0 +1,5 @@
+export * from './Instance.js'
+export * from './JobGateway.js'
+export * from './SiteConfiguration.js'
+export * from './SiteWatch.js'
+export * from './createPeerApplication.js'
--- /dev/null
+++ b/src/jobs/index.ts
@@ -0,0 +1,3 @@
+export * from './JobRecord.js'
+export * from './JobSpecification.js'
+export * from './jobProgress.js'
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -196,10 +196,11 @@
 
   /**
    * Takes the shard over on condition that the observed rows are unchanged.
+   * @param options With `expectVacancy` the caller knows that the owner's process is gone, and need not wait.
    * @returns Whether the shard is now held.
    */
-  async acquire (): Promise<boolean> {
-    const vacantFrom = this.getVacantFrom()
+  async acquire (options: { expectVacancy?: boolean } = {}): Promise<boolean> {
+    const vacantFrom = options.expectVacancy === true ? this.observedSince : this.getVacantFrom()
     const sentAt = this.options.clock.monotonicMilliseconds()
     if (vacantFrom === null || sentAt < vacantFrom || !this.advance('acquire')) return false
     const { shardId, owner, address, region } = this.options
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -1,4 +1,5 @@
 export * from './Clock.js'
+export * from './HttpCaller.js'
 export * from './identifiers.js'
 export * from './JsonValue.js'
 export * from './Logger.js'
--- a/src/table/index.ts
+++ b/src/table/index.ts
@@ -1,3 +1,5 @@
 export * from './HttpTableService.js'
 export * from './SettledWriter.js'
 export type * from './TableService.js'
+export * from './TableFeed.js'
+export * from './TableFollower.js'
