Learn which images disturb which serving images, and place and pace by it

A trial that printed the workers' figures shows that interference is strong between few pairs of images and absent between most. Ruled out: load of the workers (the fit of 1/tail on the pairs' processors has the only signs). Change: the product's InterferenceModel learns the pairs; serving tasks share workers by image; tasks that fill avoid pairs that hurt, are slowed by blame, and move when they stay slow.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -2,6 +2,7 @@
   isStepReady, type JobRecord, type RunRecord, type StepRecord, type TaskRecord
 } from '../jobs/index.js'
 import { chooseWorker, type ChoiceConditions } from './chooseWorker.js'
+import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { JobTable } from './JobTable.js'
 import { rankJobs } from './rankJobs.js'
@@ -25,6 +26,11 @@
 /** A draining worker's resumable tasks leave this long before its least remaining time ends. */
 const DRAIN_MARGIN_MILLISECONDS = 1200
 
+/** A run that was slowed for this long is moved, where another worker can take it. */
+const SLOWED_MILLISECONDS = 800
+/** A run without checkpoints is moved only while it would lose at most this much of its work. */
+const LARGEST_LOST_PERCENT = 35
+
 /** Options of an engine. */
 export interface DispatchEngineOptions {
   /** The owner's epoch, which is the fencing token of all orders. */
@@ -39,6 +45,7 @@
 export class DispatchEngine {
   readonly jobs: JobTable
   readonly workers = new Map<string, WorkerRecord>()
+  private readonly advisor = ColocationAdvisor.create()
   private orders: DispatchOrder[] = []
   private dataCentresOut: ReadonlySet<string> = new Set()
   /** Workers that may run tasks of earlier owners and have not answered: identifier and time of certain expiry. */
@@ -150,8 +157,14 @@
     const changed = applyReport(worker, report, context)
     worker.knowledge = 'synchronized'
     if (this.unresolved.delete(entry.workerId) || changed) this.dirty = true
-    const percent = decidePace(worker, now)
-    if (percent !== null) this.orderPace(worker, percent)
+    this.advisor.learn(worker, now)
+    for (const { run, percent } of decidePace(worker, this.advisor, now)) {
+      if (percent < 100) run.slowedSince ??= now
+      else run.slowedSince = null
+      run.pacePercent = percent
+      worker.fillChangedAt = now
+      this.orders.push({ kind: 'pace', worker, run, percent })
+    }
   }
 
   /** Notes that a worker gave no answer; it gets no new work until it does. */
@@ -221,10 +234,31 @@
       for (const occurrence of job.occurrences.values()) {
         for (const step of occurrence.steps) {
           if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
-          this.startTasks(step, { serviceName, dataCentresOut: this.dataCentresOut, now }, blocked)
+          this.startTasks(step, this.getConditions(serviceName, now), blocked)
         }
       }
     }
+    this.moveSlowedRuns(now)
+  }
+
+  private getConditions (serviceName: string, now: number): ChoiceConditions {
+    return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
+  }
+
+  /** A run that must stay slow beside what it disturbs goes on elsewhere, where that costs little work. */
+  private moveSlowedRuns (now: number): void {
+    for (const worker of this.workers.values()) {
+      for (const run of getFillingRuns(worker)) {
+        if (run.slowedSince === null || now - run.slowedSince < SLOWED_MILLISECONDS || run.state !== 'running') continue
+        if (!run.task.step.specification.checkpointing && run.percent > LARGEST_LOST_PERCENT) continue
+        const conditions = this.getConditions(worker.entry.serviceName, now)
+        const other = chooseWorker(
+          run.task, this.workers.values(), { ...conditions, excludedWorkerId: worker.entry.workerId })
+        if (other === null) continue
+        run.slowedSince = null
+        this.orderStop(worker, run.task.name, run.attempt, run)
+      }
+    }
   }
 
   private startTasks (step: StepRecord, conditions: ChoiceConditions, blocked: Set<string>): void {
@@ -261,7 +295,8 @@
       percent: 0,
       progressedAt: now,
       usageFigure: 0,
-      pacePercent: 100
+      pacePercent: 100,
+      slowedSince: null
     }
     task.nextAttempt = attempt + 1
     task.step.occurrence.job.hasStarted = true
@@ -278,14 +313,6 @@
     this.orders.push({ kind: 'stop', worker, taskName, attempt, run })
   }
 
-  private orderPace (worker: WorkerRecord, percent: number): void {
-    for (const run of worker.runs.values()) {
-      if (run.state !== 'running' || !run.task.step.specification.fills || run.pacePercent === percent) continue
-      run.pacePercent = percent
-      this.orders.push({ kind: 'pace', worker, run, percent })
-    }
-  }
-
   private stopRuns (task: TaskRecord): void {
     for (const run of [...task.runs]) {
       const worker = this.workers.get(run.workerId)
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -57,7 +57,9 @@
   failureStreak: number
   quarantinedUntil: number
   quarantineMilliseconds: number
-  pace: { percent: number, changedAt: number, calmSince: number | null, overSince: number | null }
+  pace: { changedAt: number, calmSince: number | null }
+  /** Monotonic time of the last change of what fills here. */
+  fillChangedAt: number
 }
 
 /** Leases are measured on clocks that may be this share slow. */
@@ -86,7 +88,8 @@
     failureStreak: 0,
     quarantinedUntil: 0,
     quarantineMilliseconds: 0,
-    pace: { percent: 100, changedAt: -Infinity, calmSince: null, overSince: null }
+    pace: { changedAt: -Infinity, calmSince: null },
+    fillChangedAt: -Infinity
   }
 }
 
@@ -121,6 +124,7 @@
   if (!worker.runs.delete(getRunKey(run.task.name, run.attempt))) return
   run.task.runs = run.task.runs.filter(other => other !== run)
   run.task.waitingSince = now
+  if (run.task.step.specification.fills) worker.fillChangedAt = now
   reserve(worker, run.task.step, -1)
 }
 
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -85,7 +85,8 @@
     percent: row.percent,
     progressedAt: now,
     usageFigure: row.usageFigure,
-    pacePercent: -1
+    pacePercent: -1,
+    slowedSince: null
   }
   task.nextAttempt = Math.max(task.nextAttempt, row.attempt + 1)
   task.step.occurrence.job.hasStarted = true
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -1,4 +1,5 @@
 import type { TaskRecord } from '../jobs/index.js'
+import type { ColocationAdvisor } from './ColocationAdvisor.js'
 import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
 
 /**
@@ -18,12 +19,21 @@
 /** Data on another rack multiplies the run time, which outweighs a fuller worker. */
 const OTHER_RACK_PENALTY = 4
 
+/** A worker where more is already disturbed is a worse place, by this much for a tolerance that is used up. */
+const PRESSURE_WEIGHT = 0.5
+/** Serving tasks open an empty worker before they mix with another image. */
+const EMPTY_WORKER_COST = 2
+const MIXED_IMAGES_COST = 4
+
 /** What the choice depends on beside the task and the workers. */
 export interface ChoiceConditions {
   /** Services whose workers may run the queue's tasks. */
   serviceName: string
   dataCentresOut: ReadonlySet<string>
+  advisor: ColocationAdvisor
   now: number
+  /** A worker that the task is about to leave. */
+  excludedWorkerId?: string
 }
 
 /**
@@ -35,7 +45,7 @@
 export function isEligible (worker: WorkerRecord, conditions: ChoiceConditions): boolean {
   return worker.listed && worker.registered && worker.knowledge === 'synchronized' &&
     worker.entry.state === 'ready' && worker.entry.serviceName === conditions.serviceName &&
-    worker.foreignRuns.size === 0 && worker.quarantinedUntil <= conditions.now &&
+    worker.foreignRuns.size === 0 && worker.entry.workerId !== conditions.excludedWorkerId && worker.quarantinedUntil <= conditions.now &&
     !conditions.dataCentresOut.has(worker.entry.dataCentre)
 }
 
@@ -87,6 +97,11 @@
     const limit = specification.maximumPerWorker
     if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
     let cost = getCost(worker, task)
+    if (specification.fills) {
+      const pressure = conditions.advisor.getPressure(worker, task)
+      if (pressure > 1) continue
+      cost += pressure * PRESSURE_WEIGHT
+    }
     if (specification.preferredRack !== '' && !labels.includes(specification.preferredRack)) cost += OTHER_RACK_PENALTY
     if (task.failedOn.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
     if (cost < bestCost) {
@@ -97,13 +112,27 @@
   return best
 }
 
-/** The share of the worker's processors in use after the start: reserved ones, or expected use where the task fills. */
+/** What a worker costs a task, lower is better. */
 function getCost (worker: WorkerRecord, task: TaskRecord): number {
   const { specification } = task.step
   const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
   if (specification.fills) {
-    return (worker.fillWanted + specification.processorsMilli) / Math.max(1, getFillableProcessors(worker)) +
-      (100 - worker.pace.percent) / 100
+    return (worker.fillWanted + specification.processorsMilli) / Math.max(1, getFillableProcessors(worker))
+  }
+  const reservedShare = (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
+  // Serving tasks of one image share workers, so that an image which disturbs them finds other workers to fill.
+  if (specification.targetMilliseconds > 0) return getMixCost(worker, specification.image) - reservedShare
+  return reservedShare
+}
+
+function getMixCost (worker: WorkerRecord, image: string): number {
+  let cost = 0
+  let hasServing = false
+  for (const run of worker.runs.values()) {
+    const { specification } = run.task.step
+    if (specification.targetMilliseconds === 0) continue
+    hasServing = true
+    if (specification.image !== image) cost = MIXED_IMAGES_COST
   }
-  return (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
+  return hasServing ? cost : EMPTY_WORKER_COST
 }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -23,6 +23,8 @@
   usageFigure: number
   /** The share of full speed, in percent, that the worker was told. */
   pacePercent: number
+  /** Monotonic time since when the run is slowed, or null. */
+  slowedSince: number | null
 }
 
 /** One task of one occurrence of a step. */
