Pace filling tasks by the headroom of the moment

Ruled out: interference between serving tasks (a fit on reports without filling tasks explains 2 to 4% of the tails). Change: a regression with a constant learns the pairs; the pace of tasks that disturb is what the headroom allows now; images that disturb everything keep workers where nothing serves.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -1,23 +1,34 @@
 import type { RunRecord, TaskRecord } from '../jobs/index.js'
-import { InterferenceModel, type Neighbour } from '../placement/InterferenceModel.js'
-import { Interner } from '../placement/Interner.js'
+import { RecursiveLeastSquares } from './RecursiveLeastSquares.js'
 import { isServing, type WorkerRecord } from './WorkerRecord.js'
 
 /** A worker's figure covers half a second, so a run must be this old to have shaped it. */
 const FIGURE_AGE_MILLISECONDS = 700
 /** Serving tasks answer slowly while they start. */
 const SERVING_START_MILLISECONDS = 1500
-/** A tail up to this share of its target counts as kept; the rest is for swings of the load. */
-const KEPT_SHARE = 0.75
-/** Coefficient of a pair never seen together: it lets one task of the image start and be watched. */
-const UNKNOWN_COEFFICIENT = 1.5
-/** Reports of a pair after which its coefficient counts as known. */
-const KNOWN_AFTER_REPORTS = 4
-/** The undisturbed tail follows lower figures quickly and higher ones slowly. */
-const BASE_FALL_RATE = 0.2
-const BASE_RISE_RATE = 0.005
-/** The loads of an image are one band here: the platform's tails depend on the pair and not on the total. */
-const LOAD_BAND = 0
+/** The inverse of the tail must stay this far above the target's, for swings of the load. */
+const KEPT_HEADROOM = 1.35
+/** The headroom of a serving image before it was seen. */
+const INITIAL_HEADROOM = 2
+/** The effect of a pair never seen together: it lets one task of the image start and be watched. */
+const INITIAL_EFFECT = -2
+/** Effects between images reach 10; the load of serving tasks swings their headroom by about 0.6. */
+const EFFECT_VARIANCE = 25
+const SAMPLE_NOISE_VARIANCE = 0.5
+/** Half of what was learned is forgotten after some 1,400 samples of an image, or about 20 s. */
+const FORGETTING_FACTOR = 0.9995
+/** Effects above this are noise. */
+const HARMLESS_EFFECT = -0.8
+/** Above this share of the target a serving task counts as disturbed now. */
+const DISTURBED_SHARE = 0.9
+
+interface ServingImage {
+  regression: RecursiveLeastSquares
+  /** The index of the constant feature, whose weight is the headroom without neighbours. */
+  constant: number
+  /** The index of each image that was seen beside it. */
+  features: Map<string, number>
+}
 
 /**
  * Learns which images disturb which serving images, and tells whether a task may fill beside what serves.
@@ -25,14 +36,13 @@
  * Answers sites where most processors are reserved by serving tasks: interference is strong between few pairs of
  * images and absent between most, so tasks that fill lose nothing when they avoid the pairs that hurt.
  *
- * The learned quantity is 1 minus the undisturbed tail over the tail, which grows linearly with the processors
- * that the disturbing image uses.
+ * The learned quantity is the target over the tail, called headroom here: it falls linearly with the processors
+ * that a disturbing image uses. The product's InterferenceModel corrects each sample on the neighbours at hand,
+ * so that it blames them for swings of the load; a regression with a constant averages these out.
  */
 export class ColocationAdvisor {
-  private readonly model = InterferenceModel.create()
-  private readonly images = Interner.create()
-  private readonly undisturbedTails = new Map<string, number>()
-  private readonly reportCounts = new Map<string, number>()
+  private readonly servingImages = new Map<string, ServingImage>()
+  private readonly fillingImages = new Set<string>()
 
   private constructor () {}
 
@@ -54,15 +64,15 @@
     const isSettled = filling.every(run => now - run.startedAt > FIGURE_AGE_MILLISECONDS) &&
       now - worker.fillChangedAt > FIGURE_AGE_MILLISECONDS
     if (!isSettled) return
-    const neighbours = this.getNeighbours(worker, filling)
+    const shares = getUsedShares(worker, filling)
     for (const run of worker.runs.values()) {
       if (!isServing(run.task) || run.percent < 100 || run.usageFigure <= 0) continue
       if (now - run.startedAt < SERVING_START_MILLISECONDS) continue
-      const { image } = run.task.step.specification
-      const base = this.learnUndisturbedTail(image, run.usageFigure)
-      const slowdown = 1 + Math.max(0, 1 - base / run.usageFigure)
-      this.model.record(this.images.intern(image), neighbours, LOAD_BAND, slowdown, now)
-      for (const other of filling) this.countReport(image, other.task.step.specification.image)
+      const { image, targetMilliseconds } = run.task.step.specification
+      const serving = this.getServingImage(image)
+      const features: Array<[number, number]> = [[serving.constant, 1]]
+      for (const [other, share] of shares) features.push([getFeature(serving, other), share])
+      serving.regression.learn(features, targetMilliseconds / run.usageFigure)
     }
   }
 
@@ -73,67 +83,69 @@
    * @returns The greatest share over all serving tasks: up to 1 all targets are expected to be kept.
    */
   getPressure (worker: WorkerRecord, task: TaskRecord): number {
-    if (worker.servingReserved === 0) return 0
     const { image, processorsMilli } = task.step.specification
+    this.fillingImages.add(image)
     const added = processorsMilli / Math.max(1, worker.entry.capacity.processorsMilli)
+    if (worker.servingReserved === 0) return 0
+    const filling = getFillingRuns(worker)
     let worst = 0
-    for (const [servingImage, targetMilliseconds] of getServingTargets(worker)) {
-      const own = this.getCoefficient(servingImage, image) * added
+    for (const [servingImage, isDisturbed] of getServingImages(worker)) {
+      const own = this.getEffect(servingImage, image) * added
       // A pair that is known to be harmless is welcome, however disturbed the serving task is by others.
-      if (own < 0.02) continue
-      let disturbance = own
-      for (const run of worker.runs.values()) {
-        if (!run.task.step.specification.fills) continue
-        disturbance += this.getCoefficient(servingImage, run.task.step.specification.image) * getShare(worker, run)
+      if (own === 0) continue
+      if (isDisturbed) return Infinity
+      let effect = own
+      for (const run of filling) {
+        effect += this.getEffect(servingImage, run.task.step.specification.image) * getWantedShare(worker, run)
       }
-      worst = Math.max(worst, disturbance / this.getTolerance(servingImage, targetMilliseconds))
+      worst = Math.max(worst, effect / this.getTolerance(servingImage))
     }
     return worst
   }
 
   /**
-   * Returns how much a run that fills disturbs a serving task.
-   * @param worker The worker of both.
-   * @param filling The run that fills.
-   * @param serving The run that serves.
-   * @returns The disturbance, 0 for none.
+   * Returns by how much the headroom of a serving image would fall if another image used the whole worker.
+   * @param servingImage The image that serves.
+   * @param image The image that fills.
+   * @returns The effect, 0 for a harmless pair.
    */
-  getBlame (worker: WorkerRecord, filling: RunRecord, serving: RunRecord): number {
-    const { image } = serving.task.step.specification
-    return this.getCoefficient(image, filling.task.step.specification.image) * getShare(worker, filling)
+  getEffect (servingImage: string, image: string): number {
+    const serving = this.servingImages.get(servingImage)
+    const feature = serving?.features.get(image)
+    const weight = serving === undefined || feature === undefined ? INITIAL_EFFECT : serving.regression.getWeight(feature)
+    return weight > HARMLESS_EFFECT ? 0 : -weight
   }
 
-  private getCoefficient (servingImage: string, image: string): number {
-    const reports = this.reportCounts.get(`${servingImage} ${image}`) ?? 0
-    const learned = this.model.getCoefficient(this.images.intern(servingImage), this.images.intern(image), LOAD_BAND)
-    return reports >= KNOWN_AFTER_REPORTS ? learned : Math.max(learned, UNKNOWN_COEFFICIENT)
-  }
-
-  private getTolerance (servingImage: string, targetMilliseconds: number): number {
-    const base = this.undisturbedTails.get(servingImage) ?? targetMilliseconds / 2
-    return Math.max(0.05, 1 - base / (KEPT_SHARE * targetMilliseconds))
-  }
-
-  private learnUndisturbedTail (image: string, tail: number): number {
-    const known = this.undisturbedTails.get(image) ?? tail
-    const base = known + (tail - known) * (tail < known ? BASE_FALL_RATE : BASE_RISE_RATE)
-    this.undisturbedTails.set(image, base)
-    return base
+  /**
+   * Returns the share of the known images that could fill on a worker without harm.
+   * @param worker The worker.
+   * @returns The share, 1 for a worker where nothing serves.
+   */
+  getOpenness (worker: WorkerRecord): number {
+    const serving = getServingImages(worker)
+    if (serving.size === 0 || this.fillingImages.size === 0) return 1
+    let open = 0
+    for (const image of this.fillingImages) {
+      if ([...serving.keys()].every(servingImage => this.getEffect(servingImage, image) === 0)) open++
+    }
+    return open / this.fillingImages.size
   }
 
-  private getNeighbours (worker: WorkerRecord, filling: RunRecord[]): Neighbour[] {
-    const shares = new Map<number, number>()
-    for (const run of filling) {
-      const kind = this.images.intern(run.task.step.specification.image)
-      const share = run.usageFigure / Math.max(1, worker.entry.capacity.processorsMilli)
-      shares.set(kind, (shares.get(kind) ?? 0) + share)
-    }
-    return [...shares].map(([kind, share]) => ({ kind, share }))
+  private getTolerance (servingImage: string): number {
+    const serving = this.servingImages.get(servingImage)
+    const headroom = serving === undefined ? INITIAL_HEADROOM : serving.regression.getWeight(serving.constant)
+    return Math.max(0.05, headroom - KEPT_HEADROOM)
   }
 
-  private countReport (servingImage: string, image: string): void {
-    const key = `${servingImage} ${image}`
-    this.reportCounts.set(key, (this.reportCounts.get(key) ?? 0) + 1)
+  private getServingImage (image: string): ServingImage {
+    const known = this.servingImages.get(image)
+    if (known !== undefined) return known
+    const regression = RecursiveLeastSquares.create({
+      initialVariance: EFFECT_VARIANCE, noiseVariance: SAMPLE_NOISE_VARIANCE, forgettingFactor: FORGETTING_FACTOR
+    })
+    const added = { regression, constant: regression.addFeature(INITIAL_HEADROOM), features: new Map() }
+    this.servingImages.set(image, added)
+    return added
   }
 }
 
@@ -146,17 +158,43 @@
   return [...worker.runs.values()].filter(run => run.task.step.specification.fills && run.state !== 'stopping')
 }
 
-/** The serving images of a worker with their strictest target. */
-function getServingTargets (worker: WorkerRecord): Map<string, number> {
-  const targets = new Map<string, number>()
+function getFeature (serving: ServingImage, image: string): number {
+  const known = serving.features.get(image)
+  if (known !== undefined) return known
+  const added = serving.regression.addFeature(INITIAL_EFFECT)
+  serving.features.set(image, added)
+  return added
+}
+
+/** The serving images of a worker, and whether one of their tasks is near or over its target now. */
+function getServingImages (worker: WorkerRecord): Map<string, boolean> {
+  const images = new Map<string, boolean>()
   for (const run of worker.runs.values()) {
     const { image, targetMilliseconds } = run.task.step.specification
-    if (targetMilliseconds > 0) targets.set(image, Math.min(targets.get(image) ?? Infinity, targetMilliseconds))
+    if (targetMilliseconds === 0) continue
+    const isDisturbed = run.percent >= 100 && run.usageFigure > DISTURBED_SHARE * targetMilliseconds
+    images.set(image, isDisturbed || images.get(image) === true)
   }
-  return targets
+  return images
 }
 
-/** The share of a worker's processors that a run uses at its full pace. */
-function getShare (worker: WorkerRecord, run: RunRecord): number {
+/** The share of a worker's processors that each image was seen to use. */
+function getUsedShares (worker: WorkerRecord, filling: RunRecord[]): Map<string, number> {
+  const shares = new Map<string, number>()
+  for (const run of filling) {
+    const { image } = run.task.step.specification
+    const share = run.usageFigure / Math.max(1, worker.entry.capacity.processorsMilli)
+    shares.set(image, (shares.get(image) ?? 0) + share)
+  }
+  return shares
+}
+
+/**
+ * Returns the share of a worker's processors that a run uses at its full pace.
+ * @param worker The worker.
+ * @param run The run.
+ * @returns The share.
+ */
+export function getWantedShare (worker: WorkerRecord, run: RunRecord): number {
   return run.task.step.specification.processorsMilli / Math.max(1, worker.entry.capacity.processorsMilli)
 }
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -26,8 +26,9 @@
 /** A draining worker's resumable tasks leave this long before its least remaining time ends. */
 const DRAIN_MARGIN_MILLISECONDS = 1200
 
-/** A run that was slowed for this long is moved, where another worker can take it. */
-const SLOWED_MILLISECONDS = 800
+/** A run that was slowed below this for this long is moved, where another worker can take it without harm. */
+const SLOWED_PERCENT = 35
+const SLOWED_MILLISECONDS = 1600
 /** A run without checkpoints is moved only while it would lose at most this much of its work. */
 const LARGEST_LOST_PERCENT = 35
 
@@ -159,7 +160,7 @@
     if (this.unresolved.delete(entry.workerId) || changed) this.dirty = true
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
-      if (percent < 100) run.slowedSince ??= now
+      if (percent < SLOWED_PERCENT) run.slowedSince ??= now
       else run.slowedSince = null
       run.pacePercent = percent
       worker.fillChangedAt = now
@@ -241,6 +242,10 @@
     this.moveSlowedRuns(now)
   }
 
+  private getWorkers (): readonly WorkerRecord[] {
+    return [...this.workers.values()]
+  }
+
   private getConditions (serviceName: string, now: number): ChoiceConditions {
     return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
   }
@@ -253,8 +258,8 @@
         if (!run.task.step.specification.checkpointing && run.percent > LARGEST_LOST_PERCENT) continue
         const conditions = this.getConditions(worker.entry.serviceName, now)
         const other = chooseWorker(
-          run.task, this.workers.values(), { ...conditions, excludedWorkerId: worker.entry.workerId })
-        if (other === null) continue
+          run.task, this.getWorkers(), { ...conditions, excludedWorkerId: worker.entry.workerId })
+        if (other === null || this.advisor.getPressure(other, run.task) > 0) continue
         run.slowedSince = null
         this.orderStop(worker, run.task.name, run.attempt, run)
       }
@@ -274,7 +279,7 @@
     if (blocked.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
-      const worker = chooseWorker(task, this.workers.values(), conditions)
+      const worker = chooseWorker(task, this.getWorkers(), conditions)
       if (worker === null) {
         blocked.add(size)
         return
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -57,7 +57,8 @@
   failureStreak: number
   quarantinedUntil: number
   quarantineMilliseconds: number
-  pace: { changedAt: number, calmSince: number | null }
+  /** Monotonic time of the last change of a pace here. */
+  pacedAt: number
   /** Monotonic time of the last change of what fills here. */
   fillChangedAt: number
 }
@@ -88,7 +89,7 @@
     failureStreak: 0,
     quarantinedUntil: 0,
     quarantineMilliseconds: 0,
-    pace: { changedAt: -Infinity, calmSince: null },
+    pacedAt: -Infinity,
     fillChangedAt: -Infinity
   }
 }
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -20,10 +20,15 @@
 const OTHER_RACK_PENALTY = 4
 
 /** A worker where more is already disturbed is a worse place, by this much for a tolerance that is used up. */
-const PRESSURE_WEIGHT = 0.5
-/** Serving tasks open an empty worker before they mix with another image. */
+const PRESSURE_WEIGHT = 3
+/** Workers where many images are harmless are left to the images that have few such workers. */
+const OPENNESS_WEIGHT = 0.5
+/** Serving tasks open an empty worker before they mix with another image, as long as enough stay empty. */
 const EMPTY_WORKER_COST = 2
 const MIXED_IMAGES_COST = 4
+const SCARCE_EMPTY_WORKER_COST = 6
+/** The share of workers without serving tasks that is left to tasks which disturb all of them. */
+const EMPTY_WORKER_SHARE = 0.2
 
 /** What the choice depends on beside the task and the workers. */
 export interface ChoiceConditions {
@@ -85,9 +90,10 @@
  * @returns The worker, or null when the task has to wait.
  */
 export function chooseWorker (
-  task: TaskRecord, workers: Iterable<WorkerRecord>, conditions: ChoiceConditions
+  task: TaskRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions
 ): WorkerRecord | null {
   const { specification } = task.step
+  const emptyWorkerCost = specification.targetMilliseconds > 0 ? getEmptyWorkerCost(workers) : 0
   let best: WorkerRecord | null = null
   let bestCost = Infinity
   for (const worker of workers) {
@@ -96,11 +102,11 @@
     if (specification.requiredLabel !== '' && !labels.includes(specification.requiredLabel)) continue
     const limit = specification.maximumPerWorker
     if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
-    let cost = getCost(worker, task)
+    let cost = getCost(worker, task, emptyWorkerCost)
     if (specification.fills) {
       const pressure = conditions.advisor.getPressure(worker, task)
       if (pressure > 1) continue
-      cost += pressure * PRESSURE_WEIGHT
+      cost += pressure * PRESSURE_WEIGHT + conditions.advisor.getOpenness(worker) * OPENNESS_WEIGHT
     }
     if (specification.preferredRack !== '' && !labels.includes(specification.preferredRack)) cost += OTHER_RACK_PENALTY
     if (task.failedOn.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
@@ -113,7 +119,7 @@
 }
 
 /** What a worker costs a task, lower is better. */
-function getCost (worker: WorkerRecord, task: TaskRecord): number {
+function getCost (worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number): number {
   const { specification } = task.step
   const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
   if (specification.fills) {
@@ -121,11 +127,11 @@
   }
   const reservedShare = (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
   // Serving tasks of one image share workers, so that an image which disturbs them finds other workers to fill.
-  if (specification.targetMilliseconds > 0) return getMixCost(worker, specification.image) - reservedShare
+  if (specification.targetMilliseconds > 0) return getMixCost(worker, specification.image, emptyWorkerCost) - reservedShare
   return reservedShare
 }
 
-function getMixCost (worker: WorkerRecord, image: string): number {
+function getMixCost (worker: WorkerRecord, image: string, emptyWorkerCost: number): number {
   let cost = 0
   let hasServing = false
   for (const run of worker.runs.values()) {
@@ -134,5 +140,10 @@
     hasServing = true
     if (specification.image !== image) cost = MIXED_IMAGES_COST
   }
-  return hasServing ? cost : EMPTY_WORKER_COST
+  return hasServing ? cost : emptyWorkerCost
+}
+
+function getEmptyWorkerCost (workers: readonly WorkerRecord[]): number {
+  const emptyCount = workers.filter(worker => worker.servingReserved === 0).length
+  return emptyCount > workers.length * EMPTY_WORKER_SHARE ? EMPTY_WORKER_COST : SCARCE_EMPTY_WORKER_COST
 }
--- a/src/dispatch/decidePace.ts
+++ b/src/dispatch/decidePace.ts
@@ -1,24 +1,26 @@
 import type { RunRecord } from '../jobs/index.js'
-import { getFillingRuns, type ColocationAdvisor } from './ColocationAdvisor.js'
+import { getFillingRuns, getWantedShare, type ColocationAdvisor } from './ColocationAdvisor.js'
 import { isServing, type WorkerRecord } from './WorkerRecord.js'
 
 /**
- * Slows tasks that fill beside serving tasks whose tail latency is over its target.
+ * Sets the pace of tasks that fill beside serving tasks, so that the tails stay under their targets.
  *
- * Answers interference that shifts within seconds: the pace of the tasks to blame falls at once by half or more,
- * so that it is 0 well before a violation counts as harm, and rises again in steps after a calm time.
+ * Answers serving loads that swing within seconds: at the height of its load a serving task has little headroom
+ * (target over tail) left, and seconds later much. The tasks that are known to disturb it work at the pace that the
+ * headroom allows now. Where a tail is over its target and none is known to disturb, all are slowed in steps.
  */
 
-/** The worker's figure covers the last half second, so a change shows only after this time. */
-const SETTLE_MILLISECONDS = 700
-/** Above this share of the target the tail counts as too near to speed up. */
-const CALM_SHARE = 0.75
-/** How long the tail must stay calm before the pace rises by one step. */
-const CALM_MILLISECONDS = 1000
-const SLOW_PERCENT = 40
-const RAISE_STEP_PERCENT = 30
-/** A run that is blamed for less than this does not matter while others are blamed for more. */
-const SMALLEST_BLAME = 0.05
+/** The headroom that is kept, for the half second that a figure is old and for noise. */
+const KEPT_HEADROOM = 1.25
+/** A pace changes only by this much, or to the ends of the scale; each change is a call. */
+const SMALLEST_CHANGE_PERCENT = 15
+/** Below this a run is stopped, as it would hardly work. */
+const SMALLEST_PERCENT = 10
+/** After a change the figure needs this time to show it. */
+const SETTLE_MILLISECONDS = 450
+/** A step for tasks that are not known to disturb, while a tail is over its target. */
+const SUSPECT_STEP_PERCENT = 60
+const RECOVERY_STEP_PERCENT = 30
 
 /** A run and the pace that it should have from now on. */
 export interface PaceChange {
@@ -35,39 +37,56 @@
  */
 export function decidePace (worker: WorkerRecord, advisor: ColocationAdvisor, now: number): PaceChange[] {
   const filling = getFillingRuns(worker).filter(run => run.state === 'running')
-  if (filling.length === 0) return []
-  const serving = [...worker.runs.values()].filter(run =>
-    run.state === 'running' && isServing(run.task) && run.percent >= 100)
-  const getRatio = (run: RunRecord) => run.usageFigure / run.task.step.specification.targetMilliseconds
-  const worst = Math.max(0, ...serving.map(getRatio))
-  const { pace } = worker
-  if (worst <= CALM_SHARE) pace.calmSince ??= now
-  else pace.calmSince = null
-  if (now - pace.changedAt < SETTLE_MILLISECONDS) return []
-  const changes: PaceChange[] = []
-  if (worst > 1) {
-    const blamed = getBlamedRuns(worker, filling, serving.filter(run => getRatio(run) > 1), advisor)
-    for (const run of blamed) {
-      if (run.pacePercent !== 0) changes.push({ run, percent: run.pacePercent > SLOW_PERCENT ? SLOW_PERCENT : 0 })
-    }
-  } else if (pace.calmSince !== null && now - pace.calmSince >= CALM_MILLISECONDS) {
-    for (const run of filling) {
-      if (run.pacePercent >= 100) continue
-      changes.push({ run, percent: Math.min(100, Math.max(0, run.pacePercent) + RAISE_STEP_PERCENT) })
-    }
-  }
-  if (changes.length > 0) {
-    pace.changedAt = now
-    pace.calmSince = null
+  if (filling.length === 0 || now - worker.pacedAt < SETTLE_MILLISECONDS) return []
+  const wanted = new Map<RunRecord, number>(filling.map(run => [run, 100]))
+  for (const serving of worker.runs.values()) {
+    if (serving.state !== 'running' || !isServing(serving.task) || serving.percent < 100) continue
+    if (serving.usageFigure > 0) limitPaces(worker, filling, serving, advisor, wanted)
   }
+  const changes = filling.flatMap(run => {
+    const percent = limitRise(run, wanted.get(run)!)
+    const isEnd = percent === 0 || percent === 100
+    const isSmall = Math.abs(percent - run.pacePercent) < SMALLEST_CHANGE_PERCENT && !isEnd
+    return isSmall || percent === run.pacePercent ? [] : [{ run, percent }]
+  })
+  if (changes.length > 0) worker.pacedAt = now
   return changes
 }
 
-/** The runs that are known to disturb; all that work where none is known. */
-function getBlamedRuns (
-  worker: WorkerRecord, filling: RunRecord[], disturbed: RunRecord[], advisor: ColocationAdvisor
-): RunRecord[] {
-  const blamed = filling.filter(run =>
-    disturbed.some(other => advisor.getBlame(worker, run, other) >= SMALLEST_BLAME))
-  return blamed.some(run => run.pacePercent !== 0) ? blamed : filling
+function limitPaces (
+  worker: WorkerRecord, filling: RunRecord[], serving: RunRecord, advisor: ColocationAdvisor,
+  wanted: Map<RunRecord, number>
+): void {
+  const { image, targetMilliseconds } = serving.task.step.specification
+  const headroom = targetMilliseconds / serving.usageFigure
+  const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
+  let present = 0
+  let possible = 0
+  const disturbing: RunRecord[] = []
+  for (const run of filling) {
+    const effect = advisor.getEffect(image, run.task.step.specification.image)
+    if (effect === 0) continue
+    disturbing.push(run)
+    present += effect * run.usageFigure / capacity
+    possible += effect * getWantedShare(worker, run)
+  }
+  // What the headroom would be without the tasks that disturb, less what is kept, is what they may take.
+  const allowed = possible === 0 ? 1 : (headroom + present - KEPT_HEADROOM) / possible
+  for (const run of disturbing) lower(wanted, run, Math.round(Math.max(0, Math.min(1, allowed)) * 100))
+  const isUnexplained = headroom < 1 && disturbing.every(run => run.pacePercent <= SMALLEST_PERCENT)
+  if (!isUnexplained) return
+  for (const run of filling) {
+    if (!disturbing.includes(run)) lower(wanted, run, Math.max(0, run.pacePercent - SUSPECT_STEP_PERCENT))
+  }
+}
+
+function lower (wanted: Map<RunRecord, number>, run: RunRecord, percent: number): void {
+  const value = percent < SMALLEST_PERCENT ? 0 : percent
+  wanted.set(run, Math.min(wanted.get(run)!, value))
+}
+
+/** A pace falls at once and rises in steps, as each figure is half a second old. */
+function limitRise (run: RunRecord, percent: number): number {
+  if (run.pacePercent < 0) return percent
+  return Math.min(percent, run.pacePercent + RECOVERY_STEP_PERCENT)
 }
