--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -301,6 +301,7 @@
       progressedAt: now,
       usageFigure: 0,
       pacePercent: 100,
+      overTargetSince: null,
       slowedSince: null
     }
     task.nextAttempt = attempt + 1
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,7 +1,7 @@
 import type { JobRecord, RunRecord, TaskRecord } from '../jobs/index.js'
 import type { JobTable } from './JobTable.js'
 import type { ListedEnd, ListedRun, WorkerReport } from './WorkerProtocol.js'
-import { addRun, getRunKey, removeRun, type WorkerRecord } from './WorkerRecord.js'
+import { addRun, getRunKey, isServing, removeRun, type WorkerRecord } from './WorkerRecord.js'
 
 /** A worker lists at most this many ends at once; the rest follows after an acknowledgement. */
 const MAXIMUM_LISTED_ENDS = 500
@@ -69,9 +69,16 @@
   if (row.percent !== run.percent) run.progressedAt = now
   run.percent = row.percent
   run.usageFigure = row.usageFigure
+  if (isOverTarget(run)) run.overTargetSince ??= now
+  else run.overTargetSince = null
   if (row.checkpoint !== '') run.task.checkpoint = row.checkpoint
 }
 
+function isOverTarget (run: RunRecord): boolean {
+  return isServing(run.task) && run.percent >= 100 &&
+    run.usageFigure > run.task.step.specification.targetMilliseconds
+}
+
 /** Takes over a run that an earlier owner started, or whose start seemed lost. */
 function adoptRun (worker: WorkerRecord, task: TaskRecord, row: ListedRun, now: number): RunRecord {
   const run: RunRecord = {
@@ -86,6 +93,7 @@
     progressedAt: now,
     usageFigure: row.usageFigure,
     pacePercent: -1,
+    overTargetSince: null,
     slowedSince: null
   }
   task.nextAttempt = Math.max(task.nextAttempt, row.attempt + 1)
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -1,5 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ColocationAdvisor } from './ColocationAdvisor.js'
+import { isGuarded } from './decidePace.js'
 import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
 
 /**
@@ -104,6 +105,7 @@
     if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
     let cost = getCost(worker, task, emptyWorkerCost)
     if (specification.fills) {
+      if (isGuarded(worker, conditions.now)) continue
       const pressure = conditions.advisor.getPressure(worker, task)
       if (pressure > 1) continue
       cost += pressure * PRESSURE_WEIGHT + conditions.advisor.getOpenness(worker) * OPENNESS_WEIGHT
--- a/src/dispatch/decidePace.ts
+++ b/src/dispatch/decidePace.ts
@@ -12,6 +12,8 @@
 
 /** The headroom that is kept, for the half second that a figure is old and for noise. */
 const KEPT_HEADROOM = 1.25
+/** A tail over its target for this long stops all that fills, well before the violation counts as harm. */
+export const GUARD_MILLISECONDS = 1300
 /** A pace changes only by this much, or to the ends of the scale; each change is a call. */
 const SMALLEST_CHANGE_PERCENT = 15
 /** Below this a run is stopped, as it would hardly work. */
@@ -37,7 +39,12 @@
  */
 export function decidePace (worker: WorkerRecord, advisor: ColocationAdvisor, now: number): PaceChange[] {
   const filling = getFillingRuns(worker).filter(run => run.state === 'running')
-  if (filling.length === 0 || now - worker.pacedAt < SETTLE_MILLISECONDS) return []
+  if (filling.length === 0) return []
+  if (isGuarded(worker, now)) {
+    worker.pacedAt = now
+    return filling.filter(run => run.pacePercent !== 0).map(run => ({ run, percent: 0 }))
+  }
+  if (now - worker.pacedAt < SETTLE_MILLISECONDS) return []
   const wanted = new Map<RunRecord, number>(filling.map(run => [run, 100]))
   for (const serving of worker.runs.values()) {
     if (serving.state !== 'running' || !isServing(serving.task) || serving.percent < 100) continue
@@ -53,6 +60,19 @@
   return changes
 }
 
+/**
+ * Tells whether a serving task of a worker has been over its target for so long that nothing may fill beside it.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether it has.
+ */
+export function isGuarded (worker: WorkerRecord, now: number): boolean {
+  for (const run of worker.runs.values()) {
+    if (run.overTargetSince !== null && now - run.overTargetSince >= GUARD_MILLISECONDS) return true
+  }
+  return false
+}
+
 function limitPaces (
   worker: WorkerRecord, filling: RunRecord[], serving: RunRecord, advisor: ColocationAdvisor,
   wanted: Map<RunRecord, number>
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -23,6 +23,8 @@
   usageFigure: number
   /** The share of full speed, in percent, that the worker was told. */
   pacePercent: number
+  /** Monotonic time since when the tail of a serving task is over its target, or null. */
+  overTargetSince: number | null
   /** Monotonic time since when the run is slowed, or null. */
   slowedSince: number | null
 }
