Count each failed attempt once across owners, and place by the headroom of the moment

A failure was durable before its end was acknowledged; the next owner loaded it, was told the end again and counted it twice. Change: the failed attempts are kept as a set. Tasks that fill are placed by the headroom that serving tasks have now; serving tasks of one job share workers, as they have the same load at each moment.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -19,8 +19,6 @@
 const FORGETTING_FACTOR = 0.9995
 /** Effects above this are noise. */
 const HARMLESS_EFFECT = -0.8
-/** Above this share of the target a serving task counts as disturbed now. */
-const DISTURBED_SHARE = 0.9
 
 interface ServingImage {
   regression: RecursiveLeastSquares
@@ -88,17 +86,23 @@
     const added = processorsMilli / Math.max(1, worker.entry.capacity.processorsMilli)
     if (worker.servingReserved === 0) return 0
     const filling = getFillingRuns(worker)
+    const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
     let worst = 0
-    for (const [servingImage, isDisturbed] of getServingImages(worker)) {
+    for (const serving of worker.runs.values()) {
+      if (!isServing(serving.task)) continue
+      const servingImage = serving.task.step.specification.image
       const own = this.getEffect(servingImage, image) * added
       // A pair that is known to be harmless is welcome, however disturbed the serving task is by others.
       if (own === 0) continue
-      if (isDisturbed) return Infinity
-      let effect = own
+      let wanted = own
+      let present = 0
       for (const run of filling) {
-        effect += this.getEffect(servingImage, run.task.step.specification.image) * getWantedShare(worker, run)
+        const effect = this.getEffect(servingImage, run.task.step.specification.image)
+        wanted += effect * getWantedShare(worker, run)
+        present += effect * run.usageFigure / capacity
       }
-      worst = Math.max(worst, effect / this.getTolerance(servingImage))
+      const tolerance = this.getHeadroom(serving) + present - KEPT_HEADROOM
+      worst = Math.max(worst, tolerance <= 0 ? Infinity : wanted / tolerance)
     }
     return worst
   }
@@ -126,15 +130,17 @@
     if (serving.size === 0 || this.fillingImages.size === 0) return 1
     let open = 0
     for (const image of this.fillingImages) {
-      if ([...serving.keys()].every(servingImage => this.getEffect(servingImage, image) === 0)) open++
+      if ([...serving].every(servingImage => this.getEffect(servingImage, image) === 0)) open++
     }
     return open / this.fillingImages.size
   }
 
-  private getTolerance (servingImage: string): number {
-    const serving = this.servingImages.get(servingImage)
-    const headroom = serving === undefined ? INITIAL_HEADROOM : serving.regression.getWeight(serving.constant)
-    return Math.max(0.05, headroom - KEPT_HEADROOM)
+  /** The headroom of the moment, or the usual one of the image before the first figure. */
+  private getHeadroom (serving: RunRecord): number {
+    const { image, targetMilliseconds } = serving.task.step.specification
+    if (serving.percent >= 100 && serving.usageFigure > 0) return targetMilliseconds / serving.usageFigure
+    const known = this.servingImages.get(image)
+    return known === undefined ? INITIAL_HEADROOM : known.regression.getWeight(known.constant)
   }
 
   private getServingImage (image: string): ServingImage {
@@ -166,15 +172,9 @@
   return added
 }
 
-/** The serving images of a worker, and whether one of their tasks is near or over its target now. */
-function getServingImages (worker: WorkerRecord): Map<string, boolean> {
-  const images = new Map<string, boolean>()
-  for (const run of worker.runs.values()) {
-    const { image, targetMilliseconds } = run.task.step.specification
-    if (targetMilliseconds === 0) continue
-    const isDisturbed = run.percent >= 100 && run.usageFigure > DISTURBED_SHARE * targetMilliseconds
-    images.set(image, isDisturbed || images.get(image) === true)
-  }
+function getServingImages (worker: WorkerRecord): Set<string> {
+  const images = new Set<string>()
+  for (const run of worker.runs.values()) if (isServing(run.task)) images.add(run.task.step.specification.image)
   return images
 }
 
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -120,7 +120,7 @@
     task.checkpoint = ended.checkpoint
     if (isLive) context.jobs.markChanged(job)
   }
-  if (ended.end === 'failed') applyFailure(worker, task, isLive, context)
+  if (ended.end === 'failed') applyFailure(worker, task, ended.attempt, isLive, context)
 }
 
 function finishTask (task: TaskRecord, context: ReportContext): void {
@@ -133,7 +133,9 @@
   }
 }
 
-function applyFailure (worker: WorkerRecord, task: TaskRecord, isLive: boolean, context: ReportContext): void {
+function applyFailure (
+  worker: WorkerRecord, task: TaskRecord, attempt: number, isLive: boolean, context: ReportContext
+): void {
   worker.failureStreak++
   if (worker.failureStreak >= QUARANTINE_STREAK) {
     worker.quarantineMilliseconds =
@@ -144,12 +146,12 @@
   }
   task.failedOn.add(worker.entry.workerId)
   if (!isLive || task.step.specification.longRunning) return
+  // The members of a gang fail together, under one attempt.
   const members = task.step.specification.gang ? task.step.tasks : [task]
-  for (const member of members) member.failures = task.failures + (member === task ? 0 : 1)
-  task.failures++
+  for (const member of members) member.failedAttempts.add(attempt)
   const { job } = task.step.occurrence
   context.jobs.markChanged(job)
-  if (task.failures >= job.submission.attemptLimit) context.failJob(job)
+  if (task.failedAttempts.size >= job.submission.attemptLimit) context.failJob(job)
 }
 
 /** A settled run that a later list names neither as running nor as ended is over. */
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -24,8 +24,9 @@
 const PRESSURE_WEIGHT = 3
 /** Workers where many images are harmless are left to the images that have few such workers. */
 const OPENNESS_WEIGHT = 0.5
-/** Serving tasks open an empty worker before they mix with another image, as long as enough stay empty. */
+/** A serving task joins its own job first, whose tasks have the same load at each moment. */
 const EMPTY_WORKER_COST = 2
+const SAME_IMAGE_COST = 3
 const MIXED_IMAGES_COST = 4
 const SCARCE_EMPTY_WORKER_COST = 6
 /** The share of workers without serving tasks that is left to tasks which disturb all of them. */
@@ -128,19 +129,21 @@
     return (worker.fillWanted + specification.processorsMilli) / Math.max(1, getFillableProcessors(worker))
   }
   const reservedShare = (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
-  // Serving tasks of one image share workers, so that an image which disturbs them finds other workers to fill.
-  if (specification.targetMilliseconds > 0) return getMixCost(worker, specification.image, emptyWorkerCost) - reservedShare
+  // Serving tasks of one job share workers: an image that disturbs them then finds others to fill, and times when
+  // no load on a worker is high.
+  if (specification.targetMilliseconds > 0) return getMixCost(worker, task, emptyWorkerCost) - reservedShare
   return reservedShare
 }
 
-function getMixCost (worker: WorkerRecord, image: string, emptyWorkerCost: number): number {
+function getMixCost (worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number): number {
   let cost = 0
   let hasServing = false
   for (const run of worker.runs.values()) {
-    const { specification } = run.task.step
+    const { specification, occurrence } = run.task.step
     if (specification.targetMilliseconds === 0) continue
     hasServing = true
-    if (specification.image !== image) cost = MIXED_IMAGES_COST
+    if (specification.image !== task.step.specification.image) cost = MIXED_IMAGES_COST
+    else if (occurrence.job !== task.step.occurrence.job) cost = Math.max(cost, SAME_IMAGE_COST)
   }
   return hasServing ? cost : emptyWorkerCost
 }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -35,7 +35,8 @@
   index: number
   name: string
   done: boolean
-  failures: number
+  /** The attempts that failed; a set, as an end is listed again to the next owner until it is acknowledged. */
+  failedAttempts: Set<number>
   /** The number of the next start; numbers only rise. */
   nextAttempt: number
   /** The newest checkpoint; empty when there is none. */
@@ -128,7 +129,7 @@
         index: taskIndex,
         name: getTaskName(job.submission.jobId, number, index, taskIndex),
         done: false,
-        failures: 0,
+        failedAttempts: new Set(),
         nextAttempt: firstAttempt,
         checkpoint: '',
         runs: [],
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -12,8 +12,8 @@
   finished?: number[]
   /** The indexes of done tasks by `occurrence.step`. */
   done?: Record<string, number[]>
-  /** Failed runs by `occurrence.step.index`. */
-  failures?: Record<string, number>
+  /** The attempts that failed by `occurrence.step.index`. */
+  failures?: Record<string, number[]>
   /** The newest checkpoint by `occurrence.step.index`. */
   checkpoints?: Record<string, string>
 }
@@ -36,8 +36,8 @@
       }
       for (const task of step.tasks) {
         if (task.done) continue
-        if (task.failures > 0 && !step.specification.longRunning) {
-          row.failures = { ...row.failures, [`${prefix}.${task.index}`]: task.failures }
+        if (task.failedAttempts.size > 0) {
+          row.failures = { ...row.failures, [`${prefix}.${task.index}`]: [...task.failedAttempts] }
         }
         if (task.checkpoint !== '') {
           row.checkpoints = { ...row.checkpoints, [`${prefix}.${task.index}`]: task.checkpoint }
@@ -74,9 +74,9 @@
   for (const [prefix, indexes] of Object.entries(row.done ?? {})) {
     for (const index of indexes) markDone(job, `${prefix}.${index}`, firstAttempt, now)
   }
-  for (const [suffix, failures] of Object.entries(row.failures ?? {})) {
+  for (const [suffix, attempts] of Object.entries(row.failures ?? {})) {
     const task = findTask(job, suffix, firstAttempt, now)
-    if (task !== undefined) task.failures = failures
+    for (const attempt of attempts) task?.failedAttempts.add(attempt)
   }
   for (const [suffix, checkpoint] of Object.entries(row.checkpoints ?? {})) {
     const task = findTask(job, suffix, firstAttempt, now)
