Let the lease of a silent worker end, and test whole sites under faults on a virtual clock

Cause: the loop of a worker renewed the lease with each unanswered call, so that the tasks of a worker that is cut off were never known to be over (siteFaults.test.ts, case of the cut worker: 4 of 6 tasks run 10 s after the cut). Change: only a worker that answered the last call gets a new deadline. An emulator of the platform's tables and workers keeps leases, fences, attempts and listed ends; a judge notes each run that breaks a promise.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -116,7 +116,8 @@
   getEffect (servingImage: string, image: string): number {
     const serving = this.servingImages.get(servingImage)
     const feature = serving?.features.get(image)
-    const weight = serving === undefined || feature === undefined ? INITIAL_EFFECT : serving.regression.getWeight(feature)
+    const isKnown = serving !== undefined && feature !== undefined
+    const weight = isKnown ? serving.regression.getWeight(feature) : INITIAL_EFFECT
     return weight > HARMLESS_EFFECT ? 0 : -weight
   }
 
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -52,7 +52,8 @@
 export function isEligible (worker: WorkerRecord, conditions: ChoiceConditions): boolean {
   return worker.listed && worker.registered && worker.knowledge === 'synchronized' &&
     worker.entry.state === 'ready' && worker.entry.serviceName === conditions.serviceName &&
-    worker.foreignRuns.size === 0 && worker.entry.workerId !== conditions.excludedWorkerId && worker.quarantinedUntil <= conditions.now &&
+    worker.foreignRuns.size === 0 && worker.entry.workerId !== conditions.excludedWorkerId &&
+    worker.quarantinedUntil <= conditions.now &&
     !conditions.dataCentresOut.has(worker.entry.dataCentre)
 }
 
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,13 +1,12 @@
 import type { WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
-import type { HttpCaller } from '../shared/HttpCaller.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableService } from '../table/TableService.js'
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection } from './OwnerElection.js'
-import { OwnerPeer, type OwnerAnswers } from './OwnerPeer.js'
+import type { OwnerAnswers, OwnerPeer } from './OwnerPeer.js'
 import { OWNER_HOLD_LIMIT_MILLISECONDS, ShardDispatcher } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformSite } from './SiteWatch.js'
 
@@ -20,7 +19,7 @@
   tableService: TableService
   feed: TableFeed
   platform: PlatformSite
-  caller: HttpCaller
+  peer: OwnerPeer
   clock: Clock
   logger: Logger
   /** The longest lease that workers grant. */
@@ -46,8 +45,7 @@
   private stopping = false
 
   private constructor (private readonly options: InstanceOptions) {
-    const { tableService, clock, logger, caller, instanceId, region, peerAddress } = options
-    const peer = OwnerPeer.create({ caller })
+    const { tableService, clock, logger, peer, instanceId, region, peerAddress } = options
     this.site = SiteWatch.create({
       platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
     })
@@ -88,7 +86,7 @@
   /** Starts to follow the site and to take part in the election. */
   start (): void {
     this.site.start()
-    void this.election.run()
+    this.election.run()
   }
 
   /** Returns the newest configuration, or null before the first. */
@@ -134,7 +132,7 @@
       onDeposed: reason => this.election.depose(reason)
     })
     this.site.startWorkers()
-    void this.dispatcher.run()
+    this.dispatcher.run()
   }
 
   private stopDispatcher (reason: string): void {
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -24,8 +24,18 @@
 const STATE_TIMEOUT_MILLISECONDS = 400
 const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
 
-/** The calls from one process of the system to the owner, as JSON over HTTP. */
-export class OwnerPeer {
+/** The calls from one process of the system to the owner. */
+export interface OwnerPeer {
+  /** Asks a process whether it owns the shard. */
+  probe (address: string): Promise<ProbeOutcome>
+  /** Asks the owner for the state of a job. */
+  getJobState (address: string, jobId: string): Promise<OwnerJobState>
+  /** Asks the owner how many jobs of a queue wait; null when it did not answer. */
+  countWaiting (address: string, queueName: string): Promise<number | null>
+}
+
+/** The calls to the owner as JSON over HTTP. */
+export class HttpOwnerPeer implements OwnerPeer {
   private constructor (private readonly caller: HttpCaller) {}
 
   /**
@@ -33,11 +43,10 @@
    * @param options The caller to use.
    * @returns The client.
    */
-  static create (options: { caller: HttpCaller }): OwnerPeer {
-    return new OwnerPeer(options.caller)
+  static create (options: { caller: HttpCaller }): HttpOwnerPeer {
+    return new HttpOwnerPeer(options.caller)
   }
 
-  /** Asks a process whether it owns the shard. */
   async probe (address: string): Promise<ProbeOutcome> {
     const answer = await this.caller.call({
       address, method: 'GET', path: '/owner', timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS
@@ -50,7 +59,6 @@
     return REFUSED_CODES.has(reason) ? { kind: 'refused' } : { kind: 'silent', reason }
   }
 
-  /** Asks the owner for the state of a job. */
   async getJobState (address: string, jobId: string): Promise<OwnerJobState> {
     const answer = await this.caller.call({
       address, method: 'GET', path: `/jobs/${jobId}`, timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
@@ -59,7 +67,6 @@
     return (JSON.parse(answer.body.toString()) as { state: OwnerJobState }).state
   }
 
-  /** Asks the owner how many jobs of a queue wait; null when it did not answer. */
   async countWaiting (address: string, queueName: string): Promise<number | null> {
     const answer = await this.caller.call({
       address,
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -99,7 +99,7 @@
     const { jobs, workers } = this.engine
     this.options.logger.info('shard loaded', { jobs: [...jobs.getJobs()].length, workers: workers.size })
     this.updateSite()
-    void this.writer.run()
+    this.writer.run()
     this.tick()
   }
 
@@ -138,7 +138,7 @@
       if (!this.loops.has(entry.workerId)) this.startLoop(worker)
     }
     for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.unlistWorker(workerId)
-    void this.registerWorkers()
+    this.registerWorkers()
     this.schedulePlan()
   }
 
@@ -178,7 +178,7 @@
       onSnapshot: snapshot => this.addJobs(snapshot.rows, () => null, false),
       onChanges: changes => this.applyJobChanges(changes)
     })
-    void this.jobFollower.run()
+    this.jobFollower.run()
   }
 
   private applyJobChanges (changes: RowChange[]): void {
@@ -220,7 +220,7 @@
       waitForDurability: () => this.writer.waitForDurability()
     })
     this.loops.set(worker.entry.workerId, { loop, client })
-    void loop.run()
+    loop.run()
   }
 
   private stopLoop (workerId: string): void {
@@ -289,7 +289,7 @@
     this.engine.markDirty()
     this.plan()
     for (const workerId of this.loops.keys()) {
-      if (!this.engine.workers.has(workerId)) void this.unregisterWorker(workerId)
+      if (!this.engine.workers.has(workerId)) this.unregisterWorker(workerId)
     }
   }
 
@@ -309,7 +309,7 @@
     const mayStart = !this.draining && this.loaded && site.getConfiguration() !== null &&
       this.getRenewalAge() < OWNER_START_LIMIT_MILLISECONDS
     this.engine.plan(now, clock.wallMilliseconds(), mayStart)
-    for (const order of this.engine.takeOrders()) void this.send(order)
+    for (const order of this.engine.takeOrders()) this.send(order)
   }
 
   private async send (order: DispatchOrder): Promise<void> {
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -68,7 +68,7 @@
 
   /** Starts to follow the operators' table. */
   start (): void {
-    void this.operatorFollower.run()
+    this.operatorFollower.run()
   }
 
   /** Starts to follow the list of workers; only an owner needs it. */
@@ -85,7 +85,7 @@
       onSnapshot: snapshot => this.replaceWorkers(snapshot.rows),
       onChanges: changes => this.applyWorkerChanges(changes)
     })
-    void this.workerFollower.run()
+    this.workerFollower.run()
   }
 
   /** Ends following the list of workers. */
--- a/src/instance/WorkerLoop.ts
+++ b/src/instance/WorkerLoop.ts
@@ -61,7 +61,9 @@
     const { worker, engine, client, clock, leaseMilliseconds } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
-    const leaseDeadline = workerTime === null ? null : Math.floor(workerTime + leaseMilliseconds)
+    // A worker that gave no answer may be cut off one way: a lease that is renewed blindly would never be known to end.
+    const mayRenew = workerTime !== null && !this.lastCallFailed
+    const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
     if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await client.hold({
       fencingToken: engine.epoch,
--- /dev/null
+++ b/src/instance/siteFaults.test.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fastCheck from 'fast-check'
+import { createRandom } from '../../stand-ins/shared/createRandom.js'
+import { EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
+import { getTestSeed } from '../shared/testSeed.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+
+/** How long a site may take to be calm again after the last fault: a lost owner, and a lease of a lost worker. */
+const RECOVERY_MILLISECONDS = 40_000
+
+function createSite (seed: number, options: { instanceCount?: number, workerCount?: number } = {}) {
+  const clock = VirtualClock.create()
+  const random = createRandom(seed)
+  const site = EmulatedSite.create({ clock, random, instanceCount: 4, workerCount: 4, ...options })
+  return { clock, random, site }
+}
+
+async function getStates (site: EmulatedSite, clock: VirtualClock, jobIds: string[]): Promise<string[]> {
+  const { instance, process } = site.chooseInstance()
+  const pending = Promise.all(jobIds.map(async jobId => {
+    const outcome = await process.receive(instance.gateway.getState(jobId))
+    return outcome.kind === 'known' ? outcome.state : outcome.kind
+  }))
+  await clock.advance(3000)
+  return await pending
+}
+
+async function submitAll (site: EmulatedSite, clock: VirtualClock, jobIds: string[], failureCount = 0) {
+  const pending = jobIds.map(jobId => site.submit(
+    jobId, [{ taskCount: 3 }, { taskCount: 2, afterSteps: [0] }], { failureCount }))
+  await clock.advance(200)
+  return pending
+}
+
+test('jobs of two steps are completed on a calm site, and each task runs once', async () => {
+  const { clock, site } = createSite(1)
+  await clock.advance(2000)
+  const jobIds = ['a', 'b', 'c']
+  await submitAll(site, clock, jobIds)
+  await clock.advance(5000)
+  assert.deepEqual(await getStates(site, clock, jobIds), ['completed', 'completed', 'completed'])
+  assert.deepEqual(site.judge.violations, [])
+  assert.equal(site.judge.startCount, 15)
+})
+
+test('a job whose task fails as often as its queue allows is told as failed, and not before', async () => {
+  const { clock, site } = createSite(2)
+  await clock.advance(2000)
+  await submitAll(site, clock, ['twice'], 2)
+  await submitAll(site, clock, ['thrice'], 3)
+  await clock.advance(20_000)
+  assert.deepEqual(await getStates(site, clock, ['twice', 'thrice']), ['completed', 'failed'])
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('a cancelled job that lasts is stopped within the bound, and stays cancelled under the next owner', async () => {
+  const { clock, site } = createSite(3)
+  await clock.advance(2000)
+  site.submit('watch', [{ taskCount: 4, longRunning: true }], { durationMilliseconds: Infinity })
+  await clock.advance(1000)
+  assert.equal(site.judge.getRunningTasks().length, 4)
+  const { instance } = site.chooseInstance()
+  const pending = instance.gateway.cancel('watch', 3000)
+  await clock.advance(1000)
+  assert.deepEqual(await pending, { kind: 'cancelled' })
+  await clock.advance(2000)
+  assert.deepEqual(site.judge.getRunningTasks(), [])
+  site.getOwner()?.process.kill()
+  await clock.advance(10_000)
+  assert.deepEqual(await getStates(site, clock, ['watch']), ['cancelled'])
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('tasks go on through the death of the owner, and no task that runs is started again', async () => {
+  const { clock, site } = createSite(4)
+  await clock.advance(2000)
+  site.submit('long', [{ taskCount: 6 }], { durationMilliseconds: 12_000 })
+  await clock.advance(1000)
+  site.getOwner()?.process.kill()
+  await clock.advance(20_000)
+  assert.deepEqual(await getStates(site, clock, ['long']), ['completed'])
+  assert.equal(site.judge.startCount, 6)
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('an owner that was frozen past a takeover starts nothing when it wakes', async () => {
+  const { clock, site } = createSite(5)
+  await clock.advance(2000)
+  await submitAll(site, clock, ['a', 'b'])
+  const owner = site.getOwner()
+  owner?.process.freeze(9000)
+  await clock.advance(30_000)
+  assert.deepEqual(await getStates(site, clock, ['a', 'b']), ['completed', 'completed'])
+  assert.equal(owner?.instance.answers.probe().isOwner, false)
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('tasks of a worker that is cut off start elsewhere only after its lease, and never twice at once', async () => {
+  const { clock, site } = createSite(6, { workerCount: 3 })
+  await clock.advance(2000)
+  site.submit('watch', [{ taskCount: 6, longRunning: true }], { durationMilliseconds: Infinity })
+  await clock.advance(1000)
+  const cut = site.workers.get('worker-1')!
+  cut.faults.cutOff = true
+  await clock.advance(4000)
+  const startsBeforeLapse = site.judge.startCount
+  await clock.advance(6000)
+  assert.equal(startsBeforeLapse, 6)
+  assert.equal(site.judge.getRunningTasks().length, 6)
+  cut.faults.cutOff = false
+  await clock.advance(5000)
+  assert.equal(site.judge.getRunningTasks().length, 6)
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('no task starts in a data centre that was taken out, and work goes on in the other', async () => {
+  const { clock, site } = createSite(7)
+  await clock.advance(2000)
+  site.setDataCentreOut('south-a', true)
+  await clock.advance(1000)
+  await submitAll(site, clock, ['a', 'b', 'c', 'd'])
+  await clock.advance(500)
+  const rows = [...site.instances].find(other => other === site.getOwner())
+  assert.ok(rows !== undefined)
+  await clock.advance(8000)
+  assert.deepEqual(await getStates(site, clock, ['a', 'b', 'c', 'd']), Array(4).fill('completed'))
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('under mixed faults every accepted job is completed, and no run breaks a promise', async () => {
+  const fault = fastCheck.record({
+    kind: fastCheck.constantFrom(
+      'kill-owner', 'freeze-owner', 'cut-owner-from-store', 'crash-worker', 'cut-worker', 'compact', 'kill-all'),
+    gapMilliseconds: fastCheck.integer({ min: 100, max: 5000 }),
+    index: fastCheck.integer({ min: 0, max: 3 })
+  })
+  const schedules = fastCheck.record({
+    seed: fastCheck.integer(),
+    lostAnswerShare: fastCheck.constantFrom(0, 0.05, 0.3),
+    lateShare: fastCheck.constantFrom(0, 0.05, 0.2),
+    lostWriteShare: fastCheck.constantFrom(0, 0.1, 0.4),
+    lateWriteShare: fastCheck.constantFrom(0, 0.1),
+    faults: fastCheck.array(fault, { minLength: 1, maxLength: 6 })
+  })
+  await fastCheck.assert(fastCheck.asyncProperty(schedules, async schedule => {
+    const { clock, site } = createSite(schedule.seed)
+    await clock.advance(2000)
+    for (const worker of site.workers.values()) {
+      worker.faults.lostAnswerShare = schedule.lostAnswerShare
+      worker.faults.lateShare = schedule.lateShare
+    }
+    const accepted: string[] = []
+    for (const [index, { kind, gapMilliseconds, index: target }] of schedule.faults.entries()) {
+      for (const { tables } of site.instances) {
+        tables.faults.lostAnswerShare = schedule.lostWriteShare
+        tables.faults.lateShare = schedule.lateWriteShare
+      }
+      const jobId = `job${index}`
+      site.submit(jobId, [{ taskCount: 3 }, { taskCount: 4, afterSteps: [0] }], { failureCount: index % 2 })
+        .then(outcome => { if (outcome.kind === 'accepted') accepted.push(jobId) })
+      await clock.advance(gapMilliseconds / 2)
+      injectFault(site, clock, kind, target)
+      await clock.advance(gapMilliseconds / 2)
+    }
+    for (const worker of site.workers.values()) {
+      worker.faults.lostAnswerShare = 0
+      worker.faults.lateShare = 0
+    }
+    for (const { tables } of site.instances) {
+      tables.faults.lostAnswerShare = 0
+      tables.faults.lateShare = 0
+    }
+    await clock.advance(RECOVERY_MILLISECONDS)
+    assert.deepEqual(site.judge.violations, [])
+    assert.deepEqual(await getStates(site, clock, accepted), accepted.map(() => 'completed'))
+  }), { numRuns: 40, seed: getTestSeed(), endOnFailure: true })
+})
+
+function injectFault (site: EmulatedSite, clock: VirtualClock, kind: string, target: number): void {
+  const owner = site.getOwner()
+  const restart = (address: string) => clock.setTimer(3000, () => { site.addInstance(address.split(':')[0]) })
+  if (kind === 'kill-owner' && owner !== undefined) {
+    owner.process.kill()
+    restart(owner.address)
+  } else if (kind === 'kill-all') {
+    for (const { process, address } of site.instances) {
+      process.kill()
+      restart(address)
+    }
+  } else if (kind === 'freeze-owner') {
+    owner?.process.freeze(4000)
+  } else if (kind === 'cut-owner-from-store' && owner !== undefined) {
+    owner.tables.faults.cutOff = true
+    clock.setTimer(5000, () => { owner.tables.faults.cutOff = false })
+  } else if (kind === 'crash-worker') {
+    site.crashWorker(`worker-${target}`)
+    clock.setTimer(5500, () => site.restartWorker(`worker-${target}`))
+  } else if (kind === 'cut-worker') {
+    const { faults } = site.workers.get(`worker-${target}`)!
+    faults.cutOff = true
+    clock.setTimer(5500, () => { faults.cutOff = false })
+  } else if (kind === 'compact') {
+    site.tables.compact()
+  }
+}
--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -72,7 +72,7 @@
     const pool = this.pools.get(address)
     this.pools.delete(address)
     // The answers of calls in flight are reported as lost by their own handlers.
-    void pool?.destroy().catch(() => {})
+    pool?.destroy().catch(() => {})
   }
 
   /** Closes all connections. */
--- /dev/null
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -0,0 +1,291 @@
+import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
+import {
+  Instance, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
+} from '../../src/instance/index.js'
+import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
+import type { JsonValue } from '../../src/shared/JsonValue.js'
+import { silentLogger } from '../../src/shared/Logger.js'
+import type { VirtualClock } from '../../src/shared/VirtualClock.js'
+import type { TableFeed } from '../../src/table/TableFeed.js'
+import type { TableService } from '../../src/table/TableService.js'
+import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
+import { MemoryTableService } from '../table-service/MemoryTableService.js'
+import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
+import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
+import { RunJudge } from './RunJudge.js'
+
+/** Options of a site. */
+export interface EmulatedSiteOptions {
+  clock: VirtualClock
+  random: () => number
+  instanceCount: number
+  workerCount: number
+}
+
+/** One process of the system with its surroundings. */
+export interface EmulatedInstance {
+  instance: Instance
+  process: SimulatedProcess
+  tables: EmulatedTableClient
+  address: string
+}
+
+/** The only queue of an emulated site. */
+export const EMULATED_QUEUE: QueueConfiguration = {
+  name: 'drafts',
+  host: 'permits',
+  pathPrefix: '/drafts/',
+  serviceName: 'permit-desk',
+  priority: 0,
+  attemptLimit: 3,
+  stretch: 2,
+  targetLatencyMilliseconds: 400,
+  timeoutMilliseconds: 3000
+}
+
+const WORKER_CAPACITY = { processorsMilli: 16_000, memoryMegabytes: 64_000, accelerators: 0 }
+const LEASE_MILLISECONDS = 6000
+/** A worker that is silent for this long leaves the list. */
+const LISTED_MILLISECONDS = 4500
+const PROBE_TIMEOUT_MILLISECONDS = 600
+const OPERATOR_TABLE = 'operators'
+const WORKER_TABLE = 'listed-workers'
+
+/** A whole site on one virtual clock: the platform's tables, workers, and processes of the system. */
+export class EmulatedSite {
+  readonly judge = RunJudge.create()
+  readonly tables: EmulatedTables
+  readonly workers = new Map<string, EmulatedWorker>()
+  readonly instances: EmulatedInstance[] = []
+  /** Tasks by the first part of their names; others get the default. */
+  readonly tasks = new Map<string, EmulatedTask>()
+
+  private constructor (private readonly options: EmulatedSiteOptions) {
+    const { clock } = options
+    this.tables = EmulatedTables.create({ clock })
+  }
+
+  /**
+   * Creates a site whose processes have started.
+   * @param options The sizes, the clock and the source of chance.
+   * @returns The site.
+   */
+  static create (options: EmulatedSiteOptions): EmulatedSite {
+    const site = new EmulatedSite(options)
+    site.put(OPERATOR_TABLE, 'configuration', 1)
+    for (let index = 0; index < options.workerCount; index++) site.addWorker(`worker-${index}`)
+    for (let index = 0; index < options.instanceCount; index++) site.addInstance(`instance-${index}`)
+    return site
+  }
+
+  /** Adds a worker that is listed from now on. */
+  addWorker (workerId: string): EmulatedWorker {
+    const { clock, random } = this.options
+    const worker = EmulatedWorker.create({
+      workerId,
+      capacity: WORKER_CAPACITY,
+      clock,
+      judge: this.judge,
+      random,
+      getTask: taskName => this.tasks.get(taskName.split('.', 1)[0])!
+    })
+    this.workers.set(workerId, worker)
+    this.list(workerId)
+    return worker
+  }
+
+  /** Ends a worker's process; it leaves the list a while later. */
+  crashWorker (workerId: string): void {
+    this.workers.get(workerId)?.crash()
+    this.options.clock.setTimer(LISTED_MILLISECONDS, () => {
+      if (this.workers.get(workerId)?.isAlive !== true) this.remove(WORKER_TABLE, workerId)
+    })
+  }
+
+  /** Starts a worker's process again under its name. */
+  restartWorker (workerId: string): void {
+    this.workers.get(workerId)?.restart()
+    this.list(workerId)
+  }
+
+  /** Starts a process of the system, or starts it anew under the same name and address. */
+  addInstance (instanceId: string): EmulatedInstance {
+    const { clock, random } = this.options
+    const process = SimulatedProcess.create({
+      clock, random, store: MemoryTableService.create(), workerClient: { exchange: neverAnswer }
+    })
+    const tables = this.tables.createClient(random)
+    const gated = gateTables(process, tables)
+    const address = `${instanceId}:1`
+    const instance = Instance.create({
+      instanceId,
+      region: 'south',
+      peerAddress: address,
+      tableService: gated,
+      feed: gated,
+      platform: {
+        feed: gated,
+        operatorTable: OPERATOR_TABLE,
+        workerTable: WORKER_TABLE,
+        decodeOperatorRow,
+        decodeWorker: (_key, value) => value as unknown as WorkerEntry
+      },
+      peer: this.createPeer(process),
+      clock: process.clock,
+      logger: silentLogger,
+      leaseMilliseconds: LEASE_MILLISECONDS,
+      createWorkerClient: entry => gateWorker(process, this.workers.get(entry.workerId)!),
+      random
+    })
+    const known = this.instances.findIndex(other => other.address === address)
+    const added = { instance, process, tables, address }
+    if (known >= 0) this.instances[known] = added
+    else this.instances.push(added)
+    instance.start()
+    return added
+  }
+
+  /** Returns the process that owns the shard and lives, or undefined. */
+  getOwner (): EmulatedInstance | undefined {
+    return this.instances.find(({ process, instance }) => process.isAlive() && instance.answers.probe().isOwner)
+  }
+
+  /** Hands a job in at a process, as a client does that tries again while the outcome is not certain. */
+  async submit (
+    jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {}
+  ): Promise<SubmitOutcome> {
+    const { process, instance } = this.chooseInstance()
+    this.tasks.set(jobId, {
+      processorsMilli: 1000, memoryMegabytes: 1000, accelerators: 0, durationMilliseconds: 800, failureCount: 0, ...task
+    })
+    this.judge.noteSubmission(jobId)
+    const specification: JobSpecification = {
+      taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
+    }
+    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, 3000))
+  }
+
+  /** Takes a data centre out, or back in. */
+  setDataCentreOut (dataCentre: string, isOut: boolean): void {
+    if (isOut) this.put(OPERATOR_TABLE, `out/${dataCentre}`, dataCentre)
+    else this.remove(OPERATOR_TABLE, `out/${dataCentre}`)
+  }
+
+  /** Returns a process that lives. */
+  chooseInstance (): EmulatedInstance {
+    const alive = this.instances.filter(({ process }) => process.isAlive() && !process.isFrozen())
+    return alive[Math.floor(this.options.random() * alive.length)] ?? this.instances[0]
+  }
+
+  private list (workerId: string): void {
+    const worker = this.workers.get(workerId)!
+    const entry: WorkerEntry = {
+      workerId,
+      serviceName: EMULATED_QUEUE.serviceName,
+      address: `${workerId}:1`,
+      dataCentre: Number(workerId.split('-')[1]) % 2 === 0 ? 'south-a' : 'south-b',
+      state: 'ready',
+      labels: ['a', 'r1'],
+      capacity: WORKER_CAPACITY,
+      bornAtMilliseconds: worker.bornAtMilliseconds,
+      remainingMilliseconds: null
+    }
+    this.put(WORKER_TABLE, workerId, entry as unknown as JsonValue)
+  }
+
+  private put (table: string, key: string, value: JsonValue): void {
+    this.tables.apply({ operations: [{ kind: 'put', table, key, value, condition: { kind: 'any' } }] })
+  }
+
+  private remove (table: string, key: string): void {
+    this.tables.apply({ operations: [{ kind: 'delete', table, key, condition: { kind: 'any' } }] })
+  }
+
+  private createPeer (process: SimulatedProcess): OwnerPeer {
+    const find = (address: string) => this.instances.find(other => other.address === address)
+    const ask = async <Value>(address: string, answer: (other: EmulatedInstance) => Value): Promise<Value | null> => {
+      const other = find(address)
+      const isSilent = other === undefined || other.process.isFrozen() || !other.process.isAlive()
+      if (isSilent) {
+        await new Promise<void>(resolve => { process.clock.setTimer(PROBE_TIMEOUT_MILLISECONDS, resolve) })
+        return null
+      }
+      return await process.receive(Promise.resolve(answer(other)))
+    }
+    return {
+      probe: async address => {
+        if (find(address)?.process.isAlive() !== true) return { kind: 'refused' }
+        const answer = await ask(address, other => other.instance.answers.probe())
+        return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
+      },
+      getJobState: async (address, jobId) => await ask(address, other => other.instance.answers.getJobState(jobId)),
+      countWaiting: async (address, queue) => await ask(address, other => other.instance.answers.countWaiting(queue))
+    }
+  }
+}
+
+function createStep (step: Partial<StepSpecification>): StepSpecification {
+  return {
+    taskCount: 1,
+    processorsMilli: 1000,
+    memoryMegabytes: 1000,
+    accelerators: 0,
+    estimateMilliseconds: 800,
+    afterSteps: [],
+    checkpointing: false,
+    gang: false,
+    rackSensitive: false,
+    requiredLabel: '',
+    preferredRack: '',
+    maximumPerWorker: 0,
+    speculative: false,
+    longRunning: false,
+    image: '',
+    targetMilliseconds: 0,
+    fills: false,
+    maximumAway: 0,
+    ...step
+  }
+}
+
+function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
+  if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
+  return {
+    kind: 'configuration',
+    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
+  }
+}
+
+/** Lets calls of a process through while it runs; answers wait while it is frozen and never reach a dead one. */
+function gateTables (process: SimulatedProcess, tables: EmulatedTableClient): TableService & TableFeed {
+  const pass = async <Value>(call: () => Promise<Value>): Promise<Value> => {
+    await process.receive(Promise.resolve())
+    return await process.receive(call())
+  }
+  return {
+    transact: transaction => pass(() => tables.transact(transaction)),
+    read: row => pass(() => tables.read(row)),
+    readMany: rows => pass(() => tables.readMany(rows)),
+    scan: (table, options) => pass(() => tables.scan(table, options)),
+    readTable: table => pass(() => tables.readTable(table)),
+    waitForChanges: (table, after, wait) => pass(() => tables.waitForChanges(table, after, wait))
+  }
+}
+
+function gateWorker (process: SimulatedProcess, worker: EmulatedWorker): WorkerClient {
+  const pass = async <Value>(call: () => Promise<Value>): Promise<Value> => {
+    await process.receive(Promise.resolve())
+    return await process.receive(call())
+  }
+  return {
+    start: order => pass(() => worker.start(order)),
+    stop: (taskName, attempt, token) => pass(() => worker.stop(taskName, attempt, token)),
+    setPace: () => pass(() => worker.setPace()),
+    hold: request => pass(() => worker.hold(request)),
+    close: () => {}
+  }
+}
+
+function neverAnswer (): Promise<never> {
+  return new Promise(() => {})
+}
--- /dev/null
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -0,0 +1,204 @@
+import type { Clock } from '../../src/shared/Clock.js'
+import type { FeedOutcome, RowChange, TableFeed, TableSnapshot } from '../../src/table/TableFeed.js'
+import type {
+  Condition, Operation, ReadOutcome, Row, RowKey, ScanOptions, TableService, Transaction, TransactionOutcome
+} from '../../src/table/TableService.js'
+
+/** Faults of the tables as one process sees them; all may be changed at any time. */
+export interface TableClientFaults {
+  /** Calls get no answer and have no effect. */
+  cutOff: boolean
+  /** Share of the transactions, 0 to 1, that take effect while their answer is lost. */
+  lostAnswerShare: number
+  /** Share of the transactions, 0 to 1, that get no answer and take effect later, if their conditions still hold. */
+  lateShare: number
+  lateMilliseconds: number
+}
+
+interface Change extends RowChange {
+  table: string
+  version: number
+}
+
+const ANSWER_MILLISECONDS = 4
+const TIMEOUT_MILLISECONDS = 1000
+
+/** Tables in memory with versions from one counter and a history of changes. */
+export class EmulatedTables {
+  private readonly rows = new Map<string, Row>()
+  private history: Change[] = []
+  private compactedTo = 0
+  private version = 0
+  private waiters: Array<() => void> = []
+
+  private constructor (private readonly clock: Clock) {}
+
+  /**
+   * Creates empty tables.
+   * @param options The clock.
+   * @returns The tables.
+   */
+  static create (options: { clock: Clock }): EmulatedTables {
+    return new EmulatedTables(options.clock)
+  }
+
+  /** Creates the view of one process, with faults of its own. */
+  createClient (random: () => number): EmulatedTableClient {
+    return EmulatedTableClient.create({ tables: this, clock: this.clock, random })
+  }
+
+  /** Applies a transaction whole or not at all. */
+  apply (transaction: Transaction): TransactionOutcome {
+    for (const operation of transaction.operations) {
+      const current = this.rows.get(getRowName(operation)) ?? null
+      if (!isMet(operation.condition, current)) return { kind: 'conflict', row: operation, current }
+    }
+    this.version++
+    for (const operation of transaction.operations) this.applyOperation(operation)
+    this.notify()
+    return {
+      kind: 'committed',
+      versions: transaction.operations.map(operation => operation.kind === 'put' ? this.version : 0)
+    }
+  }
+
+  /** Reads a row. */
+  get (key: RowKey): Row | null {
+    return this.rows.get(getRowName(key)) ?? null
+  }
+
+  /** Reads all rows of a table. */
+  getTable (table: string): TableSnapshot {
+    const rows = [...this.rows.values()].filter(row => row.table === table)
+    rows.sort((left, right) => left.key < right.key ? -1 : 1)
+    return { rows, version: this.version }
+  }
+
+  /** Returns the changes of a table after a version, or that they are forgotten. */
+  getChanges (table: string, after: number): FeedOutcome {
+    if (after < this.compactedTo) return { kind: 'compacted' }
+    const changes = this.history.filter(change => change.table === table && change.version > after)
+    return { kind: 'changes', changes, version: this.version }
+  }
+
+  /** Forgets the history of changes. */
+  compact (): void {
+    this.history = []
+    this.compactedTo = this.version
+    this.notify()
+  }
+
+  /** Resolves with the next change of any table, or after the time. */
+  waitForChange (milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.clock.setTimer(milliseconds, resolve)
+      this.waiters.push(() => {
+        cancel()
+        resolve()
+      })
+    })
+  }
+
+  private applyOperation (operation: Operation): void {
+    const { table, key } = operation
+    const name = getRowName(operation)
+    if (operation.kind === 'put') {
+      const row: Row = { table, key, version: this.version, value: structuredClone(operation.value) }
+      this.rows.set(name, row)
+      this.history.push({ table, key, row, version: this.version })
+    } else if (operation.kind === 'delete' && this.rows.delete(name)) {
+      this.history.push({ table, key, row: null, version: this.version })
+    }
+  }
+
+  private notify (): void {
+    const { waiters } = this
+    this.waiters = []
+    for (const waiter of waiters) waiter()
+  }
+}
+
+/** The tables as one process sees them. */
+export class EmulatedTableClient implements TableService, TableFeed {
+  readonly faults: TableClientFaults = { cutOff: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 3000 }
+  writeCount = 0
+
+  private constructor (
+    private readonly tables: EmulatedTables,
+    private readonly clock: Clock,
+    private readonly random: () => number
+  ) {}
+
+  static create (options: { tables: EmulatedTables, clock: Clock, random: () => number }): EmulatedTableClient {
+    return new EmulatedTableClient(options.tables, options.clock, options.random)
+  }
+
+  async transact (transaction: Transaction): Promise<TransactionOutcome> {
+    if (!await this.reach()) return { kind: 'unknown', reason: 'no answer' }
+    this.writeCount++
+    if (this.random() < this.faults.lateShare) {
+      this.clock.setTimer(this.faults.lateMilliseconds, () => { this.tables.apply(transaction) })
+      await this.wait(TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    const outcome = this.tables.apply(transaction)
+    if (this.random() >= this.faults.lostAnswerShare) return outcome
+    await this.wait(TIMEOUT_MILLISECONDS)
+    return { kind: 'unknown', reason: 'answer lost' }
+  }
+
+  async read (row: RowKey): Promise<ReadOutcome<Row | null>> {
+    return await this.reach() ? { kind: 'ok', value: this.tables.get(row) } : unavailable()
+  }
+
+  async readMany (rows: RowKey[]): Promise<ReadOutcome<Array<Row | null>>> {
+    return await this.reach() ? { kind: 'ok', value: rows.map(row => this.tables.get(row)) } : unavailable()
+  }
+
+  async scan (table: string, options: ScanOptions = {}): Promise<ReadOutcome<Row[]>> {
+    if (!await this.reach()) return unavailable()
+    const rows = this.tables.getTable(table).rows.filter(row => row.key.startsWith(options.prefix ?? ''))
+    return { kind: 'ok', value: rows.slice(0, options.limit) }
+  }
+
+  async readTable (table: string): Promise<ReadOutcome<TableSnapshot>> {
+    return await this.reach() ? { kind: 'ok', value: this.tables.getTable(table) } : unavailable()
+  }
+
+  async waitForChanges (table: string, afterVersion: number, waitMilliseconds: number): Promise<FeedOutcome> {
+    const end = this.clock.monotonicMilliseconds() + waitMilliseconds
+    for (;;) {
+      if (!await this.reach()) return unavailable()
+      const outcome = this.tables.getChanges(table, afterVersion)
+      const left = end - this.clock.monotonicMilliseconds()
+      if (outcome.kind !== 'changes' || outcome.changes.length > 0 || left <= 0) return outcome
+      await this.tables.waitForChange(left)
+    }
+  }
+
+  private async reach (): Promise<boolean> {
+    if (this.faults.cutOff) {
+      await this.wait(TIMEOUT_MILLISECONDS)
+      return false
+    }
+    await this.wait(ANSWER_MILLISECONDS)
+    return true
+  }
+
+  private wait (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { this.clock.setTimer(milliseconds, resolve) })
+  }
+}
+
+function getRowName (row: RowKey): string {
+  return `${row.table}/${row.key}`
+}
+
+function isMet (condition: Condition, current: Row | null): boolean {
+  if (condition.kind === 'any') return true
+  return condition.kind === 'absent' ? current === null : current?.version === condition.version
+}
+
+function unavailable (): { kind: 'unavailable', reason: string } {
+  return { kind: 'unavailable', reason: 'no answer' }
+}
--- /dev/null
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -0,0 +1,279 @@
+import type {
+  HoldOutcome, HoldRequest, ListedEnd, OrderOutcome, RunEnd, StartOrder, WorkerCapacity, WorkerClient
+} from '../../src/dispatch/index.js'
+import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
+import type { RunJudge } from './RunJudge.js'
+
+/** What the emulator knows of a task beside its name. */
+export interface EmulatedTask extends WorkerCapacity {
+  /** How long the task works; Infinity for one that runs until it is stopped. */
+  durationMilliseconds: number
+  /** How many of its first runs fail. */
+  failureCount: number
+}
+
+/** Faults that a test switches on; all may be changed at any time. */
+export interface WorkerFaults {
+  /** Nothing comes through, in either direction. */
+  cutOff: boolean
+  /** Share of the orders, 0 to 1, whose answer is lost after they were carried out. */
+  lostAnswerShare: number
+  /** Share of the orders, 0 to 1, that get no answer and are carried out later. */
+  lateShare: number
+  lateMilliseconds: number
+}
+
+/** Options of a worker. */
+export interface EmulatedWorkerOptions {
+  workerId: string
+  capacity: WorkerCapacity
+  clock: Clock
+  judge: RunJudge
+  random: () => number
+  getTask: (taskName: string) => EmulatedTask
+}
+
+interface Run {
+  taskName: string
+  attempt: number
+  task: EmulatedTask
+  startedAt: number
+  checkpoint: string
+  cancelEnd: CancelTimer
+}
+
+/** How long a call takes that nothing answers. */
+const CALL_TIMEOUT_MILLISECONDS = 350
+/** The way of a call and its answer. */
+const ROUND_TRIP_MILLISECONDS = 2
+const STOP_MILLISECONDS = 50
+/** The clock of a worker does not begin at zero. */
+const CLOCK_OFFSET_MILLISECONDS = 100_000
+
+/** An emulated worker that keeps the platform's rules of leases, fences, attempts and listed ends. */
+export class EmulatedWorker implements WorkerClient {
+  readonly faults: WorkerFaults = { cutOff: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 4000 }
+  private readonly runs = new Map<string, Run>()
+  private readonly highestAttempts = new Map<string, number>()
+  private ends: ListedEnd[] = []
+  private endCount = 0
+  private fencingToken = 0
+  private leaseDeadline = 0
+  private bornAt: number
+  private alive = true
+  private waiters: Array<() => void> = []
+
+  private constructor (private readonly options: EmulatedWorkerOptions) {
+    this.bornAt = options.clock.monotonicMilliseconds() + 1
+    this.watchLease()
+  }
+
+  /**
+   * Creates a worker that runs nothing.
+   * @param options The worker and its tasks.
+   * @returns The worker.
+   */
+  static create (options: EmulatedWorkerOptions): EmulatedWorker {
+    return new EmulatedWorker(options)
+  }
+
+  get bornAtMilliseconds (): number {
+    return this.bornAt
+  }
+
+  get isAlive (): boolean {
+    return this.alive
+  }
+
+  async start (order: StartOrder): Promise<OrderOutcome> {
+    return await this.deliver(() => this.carryOutStart(order))
+  }
+
+  async stop (taskName: string, attempt: number, fencingToken: number): Promise<OrderOutcome> {
+    return await this.deliver(() => this.carryOutStop(taskName, attempt, fencingToken))
+  }
+
+  async setPace (): Promise<OrderOutcome> {
+    return await this.deliver(() => ({ kind: 'accepted', workerMilliseconds: this.now() }))
+  }
+
+  async hold (request: HoldRequest): Promise<HoldOutcome> {
+    await this.travel()
+    if (this.faults.cutOff || !this.alive) {
+      await this.wait(CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    if (request.fencingToken < this.fencingToken) return { kind: 'fenced' }
+    this.fencingToken = request.fencingToken
+    this.extendLease(request.leaseDeadline)
+    this.acknowledge(request.acknowledgedEnd)
+    if (request.waitMilliseconds > 0 && this.ends.length === 0) await this.waitForEnd(request.waitMilliseconds)
+    if (this.faults.cutOff || !this.alive) return { kind: 'unknown', reason: 'no answer' }
+    return {
+      kind: 'reported',
+      report: {
+        workerMilliseconds: this.now(),
+        bornAtMilliseconds: this.bornAt,
+        running: [...this.runs.values()].map(run => ({
+          taskName: run.taskName,
+          attempt: run.attempt,
+          checkpoint: run.checkpoint,
+          percent: run.task.durationMilliseconds === Infinity ? 100 : 50,
+          usageFigure: run.task.processorsMilli
+        })),
+        ended: [...this.ends]
+      }
+    }
+  }
+
+  close (): void {}
+
+  /** Ends the process without a word; everything that ran is gone. */
+  crash (): void {
+    this.alive = false
+    for (const run of [...this.runs.values()]) this.forgetRun(run)
+  }
+
+  /** Starts the process again, which knows nothing of before. */
+  restart (): void {
+    this.alive = true
+    this.bornAt = this.options.clock.monotonicMilliseconds() + 1
+    this.ends = []
+    this.endCount = 0
+    this.fencingToken = 0
+    this.leaseDeadline = 0
+    this.highestAttempts.clear()
+  }
+
+  private async deliver (carryOut: () => OrderOutcome): Promise<OrderOutcome> {
+    const { random, clock } = this.options
+    await this.travel()
+    if (this.faults.cutOff || !this.alive) {
+      await this.wait(CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    if (random() < this.faults.lateShare) {
+      const { bornAt } = this
+      clock.setTimer(this.faults.lateMilliseconds, () => { if (this.alive && this.bornAt === bornAt) carryOut() })
+      await this.wait(CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    const outcome = carryOut()
+    if (random() < this.faults.lostAnswerShare) {
+      await this.wait(CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'answer lost' }
+    }
+    return outcome
+  }
+
+  private carryOutStart (order: StartOrder): OrderOutcome {
+    const { options } = this
+    if (order.fencingToken < this.fencingToken) return { kind: 'fenced' }
+    this.fencingToken = order.fencingToken
+    if (order.leaseDeadline <= this.now()) return { kind: 'rejected', reason: 'late' }
+    this.extendLease(order.leaseDeadline)
+    const key = `${order.taskName}#${order.attempt}`
+    if (this.runs.has(key)) return { kind: 'accepted', workerMilliseconds: this.now() }
+    if (order.attempt <= (this.highestAttempts.get(order.taskName) ?? 0)) return { kind: 'rejected', reason: 'old' }
+    const task = options.getTask(order.taskName)
+    const run: Run = {
+      taskName: order.taskName,
+      attempt: order.attempt,
+      task,
+      startedAt: this.now(),
+      checkpoint: order.checkpoint,
+      cancelEnd: () => {}
+    }
+    this.runs.set(key, run)
+    const used = [...this.runs.values()].reduce((sum, other) => sum + other.task.processorsMilli, 0)
+    options.judge.noteStart(order.taskName, order.attempt, options.workerId, used <= options.capacity.processorsMilli)
+    if (task.durationMilliseconds !== Infinity) {
+      run.cancelEnd = options.clock.setTimer(task.durationMilliseconds, () => this.finish(run))
+    }
+    return { kind: 'accepted', workerMilliseconds: this.now() }
+  }
+
+  private carryOutStop (taskName: string, attempt: number, fencingToken: number): OrderOutcome {
+    if (fencingToken < this.fencingToken) return { kind: 'fenced' }
+    this.fencingToken = fencingToken
+    this.highestAttempts.set(taskName, Math.max(attempt, this.highestAttempts.get(taskName) ?? 0))
+    const run = this.runs.get(`${taskName}#${attempt}`)
+    if (run !== undefined) this.options.clock.setTimer(STOP_MILLISECONDS, () => this.end(run, 'stopped'))
+    return { kind: 'accepted', workerMilliseconds: this.now() }
+  }
+
+  private finish (run: Run): void {
+    const { failureCounts } = this.options.judge
+    const failed = failureCounts.get(run.taskName) ?? 0
+    if (failed < run.task.failureCount) {
+      failureCounts.set(run.taskName, failed + 1)
+      this.end(run, 'failed')
+    } else {
+      this.end(run, 'done')
+    }
+  }
+
+  private end (run: Run, end: RunEnd): void {
+    if (!this.runs.has(`${run.taskName}#${run.attempt}`)) return
+    this.forgetRun(run)
+    this.endCount++
+    this.ends.push({
+      number: this.endCount, taskName: run.taskName, attempt: run.attempt, end, checkpoint: run.checkpoint
+    })
+    this.notify()
+  }
+
+  private forgetRun (run: Run): void {
+    const { taskName, attempt } = run
+    run.cancelEnd()
+    this.runs.delete(`${taskName}#${attempt}`)
+    this.highestAttempts.set(taskName, Math.max(attempt, this.highestAttempts.get(taskName) ?? 0))
+    this.options.judge.noteEnd(taskName, attempt, this.options.workerId)
+  }
+
+  private acknowledge (number: number): void {
+    for (const end of this.ends) {
+      if (end.number <= number && end.end === 'done') this.options.judge.noteAcknowledgedDone(end.taskName)
+    }
+    this.ends = this.ends.filter(end => end.number > number)
+  }
+
+  private extendLease (deadline: number | null): void {
+    if (deadline !== null) this.leaseDeadline = Math.max(this.leaseDeadline, deadline)
+  }
+
+  private watchLease (): void {
+    this.options.clock.setTimer(100, () => {
+      if (this.now() > this.leaseDeadline) for (const run of [...this.runs.values()]) this.end(run, 'lapsed')
+      this.watchLease()
+    })
+  }
+
+  private waitForEnd (milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.options.clock.setTimer(milliseconds, resolve)
+      this.waiters.push(() => {
+        cancel()
+        resolve()
+      })
+    })
+  }
+
+  private notify (): void {
+    const { waiters } = this
+    this.waiters = []
+    for (const waiter of waiters) waiter()
+  }
+
+  private now (): number {
+    return this.options.clock.monotonicMilliseconds() + CLOCK_OFFSET_MILLISECONDS
+  }
+
+  private travel (): Promise<void> {
+    return this.wait(ROUND_TRIP_MILLISECONDS)
+  }
+
+  private wait (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
+  }
+}
