Ask the platform which workers live while some give no answer

Change: a trial showed that the platform's list of machines names the worker of each at once: a worker that it does not name runs nothing. An owner reads it every 400 ms while workers are silent. An owner that cannot renew holds workers for 6 s.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -127,6 +127,24 @@
     this.unresolved.set(workerId, expiresAt)
   }
 
+  /** Returns the workers that give no answer and may run tasks. */
+  getSilentWorkers (): WorkerRecord[] {
+    return [...this.workers.values()].filter(worker => worker.knowledge !== 'synchronized' &&
+      (worker.runs.size > 0 || this.unresolved.has(worker.entry.workerId)))
+  }
+
+  /**
+   * Notes that the process of a worker has ended, and with it all that ran there.
+   * @param worker The worker.
+   * @param now The monotonic time.
+   */
+  confirmGone (worker: WorkerRecord, now: number): void {
+    for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+    worker.foreignRuns.clear()
+    this.unresolved.delete(worker.entry.workerId)
+    this.dirty = true
+  }
+
   /** Tells whether the runs of all earlier owners are known or certainly over. */
   isResolved (): boolean {
     return this.unresolved.size === 0
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,4 +1,4 @@
-import type { WorkerClient, WorkerEntry } from '../dispatch/index.js'
+import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
@@ -20,6 +20,7 @@
   feed: TableFeed
   platform: PlatformSite
   peer: OwnerPeer
+  census: WorkerCensus
   clock: Clock
   logger: Logger
   /** The longest lease that workers grant. */
@@ -125,6 +126,7 @@
       site: this.site,
       clock: options.clock,
       logger: options.logger,
+      census: options.census,
       leaseMilliseconds: options.leaseMilliseconds,
       earlierOwnersOverAt: now + holdsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       createWorkerClient: options.createWorkerClient,
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,6 +1,6 @@
 import {
-  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type OrderOutcome, type WorkerClient, type WorkerEntry,
-  type WorkerRecord
+  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type OrderOutcome, type WorkerCensus, type WorkerClient,
+  type WorkerEntry, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
@@ -24,6 +24,7 @@
   site: SiteWatch
   clock: Clock
   logger: Logger
+  census: WorkerCensus
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
   /** Monotonic time from which no order of an earlier owner can be in force. */
@@ -35,9 +36,9 @@
 }
 
 /** An owner that could not renew for this long stops renewing leases of workers, so that a successor's wait ends. */
-export const OWNER_HOLD_LIMIT_MILLISECONDS = 10_000
+export const OWNER_HOLD_LIMIT_MILLISECONDS = 6000
 /** An owner that could not renew for this long starts nothing: its view of the configuration may be old. */
-const OWNER_START_LIMIT_MILLISECONDS = 6000
+const OWNER_START_LIMIT_MILLISECONDS = 5000
 /** Changes of this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
 /** How often time alone is looked at: leases that ended, occurrences that are due. */
@@ -49,6 +50,8 @@
 const STOP_RETRY_MILLISECONDS = 300
 const FEED_WAIT_MILLISECONDS = 10_000
 const LOAD_RETRY_MILLISECONDS = 200
+/** How often the platform is asked which workers live, while some give no answer. */
+const CENSUS_MILLISECONDS = 400
 
 /** Runs one shard as its owner: loads its jobs, holds its workers, sends orders, and makes progress durable. */
 export class ShardDispatcher {
@@ -60,6 +63,7 @@
   private draining = false
   private planScheduled = false
   private registering = false
+  private nextCensusAt = 0
   private cancelTick: () => void = () => {}
   private loaded = false
 
@@ -287,11 +291,29 @@
     this.engine.jobs.expireFinalStates(now)
     this.engine.markDirty()
     this.plan()
+    if (now >= this.nextCensusAt) this.takeCensus()
     for (const workerId of this.loops.keys()) {
       if (!this.engine.workers.has(workerId)) this.unregisterWorker(workerId)
     }
   }
 
+  /** Asks which workers live, while some that may run tasks give no answer. */
+  private async takeCensus (): Promise<void> {
+    const silent = this.engine.getSilentWorkers()
+    if (silent.length === 0) return
+    this.nextCensusAt = Infinity
+    const living = await this.options.census.listLivingWorkers()
+    this.nextCensusAt = this.now() + CENSUS_MILLISECONDS
+    if (this.stopped || living.kind !== 'ok') return
+    for (const worker of silent) {
+      const { workerId } = worker.entry
+      if (living.value.has(workerId) || worker.knowledge === 'synchronized') continue
+      this.options.logger.info('worker is gone', { worker: workerId, runs: worker.runs.size })
+      this.engine.confirmGone(worker, this.now())
+    }
+    this.schedulePlan()
+  }
+
   private schedulePlan (): void {
     if (this.planScheduled || this.stopped) return
     this.planScheduled = true
--- a/src/instance/siteFaults.test.ts
+++ b/src/instance/siteFaults.test.ts
@@ -114,6 +114,30 @@
   assert.deepEqual(site.judge.violations, [])
 })
 
+test('tasks of a worker whose process has ended start elsewhere well before its lease would end', async () => {
+  const { clock, site } = createSite(8, { workerCount: 3 })
+  await clock.advance(2000)
+  site.submit('watch', [{ taskCount: 6, longRunning: true }], { durationMilliseconds: Infinity })
+  await clock.advance(1000)
+  site.crashWorker('worker-1')
+  await clock.advance(2500)
+  assert.equal(site.judge.getRunningTasks().length, 6)
+  assert.deepEqual(site.judge.violations, [])
+})
+
+test('an owner that takes over does not wait for workers that are gone', async () => {
+  const { clock, site } = createSite(9, { workerCount: 3 })
+  await clock.advance(2000)
+  site.submit('watch', [{ taskCount: 6, longRunning: true }], { durationMilliseconds: Infinity })
+  await clock.advance(1000)
+  site.crashWorker('worker-1')
+  site.getOwner()?.process.freeze(8000)
+  await clock.advance(6000)
+  assert.equal(site.judge.getRunningTasks().length, 6)
+  await clock.advance(10_000)
+  assert.deepEqual(site.judge.violations, [])
+})
+
 test('no task starts in a data centre that was taken out, and work goes on in the other', async () => {
   const { clock, site } = createSite(7)
   await clock.advance(2000)
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -131,6 +131,12 @@
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
       peer: this.createPeer(process),
+      census: {
+        listLivingWorkers: async () => await process.receive(Promise.resolve({
+          kind: 'ok' as const,
+          value: new Set([...this.workers].filter(([, worker]) => worker.isAlive).map(([workerId]) => workerId))
+        }))
+      },
       clock: process.clock,
       logger: silentLogger,
       leaseMilliseconds: LEASE_MILLISECONDS,
