Take small learned effects as noise

Cause: at about 80 reports a second the weights of harmless pairs scatter by 1 to 1.5, so that a third of them counted as disturbing at a bound of -0.8, while real effects are 4 to 10 (fit of the trials on both sites).

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -17,8 +17,10 @@
 const SAMPLE_NOISE_VARIANCE = 0.5
 /** Half of what was learned is forgotten after some 1,400 samples of an image, or about 20 s. */
 const FORGETTING_FACTOR = 0.9995
-/** Effects above this are noise. */
-const HARMLESS_EFFECT = -0.8
+/** Pairs either do not disturb at all or by 4 and more; what lies between is noise of the regression. */
+const HARMLESS_EFFECT = -2.2
+/** An effect counts as learned when its variance has fallen below this. */
+const LEARNED_VARIANCE = 4
 
 interface ServingImage {
   regression: RecursiveLeastSquares
@@ -116,8 +118,9 @@
   getEffect (servingImage: string, image: string): number {
     const serving = this.servingImages.get(servingImage)
     const feature = serving?.features.get(image)
-    const isKnown = serving !== undefined && feature !== undefined
-    const weight = isKnown ? serving.regression.getWeight(feature) : INITIAL_EFFECT
+    if (serving === undefined || feature === undefined) return -INITIAL_EFFECT
+    const weight = serving.regression.getWeight(feature)
+    if (serving.regression.getVariance(feature) > LEARNED_VARIANCE) return Math.max(-weight, -INITIAL_EFFECT)
     return weight > HARMLESS_EFFECT ? 0 : -weight
   }
 
