Store what was learned of interference for the next owner

Change: the owner stores the weights and variances of the regressions every 4 s under its fence; the next one loads them.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -22,6 +22,12 @@
 /** An effect counts as learned when its variance has fallen below this. */
 const LEARNED_VARIANCE = 4
 
+/** A learned weight with its variance. */
+export type LearnedWeight = [weight: number, variance: number]
+
+/** What was learned, by serving image: its headroom without neighbours, and the effect of each image beside it. */
+export type LearnedEffects = Record<string, { headroom: LearnedWeight, effects: Record<string, LearnedWeight> }>
+
 interface ServingImage {
   regression: RecursiveLeastSquares
   /** The index of the constant feature, whose weight is the headroom without neighbours. */
@@ -147,12 +153,44 @@
     return known === undefined ? INITIAL_HEADROOM : known.regression.getWeight(known.constant)
   }
 
+  /**
+   * Returns what was learned, for the next owner.
+   * @returns The weights, rounded, as each byte written is billed.
+   */
+  export (): LearnedEffects {
+    const learned: LearnedEffects = {}
+    for (const [image, { regression, constant, features }] of this.servingImages) {
+      const getLearned = (index: number): LearnedWeight =>
+        [Number(regression.getWeight(index).toFixed(2)), Number(regression.getVariance(index).toFixed(2))]
+      learned[image] = {
+        headroom: getLearned(constant),
+        effects: Object.fromEntries([...features].map(([other, index]) => [other, getLearned(index)]))
+      }
+    }
+    return learned
+  }
+
+  /**
+   * Takes over what an earlier owner learned.
+   * @param learned The weights.
+   */
+  import (learned: LearnedEffects): void {
+    for (const [image, { headroom, effects }] of Object.entries(learned)) {
+      const regression = createRegression()
+      const constant = regression.addFeature(...headroom)
+      const features = new Map<string, number>()
+      for (const [other, weight] of Object.entries(effects)) {
+        features.set(other, regression.addFeature(...weight))
+        this.fillingImages.add(other)
+      }
+      this.servingImages.set(image, { regression, constant, features })
+    }
+  }
+
   private getServingImage (image: string): ServingImage {
     const known = this.servingImages.get(image)
     if (known !== undefined) return known
-    const regression = RecursiveLeastSquares.create({
-      initialVariance: EFFECT_VARIANCE, noiseVariance: SAMPLE_NOISE_VARIANCE, forgettingFactor: FORGETTING_FACTOR
-    })
+    const regression = createRegression()
     const added = { regression, constant: regression.addFeature(INITIAL_HEADROOM), features: new Map() }
     this.servingImages.set(image, added)
     return added
@@ -168,6 +206,12 @@
   return [...worker.runs.values()].filter(run => run.task.step.specification.fills && run.state !== 'stopping')
 }
 
+function createRegression (): RecursiveLeastSquares {
+  return RecursiveLeastSquares.create({
+    initialVariance: EFFECT_VARIANCE, noiseVariance: SAMPLE_NOISE_VARIANCE, forgettingFactor: FORGETTING_FACTOR
+  })
+}
+
 function getFeature (serving: ServingImage, image: string): number {
   const known = serving.features.get(image)
   if (known !== undefined) return known
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -46,7 +46,7 @@
 export class DispatchEngine {
   readonly jobs: JobTable
   readonly workers = new Map<string, WorkerRecord>()
-  private readonly advisor = ColocationAdvisor.create()
+  readonly advisor = ColocationAdvisor.create()
   private orders: DispatchOrder[] = []
   private dataCentresOut: ReadonlySet<string> = new Set()
   /** Workers that may run tasks of earlier owners and have not answered: identifier and time of certain expiry. */
--- a/src/dispatch/RecursiveLeastSquares.ts
+++ b/src/dispatch/RecursiveLeastSquares.ts
@@ -27,13 +27,14 @@
   /**
    * Adds a feature.
    * @param weight The weight that it has before anything is learned.
+   * @param variance The variance of that weight; lower for a weight that was learned elsewhere.
    * @returns The index of the feature.
    */
-  addFeature (weight: number): number {
+  addFeature (weight: number, variance = this.options.initialVariance): number {
     const index = this.weights.length
     this.weights.push(weight)
     for (const row of this.covariance) row.push(0)
-    this.covariance.push(this.weights.map((_, column) => column === index ? this.options.initialVariance : 0))
+    this.covariance.push(this.weights.map((_, column) => column === index ? variance : 0))
     return index
   }
 
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from './ColocationAdvisor.js'
 export * from './DispatchEngine.js'
 export * from './JobTable.js'
 export * from './WorkerProtocol.js'
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,6 +1,6 @@
 import {
-  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type OrderOutcome, type WorkerCensus, type WorkerClient,
-  type WorkerEntry, type WorkerRecord
+  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type LearnedEffects, type OrderOutcome,
+  type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
@@ -10,7 +10,7 @@
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { Operation, Row, TableService } from '../table/TableService.js'
-import { decodeSubmission, getCancelledJob, HOLDING_TABLE, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { decodeSubmission, getCancelledJob, HOLDING_TABLE, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import type { SiteWatch } from './SiteWatch.js'
 import { WorkerLoop } from './WorkerLoop.js'
@@ -52,6 +52,8 @@
 const LOAD_RETRY_MILLISECONDS = 200
 /** How often the platform is asked which workers live, while some give no answer. */
 const CENSUS_MILLISECONDS = 400
+/** How often what was learned is stored: a new owner loses at most this much of it. */
+const LEARNED_MILLISECONDS = 4000
 
 /** Runs one shard as its owner: loads its jobs, holds its workers, sends orders, and makes progress durable. */
 export class ShardDispatcher {
@@ -64,6 +66,7 @@
   private planScheduled = false
   private registering = false
   private nextCensusAt = 0
+  private nextLearnedAt = 0
   private cancelTick: () => void = () => {}
   private loaded = false
 
@@ -150,7 +153,10 @@
     const jobs = await feed.readTable(JOB_TABLE)
     const progress = await feed.readTable(PROGRESS_TABLE)
     const holding = await feed.readTable(HOLDING_TABLE)
-    if (jobs.kind !== 'ok' || progress.kind !== 'ok' || holding.kind !== 'ok' || this.stopped) return false
+    const learned = await this.options.tableService.read({ table: LEARNED_TABLE, key: this.options.shardId })
+    const isComplete = jobs.kind === 'ok' && progress.kind === 'ok' && holding.kind === 'ok' && learned.kind === 'ok'
+    if (!isComplete || this.stopped) return false
+    if (learned.value !== null) this.engine.advisor.import(learned.value.value as unknown as LearnedEffects)
     const now = clock.monotonicMilliseconds()
     const progressOf = new Map(progress.value.rows.map(row => [row.key, row.value]))
     this.addJobs(jobs.value.rows, key => progressOf.get(key) ?? null, true)
@@ -292,11 +298,33 @@
     this.engine.markDirty()
     this.plan()
     if (now >= this.nextCensusAt) this.takeCensus()
+    if (now >= this.nextLearnedAt) this.storeLearned()
     for (const workerId of this.loops.keys()) {
       if (!this.engine.workers.has(workerId)) this.unregisterWorker(workerId)
     }
   }
 
+  private async storeLearned (): Promise<void> {
+    this.nextLearnedAt = this.now() + LEARNED_MILLISECONDS
+    const learned = this.engine.advisor.export()
+    if (Object.keys(learned).length === 0) return
+    const { shardId, fence, tableService, logger } = this.options
+    const outcome = await tableService.transact({
+      operations: [
+        {
+          kind: 'put',
+          table: LEARNED_TABLE,
+          key: shardId,
+          value: learned as unknown as JsonValue,
+          condition: { kind: 'any' }
+        },
+        { kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion } }
+      ]
+    })
+    // The next write replaces this one, so a lost one needs no retry.
+    if (outcome.kind !== 'committed') logger.info('what was learned was not stored', { outcome: outcome.kind })
+  }
+
   /** Asks which workers live, while some that may run tasks give no answer. */
   private async takeCensus (): Promise<void> {
     const silent = this.engine.getSilentWorkers()
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -7,6 +7,8 @@
 export const PROGRESS_TABLE = 'progress'
 /** Workers that may hold tasks of this shard. */
 export const HOLDING_TABLE = 'holding'
+/** What the owner learned of interference, for the next owner. */
+export const LEARNED_TABLE = 'learned'
 /** The head of the progress writes, which orders them. */
 export const PROGRESS_HEAD_TABLE = 'progress-heads'
 
