Move tasks that stand still, and notice silent feeds within the bounds

Cause: a worker that hangs answers its calls, so its tasks waited for the end of the trouble; a feed on a connection that has gone silent was noticed after 5.7 s (workers) and 10.7 s (jobs), later than the 2.5 s of a draining worker and the 3 s of a cancelled job. Change: runs without progress for 1.5 s are stopped where one of them has its own processors, and their worker rests for 3 s; feeds wait 1.5 s.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -2,6 +2,7 @@
   isStepReady, type JobRecord, type RunRecord, type StepRecord, type TaskRecord
 } from '../jobs/index.js'
 import { chooseWorker, type ChoiceConditions } from './chooseWorker.js'
+import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { JobTable } from './JobTable.js'
@@ -32,6 +33,9 @@
 /** A run without checkpoints is moved only while it would lose at most this much of its work. */
 const LARGEST_LOST_PERCENT = 35
 
+/** A worker on which tasks stood still gets a task again after this time, which shows whether it works. */
+const STALLED_PAUSE_MILLISECONDS = 3000
+
 /** Options of an engine. */
 export interface DispatchEngineOptions {
   /** The owner's epoch, which is the fencing token of all orders. */
@@ -176,11 +180,13 @@
     const changed = applyReport(worker, report, context)
     worker.knowledge = 'synchronized'
     if (this.unresolved.delete(entry.workerId) || changed) this.dirty = true
+    this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
       if (percent < SLOWED_PERCENT) run.slowedSince ??= now
       else run.slowedSince = null
       run.pacePercent = percent
+      run.progressedAt = now
       worker.fillChangedAt = now
       this.orders.push({ kind: 'pace', worker, run, percent })
     }
@@ -268,6 +274,17 @@
     return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
   }
 
+  /** Tasks that stand still go on elsewhere, and their worker gets nothing new for a while. */
+  private moveStalledRuns (worker: WorkerRecord, now: number): void {
+    const stalled = findStalledRuns(worker, now)
+    if (stalled.length === 0) return
+    worker.quarantinedUntil = Math.max(worker.quarantinedUntil, now + STALLED_PAUSE_MILLISECONDS)
+    for (const run of stalled) {
+      run.task.failedOn.add(worker.entry.workerId)
+      this.orderStop(worker, run.task.name, run.attempt, run)
+    }
+  }
+
   /** A run that must stay slow beside what it disturbs goes on elsewhere, where that costs little work. */
   private moveSlowedRuns (now: number): void {
     for (const worker of this.workers.values()) {
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -48,7 +48,8 @@
 /** A start without an answer is sent this often; it is the same attempt, which a worker runs at most once. */
 const START_TRIES = 3
 const STOP_RETRY_MILLISECONDS = 300
-const FEED_WAIT_MILLISECONDS = 10_000
+/** A connection that has gone silent must show within the 3 s in which a cancelled job has to stop. */
+const FEED_WAIT_MILLISECONDS = 1500
 const LOAD_RETRY_MILLISECONDS = 200
 /** How often the platform is asked which workers live, while some give no answer. */
 const CENSUS_MILLISECONDS = 400
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -33,7 +33,8 @@
 
 /** A lost call delays a configuration by this wait and the call's own margin, within the bound of 2.5 s. */
 const OPERATOR_WAIT_MILLISECONDS = 1500
-const WORKER_WAIT_MILLISECONDS = 5000
+/** A connection that has gone silent must show before a worker that drains counts as told, after 2.5 s. */
+const WORKER_WAIT_MILLISECONDS = 1500
 
 /** Keeps the operators' wishes, and on an owner the list of workers, as the platform has them. */
 export class SiteWatch {
