Serve counters and latency histograms of an instance

Cause: the users ask for counters and histograms on the metrics address; the peers' port served only those of the runtime. Change: submissions, starts, waits, final states, takeovers, workers that are gone and changes of pace.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -82,6 +82,11 @@
     return this.jobs.values()
   }
 
+  /** The number of jobs whose final state is not durable. */
+  get liveCount (): number {
+    return this.jobs.size
+  }
+
   /**
    * Returns the state to tell a submitter.
    * @param jobId The job.
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,9 +1,11 @@
+import type { Registry } from 'prom-client'
 import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableService } from '../table/TableService.js'
+import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection } from './OwnerElection.js'
 import type { OwnerAnswers, OwnerPeer } from './OwnerPeer.js'
@@ -21,6 +23,7 @@
   platform: PlatformSite
   peer: OwnerPeer
   census: WorkerCensus
+  registry: Registry
   clock: Clock
   logger: Logger
   /** The longest lease that workers grant. */
@@ -40,6 +43,7 @@
 export class Instance {
   readonly gateway: JobGateway
   readonly answers: OwnerAnswers
+  private readonly metrics: InstanceMetrics
   private readonly election: OwnerElection
   private readonly site: SiteWatch
   private dispatcher: ShardDispatcher | null = null
@@ -47,6 +51,10 @@
 
   private constructor (private readonly options: InstanceOptions) {
     const { tableService, clock, logger, peer, instanceId, region, peerAddress } = options
+    this.metrics = createInstanceMetrics(options.registry, {
+      isOwner: () => this.election.isOwner(),
+      countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0
+    })
     this.site = SiteWatch.create({
       platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
     })
@@ -67,6 +75,7 @@
     this.gateway = JobGateway.create({
       tableService,
       peer,
+      metrics: this.metrics,
       ownAnswers: this.answers,
       isOwner: () => this.election.isOwner(),
       getOwnerAddress: () => this.election.getOwnerAddress(),
@@ -118,6 +127,7 @@
     const now = options.clock.monotonicMilliseconds()
     const holdsEndWithin = earlierOwnerStopped ? 0 : OWNER_HOLD_LIMIT_MILLISECONDS
     this.dispatcher?.stop()
+    this.metrics.takeovers.inc()
     this.dispatcher = ShardDispatcher.create({
       shardId: SHARD_ID,
       fence,
@@ -127,6 +137,7 @@
       clock: options.clock,
       logger: options.logger,
       census: options.census,
+      metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       earlierOwnersOverAt: now + holdsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       createWorkerClient: options.createWorkerClient,
--- /dev/null
+++ b/src/instance/InstanceMetrics.ts
@@ -0,0 +1,96 @@
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client'
+
+/** Answers of the store and of workers take milliseconds, outages seconds. */
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
+/** Jobs are started at once, or wait for room for up to a minute. */
+const WAIT_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
+
+/** The counters and histograms of an instance. */
+export interface InstanceMetrics {
+  submissions: Counter<'outcome'>
+  submissionSeconds: Histogram
+  starts: Counter<'outcome'>
+  startSeconds: Histogram
+  waitSeconds: Histogram
+  finishedJobs: Counter<'state'>
+  takeovers: Counter
+  goneWorkers: Counter
+  paceChanges: Counter
+}
+
+/**
+ * Creates the metrics of an instance.
+ * @param registry Where they are registered.
+ * @param readers What the gauges show when they are collected.
+ * @returns The metrics.
+ */
+export function createInstanceMetrics (
+  registry: Registry, readers: { isOwner (): boolean, countLiveJobs (): number }
+): InstanceMetrics {
+  const registers = [registry]
+  const owner: Gauge = new Gauge({
+    name: 'papayamoor_instance_owner',
+    help: 'Whether this instance owns the shard.',
+    registers,
+    collect: () => owner.set(readers.isOwner() ? 1 : 0)
+  })
+  const liveJobs: Gauge = new Gauge({
+    name: 'papayamoor_instance_live_jobs',
+    help: 'Jobs of the owned shard that have no durable final state.',
+    registers,
+    collect: () => liveJobs.set(readers.countLiveJobs())
+  })
+  return {
+    submissions: new Counter({
+      name: 'papayamoor_instance_submissions_total',
+      help: 'Submissions by what their callers were told.',
+      labelNames: ['outcome'],
+      registers
+    }),
+    submissionSeconds: new Histogram({
+      name: 'papayamoor_instance_submission_seconds',
+      help: 'Time from a submission to its answer.',
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers
+    }),
+    starts: new Counter({
+      name: 'papayamoor_instance_starts_total',
+      help: 'Starts of tasks by what the worker answered.',
+      labelNames: ['outcome'],
+      registers
+    }),
+    startSeconds: new Histogram({
+      name: 'papayamoor_instance_start_seconds',
+      help: 'Time from a start order to its outcome.',
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers
+    }),
+    waitSeconds: new Histogram({
+      name: 'papayamoor_instance_task_wait_seconds',
+      help: 'Time from the end of the last run of a task, or from its readiness, to its next start.',
+      buckets: WAIT_BUCKETS_SECONDS,
+      registers
+    }),
+    finishedJobs: new Counter({
+      name: 'papayamoor_instance_finished_jobs_total',
+      help: 'Jobs by final state, counted when it is durable.',
+      labelNames: ['state'],
+      registers
+    }),
+    takeovers: new Counter({
+      name: 'papayamoor_instance_takeovers_total',
+      help: 'How often this instance became owner.',
+      registers
+    }),
+    goneWorkers: new Counter({
+      name: 'papayamoor_instance_gone_workers_total',
+      help: 'Workers whose process had ended according to the platform.',
+      registers
+    }),
+    paceChanges: new Counter({
+      name: 'papayamoor_instance_pace_changes_total',
+      help: 'Orders that changed the pace of a task that fills.',
+      registers
+    })
+  }
+}
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableService, TransactionOutcome } from '../table/TableService.js'
+import type { InstanceMetrics } from './InstanceMetrics.js'
 import { decodeSubmission, encodeSubmission, getCancelKey, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import type { OwnerAnswers, OwnerJobState, OwnerPeer } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
@@ -29,6 +30,7 @@
 export interface JobGatewayOptions {
   tableService: TableService
   peer: OwnerPeer
+  metrics: InstanceMetrics
   /** The owner in this process, when it is the owner. */
   ownAnswers: OwnerAnswers
   isOwner (): boolean
@@ -67,39 +69,13 @@
   async submit (
     jobId: string, specification: JobSpecification, queue: QueueConfiguration, deadlineMilliseconds: number
   ): Promise<SubmitOutcome> {
-    const { clock, logger } = this.options
-    const submission: JobSubmission = {
-      jobId,
-      queueName: queue.name,
-      serviceName: queue.serviceName,
-      priority: queue.priority,
-      attemptLimit: queue.attemptLimit,
-      stretch: queue.stretch,
-      targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
-      acceptedAtMilliseconds: Math.round(clock.wallMilliseconds()),
-      specification
-    }
-    const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
-    let mayBeStored = false
-    for (;;) {
-      const outcome = await this.store(submission)
-      if (outcome.kind === 'committed' || outcome.kind === 'conflict') {
-        logger.info('job accepted', { job: jobId, queue: queue.name, copy: outcome.kind === 'conflict' })
-        return { kind: 'accepted' }
-      }
-      mayBeStored ||= outcome.kind === 'unknown'
-      if (!mayBeStored) {
-        logger.warn('job rejected', { job: jobId, reason: outcome.reason })
-        return { kind: 'rejected', retryAfterSeconds: RETRY_AFTER_SECONDS }
-      }
-      if (clock.monotonicMilliseconds() + RETRY_DELAY_MILLISECONDS >= end) {
-        logger.warn('job may be stored', { job: jobId, reason: outcome.reason })
-        return { kind: 'unknown' }
-      }
-      await this.pause(RETRY_DELAY_MILLISECONDS)
-    }
+    const { clock, metrics } = this.options
+    const since = clock.monotonicMilliseconds()
+    const outcome = await this.storeUntilSettled(jobId, specification, queue, deadlineMilliseconds)
+    metrics.submissions.inc({ outcome: outcome.kind })
+    metrics.submissionSeconds.observe((clock.monotonicMilliseconds() - since) / 1000)
+    return outcome
   }
-
   /**
    * Looks up the state of a job: from the owner's memory, or from the store when the owner gives no answer.
    * @param jobId The job.
@@ -165,6 +141,42 @@
     return address === null ? null : await peer.countWaiting(address, queueName)
   }
 
+  private async storeUntilSettled (
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, deadlineMilliseconds: number
+  ): Promise<SubmitOutcome> {
+    const { clock, logger } = this.options
+    const submission: JobSubmission = {
+      jobId,
+      queueName: queue.name,
+      serviceName: queue.serviceName,
+      priority: queue.priority,
+      attemptLimit: queue.attemptLimit,
+      stretch: queue.stretch,
+      targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
+      acceptedAtMilliseconds: Math.round(clock.wallMilliseconds()),
+      specification
+    }
+    const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
+    let mayBeStored = false
+    for (;;) {
+      const outcome = await this.store(submission)
+      if (outcome.kind === 'committed' || outcome.kind === 'conflict') {
+        logger.info('job accepted', { job: jobId, queue: queue.name, copy: outcome.kind === 'conflict' })
+        return { kind: 'accepted' }
+      }
+      mayBeStored ||= outcome.kind === 'unknown'
+      if (!mayBeStored) {
+        logger.warn('job rejected', { job: jobId, reason: outcome.reason })
+        return { kind: 'rejected', retryAfterSeconds: RETRY_AFTER_SECONDS }
+      }
+      if (clock.monotonicMilliseconds() + RETRY_DELAY_MILLISECONDS >= end) {
+        logger.warn('job may be stored', { job: jobId, reason: outcome.reason })
+        return { kind: 'unknown' }
+      }
+      await this.pause(RETRY_DELAY_MILLISECONDS)
+    }
+  }
+
   private async askOwner (jobId: string): Promise<OwnerJobState> {
     const { isOwner, ownAnswers, getOwnerAddress, peer } = this.options
     if (isOwner()) return ownAnswers.getJobState(jobId)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -11,6 +11,7 @@
 import { TableFollower } from '../table/TableFollower.js'
 import type { Operation, Row, TableService } from '../table/TableService.js'
 import { decodeSubmission, getCancelledJob, HOLDING_TABLE, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import type { InstanceMetrics } from './InstanceMetrics.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import type { SiteWatch } from './SiteWatch.js'
 import { WorkerLoop } from './WorkerLoop.js'
@@ -25,6 +26,7 @@
   clock: Clock
   logger: Logger
   census: WorkerCensus
+  metrics: InstanceMetrics
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
   /** Monotonic time from which no order of an earlier owner can be in force. */
@@ -78,6 +80,7 @@
       engine: this.engine,
       onDurable: finished => {
         for (const job of finished) {
+          options.metrics.finishedJobs.inc({ state: job.finalState ?? 'unknown' })
           options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
         }
       },
@@ -338,6 +341,7 @@
       const { workerId } = worker.entry
       if (living.value.has(workerId) || worker.knowledge === 'synchronized') continue
       this.options.logger.info('worker is gone', { worker: workerId, runs: worker.runs.size })
+      this.options.metrics.goneWorkers.inc()
       this.engine.confirmGone(worker, this.now())
     }
     this.schedulePlan()
@@ -368,13 +372,16 @@
     if (order.kind === 'start') return await this.sendStart(order.worker, order.run, entry.client)
     if (order.kind === 'stop') return await this.sendStop(order, entry.client)
     const { run, percent } = order
+    this.options.metrics.paceChanges.inc()
     const outcome = await entry.client.setPace(run.task.name, run.attempt, percent, this.engine.epoch)
     // A pace that may not have arrived is decided anew with the next report.
     if (outcome.kind !== 'accepted') run.pacePercent = -1
   }
 
   private async sendStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<void> {
-    const { clock } = this.options
+    const { clock, metrics } = this.options
+    const orderedAt = clock.monotonicMilliseconds()
+    metrics.waitSeconds.observe((orderedAt - run.task.waitingSince) / 1000)
     let outcome: OrderOutcome = { kind: 'unknown', reason: 'not sent' }
     for (let attempt = 0; attempt < START_TRIES && outcome.kind === 'unknown'; attempt++) {
       // The run may be settled meanwhile by a list, by a stop, or by the end of the worker's lease.
@@ -397,8 +404,15 @@
     }
     if (this.stopped) return
     if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a start of this epoch')
+    metrics.starts.inc({ outcome: outcome.kind })
+    metrics.startSeconds.observe((clock.monotonicMilliseconds() - orderedAt) / 1000)
     this.options.logger.info('task start', {
-      task: run.task.name, attempt: run.attempt, worker: run.workerId, outcome: outcome.kind
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      outcome: outcome.kind,
+      fencingToken: this.engine.epoch,
+      isResumed: run.task.checkpoint !== ''
     })
     this.engine.applyStartOutcome(worker, run, outcome, clock.monotonicMilliseconds())
     this.schedulePlan()
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -1,3 +1,4 @@
+import { Registry } from 'prom-client'
 import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
 import {
   Instance, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
@@ -131,6 +132,7 @@
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
       peer: this.createPeer(process),
+      registry: new Registry(),
       census: {
         listLivingWorkers: async () => await process.receive(Promise.resolve({
           kind: 'ok' as const,
