--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -76,6 +76,7 @@
     metrics.submissionSeconds.observe((clock.monotonicMilliseconds() - since) / 1000)
     return outcome
   }
+
   /**
    * Looks up the state of a job: from the owner's memory, or from the store when the owner gives no answer.
    * @param jobId The job.
