--- /dev/null
+++ b/soak/SoakRun.ts
@@ -0,0 +1,257 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { EMULATED_ROUTE, HttpPlatform } from '../platform/emulator/HttpPlatform.js'
+import { HttpCaller } from '../src/shared/HttpCaller.js'
+import { createRandom } from '../stand-ins/shared/createRandom.js'
+import { findFreePorts } from '../stand-ins/shared/findFreePorts.js'
+import { LoopbackProxy, type ProxyMode } from './LoopbackProxy.js'
+
+/** Options of a run. */
+export interface SoakRunOptions {
+  seed: number
+  processCount: number
+  workerCount: number
+  /** How long jobs and faults come. */
+  durationMilliseconds: number
+}
+
+/** What a run found. */
+export interface SoakResult {
+  seed: number
+  acceptedCount: number
+  startCount: number
+  faults: string[]
+  violations: string[]
+}
+
+interface Program {
+  name: string
+  child: ChildProcess | null
+  settingsPath: string
+  callerPort: number
+  proxy: LoopbackProxy
+}
+
+const HOST = '127.0.0.1'
+const JOB_INTERVAL_MILLISECONDS = 120
+const FAULT_INTERVAL_MILLISECONDS = 900
+/** All programs may die in the last moment: start, election, leases of lost workers, and the work itself. */
+const RECOVERY_MILLISECONDS = 25_000
+const DOWN_MILLISECONDS = 1200
+const CALL_TIMEOUT_MILLISECONDS = 3000
+const PROXY_MODES: ProxyMode[] = ['delay', 'silent', 'silent-answers']
+
+/** Runs the deployed program as separate processes and harms them from outside, with the faults of one seed. */
+export class SoakRun {
+  private readonly random: () => number
+  private readonly caller = HttpCaller.create({ connections: 4 })
+  private readonly folder = mkdtempSync(join(tmpdir(), 'papayamoor-soak-'))
+  private readonly programs: Program[] = []
+  private readonly accepted = new Set<string>()
+  private readonly faults: string[] = []
+  private readonly violations: string[] = []
+  private ended = false
+
+  private constructor (private readonly options: SoakRunOptions, private readonly platform: HttpPlatform) {
+    this.random = createRandom(options.seed)
+  }
+
+  /**
+   * Plays one seed.
+   * @param options The seed and the sizes.
+   * @returns What was found; no violations when all promises held.
+   */
+  static async play (options: SoakRunOptions): Promise<SoakResult> {
+    const ports = await findFreePorts(2 + options.workerCount + options.processCount * 4)
+    const platform = await HttpPlatform.create({
+      host: HOST,
+      storePort: ports[0],
+      machinesPort: ports[1],
+      workerPorts: ports.slice(2, 2 + options.workerCount),
+      random: createRandom(options.seed + 1)
+    })
+    const run = new SoakRun(options, platform)
+    try {
+      return await run.playAll(ports, ports.slice(2 + options.workerCount))
+    } finally {
+      await run.end()
+    }
+  }
+
+  private async playAll (platformPorts: number[], ports: number[]): Promise<SoakResult> {
+    for (let index = 0; index < this.options.processCount; index++) {
+      await this.addProgram(index, platformPorts, ports.slice(index * 4, index * 4 + 4))
+    }
+    await pause(1500)
+    const end = Date.now() + this.options.durationMilliseconds
+    await Promise.all([this.submitUntil(end), this.harmUntil(end)])
+    await this.checkJobs()
+    this.violations.push(...this.platform.judge.violations)
+    return {
+      seed: this.options.seed,
+      acceptedCount: this.accepted.size,
+      startCount: this.platform.judge.startCount,
+      faults: this.faults,
+      violations: this.violations
+    }
+  }
+
+  private async addProgram (index: number, platformPorts: number[], ports: number[]): Promise<void> {
+    const name = `instance-${index}`
+    const [storeProxy, front, ready, inner] = ports
+    const proxy = await LoopbackProxy.create({ host: HOST, port: storeProxy, targetPort: platformPorts[0] })
+    const settingsPath = join(this.folder, `${name}.json`)
+    writeFileSync(settingsPath, JSON.stringify({
+      nodeName: name,
+      ip: HOST,
+      zone: 'south-a',
+      region: 'south',
+      listenAddrs: { front: `${HOST}:${front}`, ready: `${HOST}:${ready}` },
+      portRange: [inner, inner],
+      platform: { address: `${HOST}:${storeProxy}` },
+      cloud: { address: `${HOST}:${platformPorts[1]}` },
+      bounds: { maxHoldMs: 6000, graceS: 6 }
+    }))
+    const program: Program = { name, child: null, settingsPath, callerPort: front, proxy }
+    this.programs.push(program)
+    this.startProgram(program)
+  }
+
+  private startProgram (program: Program): void {
+    if (this.ended) return
+    const environment = { PATH: process.env.PATH, PAPAYAMOOR_SETTINGS: program.settingsPath }
+    const child = spawn(process.execPath, ['target/papayamoor.cjs'], { env: environment, stdio: 'ignore' })
+    program.child = child
+    child.once('exit', () => {
+      if (program.child === child) program.child = null
+      setTimeout(() => { if (program.child === null) this.startProgram(program) }, DOWN_MILLISECONDS)
+    })
+  }
+
+  private async submitUntil (end: number): Promise<void> {
+    const pending: Array<Promise<void>> = []
+    for (let number = 0; Date.now() < end; number++) {
+      const jobId = (BigInt(this.options.seed) * 1_000_000n + BigInt(number)).toString(16).padStart(16, '0').slice(-16)
+      pending.push(this.submit(jobId))
+      await pause(JOB_INTERVAL_MILLISECONDS)
+    }
+    await Promise.all(pending)
+  }
+
+  /** Sends a job until it is accepted or refused, at another process each time, as a client does. */
+  private async submit (jobId: string): Promise<void> {
+    const body = JSON.stringify({
+      taskSpec: 'text',
+      steps: [
+        { count: 3, cpu: 1000, memMb: 500, estimateMs: 300 },
+        { count: 2, cpu: 1000, memMb: 500, estimateMs: 300, after: [0] }
+      ]
+    })
+    this.platform.judge.noteSubmission(jobId)
+    for (let attempt = 0; attempt < 5; attempt++) {
+      const answer = await this.call('POST', jobId, body)
+      if (answer?.statusCode === 200) {
+        this.accepted.add(jobId)
+        return
+      }
+      if (answer?.statusCode === 503) return
+      await pause(200)
+    }
+  }
+
+  private async harmUntil (end: number): Promise<void> {
+    while (Date.now() < end) {
+      await pause(FAULT_INTERVAL_MILLISECONDS * (0.5 + this.random()))
+      const program = this.programs[Math.floor(this.random() * this.programs.length)]
+      const choice = Math.floor(this.random() * 7)
+      if (choice === 0) this.signal(program, 'SIGKILL')
+      if (choice === 1) this.signal(program, 'SIGTERM')
+      if (choice === 2) this.freeze(program)
+      if (choice === 3) this.harmConnections(program)
+      if (choice === 4) this.resetConnections(program)
+      if (choice === 5) this.crashWorker()
+      if (choice === 6) this.signal(program, 'SIGHUP')
+    }
+    for (const { proxy } of this.programs) proxy.mode = 'pass'
+  }
+
+  private signal (program: Program, signal: NodeJS.Signals): void {
+    this.faults.push(`${signal} ${program.name}`)
+    program.child?.kill(signal)
+  }
+
+  private freeze (program: Program): void {
+    const { child } = program
+    this.faults.push(`freeze ${program.name}`)
+    child?.kill('SIGSTOP')
+    setTimeout(() => { child?.kill('SIGCONT') }, 1000 + this.random() * 4000)
+  }
+
+  private harmConnections (program: Program): void {
+    const mode = PROXY_MODES[Math.floor(this.random() * PROXY_MODES.length)]
+    this.faults.push(`${mode} ${program.name}`)
+    program.proxy.mode = mode
+    setTimeout(() => { program.proxy.mode = 'pass' }, 1000 + this.random() * 4000)
+  }
+
+  private resetConnections (program: Program): void {
+    this.faults.push(`reset ${program.name}`)
+    program.proxy.reset()
+  }
+
+  private crashWorker (): void {
+    const [workerId, worker] = [...this.platform.workers][Math.floor(this.random() * this.platform.workers.size)]
+    if (!worker.isAlive) return
+    this.faults.push(`crash ${workerId}`)
+    worker.crash()
+    setTimeout(() => worker.restart(), 2000 + this.random() * 3000)
+  }
+
+  /** Each accepted job must be told as completed before the time for recovery is over. */
+  private async checkJobs (): Promise<void> {
+    const end = Date.now() + RECOVERY_MILLISECONDS
+    const open = new Map([...this.accepted].map(jobId => [jobId, 'not asked']))
+    while (open.size > 0 && Date.now() < end) {
+      for (const jobId of [...open.keys()]) {
+        const answer = await this.call('GET', jobId)
+        const isKnown = answer?.statusCode === 200
+        const state = isKnown ? (JSON.parse(answer.body.toString()) as { state: string }).state : null
+        if (state === 'completed') open.delete(jobId)
+        else open.set(jobId, state ?? `status ${answer?.statusCode}`)
+      }
+      await pause(200)
+    }
+    for (const [jobId, state] of open) this.violations.push(`lost: ${jobId} is told as ${state}`)
+  }
+
+  private async call (method: 'GET' | 'POST', jobId: string, body?: string) {
+    const program = this.programs[Math.floor(Math.random() * this.programs.length)]
+    const answer = await this.caller.call({
+      address: `${HOST}:${program.callerPort}`,
+      method,
+      path: `${EMULATED_ROUTE.prefix}${jobId}`,
+      headers: { host: EMULATED_ROUTE.host, 'deadline-ms': '2500' },
+      body,
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS
+    })
+    return answer.kind === 'answered' ? answer : null
+  }
+
+  private async end (): Promise<void> {
+    this.ended = true
+    for (const { child, proxy } of this.programs) {
+      child?.kill('SIGCONT')
+      child?.kill('SIGKILL')
+      proxy.close()
+    }
+    this.caller.close()
+    await this.platform.close()
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+}
+
+function pause (milliseconds: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, milliseconds) })
+}
--- /dev/null
+++ b/soak/soak.ts
@@ -0,0 +1,31 @@
+import { parseArgs } from 'node:util'
+import { SoakRun } from './SoakRun.js'
+
+/** A few dozen processes are the usual size of all runs together. */
+const PROCESS_COUNT = 4
+const WORKER_COUNT = 6
+const DURATION_MILLISECONDS = 15_000
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: 'string', default: '1' },
+    seed: { type: 'string', default: String(Date.now() % 1_000_000) },
+    parallel: { type: 'string', default: '3' }
+  }
+})
+const waiting = Array.from({ length: Number(values.seeds) }, (_, index) => Number(values.seed) + index)
+let failedCount = 0
+
+async function playWaiting (): Promise<void> {
+  for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
+    const result = await SoakRun.play({
+      seed, processCount: PROCESS_COUNT, workerCount: WORKER_COUNT, durationMilliseconds: DURATION_MILLISECONDS
+    })
+    if (result.violations.length > 0) failedCount++
+    console.log(JSON.stringify(result))
+  }
+}
+
+await Promise.all(Array.from({ length: Number(values.parallel) }, playWaiting))
+console.log(JSON.stringify({ failedSeeds: failedCount }))
+process.exit(failedCount === 0 ? 0 : 1)
