Keep jobs in partitions of their own, and wait for a takeover that is in flight

With a slow store one partition takes some 7 transactions a second, so submissions and renewals were refused with 429; successors saw an owner in the rows whose process did not know of its takeover yet, took it for stopped, and took over in turn (epochs 2 to 4 within 0.5 s). New owners on links of 7 Mbit/s could not read all jobs within a second, and read the table twice.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -111,6 +111,7 @@
       listenAddrs: { front: `${HOST}:${front}`, ready: `${HOST}:${ready}` },
       portRange: [inner, inner],
       platform: { address: `${HOST}:${storeProxy}` },
+      limits: { cpuShare: 1, linkMbps: 1000 },
       cloud: { address: `${HOST}:${platformPorts[1]}` },
       bounds: { maxHoldMs: 6000, graceS: 6 }
     }))
--- /dev/null
+++ b/src/instance/FinishedJobCleaner.ts
@@ -0,0 +1,84 @@
+import type { Clock } from '../shared/Clock.js'
+import type { Logger } from '../shared/Logger.js'
+import type { Operation, TableService } from '../table/TableService.js'
+import { FINISHED_JOB_VALUE, getCancelKey, getPartition, JOB_TABLE } from './jobRows.js'
+
+/** Options of a cleaner. */
+export interface FinishedJobCleanerOptions {
+  tableService: TableService
+  clock: Clock
+  logger: Logger
+}
+
+/** Jobs that finish within this time share a write; a new owner reads at most this many submissions in vain. */
+const CLEAN_MILLISECONDS = 2000
+/** A transaction holds 100 entries; a job takes two. */
+const JOBS_PER_WRITE = 45
+
+/**
+ * Empties the rows of jobs whose final state is durable, so that a new owner does not read their submissions.
+ *
+ * The empty row stays: a copy of the submission that arrives later finds it and remains one job.
+ */
+export class FinishedJobCleaner {
+  private readonly waiting = new Map<string, Map<string, boolean>>()
+  private cancelTimer: () => void = () => {}
+  private stopped = false
+
+  private constructor (private readonly options: FinishedJobCleanerOptions) {}
+
+  /**
+   * Creates a cleaner that does nothing before `start`.
+   * @param options The store and the clock.
+   * @returns The cleaner.
+   */
+  static create (options: FinishedJobCleanerOptions): FinishedJobCleaner {
+    return new FinishedJobCleaner(options)
+  }
+
+  /** Notes a job whose final state is durable. */
+  add (jobId: string, isCancelled: boolean): void {
+    const partition = getPartition(JOB_TABLE, jobId)
+    const jobs = this.waiting.get(partition) ?? new Map()
+    jobs.set(jobId, isCancelled || jobs.get(jobId) === true)
+    this.waiting.set(partition, jobs)
+  }
+
+  /** Starts to write at intervals. */
+  start (): void {
+    if (this.stopped) return
+    this.cancelTimer = this.options.clock.setTimer(CLEAN_MILLISECONDS, () => {
+      this.clean().then(() => this.start())
+    })
+  }
+
+  /** Ends the writes; rows that are left are emptied by the next owner. */
+  stop (): void {
+    this.stopped = true
+    this.cancelTimer()
+  }
+
+  private async clean (): Promise<void> {
+    for (const [partition, jobs] of [...this.waiting]) {
+      if (this.stopped) return
+      const taken = [...jobs].slice(0, JOBS_PER_WRITE)
+      const outcome = await this.options.tableService.transact({ operations: taken.flatMap(getOperations) })
+      if (outcome.kind !== 'committed') {
+        this.options.logger.info('rows of finished jobs are left for later', { partition, outcome: outcome.kind })
+        continue
+      }
+      for (const [jobId] of taken) jobs.delete(jobId)
+      if (jobs.size === 0) this.waiting.delete(partition)
+    }
+  }
+}
+
+function getOperations ([jobId, isCancelled]: [string, boolean]): Operation[] {
+  const operations: Operation[] = [
+    { kind: 'put', table: JOB_TABLE, key: jobId, value: FINISHED_JOB_VALUE, condition: { kind: 'any' } }
+  ]
+  if (isCancelled) {
+    operations.push({ kind: 'delete', table: JOB_TABLE, key: getCancelKey(jobId), condition: { kind: 'any' } })
+  }
+  return operations
+}
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -7,7 +7,7 @@
 import type { TableService } from '../table/TableService.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
-import { OwnerElection } from './OwnerElection.js'
+import { OwnerElection, type InstanceStrength } from './OwnerElection.js'
 import type { OwnerAnswers, OwnerPeer } from './OwnerPeer.js'
 import { OWNER_HOLD_LIMIT_MILLISECONDS, ShardDispatcher } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformSite } from './SiteWatch.js'
@@ -28,6 +28,7 @@
   logger: Logger
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
+  strength: InstanceStrength
   createWorkerClient (entry: WorkerEntry): WorkerClient
   random (): number
 }
@@ -67,6 +68,7 @@
       peer,
       clock,
       logger,
+      strength: options.strength,
       random: options.random,
       onAcquired: (fence, earlierOwnerStopped) => this.startDispatcher(fence, earlierOwnerStopped),
       onDeposed: reason => this.stopDispatcher(reason)
@@ -162,10 +164,11 @@
   private createAnswers (): OwnerAnswers {
     const getEngine = () => this.dispatcher?.isLoaded === true ? this.dispatcher.engine : null
     return {
-      probe: () => ({
-        isOwner: this.election.isOwner(),
-        renewalAge: Math.round(Math.min(1e9, this.options.clock.monotonicMilliseconds() - this.election.getRenewedAt()))
-      }),
+      probe: () => {
+        if (this.election.isAcquiring()) return { isOwner: true, renewalAge: 0 }
+        const renewalAge = this.options.clock.monotonicMilliseconds() - this.election.getRenewedAt()
+        return { isOwner: this.election.isOwner(), renewalAge: Math.round(Math.min(1e9, renewalAge)) }
+      },
       getJobState: jobId => {
         const engine = getEngine()
         return engine === null ? null : engine.jobs.getState(jobId) ?? 'unknown'
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../shared/Logger.js'
 import type { TableService, TransactionOutcome } from '../table/TableService.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
-import { decodeSubmission, encodeSubmission, getCancelKey, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { encodeSubmission, getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import type { OwnerAnswers, OwnerJobState, OwnerPeer } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
 
@@ -93,8 +93,10 @@
     if (row !== null) return { kind: 'known', state: 'running' }
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return { kind: 'unavailable' }
-    if (job.value !== null) return { kind: 'known', state: 'pending' }
-    return await this.confirmMissing(jobId)
+    if (job.value === null) return { kind: 'missing' }
+    if (!isFinishedJob(job.value.value)) return { kind: 'known', state: 'pending' }
+    // The job ended between the two reads.
+    return await this.readFinalState(jobId)
   }
 
   /**
@@ -112,7 +114,9 @@
         const state = await this.getState(jobId)
         if (state.kind === 'missing') return { kind: 'missing' }
         if (state.kind === 'known') return { kind: 'cancelled' }
-      } else if (job.kind === 'ok' && job.value !== null && decodeSubmission(job.value.value) !== null) {
+      } else if (job.kind === 'ok' && job.value !== null && isFinishedJob(job.value.value)) {
+        return { kind: 'cancelled' }
+      } else if (job.kind === 'ok' && job.value !== null) {
         const outcome = await tableService.transact({
           operations: [
             { kind: 'check', table: JOB_TABLE, key: jobId, condition: { kind: 'version', version: job.value.version } },
@@ -185,26 +189,23 @@
     return address === null ? null : await peer.getJobState(address, jobId)
   }
 
-  /** A job that ended between the two reads has left one table and entered the other. */
-  private async confirmMissing (jobId: string): Promise<StateOutcome> {
+  private async readFinalState (jobId: string): Promise<StateOutcome> {
     const progress = await this.options.tableService.read({ table: PROGRESS_TABLE, key: jobId })
-    if (progress.kind !== 'ok') return { kind: 'unavailable' }
-    if (progress.value === null) return { kind: 'missing' }
-    return { kind: 'known', state: decodeProgress(progress.value.value).state ?? 'running' }
+    const state = progress.kind === 'ok' && progress.value !== null
+      ? decodeProgress(progress.value.value).state
+      : undefined
+    return state === undefined ? { kind: 'unavailable' } : { kind: 'known', state }
   }
 
   private async store (submission: JobSubmission): Promise<TransactionOutcome> {
     return await this.options.tableService.transact({
-      operations: [
-        {
-          kind: 'put',
-          table: JOB_TABLE,
-          key: submission.jobId,
-          value: encodeSubmission(submission),
-          condition: { kind: 'absent' }
-        },
-        { kind: 'check', table: PROGRESS_TABLE, key: submission.jobId, condition: { kind: 'absent' } }
-      ]
+      operations: [{
+        kind: 'put',
+        table: JOB_TABLE,
+        key: submission.jobId,
+        value: encodeSubmission(submission),
+        condition: { kind: 'absent' }
+      }]
     })
   }
 
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -4,6 +4,13 @@
 import type { TableService } from '../table/TableService.js'
 import type { OwnerPeer } from './OwnerPeer.js'
 
+/** What a process can use. */
+export interface InstanceStrength {
+  /** Processors, as a share of one. */
+  processors: number
+  linkMegabitsPerSecond: number
+}
+
 /** Options of an election. */
 export interface OwnerElectionOptions {
   shardId: string
@@ -15,6 +22,8 @@
   peer: OwnerPeer
   clock: Clock
   logger: Logger
+  /** What this process has for the owner's work; weak ones let others go first. */
+  strength: InstanceStrength
   /** A number from 0 to 1 that spreads the candidates. */
   random (): number
   onAcquired (fence: Fence, earlierOwnerStopped: boolean): void
@@ -36,6 +45,11 @@
 /** A round trip to the store counts this many times in the candidates' order. */
 const STORE_DISTANCE_WEIGHT = 6
 const LONGEST_CANDIDATE_DELAY_MILLISECONDS = 400
+/** An owner of 342 workers used half a processor; one with less waits for up to this time. */
+const WEAK_PROCESSOR_DELAY_MILLISECONDS = 300
+/** An owner reads all live jobs at its start, some megabytes; one with a slower link waits for this time. */
+const SLOW_LINK_MEGABITS_PER_SECOND = 50
+const SLOW_LINK_DELAY_MILLISECONDS = 500
 
 /** Decides which process owns the shard: it renews as owner, and watches the owner otherwise. */
 export class OwnerElection {
@@ -76,6 +90,11 @@
     return this.lease.getFence() !== null
   }
 
+  /** Tells whether a takeover by this process is in flight: the store may name it as owner before it knows. */
+  isAcquiring (): boolean {
+    return this.lease.getState() === 'acquiring'
+  }
+
   /** Returns the monotonic time of the last successful renewal. */
   getRenewedAt (): number {
     return this.lease.getRenewedAt()
@@ -139,7 +158,7 @@
   private async tryToAcquire (storeRoundTrip: number, isGone: boolean): Promise<void> {
     const { random, logger, instanceId } = this.options
     const delay = Math.min(LONGEST_CANDIDATE_DELAY_MILLISECONDS, storeRoundTrip * STORE_DISTANCE_WEIGHT) +
-      random() * CANDIDATE_SPREAD_MILLISECONDS
+      getWeaknessDelay(this.options.strength) + random() * CANDIDATE_SPREAD_MILLISECONDS
     await this.pause(delay)
     if (this.stopped) return
     const stoppedBefore = isGone || this.lease.getObservedHeartbeat() === null ||
@@ -168,3 +187,9 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
+
+function getWeaknessDelay (strength: InstanceStrength): number {
+  const processorDelay = (1 - Math.min(1, strength.processors)) * WEAK_PROCESSOR_DELAY_MILLISECONDS
+  const isSlow = strength.linkMegabitsPerSecond < SLOW_LINK_MEGABITS_PER_SECOND
+  return processorDelay + (isSlow ? SLOW_LINK_DELAY_MILLISECONDS : 0)
+}
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -6,7 +6,7 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import { SettledWriter } from '../table/SettledWriter.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
-import { getCancelKey, JOB_TABLE, PROGRESS_HEAD_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { PROGRESS_HEAD_TABLE, PROGRESS_TABLE } from './jobRows.js'
 
 /** Options of a writer. */
 export interface ProgressWriterOptions {
@@ -21,8 +21,8 @@
 
 /** Ends of this time are written together; each call of the store is billed. */
 const BATCH_MILLISECONDS = 60
-/** A transaction holds 100 entries; a job that ends takes three. */
-const JOBS_PER_BATCH = 30
+/** A transaction holds 100 entries; a job takes one. */
+const JOBS_PER_BATCH = 90
 /** How long one attempt to settle a write lasts before the transaction is tried again. */
 const SETTLE_MILLISECONDS = 1500
 const RETRY_MILLISECONDS = 200
@@ -149,15 +149,10 @@
       { kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion } }
     ]
     const written = jobs.map(job => ({ job, state: job.finalState }))
-    for (const { job, state } of written) {
+    for (const { job } of written) {
       const key = job.submission.jobId
       const value = encodeProgress(job, clock.wallMilliseconds()) as unknown as JsonValue
       operations.push({ kind: 'put', table: PROGRESS_TABLE, key, value, condition: { kind: 'any' } })
-      if (state === null) continue
-      operations.push({ kind: 'delete', table: JOB_TABLE, key, condition: { kind: 'any' } })
-      if (state === 'cancelled') {
-        operations.push({ kind: 'delete', table: JOB_TABLE, key: getCancelKey(key), condition: { kind: 'any' } })
-      }
     }
     const ends = new Map<string, { number: number, bornAtMilliseconds: number }>()
     if (isComplete) {
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,8 +1,7 @@
 import {
-  DispatchEngine, getEarliestWorkerTime, type DispatchOrder, type LearnedEffects, type OrderOutcome,
-  type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
+  DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
 } from '../dispatch/index.js'
-import type { RunRecord } from '../jobs/index.js'
+import { decodeProgress } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { JsonValue } from '../shared/JsonValue.js'
@@ -10,8 +9,12 @@
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { Operation, Row, TableService } from '../table/TableService.js'
-import { decodeSubmission, getCancelledJob, HOLDING_TABLE, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { FinishedJobCleaner } from './FinishedJobCleaner.js'
+import {
+  decodeSubmission, getCancelledJob, HOLDING_TABLE, isFinishedJob, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE
+} from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import type { SiteWatch } from './SiteWatch.js'
 import { WorkerLoop } from './WorkerLoop.js'
@@ -45,11 +48,6 @@
 const PLAN_DELAY_MILLISECONDS = 8
 /** How often time alone is looked at: leases that ended, occurrences that are due. */
 const TICK_MILLISECONDS = 200
-/** A start that arrives later than this is refused by the worker, so an order that was held up does no harm. */
-const START_WINDOW_MILLISECONDS = 1800
-/** A start without an answer is sent this often; it is the same attempt, which a worker runs at most once. */
-const START_TRIES = 3
-const STOP_RETRY_MILLISECONDS = 300
 /** A connection that has gone silent must show within the 3 s in which a cancelled job has to stop. */
 const FEED_WAIT_MILLISECONDS = 1500
 const LOAD_RETRY_MILLISECONDS = 200
@@ -62,6 +60,8 @@
 export class ShardDispatcher {
   readonly engine: DispatchEngine
   private readonly writer: ProgressWriter
+  private readonly cleaner: FinishedJobCleaner
+  private readonly sender: OrderSender
   private readonly loops = new Map<string, { loop: WorkerLoop, client: WorkerClient }>()
   private jobFollower: TableFollower | null = null
   private stopped = false
@@ -75,12 +75,15 @@
 
   private constructor (private readonly options: ShardDispatcherOptions) {
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch })
+    this.cleaner = FinishedJobCleaner.create(options)
+    this.sender = OrderSender.create({ ...options, engine: this.engine, onChange: () => this.schedulePlan() })
     this.writer = ProgressWriter.create({
       ...options,
       engine: this.engine,
       onDurable: finished => {
         for (const job of finished) {
           options.metrics.finishedJobs.inc({ state: job.finalState ?? 'unknown' })
+          this.cleaner.add(job.submission.jobId, job.finalState === 'cancelled')
           options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
         }
       },
@@ -111,6 +114,7 @@
     this.options.logger.info('shard loaded', { jobs: [...jobs.getJobs()].length, workers: workers.size })
     this.updateSite()
     this.writer.run()
+    this.cleaner.start()
     this.tick()
   }
 
@@ -124,6 +128,8 @@
     this.stopped = true
     this.cancelTick()
     this.writer.stop()
+    this.cleaner.stop()
+    this.sender.stop()
     this.jobFollower?.stop()
     for (const workerId of [...this.loops.keys()]) this.stopLoop(workerId)
   }
@@ -163,11 +169,12 @@
     if (learned.value !== null) this.engine.advisor.import(learned.value.value as unknown as LearnedEffects)
     const now = clock.monotonicMilliseconds()
     const progressOf = new Map(progress.value.rows.map(row => [row.key, row.value]))
-    this.addJobs(jobs.value.rows, key => progressOf.get(key) ?? null, true)
     for (const [jobId, value] of progressOf) {
-      const state = (value as { state?: 'completed' | 'failed' | 'cancelled' } | null)?.state
+      const { state } = decodeProgress(value)
       if (state !== undefined) this.engine.jobs.setFinalState(jobId, state, now)
     }
+    this.addJobs(jobs.value.rows, key => progressOf.get(key) ?? null, true)
+    this.cleanLoaded(jobs.value.rows)
     for (const row of holding.value.rows) {
       const entry = row.value as unknown as WorkerEntry
       const worker = this.engine.setWorker(entry)
@@ -176,14 +183,25 @@
       this.engine.expectAnswer(row.key, this.options.earlierOwnersOverAt)
       this.startLoop(worker)
     }
-    this.followJobs()
+    this.followJobs(jobs.value.version)
     return true
   }
 
-  private followJobs (): void {
+  /** Jobs that ended under an earlier owner, which did not come to empty their rows. */
+  private cleanLoaded (rows: Row[]): void {
+    for (const { key, value } of rows) {
+      const cancelledJob = getCancelledJob(key)
+      const jobId = cancelledJob ?? key
+      const isOver = !isFinishedJob(value) || cancelledJob !== null
+      if (isOver && this.engine.jobs.getJob(jobId) === undefined) this.cleaner.add(jobId, cancelledJob !== null)
+    }
+  }
+
+  private followJobs (startVersion: number): void {
     const { feed, clock, logger } = this.options
     this.jobFollower = TableFollower.create({
       table: JOB_TABLE,
+      startVersion,
       feed,
       clock,
       logger,
@@ -201,7 +219,7 @@
   private addJobs (rows: Row[], getProgress: (jobId: string) => JsonValue | null, recovered: boolean): void {
     const now = this.options.clock.monotonicMilliseconds()
     for (const row of rows) {
-      if (getCancelledJob(row.key) !== null) continue
+      if (getCancelledJob(row.key) !== null || isFinishedJob(row.value)) continue
       const submission = decodeSubmission(row.value)
       if (submission === null) {
         this.options.logger.warn('a row of the job table has another form', { key: row.key })
@@ -363,79 +381,9 @@
     const mayStart = !this.draining && this.loaded && site.getConfiguration() !== null &&
       this.getRenewalAge() < OWNER_START_LIMIT_MILLISECONDS
     this.engine.plan(now, clock.wallMilliseconds(), mayStart)
-    for (const order of this.engine.takeOrders()) this.send(order)
-  }
-
-  private async send (order: DispatchOrder): Promise<void> {
-    const entry = this.loops.get(order.worker.entry.workerId)
-    if (entry === undefined) return
-    if (order.kind === 'start') return await this.sendStart(order.worker, order.run, entry.client)
-    if (order.kind === 'stop') return await this.sendStop(order, entry.client)
-    const { run, percent } = order
-    this.options.metrics.paceChanges.inc()
-    const outcome = await entry.client.setPace(run.task.name, run.attempt, percent, this.engine.epoch)
-    // A pace that may not have arrived is decided anew with the next report.
-    if (outcome.kind !== 'accepted') run.pacePercent = -1
-  }
-
-  private async sendStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<void> {
-    const { clock, metrics } = this.options
-    const orderedAt = clock.monotonicMilliseconds()
-    metrics.waitSeconds.observe((orderedAt - run.task.waitingSince) / 1000)
-    let outcome: OrderOutcome = { kind: 'unknown', reason: 'not sent' }
-    for (let attempt = 0; attempt < START_TRIES && outcome.kind === 'unknown'; attempt++) {
-      // The run may be settled meanwhile by a list, by a stop, or by the end of the worker's lease.
-      if (this.stopped || run.state !== 'starting' || !run.task.runs.includes(run)) return
-      const now = clock.monotonicMilliseconds()
-      const workerTime = getEarliestWorkerTime(worker, now)
-      if (workerTime === null) break
-      run.sentAt = now
-      const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
-      worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
-      outcome = await client.start({
-        taskName: run.task.name,
-        attempt: run.attempt,
-        taskDescription: run.task.step.occurrence.job.submission.specification.taskDescription,
-        checkpoint: run.task.checkpoint,
-        fencingToken: this.engine.epoch,
-        leaseDeadline
-      })
-      if (outcome.kind === 'unknown') run.startUncertain = true
-    }
-    if (this.stopped) return
-    if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a start of this epoch')
-    metrics.starts.inc({ outcome: outcome.kind })
-    metrics.startSeconds.observe((clock.monotonicMilliseconds() - orderedAt) / 1000)
-    this.options.logger.info('task start', {
-      task: run.task.name,
-      attempt: run.attempt,
-      worker: run.workerId,
-      outcome: outcome.kind,
-      fencingToken: this.engine.epoch,
-      isResumed: run.task.checkpoint !== ''
-    })
-    this.engine.applyStartOutcome(worker, run, outcome, clock.monotonicMilliseconds())
-    this.schedulePlan()
-  }
-
-  /** A stop is repeated until it is answered, or until its run is known to be over. */
-  private async sendStop (order: DispatchOrder & { kind: 'stop' }, client: WorkerClient): Promise<void> {
-    const { worker, taskName, attempt, run } = order
-    while (!this.stopped) {
-      const isOver = run === null
-        ? worker.foreignRuns.size === 0
-        : !run.task.runs.includes(run)
-      if (isOver) return
-      const outcome = await client.stop(taskName, attempt, this.engine.epoch)
-      if (this.stopped) return
-      if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a stop of this epoch')
-      if (outcome.kind !== 'unknown' && outcome.kind !== 'unhealthy') {
-        if (run !== null) {
-          this.engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
-        }
-        return
-      }
-      await this.pause(STOP_RETRY_MILLISECONDS)
+    for (const order of this.engine.takeOrders()) {
+      const entry = this.loops.get(order.worker.entry.workerId)
+      if (entry !== undefined) this.sender.send(order, entry.client)
     }
   }
 
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -10,6 +10,8 @@
   logger: Logger
   /** How long one call waits for a change. */
   waitMilliseconds: number
+  /** The version as of which the caller has read the table already; without it the table is read first. */
+  startVersion?: number
   /** The whole table was read; rows that it lacks do not exist. */
   onSnapshot (snapshot: TableSnapshot): void
   onChanges (changes: RowChange[]): void
@@ -21,11 +23,13 @@
 /** Keeps a copy of a table up to date by reading it once and following its changes. */
 export class TableFollower {
   private stopped = false
-  private version: number | null = null
+  private version: number | null
   private lastContactAt = -Infinity
   private available = true
 
-  private constructor (private readonly options: TableFollowerOptions) {}
+  private constructor (private readonly options: TableFollowerOptions) {
+    this.version = options.startVersion ?? null
+  }
 
   /**
    * Creates a follower that does nothing before `run`.
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -133,6 +133,7 @@
       },
       peer: this.createPeer(process),
       registry: new Registry(),
+      strength: { processors: 1, linkMegabitsPerSecond: 1000 },
       census: {
         listLivingWorkers: async () => await process.receive(Promise.resolve({
           kind: 'ok' as const,
