Let the owner store what a process can not, and ask callers back after the outage's own length

Change: a process whose store call fails hands a submission or cancellation to the owner, which the store may serve; the Retry-After grows with the time for which submissions have failed, from 1 to 4 s.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -169,6 +169,8 @@
         const renewalAge = this.options.clock.monotonicMilliseconds() - this.election.getRenewedAt()
         return { isOwner: this.election.isOwner(), renewalAge: Math.round(Math.min(1e9, renewalAge)) }
       },
+      storeSubmission: submission => this.gateway.storeSubmission(submission),
+      storeCancellation: jobId => this.gateway.storeCancellation(jobId),
       getJobState: jobId => {
         const engine = getEngine()
         return engine === null ? null : engine.jobs.getState(jobId) ?? 'unknown'
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -2,10 +2,10 @@
 import { decodeProgress } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
-import type { TableService, TransactionOutcome } from '../table/TableService.js'
+import type { TableService } from '../table/TableService.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { encodeSubmission, getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
-import type { OwnerAnswers, OwnerJobState, OwnerPeer } from './OwnerPeer.js'
+import type { OwnerAnswers, OwnerJobState, OwnerPeer, StoreOutcome } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
 
 /** What became of a submission. */
@@ -39,14 +39,21 @@
   logger: Logger
 }
 
-/** An outage of the store rarely ends sooner; callers that return together are spread by their own jitter. */
-const RETRY_AFTER_SECONDS = 1
+/**
+ * A caller is asked to come back after as long as the outage of the store has lasted: outages that have lasted long
+ * last longer, and callers make only a few tries.
+ */
+const SHORTEST_RETRY_AFTER_SECONDS = 1
+const LONGEST_RETRY_AFTER_SECONDS = 4
 const RETRY_DELAY_MILLISECONDS = 120
 /** The last try must leave time for the answer to reach the caller. */
 const ANSWER_MARGIN_MILLISECONDS = 250
 
 /** Accepts, cancels and looks up jobs for callers, on any process. */
 export class JobGateway {
+  /** Monotonic time of the first failed submission since the last one that was stored. */
+  private failingSince: number | null = null
+
   private constructor (private readonly options: JobGatewayOptions) {}
 
   /**
@@ -106,28 +113,19 @@
    * @returns Whether the job will be stopped, is missing, or cannot be reached.
    */
   async cancel (jobId: string, deadlineMilliseconds: number): Promise<CancelOutcome> {
-    const { clock, tableService, logger } = this.options
+    const { clock, logger } = this.options
     const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
     do {
-      const job = await tableService.read({ table: JOB_TABLE, key: jobId })
-      if (job.kind === 'ok' && job.value === null) {
-        const state = await this.getState(jobId)
-        if (state.kind === 'missing') return { kind: 'missing' }
-        if (state.kind === 'known') return { kind: 'cancelled' }
-      } else if (job.kind === 'ok' && job.value !== null && isFinishedJob(job.value.value)) {
+      let outcome = await this.storeCancellation(jobId)
+      const address = this.getOtherOwner()
+      if ((outcome === 'unknown' || outcome === 'not-stored') && address !== null) {
+        outcome = await this.options.peer.storeCancellation(address, jobId)
+      }
+      if (outcome === 'stored') {
+        logger.info('job cancelled', { job: jobId })
         return { kind: 'cancelled' }
-      } else if (job.kind === 'ok' && job.value !== null) {
-        const outcome = await tableService.transact({
-          operations: [
-            { kind: 'check', table: JOB_TABLE, key: jobId, condition: { kind: 'version', version: job.value.version } },
-            { kind: 'put', table: JOB_TABLE, key: getCancelKey(jobId), value: {}, condition: { kind: 'any' } }
-          ]
-        })
-        if (outcome.kind === 'committed') {
-          logger.info('job cancelled', { job: jobId })
-          return { kind: 'cancelled' }
-        }
       }
+      if (outcome === 'missing') return { kind: 'missing' }
       await this.pause(RETRY_DELAY_MILLISECONDS)
     } while (clock.monotonicMilliseconds() < end)
     logger.warn('cancellation is not durable', { job: jobId })
@@ -164,18 +162,26 @@
     const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
     let mayBeStored = false
     for (;;) {
-      const outcome = await this.store(submission)
-      if (outcome.kind === 'committed' || outcome.kind === 'conflict') {
-        logger.info('job accepted', { job: jobId, queue: queue.name, copy: outcome.kind === 'conflict' })
+      let outcome = await this.storeSubmission(submission)
+      const address = this.getOtherOwner()
+      if (outcome !== 'stored' && address !== null) {
+        // The store may turn this process away and serve the owner.
+        mayBeStored ||= outcome === 'unknown'
+        outcome = await this.options.peer.storeSubmission(address, submission)
+      }
+      if (outcome === 'stored') {
+        this.failingSince = null
+        logger.info('job accepted', { job: jobId, queue: queue.name })
         return { kind: 'accepted' }
       }
-      mayBeStored ||= outcome.kind === 'unknown'
+      this.failingSince ??= clock.monotonicMilliseconds()
+      mayBeStored ||= outcome === 'unknown'
       if (!mayBeStored) {
-        logger.warn('job rejected', { job: jobId, reason: outcome.reason })
-        return { kind: 'rejected', retryAfterSeconds: RETRY_AFTER_SECONDS }
+        logger.warn('job rejected', { job: jobId, reason: 'the store refuses this process and the owner' })
+        return { kind: 'rejected', retryAfterSeconds: this.getRetryAfterSeconds() }
       }
       if (clock.monotonicMilliseconds() + RETRY_DELAY_MILLISECONDS >= end) {
-        logger.warn('job may be stored', { job: jobId, reason: outcome.reason })
+        logger.warn('job may be stored', { job: jobId, reason: 'no answer of the store' })
         return { kind: 'unknown' }
       }
       await this.pause(RETRY_DELAY_MILLISECONDS)
@@ -197,8 +203,13 @@
     return state === undefined ? { kind: 'unavailable' } : { kind: 'known', state }
   }
 
-  private async store (submission: JobSubmission): Promise<TransactionOutcome> {
-    return await this.options.tableService.transact({
+  /**
+   * Tries once to store a submission.
+   * @param submission The submission.
+   * @returns `stored` also when an earlier copy is stored.
+   */
+  async storeSubmission (submission: JobSubmission): Promise<StoreOutcome> {
+    const outcome = await this.options.tableService.transact({
       operations: [{
         kind: 'put',
         table: JOB_TABLE,
@@ -207,6 +218,38 @@
         condition: { kind: 'absent' }
       }]
     })
+    if (outcome.kind === 'committed' || outcome.kind === 'conflict') return 'stored'
+    return outcome.kind === 'unavailable' ? 'not-stored' : 'unknown'
+  }
+
+  /**
+   * Tries once to store a cancellation.
+   * @param jobId The job.
+   * @returns `stored` also when the job has ended, `missing` when there is no such job.
+   */
+  async storeCancellation (jobId: string): Promise<StoreOutcome> {
+    const { tableService } = this.options
+    const job = await tableService.read({ table: JOB_TABLE, key: jobId })
+    if (job.kind !== 'ok') return 'not-stored'
+    if (job.value === null) return 'missing'
+    if (isFinishedJob(job.value.value)) return 'stored'
+    const outcome = await tableService.transact({
+      operations: [
+        { kind: 'check', table: JOB_TABLE, key: jobId, condition: { kind: 'version', version: job.value.version } },
+        { kind: 'put', table: JOB_TABLE, key: getCancelKey(jobId), value: {}, condition: { kind: 'any' } }
+      ]
+    })
+    return outcome.kind === 'committed' ? 'stored' : 'unknown'
+  }
+
+  private getRetryAfterSeconds (): number {
+    const now = this.options.clock.monotonicMilliseconds()
+    const lasted = Math.ceil((now - (this.failingSince ?? now)) / 1000)
+    return Math.min(LONGEST_RETRY_AFTER_SECONDS, Math.max(SHORTEST_RETRY_AFTER_SECONDS, lasted))
+  }
+
+  private getOtherOwner (): string | null {
+    return this.options.isOwner() ? null : this.options.getOwnerAddress()
   }
 
   private pause (milliseconds: number): Promise<void> {
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -1,4 +1,4 @@
-import type { JobState } from '../jobs/index.js'
+import type { JobState, JobSubmission } from '../jobs/index.js'
 import type { HttpCaller } from '../shared/HttpCaller.js'
 
 /** What a probe of the owner showed. */
@@ -11,8 +11,15 @@
 /** What an owner answers about a job; `unknown` when it does not know the job, null when it did not answer. */
 export type OwnerJobState = JobState | 'unknown' | null
 
+/** What became of a submission or cancellation that a process tried to store. */
+export type StoreOutcome = 'stored' | 'not-stored' | 'unknown' | 'missing'
+
 /** The answers of an owner to its peers. */
 export interface OwnerAnswers {
+  /** Stores a submission for a peer that the store turns away. */
+  storeSubmission (submission: JobSubmission): Promise<StoreOutcome>
+  /** Stores a cancellation for a peer that the store turns away. */
+  storeCancellation (jobId: string): Promise<StoreOutcome>
   probe (): { isOwner: boolean, renewalAge: number }
   getJobState (jobId: string): OwnerJobState
   countWaiting (queueName: string): number | null
@@ -22,6 +29,8 @@
 const PROBE_TIMEOUT_MILLISECONDS = 600
 /** An owner answers from memory; the store is asked when it takes longer. */
 const STATE_TIMEOUT_MILLISECONDS = 400
+/** The owner tries once to store what a peer sends, within one timeout of a store call. */
+const STORE_TIMEOUT_MILLISECONDS = 1300
 const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
 
 /** The calls from one process of the system to the owner. */
@@ -32,6 +41,10 @@
   getJobState (address: string, jobId: string): Promise<OwnerJobState>
   /** Asks the owner how many jobs of a queue wait; null when it did not answer. */
   countWaiting (address: string, queueName: string): Promise<number | null>
+  /** Asks the owner to store a submission. */
+  storeSubmission (address: string, submission: JobSubmission): Promise<StoreOutcome>
+  /** Asks the owner to store a cancellation. */
+  storeCancellation (address: string, jobId: string): Promise<StoreOutcome>
 }
 
 /** The calls to the owner as JSON over HTTP. */
@@ -77,4 +90,26 @@
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
     return (JSON.parse(answer.body.toString()) as { waiting: number | null }).waiting
   }
+
+  async storeSubmission (address: string, submission: JobSubmission): Promise<StoreOutcome> {
+    return await this.store(address, '/submissions', submission)
+  }
+
+  async storeCancellation (address: string, jobId: string): Promise<StoreOutcome> {
+    return await this.store(address, '/cancellations', { jobId })
+  }
+
+  private async store (address: string, path: string, body: object): Promise<StoreOutcome> {
+    const answer = await this.caller.call({
+      address,
+      method: 'POST',
+      path,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS
+    })
+    if (answer.kind === 'not-sent') return 'not-stored'
+    if (answer.kind !== 'answered' || answer.statusCode !== 200) return 'unknown'
+    return (JSON.parse(answer.body.toString()) as { outcome: StoreOutcome }).outcome
+  }
 }
--- a/src/instance/createPeerApplication.ts
+++ b/src/instance/createPeerApplication.ts
@@ -1,6 +1,7 @@
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import polka, { type Polka } from 'polka'
 import type { Registry } from 'prom-client'
+import type { JobSubmission } from '../jobs/index.js'
 import type { OwnerAnswers } from './OwnerPeer.js'
 
 /**
@@ -18,6 +19,14 @@
   application.get('/queues/:queueName', (request, response) => {
     sendJson(response, { waiting: answers.countWaiting(decodeURIComponent(request.params.queueName)) })
   })
+  application.post('/submissions', async (request, response) => {
+    const submission = await readJson(request) as JobSubmission
+    sendJson(response, { outcome: await answers.storeSubmission(submission) })
+  })
+  application.post('/cancellations', async (request, response) => {
+    const { jobId } = await readJson(request) as { jobId: string }
+    sendJson(response, { outcome: await answers.storeCancellation(jobId) })
+  })
   application.get('/metrics', async (_request, response) => {
     response.setHeader('content-type', registry.contentType)
     response.end(await registry.metrics())
@@ -29,3 +38,9 @@
   response.writeHead(200, { 'content-type': 'application/json' })
   response.end(JSON.stringify(body))
 }
+
+async function readJson (request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return JSON.parse(Buffer.concat(chunks).toString())
+}
--- a/src/instance/siteFaults.test.ts
+++ b/src/instance/siteFaults.test.ts
@@ -138,6 +138,20 @@
   assert.deepEqual(site.judge.violations, [])
 })
 
+test('a process that the store turns away has jobs stored and cancelled by the owner', async () => {
+  const { clock, site } = createSite(10)
+  await clock.advance(3000)
+  const other = site.instances.find(candidate => candidate !== site.getOwner())!
+  other.tables.faults.cutOff = true
+  const submitted = site.submit('a', [{ taskCount: 2, longRunning: true }], { durationMilliseconds: Infinity }, other)
+  await clock.advance(2500)
+  assert.deepEqual(await submitted, { kind: 'accepted' })
+  const cancelled = other.instance.gateway.cancel('a', 3000)
+  await clock.advance(3000)
+  assert.deepEqual(await cancelled, { kind: 'cancelled' })
+  assert.deepEqual(site.judge.getRunningTasks(), [])
+})
+
 test('no task starts in a data centre that was taken out, and work goes on in the other', async () => {
   const { clock, site } = createSite(7)
   await clock.advance(2000)
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -161,9 +161,10 @@
 
   /** Hands a job in at a process, as a client does that tries again while the outcome is not certain. */
   async submit (
-    jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {}
+    jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {},
+    at: EmulatedInstance = this.chooseInstance()
   ): Promise<SubmitOutcome> {
-    const { process, instance } = this.chooseInstance()
+    const { process, instance } = at
     this.tasks.set(jobId, {
       processorsMilli: 1000, memoryMegabytes: 1000, accelerators: 0, durationMilliseconds: 800, failureCount: 0, ...task
     })
@@ -228,7 +229,11 @@
         return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
       },
       getJobState: async (address, jobId) => await ask(address, other => other.instance.answers.getJobState(jobId)),
-      countWaiting: async (address, queue) => await ask(address, other => other.instance.answers.countWaiting(queue))
+      countWaiting: async (address, queue) => await ask(address, other => other.instance.answers.countWaiting(queue)),
+      storeSubmission: async (address, submission) =>
+        await (await ask(address, other => other.instance.answers.storeSubmission(submission))) ?? 'unknown',
+      storeCancellation: async (address, jobId) =>
+        await (await ask(address, other => other.instance.answers.storeCancellation(jobId))) ?? 'unknown'
     }
   }
 }
