Count a job as waiting until a worker has started a task of it

A job counted as begun when its first start was ordered, although workers that were cut off did not carry it out. Change: a job has begun when a worker accepted a start, lists a run, or lists an end. The product's word epoch replaces the wire's name in src/.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -207,7 +207,7 @@
     if (!worker.isAlive) return
     this.faults.push(`crash ${workerId}`)
     worker.crash()
-    setTimeout(() => worker.restart(), 2000 + this.random() * 3000)
+    setTimeout(() => { if (!this.ended) worker.restart() }, 2000 + this.random() * 3000)
   }
 
   /** Each accepted job must be told as completed before the time for recovery is over. */
--- /dev/null
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { JobSubmission, StepSpecification } from '../jobs/index.js'
+import { DispatchEngine } from './DispatchEngine.js'
+import type { WorkerEntry, WorkerReport } from './index.js'
+
+const STEP: StepSpecification = {
+  taskCount: 1,
+  processorsMilli: 1000,
+  memoryMegabytes: 1000,
+  accelerators: 0,
+  estimateMilliseconds: 1000,
+  afterSteps: [],
+  checkpointing: false,
+  gang: false,
+  rackSensitive: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maximumPerWorker: 0,
+  speculative: false,
+  longRunning: false,
+  image: '',
+  targetMilliseconds: 0,
+  fills: false,
+  maximumAway: 0
+}
+
+const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
+
+function createEngine (workerCount: number, steps: Array<Partial<StepSpecification>>, attemptLimit = 3) {
+  const engine = DispatchEngine.create({ epoch: 1 })
+  for (let index = 0; index < workerCount; index++) {
+    const entry: WorkerEntry = {
+      workerId: `worker-${index}`,
+      serviceName: 'desk',
+      address: 'host:1',
+      dataCentre: index % 2 === 0 ? 'south-a' : 'south-b',
+      state: 'ready',
+      labels: ['a', `rack-${index}`],
+      capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
+      bornAtMilliseconds: 1,
+      remainingMilliseconds: null
+    }
+    const worker = engine.setWorker(entry)
+    worker.registered = true
+    engine.applyReport(worker, EMPTY_REPORT, 0, 1)
+  }
+  const submission: JobSubmission = {
+    jobId: 'job',
+    queueName: 'queue',
+    serviceName: 'desk',
+    priority: 0,
+    attemptLimit,
+    stretch: 2,
+    targetLatencyMilliseconds: 400,
+    acceptedAtMilliseconds: 0,
+    specification: {
+      taskDescription: 'text',
+      steps: steps.map(step => ({ ...STEP, ...step })),
+      startAtMilliseconds: 0,
+      intervalMilliseconds: 0,
+      repeatCount: 0
+    }
+  }
+  engine.jobs.add({ submission, rowVersion: 1, progress: null, recovered: false }, 0)
+  return engine
+}
+
+function plan (engine: DispatchEngine, now: number) {
+  engine.plan(now, now, true)
+  return engine.takeOrders().flatMap(order => order.kind === 'start' ? [order] : [])
+}
+
+test('a job counts as waiting until a worker has carried out a start of it', () => {
+  const engine = createEngine(1, [{}])
+  const [order] = plan(engine, 10)
+  assert.equal(engine.jobs.countWaiting('queue'), 1)
+  assert.equal(engine.jobs.getState('job'), 'pending')
+  engine.applyStartOutcome(order.worker, order.run, { kind: 'accepted', workerMilliseconds: 1000 }, 20)
+  assert.equal(engine.jobs.countWaiting('queue'), 0)
+  assert.equal(engine.jobs.getState('job'), 'running')
+})
+
+test('tasks beyond the capacity of all workers wait, as a worker starts what it is given', () => {
+  const engine = createEngine(2, [{ taskCount: 10, processorsMilli: 1500 }])
+  assert.equal(plan(engine, 10).length, 4)
+})
+
+test('no more tasks of a step share a worker than it allows', () => {
+  const engine = createEngine(3, [{ taskCount: 6, maximumPerWorker: 1 }])
+  assert.deepEqual(plan(engine, 10).map(order => order.run.workerId).sort(), ['worker-0', 'worker-1', 'worker-2'])
+})
+
+test('a start without an answer keeps its room until a list after its stop does not name it', () => {
+  const engine = createEngine(1, [{ processorsMilli: 4000 }])
+  const [order] = plan(engine, 10)
+  engine.applyStartOutcome(order.worker, order.run, { kind: 'unknown', reason: 'timeout' }, 20)
+  const [stop] = engine.takeOrders()
+  assert.equal(stop.kind, 'stop')
+  engine.applyReport(order.worker, EMPTY_REPORT, 25, 30)
+  assert.equal(order.worker.reserved.processorsMilli, 4000)
+  engine.applyStopOutcome(order.run, { kind: 'accepted', workerMilliseconds: 1000 }, 40)
+  engine.applyReport(order.worker, EMPTY_REPORT, 35, 45)
+  assert.equal(order.worker.reserved.processorsMilli, 4000)
+  engine.applyReport(order.worker, EMPTY_REPORT, 50, 55)
+  assert.equal(order.worker.reserved.processorsMilli, 0)
+  assert.deepEqual(plan(engine, 60).map(next => next.run.attempt), [2])
+})
+
+test('an end that is listed again counts as one failure', () => {
+  const engine = createEngine(1, [{}], 2)
+  const [order] = plan(engine, 10)
+  const ended = [{ number: 1, taskName: 'job.0.0.0', attempt: 1, end: 'failed' as const, checkpoint: '' }]
+  engine.applyReport(order.worker, { ...EMPTY_REPORT, ended }, 20, 30)
+  order.worker.appliedEnd = 0
+  engine.applyReport(order.worker, { ...EMPTY_REPORT, ended }, 40, 50)
+  assert.equal(engine.jobs.getJob('job')?.finalState, null)
+})
+
+test('the members of a gang start together or not at all', () => {
+  assert.equal(plan(createEngine(1, [{ taskCount: 5, gang: true }]), 10).length, 0)
+  const orders = plan(createEngine(2, [{ taskCount: 5, gang: true }]), 10)
+  assert.deepEqual(orders.map(order => order.run.attempt), [1, 1, 1, 1, 1])
+})
+
+test('a task with a required label starts only on a worker that has it', () => {
+  const engine = createEngine(4, [{ taskCount: 2, requiredLabel: 'rack-2' }])
+  assert.deepEqual(plan(engine, 10).map(order => order.run.workerId), ['worker-2', 'worker-2'])
+})
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -209,6 +209,7 @@
     if (!run.task.runs.includes(run)) return
     if (outcome.kind === 'accepted') {
       run.startUncertain = false
+      run.task.step.occurrence.job.hasStarted = true
       if (run.state === 'starting') run.state = 'running'
       run.settledAt = now
       run.progressedAt = now
@@ -341,7 +342,6 @@
       slowedSince: null
     }
     task.nextAttempt = attempt + 1
-    task.step.occurrence.job.hasStarted = true
     addRun(worker, run)
     this.orders.push({ kind: 'start', worker, run })
   }
--- a/src/dispatch/WorkerProtocol.ts
+++ b/src/dispatch/WorkerProtocol.ts
@@ -35,7 +35,7 @@
   attempt: number
   taskDescription: string
   checkpoint: string
-  fencingToken: number
+  epoch: number
   /** On the worker's clock. */
   leaseDeadline: number
 }
@@ -63,7 +63,7 @@
 
 /** What to renew, and how long the answer may wait for an end. */
 export interface HoldRequest {
-  fencingToken: number
+  epoch: number
   acknowledgedEnd: number
   /** On the worker's clock; null to read only. */
   leaseDeadline: number | null
@@ -73,8 +73,8 @@
 /** The calls of one worker. */
 export interface WorkerClient {
   start (order: StartOrder): Promise<OrderOutcome>
-  stop (taskName: string, attempt: number, fencingToken: number): Promise<OrderOutcome>
-  setPace (taskName: string, attempt: number, percent: number, fencingToken: number): Promise<OrderOutcome>
+  stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome>
+  setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome>
   hold (request: HoldRequest): Promise<HoldOutcome>
   close (): void
 }
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -65,6 +65,7 @@
   }
   if (run.state === 'starting') run.state = 'running'
   run.startUncertain = false
+  run.task.step.occurrence.job.hasStarted = true
   run.settledAt ??= now
   if (row.percent !== run.percent) run.progressedAt = now
   run.percent = row.percent
@@ -98,7 +99,6 @@
     slowedSince: null
   }
   task.nextAttempt = Math.max(task.nextAttempt, row.attempt + 1)
-  task.step.occurrence.job.hasStarted = true
   addRun(worker, run)
   return run
 }
@@ -109,6 +109,7 @@
   const task = run?.task ?? context.jobs.findTask(ended.taskName, context.now)
   if (task === undefined) return
   const { job } = task.step.occurrence
+  job.hasStarted = true
   const isLive = job.finalState === null && !task.done
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
   if (ended.end === 'done') {
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -78,7 +78,7 @@
         attempt: run.attempt,
         taskDescription: run.task.step.occurrence.job.submission.specification.taskDescription,
         checkpoint: run.task.checkpoint,
-        fencingToken: this.options.engine.epoch,
+        epoch: this.options.engine.epoch,
         leaseDeadline
       })
       if (outcome.kind === 'unknown') run.startUncertain = true
@@ -92,7 +92,7 @@
       attempt: run.attempt,
       worker: run.workerId,
       outcome: outcome.kind,
-      fencingToken: this.options.engine.epoch,
+      epoch: this.options.engine.epoch,
       isResumed: run.task.checkpoint !== ''
     })
     this.options.engine.applyStartOutcome(worker, run, outcome, clock.monotonicMilliseconds())
--- a/src/instance/WorkerLoop.ts
+++ b/src/instance/WorkerLoop.ts
@@ -66,7 +66,7 @@
     const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
     if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await client.hold({
-      fencingToken: engine.epoch,
+      epoch: engine.epoch,
       // After a failed call another life of the worker may answer, whose ends have other numbers.
       acknowledgedEnd: this.lastCallFailed ? 0 : worker.acknowledgeableEnd,
       leaseDeadline,
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -57,11 +57,12 @@
   private readonly highestAttempts = new Map<string, number>()
   private ends: ListedEnd[] = []
   private endCount = 0
-  private fencingToken = 0
+  private epoch = 0
   private leaseDeadline = 0
   private bornAt: number
   private alive = true
   private waiters: Array<() => void> = []
+  private cancelLeaseWatch: CancelTimer = () => {}
 
   private constructor (private readonly options: EmulatedWorkerOptions) {
     this.bornAt = options.clock.monotonicMilliseconds() + 1
@@ -89,8 +90,8 @@
     return await this.deliver(() => this.carryOutStart(order))
   }
 
-  async stop (taskName: string, attempt: number, fencingToken: number): Promise<OrderOutcome> {
-    return await this.deliver(() => this.carryOutStop(taskName, attempt, fencingToken))
+  async stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome> {
+    return await this.deliver(() => this.carryOutStop(taskName, attempt, epoch))
   }
 
   async setPace (): Promise<OrderOutcome> {
@@ -103,8 +104,8 @@
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
     }
-    if (request.fencingToken < this.fencingToken) return { kind: 'fenced' }
-    this.fencingToken = request.fencingToken
+    if (request.epoch < this.epoch) return { kind: 'fenced' }
+    this.epoch = request.epoch
     this.extendLease(request.leaseDeadline)
     this.acknowledge(request.acknowledgedEnd)
     if (request.waitMilliseconds > 0 && this.ends.length === 0) await this.waitForEnd(request.waitMilliseconds)
@@ -134,13 +135,19 @@
     for (const run of [...this.runs.values()]) this.forgetRun(run)
   }
 
+  /** Ends the emulation, with the timer that would keep a test's process alive. */
+  shutDown (): void {
+    this.crash()
+    this.cancelLeaseWatch()
+  }
+
   /** Starts the process again, which knows nothing of before. */
   restart (): void {
     this.alive = true
     this.bornAt = this.options.clock.monotonicMilliseconds() + 1
     this.ends = []
     this.endCount = 0
-    this.fencingToken = 0
+    this.epoch = 0
     this.leaseDeadline = 0
     this.highestAttempts.clear()
   }
@@ -168,8 +175,8 @@
 
   private carryOutStart (order: StartOrder): OrderOutcome {
     const { options } = this
-    if (order.fencingToken < this.fencingToken) return { kind: 'fenced' }
-    this.fencingToken = order.fencingToken
+    if (order.epoch < this.epoch) return { kind: 'fenced' }
+    this.epoch = order.epoch
     if (order.leaseDeadline <= this.now()) return { kind: 'rejected', reason: 'late' }
     this.extendLease(order.leaseDeadline)
     const key = `${order.taskName}#${order.attempt}`
@@ -193,9 +200,9 @@
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
-  private carryOutStop (taskName: string, attempt: number, fencingToken: number): OrderOutcome {
-    if (fencingToken < this.fencingToken) return { kind: 'fenced' }
-    this.fencingToken = fencingToken
+  private carryOutStop (taskName: string, attempt: number, epoch: number): OrderOutcome {
+    if (epoch < this.epoch) return { kind: 'fenced' }
+    this.epoch = epoch
     this.highestAttempts.set(taskName, Math.max(attempt, this.highestAttempts.get(taskName) ?? 0))
     const run = this.runs.get(`${taskName}#${attempt}`)
     if (run !== undefined) this.options.clock.setTimer(STOP_MILLISECONDS, () => this.end(run, 'stopped'))
@@ -243,7 +250,7 @@
   }
 
   private watchLease (): void {
-    this.options.clock.setTimer(100, () => {
+    this.cancelLeaseWatch = this.options.clock.setTimer(100, () => {
       if (this.now() > this.leaseDeadline) for (const run of [...this.runs.values()]) this.end(run, 'lapsed')
       this.watchLease()
     })
