--- /dev/null
+++ b/src/dispatch/colocation.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createRandom } from '../../stand-ins/shared/createRandom.js'
+import { createOccurrence, type JobRecord, type RunRecord, type StepSpecification } from '../jobs/index.js'
+import { getTestSeed } from '../shared/testSeed.js'
+import { ColocationAdvisor } from './ColocationAdvisor.js'
+import { decidePace, GUARD_MILLISECONDS } from './decidePace.js'
+import { addRun, createWorkerRecord, type WorkerRecord } from './WorkerRecord.js'
+
+const TARGET_MILLISECONDS = 18
+/** What a site of 33 workers reports of a pair within some seconds. */
+const REPORT_COUNT = 200
+/** By how much the headroom falls for a whole worker of an image that disturbs, as learned on the platform. */
+const TRUE_EFFECTS: Record<string, number> = { heavy: 8, light: 0 }
+
+function createWorker (): WorkerRecord {
+  return createWorkerRecord({
+    workerId: 'worker',
+    serviceName: 'desk',
+    address: 'host:1',
+    dataCentre: 'south-a',
+    state: 'ready',
+    labels: [],
+    capacity: { processorsMilli: 16_000, memoryMegabytes: 64_000, accelerators: 0 },
+    bornAtMilliseconds: 1,
+    remainingMilliseconds: null
+  })
+}
+
+function createRun (specification: Partial<StepSpecification>): RunRecord {
+  const step: StepSpecification = {
+    taskCount: 1,
+    processorsMilli: 2000,
+    memoryMegabytes: 1000,
+    accelerators: 0,
+    estimateMilliseconds: 1000,
+    afterSteps: [],
+    checkpointing: false,
+    gang: false,
+    rackSensitive: false,
+    requiredLabel: '',
+    preferredRack: '',
+    maximumPerWorker: 0,
+    speculative: false,
+    longRunning: false,
+    image: '',
+    targetMilliseconds: 0,
+    fills: false,
+    maximumAway: 0,
+    ...specification
+  }
+  const job = { submission: { jobId: step.image, specification: { steps: [step] } } } as unknown as JobRecord
+  return {
+    task: createOccurrence(job, 0, 1, 0).steps[0].tasks[0],
+    attempt: 1,
+    workerId: 'worker',
+    state: 'running',
+    startedAt: -10_000,
+    sentAt: -10_000,
+    startUncertain: false,
+    settledAt: 0,
+    percent: 100,
+    progressedAt: 0,
+    usageFigure: 2000,
+    pacePercent: 100,
+    overTargetSince: null,
+    slowedSince: null
+  }
+}
+
+/** Plays a serving task whose load swings, beside tasks of an image that use now more and now less. */
+function learnBeside (advisor: ColocationAdvisor, image: string, random: () => number): void {
+  for (let report = 0; report < REPORT_COUNT; report++) {
+    const worker = createWorker()
+    const serving = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true })
+    const filling = createRun({ image, fills: true })
+    addRun(worker, serving)
+    filling.usageFigure = Math.round(random() * 6000)
+    addRun(worker, filling)
+    const load = Math.sin(report / 5) * 0.6 + (random() - 0.5) * 0.4
+    const headroom = 2.2 + load - TRUE_EFFECTS[image] * filling.usageFigure / 16_000
+    serving.usageFigure = Math.round(TARGET_MILLISECONDS / Math.max(0.1, headroom))
+    advisor.learn(worker, report * 500)
+  }
+}
+
+function createLearned (): ColocationAdvisor {
+  const random = createRandom(getTestSeed())
+  const advisor = ColocationAdvisor.create()
+  learnBeside(advisor, 'light', random)
+  learnBeside(advisor, 'heavy', random)
+  return advisor
+}
+
+test('an image that disturbs is told from a harmless one although the load swings', () => {
+  const advisor = createLearned()
+  assert.equal(advisor.getEffect('desk', 'light'), 0)
+  const effect = advisor.getEffect('desk', 'heavy')
+  assert.ok(effect > 5 && effect < 11, `effect ${effect}`)
+})
+
+test('what was learned outlives its owner', () => {
+  const next = ColocationAdvisor.create()
+  next.import(createLearned().export())
+  assert.equal(next.getEffect('desk', 'light'), 0)
+  assert.ok(next.getEffect('desk', 'heavy') > 5)
+})
+
+test('only the tasks that disturb are slowed, and all are stopped where a tail stays over its target', () => {
+  const advisor = createLearned()
+  const worker = createWorker()
+  const serving = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true })
+  const heavy = createRun({ image: 'heavy', fills: true })
+  const light = createRun({ image: 'light', fills: true })
+  for (const run of [serving, heavy, light]) addRun(worker, run)
+  serving.usageFigure = TARGET_MILLISECONDS
+  const changes = decidePace(worker, advisor, 1000)
+  assert.deepEqual(changes.map(change => change.run.task.step.specification.image), ['heavy'])
+  assert.ok(changes[0].percent < 100)
+  serving.overTargetSince = 2000
+  serving.usageFigure = TARGET_MILLISECONDS * 3
+  const guarded = decidePace(worker, advisor, 2000 + GUARD_MILLISECONDS)
+  assert.deepEqual(guarded.map(change => change.percent), [0, 0])
+})
+
+test('a task is placed beside what it does not disturb, however little headroom that has', () => {
+  const advisor = createLearned()
+  const worker = createWorker()
+  const serving = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true })
+  serving.usageFigure = TARGET_MILLISECONDS
+  addRun(worker, serving)
+  assert.equal(advisor.getPressure(worker, createRun({ image: 'light', fills: true }).task), 0)
+  assert.ok(advisor.getPressure(worker, createRun({ image: 'heavy', fills: true }).task) > 1)
+})
