Remove fields of jobs that nothing reads, and share the default step of tests

Read the change as a newcomer would: row version, estimated chain and work, and two flags of a job were written and never read; the default step stood in three test files.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -1,30 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createStep } from '../../stand-ins/platform/createStep.js'
 import type { JobSubmission, StepSpecification } from '../jobs/index.js'
 import { DispatchEngine } from './DispatchEngine.js'
 import type { WorkerEntry, WorkerReport } from './index.js'
 
-const STEP: StepSpecification = {
-  taskCount: 1,
-  processorsMilli: 1000,
-  memoryMegabytes: 1000,
-  accelerators: 0,
-  estimateMilliseconds: 1000,
-  afterSteps: [],
-  checkpointing: false,
-  gang: false,
-  rackSensitive: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  speculative: false,
-  longRunning: false,
-  image: '',
-  targetMilliseconds: 0,
-  fills: false,
-  maximumAway: 0
-}
-
 const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
 function createEngine (workerCount: number, steps: Array<Partial<StepSpecification>>, attemptLimit = 3) {
@@ -56,13 +36,13 @@
     acceptedAtMilliseconds: 0,
     specification: {
       taskDescription: 'text',
-      steps: steps.map(step => ({ ...STEP, ...step })),
+      steps: steps.map(createStep),
       startAtMilliseconds: 0,
       intervalMilliseconds: 0,
       repeatCount: 0
     }
   }
-  engine.jobs.add({ submission, rowVersion: 1, progress: null, recovered: false }, 0)
+  engine.jobs.add({ submission, progress: null, recovered: false }, 0)
   return engine
 }
 
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,5 +1,5 @@
 import {
-  decodeProgress, findTask, getOccurrence, getOccurrenceCount, measureWork, restoreProgress, type FinalJobState,
+  decodeProgress, findTask, getOccurrence, getOccurrenceCount, restoreProgress, type FinalJobState,
   type JobRecord, type JobState, type JobSubmission, type TaskRecord
 } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
@@ -13,7 +13,6 @@
 /** A job that was loaded or newly accepted. */
 export interface NewJob {
   submission: JobSubmission
-  rowVersion: number
   progress: JsonValue | null
   recovered: boolean
 }
@@ -48,19 +47,14 @@
   add (added: NewJob, now: number): void {
     const { submission } = added
     if (this.jobs.has(submission.jobId) || this.finalStates.has(submission.jobId)) return
-    const work = measureWork(submission.specification.steps)
     const job: JobRecord = {
       submission,
-      rowVersion: added.rowVersion,
       occurrences: new Map(),
       finishedOccurrences: new Set(),
       hasStarted: false,
       recovered: added.recovered,
       finalState: null,
-      finalStateDurable: false,
-      progressChanged: false,
-      knownSince: now,
-      ...work
+      knownSince: now
     }
     if (added.progress !== null) restoreProgress(job, decodeProgress(added.progress), this.firstAttempt, now)
     if (job.finalState !== null) this.setFinalState(submission.jobId, job.finalState, now)
@@ -194,7 +188,6 @@
   confirmDurable (written: Array<{ job: JobRecord, state: FinalJobState | null }>, now: number): void {
     for (const { job, state } of written) {
       if (state === null) continue
-      job.finalStateDurable = true
       this.jobs.delete(job.submission.jobId)
       this.changed.delete(job)
       this.setFinalState(job.submission.jobId, state, now)
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createStep } from '../../stand-ins/platform/createStep.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import { createOccurrence, type JobRecord, type RunRecord, type StepSpecification } from '../jobs/index.js'
 import { getTestSeed } from '../shared/testSeed.js'
@@ -28,27 +29,7 @@
 }
 
 function createRun (specification: Partial<StepSpecification>): RunRecord {
-  const step: StepSpecification = {
-    taskCount: 1,
-    processorsMilli: 2000,
-    memoryMegabytes: 1000,
-    accelerators: 0,
-    estimateMilliseconds: 1000,
-    afterSteps: [],
-    checkpointing: false,
-    gang: false,
-    rackSensitive: false,
-    requiredLabel: '',
-    preferredRack: '',
-    maximumPerWorker: 0,
-    speculative: false,
-    longRunning: false,
-    image: '',
-    targetMilliseconds: 0,
-    fills: false,
-    maximumAway: 0,
-    ...specification
-  }
+  const step = createStep({ processorsMilli: 2000, ...specification })
   const job = { submission: { jobId: step.image, specification: { steps: [step] } } } as unknown as JobRecord
   return {
     task: createOccurrence(job, 0, 1, 0).steps[0].tasks[0],
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -226,7 +226,7 @@
         continue
       }
       const progress = getProgress(row.key)
-      this.engine.jobs.add({ submission, rowVersion: row.version, progress, recovered }, now)
+      this.engine.jobs.add({ submission, progress, recovered }, now)
     }
     for (const row of rows) {
       const jobId = getCancelledJob(row.key)
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -70,24 +70,14 @@
 /** A job that has not reached a final state, or whose final state is not yet durable. */
 export interface JobRecord {
   submission: JobSubmission
-  /** The version of the job's row in the table. */
-  rowVersion: number
   occurrences: Map<number, OccurrenceRecord>
   finishedOccurrences: Set<number>
   hasStarted: boolean
   /** Accepted before this process became owner, so tasks may run on workers that have not answered yet. */
   recovered: boolean
   finalState: FinalJobState | null
-  /** Whether the final state is durable and may be told. */
-  finalStateDurable: boolean
-  /** The progress differs from what is durable. */
-  progressChanged: boolean
   /** Monotonic time at which this process learned of the job. */
   knownSince: number
-  /** The longest chain of estimated work through the steps, in milliseconds. */
-  chainMilliseconds: number
-  /** Estimated work of all tasks, in thousandths of a processor times milliseconds. */
-  totalWork: number
 }
 
 /**
@@ -144,22 +134,6 @@
   return occurrence
 }
 
-/**
- * Computes the longest chain and the total of a job's estimated work.
- * @param steps The steps of the job.
- * @returns The chain in milliseconds, and the work in thousandths of a processor times milliseconds.
- */
-export function measureWork (steps: StepSpecification[]): { chainMilliseconds: number, totalWork: number } {
-  const ends: number[] = []
-  let totalWork = 0
-  for (const step of steps) {
-    const begin = Math.max(0, ...step.afterSteps.map(index => ends[index] ?? 0))
-    ends.push(begin + step.estimateMilliseconds)
-    totalWork += step.taskCount * step.processorsMilli * step.estimateMilliseconds
-  }
-  return { chainMilliseconds: Math.max(0, ...ends), totalWork }
-}
-
 /**
  * Tells whether all steps before a step are done.
  * @param step The step.
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -67,7 +67,6 @@
 export function restoreProgress (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): void {
   if (row.state !== undefined) {
     job.finalState = row.state
-    job.finalStateDurable = true
     return
   }
   for (const number of row.finished ?? []) job.finishedOccurrences.add(number)
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -11,6 +11,7 @@
 import type { TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
+import { createStep } from './createStep.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
 import { RunJudge } from './RunJudge.js'
@@ -238,30 +239,6 @@
   }
 }
 
-function createStep (step: Partial<StepSpecification>): StepSpecification {
-  return {
-    taskCount: 1,
-    processorsMilli: 1000,
-    memoryMegabytes: 1000,
-    accelerators: 0,
-    estimateMilliseconds: 800,
-    afterSteps: [],
-    checkpointing: false,
-    gang: false,
-    rackSensitive: false,
-    requiredLabel: '',
-    preferredRack: '',
-    maximumPerWorker: 0,
-    speculative: false,
-    longRunning: false,
-    image: '',
-    targetMilliseconds: 0,
-    fills: false,
-    maximumAway: 0,
-    ...step
-  }
-}
-
 function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
   return {
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -4,7 +4,6 @@
   private readonly running = new Map<string, Set<string>>()
   private readonly done = new Set<string>()
   private readonly accepted = new Set<string>()
-  private readonly cancelled = new Set<string>()
   startCount = 0
   /** How many runs of each task have failed, on any worker. */
   readonly failureCounts = new Map<string, number>()
@@ -47,11 +46,6 @@
     this.done.add(taskName)
   }
 
-  /** Notes that a cancellation was answered. */
-  noteCancelled (jobId: string): void {
-    this.cancelled.add(jobId)
-  }
-
   /** Returns the names of the tasks at work. */
   getRunningTasks (): string[] {
     return [...this.running].filter(([, runs]) => runs.size > 0).map(([name]) => name).sort()
