--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -28,6 +28,9 @@
 /** What was learned, by serving image: its headroom without neighbours, and the effect of each image beside it. */
 export type LearnedEffects = Record<string, { headroom: LearnedWeight, effects: Record<string, LearnedWeight> }>
 
+/** How the images that disturb one serving image compare with those that disturb another. */
+export type Sensitivity = 'alike' | 'different' | 'unknown'
+
 interface ServingImage {
   regression: RecursiveLeastSquares
   /** The index of the constant feature, whose weight is the headroom without neighbours. */
@@ -145,6 +148,28 @@
     return open / this.fillingImages.size
   }
 
+  /**
+   * Compares which images disturb two serving images, over the images that were seen beside both.
+   * @param servingImage One image that serves.
+   * @param otherImage Another one.
+   * @returns `alike` when all effects agree, `different` when some do not, `unknown` without a common learned pair.
+   */
+  compareSensitivity (servingImage: string, otherImage: string): Sensitivity {
+    let known = false
+    for (const image of this.fillingImages) {
+      if (!this.isLearned(servingImage, image) || !this.isLearned(otherImage, image)) continue
+      if ((this.getEffect(servingImage, image) === 0) !== (this.getEffect(otherImage, image) === 0)) return 'different'
+      known = true
+    }
+    return known ? 'alike' : 'unknown'
+  }
+
+  private isLearned (servingImage: string, image: string): boolean {
+    const serving = this.servingImages.get(servingImage)
+    const feature = serving?.features.get(image)
+    return serving !== undefined && feature !== undefined && serving.regression.getVariance(feature) <= LEARNED_VARIANCE
+  }
+
   /** The headroom of the moment, or the usual one of the image before the first figure. */
   private getHeadroom (serving: RunRecord): number {
     const { image, targetMilliseconds } = serving.task.step.specification
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -253,7 +253,7 @@
     if (!mayStart || !this.dirty) return
     this.dirty = false
     const blocked = new Set<string>()
-    for (const job of rankJobs(this.jobs.getJobs(), now)) {
+    for (const job of rankJobs(this.jobs.getJobs(), wallMilliseconds)) {
       if (job.finalState !== null || (job.recovered && !this.isResolved())) continue
       this.jobs.openDueOccurrences(job, wallMilliseconds, now)
       const serviceName = this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -1,5 +1,5 @@
 import type { TaskRecord } from '../jobs/index.js'
-import type { ColocationAdvisor } from './ColocationAdvisor.js'
+import type { ColocationAdvisor, Sensitivity } from './ColocationAdvisor.js'
 import { isGuarded } from './decidePace.js'
 import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
 
@@ -24,10 +24,13 @@
 const PRESSURE_WEIGHT = 3
 /** Workers where many images are harmless are left to the images that have few such workers. */
 const OPENNESS_WEIGHT = 0.5
-/** A serving task joins its own job first, whose tasks have the same load at each moment. */
-const EMPTY_WORKER_COST = 2
-const SAME_IMAGE_COST = 3
-const MIXED_IMAGES_COST = 4
+/**
+ * A serving task joins its own job first, then others of its image, so that few workers serve images which different
+ * neighbours disturb: each fill of a worker must be harmless to all that serves there.
+ */
+const SAME_IMAGE_COST = 1
+const EMPTY_WORKER_COST = 3
+const OTHER_IMAGE_COST: Record<Sensitivity, number> = { alike: 2, unknown: 5, different: 7 }
 const SCARCE_EMPTY_WORKER_COST = 6
 /** The share of workers without serving tasks that is left to tasks which disturb all of them. */
 const EMPTY_WORKER_SHARE = 0.2
@@ -105,7 +108,7 @@
     if (specification.requiredLabel !== '' && !labels.includes(specification.requiredLabel)) continue
     const limit = specification.maximumPerWorker
     if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
-    let cost = getCost(worker, task, emptyWorkerCost)
+    let cost = getCost(worker, task, emptyWorkerCost, conditions.advisor)
     if (specification.fills) {
       if (isGuarded(worker, conditions.now)) continue
       const pressure = conditions.advisor.getPressure(worker, task)
@@ -123,7 +126,9 @@
 }
 
 /** What a worker costs a task, lower is better. */
-function getCost (worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number): number {
+function getCost (
+  worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number, advisor: ColocationAdvisor
+): number {
   const { specification } = task.step
   const capacity = Math.max(1, worker.entry.capacity.processorsMilli)
   if (specification.fills) {
@@ -132,19 +137,25 @@
   const reservedShare = (worker.reserved.processorsMilli + specification.processorsMilli) / capacity
   // Serving tasks of one job share workers: an image that disturbs them then finds others to fill, and times when
   // no load on a worker is high.
-  if (specification.targetMilliseconds > 0) return getMixCost(worker, task, emptyWorkerCost) - reservedShare
+  if (specification.targetMilliseconds > 0) return getMixCost(worker, task, emptyWorkerCost, advisor) - reservedShare
   return reservedShare
 }
 
-function getMixCost (worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number): number {
+function getMixCost (
+  worker: WorkerRecord, task: TaskRecord, emptyWorkerCost: number, advisor: ColocationAdvisor
+): number {
+  const { image } = task.step.specification
   let cost = 0
   let hasServing = false
   for (const run of worker.runs.values()) {
     const { specification, occurrence } = run.task.step
     if (specification.targetMilliseconds === 0) continue
     hasServing = true
-    if (specification.image !== task.step.specification.image) cost = MIXED_IMAGES_COST
-    else if (occurrence.job !== task.step.occurrence.job) cost = Math.max(cost, SAME_IMAGE_COST)
+    if (specification.image !== image) {
+      cost = Math.max(cost, OTHER_IMAGE_COST[advisor.compareSensitivity(specification.image, image)])
+    } else if (occurrence.job !== task.step.occurrence.job) {
+      cost = Math.max(cost, SAME_IMAGE_COST)
+    }
   }
   return hasServing ? cost : emptyWorkerCost
 }
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -4,6 +4,7 @@
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import { createOccurrence, type JobRecord, type RunRecord, type StepSpecification } from '../jobs/index.js'
 import { getTestSeed } from '../shared/testSeed.js'
+import { chooseWorker } from './chooseWorker.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace, GUARD_MILLISECONDS } from './decidePace.js'
 import { addRun, createWorkerRecord, type WorkerRecord } from './WorkerRecord.js'
@@ -14,9 +15,9 @@
 /** By how much the headroom falls for a whole worker of an image that disturbs, as learned on the platform. */
 const TRUE_EFFECTS: Record<string, number> = { heavy: 8, light: 0 }
 
-function createWorker (): WorkerRecord {
+function createWorker (workerId = 'worker'): WorkerRecord {
   return createWorkerRecord({
-    workerId: 'worker',
+    workerId,
     serviceName: 'desk',
     address: 'host:1',
     dataCentre: 'south-a',
@@ -113,3 +114,45 @@
   assert.equal(advisor.getPressure(worker, createRun({ image: 'light', fills: true }).task), 0)
   assert.ok(advisor.getPressure(worker, createRun({ image: 'heavy', fills: true }).task) > 1)
 })
+
+/** A site where some workers serve an image each and the others serve nothing. */
+function createSite (images: string[], emptyCount: number): WorkerRecord[] {
+  const workers: WorkerRecord[] = []
+  for (const image of [...images, ...new Array<string>(emptyCount).fill('')]) {
+    const worker = createWorker(`worker-${workers.length}`)
+    worker.registered = true
+    worker.knowledge = 'synchronized'
+    if (image !== '') addRun(worker, createRun({ image, targetMilliseconds: TARGET_MILLISECONDS, longRunning: true }))
+    workers.push(worker)
+  }
+  return workers
+}
+
+test('a serving task joins its image, then an empty worker, and leaves a fifth of the workers empty', () => {
+  const advisor = ColocationAdvisor.create()
+  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, now: 0 }
+  const rows: Array<[served: string[], emptyCount: number, chosen: string]> = [
+    [['other', 'desk'], 4, 'worker-1'],
+    [['other', 'other'], 4, 'worker-2'],
+    [['other', 'other', 'other', 'other'], 1, 'worker-0']
+  ]
+  for (const [served, emptyCount, chosen] of rows) {
+    const task = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true }).task
+    const worker = chooseWorker(task, createSite(served, emptyCount), conditions)
+    assert.equal(worker?.entry.workerId, chosen, served.join())
+  }
+})
+
+test('serving images that the same neighbours disturb share a worker before an empty one is begun', () => {
+  const advisor = ColocationAdvisor.create()
+  advisor.import({
+    desk: { headroom: [2, 0.1], effects: { heavy: [-8, 0.1], light: [0, 0.1] } },
+    alike: { headroom: [2, 0.1], effects: { heavy: [-7, 0.1], light: [0, 0.1] } },
+    different: { headroom: [2, 0.1], effects: { heavy: [0, 0.1], light: [-7, 0.1] } }
+  })
+  assert.equal(advisor.compareSensitivity('desk', 'unseen'), 'unknown')
+  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, now: 0 }
+  const task = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true }).task
+  const workers = createSite(['different', 'alike'], 4)
+  assert.equal(chooseWorker(task, workers, conditions)?.entry.workerId, 'worker-1')
+})
