--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -160,20 +160,16 @@
     const isGone = this.refusals >= REFUSALS_UNTIL_GONE || this.ownerStopped || isOwnEarlierLife
     const vacantFrom = isGone ? now : this.lease.getVacantFrom()
     if (vacantFrom === null || now < vacantFrom) return
-    // After a fault that ends all processes each starts anew at once, and the earlier owner knows it soonest.
-    if (!isOwnEarlierLife) await this.pause(this.getCandidateDelay(now - sentAt))
-    if (!this.stopped) await this.tryToAcquire(isGone)
+    await this.tryToAcquire(now - sentAt, isGone)
   }
 
-  private getCandidateDelay (storeRoundTrip: number): number {
-    const { random, clock, strength } = this.options
+  private async tryToAcquire (storeRoundTrip: number, isGone: boolean): Promise<void> {
+    const { random, logger, instanceId, clock } = this.options
     const age = clock.monotonicMilliseconds() - this.startedAt
-    return Math.min(LONGEST_CANDIDATE_DELAY_MILLISECONDS, storeRoundTrip * STORE_DISTANCE_WEIGHT) +
-      getWeaknessDelay(strength) + getAgeDelay(age) + random() * CANDIDATE_SPREAD_MILLISECONDS
-  }
-
-  private async tryToAcquire (isGone: boolean): Promise<void> {
-    const { logger, instanceId } = this.options
+    const delay = Math.min(LONGEST_CANDIDATE_DELAY_MILLISECONDS, storeRoundTrip * STORE_DISTANCE_WEIGHT) +
+      getWeaknessDelay(this.options.strength) + getAgeDelay(age) + random() * CANDIDATE_SPREAD_MILLISECONDS
+    await this.pause(delay)
+    if (this.stopped) return
     const stoppedBefore = isGone || this.lease.getObservedHeartbeat() === null ||
       this.lease.getObservedHeartbeat()?.released === true
     if (!await this.lease.acquire({ expectVacancy: isGone })) return
