Log and count why runs are lost, which ends had no effect, and when the event loop is late

Change: 'run lost' with its cause and the age of the last report, 'ends applied' once for each report with new ends, 'end ignored' where a listed end changes no task, 'worker gives no answer' and 'worker answers again' at each change, 'event loop is late' and 'on time again' once for each episode; counters and a histogram for all. No decision changes.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -3,12 +3,14 @@
 import { createStep } from '../../stand-ins/platform/createStep.js'
 import type { JobSubmission, StepSpecification } from '../jobs/index.js'
 import { DispatchEngine } from './DispatchEngine.js'
-import type { WorkerEntry, WorkerReport } from './index.js'
+import type { DispatchObserver, WorkerEntry, WorkerReport } from './index.js'
 
 const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
-function createEngine (workerCount: number, steps: Array<Partial<StepSpecification>>, attemptLimit = 3) {
-  const engine = DispatchEngine.create({ epoch: 1 })
+function createEngine (
+  workerCount: number, steps: Array<Partial<StepSpecification>>, attemptLimit = 3, observer?: DispatchObserver
+) {
+  const engine = DispatchEngine.create({ epoch: 1, observer })
   for (let index = 0; index < workerCount; index++) {
     const entry: WorkerEntry = {
       workerId: `worker-${index}`,
@@ -107,3 +109,26 @@
   const engine = createEngine(4, [{ taskCount: 2, requiredLabel: 'rack-2' }])
   assert.deepEqual(plan(engine, 10).map(order => order.run.workerId), ['worker-2', 'worker-2'])
 })
+
+test('the observer is told why a run was lost, and which ends had no effect', () => {
+  const told: string[] = []
+  const observer: DispatchObserver = {
+    onRunLost: (worker, run, cause) => told.push(`${worker.entry.workerId} ${run.task.name}#${run.attempt} ${cause}`),
+    onEndIgnored: (worker, ended, reason) => told.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`)
+  }
+  const engine = createEngine(1, [{ taskCount: 2 }], 3, observer)
+  const [first, second] = plan(engine, 10)
+  for (const { worker, run } of [first, second]) {
+    engine.applyStartOutcome(worker, run, { kind: 'accepted', workerMilliseconds: 1000 }, 20)
+  }
+  const end = { number: 1, attempt: 1, end: 'done' as const, checkpoint: '' }
+  const ended = [
+    { ...end, taskName: first.run.task.name },
+    { ...end, number: 2, taskName: first.run.task.name },
+    { ...end, number: 3, taskName: 'other.0.0.0' }
+  ]
+  engine.applyReport(first.worker, { ...EMPTY_REPORT, ended }, 30, 31)
+  assert.deepEqual(told, [
+    'worker-0 job.0.0.0 task-done', 'worker-0 other.0.0.0 unknown-job', 'worker-0 job.0.0.1#1 not-listed'
+  ])
+})
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -5,6 +5,7 @@
 import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
+import { silentDispatchObserver, type DispatchObserver, type RunLossCause } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { rankJobs } from './rankJobs.js'
 import { applyReport, type ReportContext } from './applyReport.js'
@@ -40,6 +41,8 @@
 export interface DispatchEngineOptions {
   /** The owner's epoch, which is the fencing token of all orders. */
   epoch: number
+  /** Is told why runs were lost; silent by default. */
+  observer?: DispatchObserver
 }
 
 /**
@@ -58,7 +61,7 @@
   private queueServices: ReadonlyMap<string, string> = new Map()
   private dirty = true
 
-  private constructor (readonly epoch: number) {
+  private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
     this.jobs = JobTable.create({ epoch })
   }
 
@@ -68,7 +71,7 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    return new DispatchEngine(options.epoch)
+    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver)
   }
 
   /** Returns and clears the orders that were decided. */
@@ -143,7 +146,7 @@
    * @param now The monotonic time.
    */
   confirmGone (worker: WorkerRecord, now: number): void {
-    for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+    for (const run of [...worker.runs.values()]) this.loseRun(worker, run, 'worker-gone', now)
     worker.foreignRuns.clear()
     this.unresolved.delete(worker.entry.workerId)
     this.dirty = true
@@ -175,7 +178,9 @@
       now,
       stop: (taskName, attempt, run) => this.orderStop(worker, taskName, attempt, run),
       failJob: job => this.failJob(job),
-      stopCopies: task => this.stopRuns(task)
+      stopCopies: task => this.stopRuns(task),
+      loseRun: run => this.loseRun(worker, run, 'not-listed', now),
+      ignoreEnd: (ended, reason) => this.observer.onEndIgnored(worker, ended, reason)
     }
     const changed = applyReport(worker, report, context)
     worker.knowledge = 'synchronized'
@@ -221,7 +226,7 @@
       if (run.state === 'starting') this.orderStop(worker, run.task.name, run.attempt, run)
       return
     }
-    if (run.state === 'starting' || run.state === 'stopping') removeRun(worker, run, now)
+    if (run.state === 'starting' || run.state === 'stopping') this.loseRun(worker, run, 'start-refused', now)
   }
 
   /**
@@ -346,6 +351,11 @@
     this.orders.push({ kind: 'start', worker, run })
   }
 
+  private loseRun (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
+    this.observer.onRunLost(worker, run, cause, now)
+    removeRun(worker, run, now)
+  }
+
   private orderStop (worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null): void {
     if (run !== null) {
       run.state = 'stopping'
@@ -392,7 +402,7 @@
   private resetWorker (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) {
       if (run.sentAt <= worker.reportedAt) {
-        removeRun(worker, run, now)
+        this.loseRun(worker, run, 'worker-restarted', now)
       } else {
         run.startUncertain = true
         this.orderStop(worker, run.task.name, run.attempt, run)
@@ -420,7 +430,7 @@
       const workerTime = getEarliestWorkerTime(worker, now)
       const isOver = workerTime !== null && workerTime > worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS
       if (isOver && worker.runs.size > 0) {
-        for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+        for (const run of [...worker.runs.values()]) this.loseRun(worker, run, 'lease-expired', now)
         this.dirty = true
       }
       const isForgettable = !worker.listed && worker.runs.size === 0 && !this.unresolved.has(worker.entry.workerId)
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,4 +1,5 @@
 import type { JobRecord, RunRecord, TaskRecord } from '../jobs/index.js'
+import type { IgnoredEndReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
 import type { ListedEnd, ListedRun, WorkerReport } from './WorkerProtocol.js'
 import { addRun, getRunKey, isServing, removeRun, type WorkerRecord } from './WorkerRecord.js'
@@ -19,6 +20,9 @@
   stop (taskName: string, attempt: number, run: RunRecord | null): void
   failJob (job: JobRecord): void
   stopCopies (task: TaskRecord): void
+  /** Takes a run as over of which the worker listed no end. */
+  loseRun (run: RunRecord): void
+  ignoreEnd (ended: ListedEnd, reason: IgnoredEndReason): void
 }
 
 /**
@@ -107,9 +111,10 @@
   const run = worker.runs.get(getRunKey(ended.taskName, ended.attempt))
   if (run !== undefined) removeRun(worker, run, context.now)
   const task = run?.task ?? context.jobs.findTask(ended.taskName, context.now)
-  if (task === undefined) return
+  if (task === undefined) return context.ignoreEnd(ended, getIgnoredReason(ended, context))
   const { job } = task.step.occurrence
   job.hasStarted = true
+  if (task.done && run === undefined) context.ignoreEnd(ended, 'task-done')
   const isLive = job.finalState === null && !task.done
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
   if (ended.end === 'done') {
@@ -125,6 +130,11 @@
   if (ended.end === 'failed') applyFailure(worker, task, ended.attempt, isLive, context)
 }
 
+function getIgnoredReason (ended: ListedEnd, context: ReportContext): IgnoredEndReason {
+  const [jobId] = ended.taskName.split('.', 1)
+  return context.jobs.getState(jobId) === null ? 'unknown-job' : 'job-finished'
+}
+
 function finishTask (task: TaskRecord, context: ReportContext): void {
   // One end stands for all members of a gang, which end together.
   const members = task.step.specification.gang ? task.step.tasks : [task]
@@ -161,7 +171,7 @@
   let changed = false
   for (const [key, run] of worker.runs) {
     if (listed.has(key) || run.settledAt === null || run.settledAt >= context.sentAt) continue
-    removeRun(worker, run, context.now)
+    context.loseRun(run)
     changed = true
   }
   return changed
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,5 +1,6 @@
 export * from './ColocationAdvisor.js'
 export * from './DispatchEngine.js'
+export * from './DispatchObserver.js'
 export * from './JobTable.js'
 export * from './WorkerProtocol.js'
 export * from './WorkerRecord.js'
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -2,6 +2,8 @@
 
 /** Answers of the store and of workers take milliseconds, outages seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
+/** The owner's ticks come each 0.2 s; a delay near the time limit of orders makes them fail. */
+const LOOP_DELAY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.7, 1.5]
 /** Jobs are started at once, or wait for room for up to a minute. */
 const WAIT_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
 
@@ -16,6 +18,10 @@
   takeovers: Counter
   goneWorkers: Counter
   paceChanges: Counter
+  lostRuns: Counter<'cause'>
+  ignoredEnds: Counter<'reason'>
+  workerCallFailures: Counter<'reason'>
+  loopDelaySeconds: Histogram
 }
 
 /**
@@ -91,6 +97,30 @@
       name: 'papayamoor_instance_pace_changes_total',
       help: 'Orders that changed the pace of a task that fills.',
       registers
+    }),
+    lostRuns: new Counter({
+      name: 'papayamoor_instance_lost_runs_total',
+      help: 'Runs that were taken as over although their worker listed no end, by cause.',
+      labelNames: ['cause'],
+      registers
+    }),
+    ignoredEnds: new Counter({
+      name: 'papayamoor_instance_ignored_ends_total',
+      help: 'Ends that workers listed and that changed no task, by reason.',
+      labelNames: ['reason'],
+      registers
+    }),
+    workerCallFailures: new Counter({
+      name: 'papayamoor_instance_worker_call_failures_total',
+      help: 'Renewals of leases that got no list back, by reason.',
+      labelNames: ['reason'],
+      registers
+    }),
+    loopDelaySeconds: new Histogram({
+      name: 'papayamoor_instance_loop_delay_seconds',
+      help: 'How late the periodic timer of the owner ran.',
+      buckets: LOOP_DELAY_BUCKETS_SECONDS,
+      registers
     })
   }
 }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -9,11 +9,13 @@
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { Operation, Row, TableService } from '../table/TableService.js'
+import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
   decodeSubmission, getCancelledJob, HOLDING_TABLE, isFinishedJob, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { LoopDelayWatch } from './LoopDelayWatch.js'
 import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import type { SiteWatch } from './SiteWatch.js'
@@ -62,6 +64,7 @@
   private readonly writer: ProgressWriter
   private readonly cleaner: FinishedJobCleaner
   private readonly sender: OrderSender
+  private readonly loopDelay: LoopDelayWatch
   private readonly loops = new Map<string, { loop: WorkerLoop, client: WorkerClient }>()
   private jobFollower: TableFollower | null = null
   private stopped = false
@@ -74,7 +77,9 @@
   private loaded = false
 
   private constructor (private readonly options: ShardDispatcherOptions) {
-    this.engine = DispatchEngine.create({ epoch: options.fence.epoch })
+    const observer = createDispatchObserver(options.logger, options.metrics)
+    this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
+    this.loopDelay = LoopDelayWatch.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
     this.sender = OrderSender.create({ ...options, engine: this.engine, onChange: () => this.schedulePlan() })
     this.writer = ProgressWriter.create({
@@ -245,6 +250,8 @@
       client,
       clock,
       leaseMilliseconds,
+      logger: this.options.logger,
+      metrics: this.options.metrics,
       mayHold: () => this.getRenewalAge() < OWNER_HOLD_LIMIT_MILLISECONDS,
       onReport: () => this.schedulePlan(),
       onFenced: () => onDeposed('a worker has seen a higher fencing token'),
@@ -314,8 +321,11 @@
 
   private tick (): void {
     if (this.stopped) return
-    this.cancelTick = this.options.clock.setTimer(TICK_MILLISECONDS, () => this.tick())
     const now = this.options.clock.monotonicMilliseconds()
+    this.cancelTick = this.options.clock.setTimer(TICK_MILLISECONDS, () => {
+      this.loopDelay.note(now + TICK_MILLISECONDS)
+      this.tick()
+    })
     this.engine.jobs.expireFinalStates(now)
     this.engine.markDirty()
     this.plan()
--- a/src/instance/WorkerLoop.ts
+++ b/src/instance/WorkerLoop.ts
@@ -1,5 +1,9 @@
-import { getEarliestWorkerTime, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
+import {
+  getEarliestWorkerTime, type DispatchEngine, type HoldOutcome, type WorkerClient, type WorkerRecord, type WorkerReport
+} from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
+import type { Logger } from '../shared/Logger.js'
+import type { InstanceMetrics } from './InstanceMetrics.js'
 
 /** Options of the loop of one worker. */
 export interface WorkerLoopOptions {
@@ -8,6 +12,8 @@
   client: WorkerClient
   clock: Clock
   leaseMilliseconds: number
+  logger: Logger
+  metrics: Pick<InstanceMetrics, 'workerCallFailures'>
   /** Whether this process may still renew leases. */
   mayHold (): boolean
   onReport (worker: WorkerRecord): void
@@ -73,7 +79,7 @@
       waitMilliseconds: this.getWait(leaseDeadline)
     })
     if (this.stopped) return
-    this.lastCallFailed = outcome.kind !== 'reported'
+    this.noteOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
     if (outcome.kind === 'fenced') {
       this.stopped = true
       this.options.onFenced()
@@ -84,12 +90,41 @@
       await this.pause(RETRY_MILLISECONDS)
       return
     }
+    const appliedBefore = worker.appliedEnd
     engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
+    this.logEnds(outcome.report, appliedBefore)
     this.options.onReport(worker)
     if (worker.appliedEnd > worker.acknowledgeableEnd) await this.options.waitForDurability()
     else if (leaseDeadline !== null) await this.pause(GAP_MILLISECONDS)
   }
 
+  /** Logs when the worker begins or ceases to answer; each failure is counted. */
+  private noteOutcome (outcome: HoldOutcome, durationMilliseconds: number): void {
+    const { worker, logger, metrics } = this.options
+    const failed = outcome.kind !== 'reported'
+    const reason = outcome.kind === 'unknown' ? outcome.reason : outcome.kind
+    if (failed) metrics.workerCallFailures.inc({ reason })
+    if (failed !== this.lastCallFailed) {
+      logger.info(failed ? 'worker gives no answer' : 'worker answers again', {
+        worker: worker.entry.workerId,
+        reason,
+        durationMilliseconds: Math.round(durationMilliseconds)
+      })
+    }
+    this.lastCallFailed = failed
+  }
+
+  private logEnds (report: WorkerReport, appliedBefore: number): void {
+    const { worker, logger } = this.options
+    if (worker.appliedEnd === appliedBefore) return
+    logger.info('ends applied', {
+      worker: worker.entry.workerId,
+      acknowledged: worker.acknowledgeableEnd,
+      ends: report.ended.filter(ended => ended.number > appliedBefore || worker.appliedEnd < appliedBefore)
+        .map(ended => `${ended.number} ${ended.taskName}#${ended.attempt} ${ended.end}`)
+    })
+  }
+
   private getWait (leaseDeadline: number | null): number {
     const { worker } = this.options
     const mustNotWait = leaseDeadline === null || this.lastCallFailed || worker.knowledge !== 'synchronized' ||
