--- /dev/null
+++ b/src/dispatch/OrderGate.ts
@@ -0,0 +1,154 @@
+import { ConcurrencyLimit } from '../routing/ConcurrencyLimit.js'
+
+/** Stops come first, as they free room and bound how long cancelled tasks run; paces can wait. */
+const PRIORITIES = ['stop', 'start', 'pace'] as const
+
+/** The kinds of orders, the first one sent first. */
+export type OrderPriority = typeof PRIORITIES[number]
+
+/** Options of a gate. */
+export interface OrderGateOptions {
+  /** The greatest number of orders in flight to one worker. */
+  perWorkerLimit: number
+  /** The greatest number of orders in flight to all workers. */
+  totalLimit: number
+}
+
+/** An order that asks to be sent. */
+export interface OrderRequest {
+  workerId: string
+  priority: OrderPriority
+  /** Whether there still is a reason to send the order; asked when its turn comes. */
+  isNeeded (): boolean
+}
+
+interface WaitingOrder {
+  isNeeded (): boolean
+  settle (outcome: 'send' | 'withdrawn'): void
+}
+
+interface WorkerLane {
+  workerId: string
+  limit: ConcurrencyLimit
+  waiting: Record<OrderPriority, WaitingOrder[]>
+}
+
+/**
+ * Lets orders go out in turn, a few at a time to each worker and to all.
+ *
+ * Answers the load of a plan that decides more orders than the process can send within their time limits: those that
+ * wait have cost nothing yet, and one that has lost its reason meanwhile is withdrawn without being sent.
+ */
+export class OrderGate {
+  private readonly total: ConcurrencyLimit
+  private readonly lanes = new Map<string, WorkerLane>()
+  /** Lanes with waiting orders in the order of their turns. */
+  private readonly turns = new Set<WorkerLane>()
+
+  private constructor (private readonly options: OrderGateOptions) {
+    this.total = ConcurrencyLimit.create({ limit: options.totalLimit })
+  }
+
+  /**
+   * Creates a gate with nothing in flight.
+   * @param options The limits.
+   * @returns The gate.
+   */
+  static create (options: OrderGateOptions): OrderGate {
+    return new OrderGate(options)
+  }
+
+  /** The number of orders in flight. */
+  get inFlight (): number {
+    return this.total.getUsed()
+  }
+
+  /**
+   * Waits until an order may be sent.
+   * @param request The order.
+   * @returns `send` when it may be sent now, with one call of `release` afterwards; `withdrawn` when it must not be.
+   */
+  async acquire (request: OrderRequest): Promise<'send' | 'withdrawn'> {
+    const lane = this.getLane(request.workerId)
+    return await new Promise(resolve => {
+      lane.waiting[request.priority].push({ isNeeded: request.isNeeded, settle: resolve })
+      this.turns.add(lane)
+      this.advance()
+    })
+  }
+
+  /**
+   * Notes that an order is no longer in flight.
+   * @param workerId The worker that it was sent to.
+   */
+  release (workerId: string): void {
+    this.total.release()
+    const lane = this.getLane(workerId)
+    lane.limit.release()
+    if (countWaiting(lane) > 0) this.turns.add(lane)
+    this.forgetIfIdle(lane)
+    this.advance()
+  }
+
+  /** Withdraws all waiting orders that have lost their reason, for example when a worker gives no answer. */
+  withdrawUnneeded (): void {
+    for (const lane of this.lanes.values()) {
+      for (const priority of PRIORITIES) {
+        lane.waiting[priority] = lane.waiting[priority].filter(order => {
+          if (order.isNeeded()) return true
+          order.settle('withdrawn')
+          return false
+        })
+      }
+    }
+  }
+
+  private advance (): void {
+    for (const lane of this.turns) {
+      if (this.total.getUsed() >= this.total.getLimit()) return
+      this.turns.delete(lane)
+      // A lane at its limit gets its next turn with a release.
+      if (lane.limit.getUsed() >= lane.limit.getLimit()) continue
+      const order = takeNeeded(lane)
+      if (order === null) {
+        this.forgetIfIdle(lane)
+        continue
+      }
+      lane.limit.tryAcquire()
+      this.total.tryAcquire()
+      if (countWaiting(lane) > 0) this.turns.add(lane)
+      order.settle('send')
+    }
+  }
+
+  private forgetIfIdle (lane: WorkerLane): void {
+    if (lane.limit.getUsed() === 0 && countWaiting(lane) === 0) this.lanes.delete(lane.workerId)
+  }
+
+  private getLane (workerId: string): WorkerLane {
+    const known = this.lanes.get(workerId)
+    if (known !== undefined) return known
+    const lane: WorkerLane = {
+      workerId,
+      limit: ConcurrencyLimit.create({ limit: this.options.perWorkerLimit }),
+      waiting: { stop: [], start: [], pace: [] }
+    }
+    this.lanes.set(workerId, lane)
+    return lane
+  }
+}
+
+function countWaiting (lane: WorkerLane): number {
+  return PRIORITIES.reduce((sum, priority) => sum + lane.waiting[priority].length, 0)
+}
+
+/** Takes the next order that still has a reason; those before it are withdrawn. */
+function takeNeeded (lane: WorkerLane): WaitingOrder | null {
+  for (const priority of PRIORITIES) {
+    for (let order = lane.waiting[priority].shift(); order !== undefined; order = lane.waiting[priority].shift()) {
+      if (order.isNeeded()) return order
+      order.settle('withdrawn')
+    }
+  }
+  return null
+}
