Tell an observer of the connections and calls of an HttpCaller

Ruled out: metrics in HttpCaller itself, as it is shared by programs that count differently. Change: an optional observer is told of connections opened and closed, with the reason, and of each call's end. The function that opens connections can be given, so that tests can have slow ones.

--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -1,4 +1,4 @@
-import { Pool, type Dispatcher } from 'undici'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 
 /** One call of an HTTP service. */
 export interface HttpCall {
@@ -20,10 +20,29 @@
   /** The service may have received the call. */
   | { kind: 'lost', reason: string }
 
+/**
+ * How a call ended: `refused` when no connection could be opened, `broken` when one failed under the call,
+ * `closed` when the caller gave the address up first.
+ */
+export type HttpCallEnd = 'answered' | 'expired-waiting' | 'expired-in-flight' | 'refused' | 'broken' | 'closed'
+
+/** Is told of the connections and calls of a caller. */
+export interface HttpCallerObserver {
+  connectionOpened (address: string): void
+  connectionClosed (address: string, reason: string): void
+  callEnded (address: string, end: HttpCallEnd): void
+}
+
+/** Opens a connection to the host and port that it is given, and passes it or the error on. */
+export type OpenConnection = buildConnector.connector
+
 /** Options of a caller. */
 export interface HttpCallerOptions {
   /** The greatest number of connections to one address. */
   connections: number
+  observer?: HttpCallerObserver
+  /** Opens plain TCP connections when absent. */
+  openConnection?: OpenConnection
 }
 
 /** Idle connections stay open this long; opening one costs round trips and is billed. */
@@ -31,6 +50,8 @@
 /** A connection that takes longer to open goes to a machine that is off or cut off. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1000
 
+const openTcpConnection = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS, noDelay: true })
+
 /** Makes HTTP calls over kept connections, without the cost of the stream interfaces. */
 export class HttpCaller {
   private readonly pools = new Map<string, Pool>()
@@ -54,7 +75,10 @@
   call (call: HttpCall): Promise<HttpAnswer> {
     const pool = this.getPool(call.address)
     return new Promise(resolve => {
-      const collector = AnswerCollector.create(resolve, call.timeoutMilliseconds)
+      const collector = AnswerCollector.create(call.timeoutMilliseconds, (answer, end) => {
+        this.options.observer?.callEnded(call.address, end)
+        resolve(answer)
+      })
       pool.dispatch({
         method: call.method,
         path: call.path,
@@ -88,13 +112,20 @@
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS, noDelay: true }
+      connect: this.options.openConnection ?? openTcpConnection
     })
+    const { observer } = this.options
+    if (observer !== undefined) {
+      pool.on('connect', () => observer.connectionOpened(address))
+      pool.on('disconnect', (_origin, _targets, error) => observer.connectionClosed(address, getReason(error)))
+    }
     this.pools.set(address, pool)
     return pool
   }
 }
 
+type Settle = (answer: HttpAnswer, end: HttpCallEnd) => void
+
 /** Collects one answer and drops the connection when the time is over. */
 class AnswerCollector implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | null = null
@@ -103,12 +134,12 @@
   private timedOut = false
   private readonly timer: NodeJS.Timeout
 
-  private constructor (private readonly resolve: (answer: HttpAnswer) => void, timeoutMilliseconds: number) {
+  private constructor (timeoutMilliseconds: number, private readonly settle: Settle) {
     this.timer = setTimeout(() => this.expire(), timeoutMilliseconds)
   }
 
-  static create (resolve: (answer: HttpAnswer) => void, timeoutMilliseconds: number): AnswerCollector {
-    return new AnswerCollector(resolve, timeoutMilliseconds)
+  static create (timeoutMilliseconds: number, settle: Settle): AnswerCollector {
+    return new AnswerCollector(timeoutMilliseconds, settle)
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -125,24 +156,34 @@
   }
 
   onResponseEnd (): void {
+    clearTimeout(this.timer)
     const body = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks)
-    this.settle({ kind: 'answered', statusCode: this.statusCode, body })
+    this.settle({ kind: 'answered', statusCode: this.statusCode, body }, 'answered')
   }
 
-  onResponseError (_controller: Dispatcher.DispatchController, error: Error & { code?: string }): void {
-    const reason = this.timedOut ? 'timeout' : error.code ?? error.message
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.timedOut) return
+    clearTimeout(this.timer)
+    const reason = getReason(error)
     const isRefused = reason === 'ECONNREFUSED' || reason === 'UND_ERR_CONNECT_TIMEOUT'
-    this.settle({ kind: isRefused ? 'not-sent' : 'lost', reason })
+    const isClosed = reason === 'UND_ERR_DESTROYED'
+    this.settle(
+      { kind: isRefused ? 'not-sent' : 'lost', reason },
+      isRefused ? 'refused' : isClosed ? 'closed' : 'broken'
+    )
   }
 
   private expire (): void {
     this.timedOut = true
-    this.settle({ kind: this.controller === null ? 'not-sent' : 'lost', reason: 'timeout' })
+    const isWaiting = this.controller === null
+    this.settle(
+      { kind: isWaiting ? 'not-sent' : 'lost', reason: 'timeout' },
+      isWaiting ? 'expired-waiting' : 'expired-in-flight'
+    )
     this.controller?.abort(new Error('timeout'))
   }
+}
 
-  private settle (answer: HttpAnswer): void {
-    clearTimeout(this.timer)
-    this.resolve(answer)
-  }
+function getReason (error: Error & { code?: string }): string {
+  return error.code ?? error.message
 }
