--- a/src/shared/HttpCaller.test.ts
+++ b/src/shared/HttpCaller.test.ts
@@ -4,11 +4,16 @@
 import type { AddressInfo } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { buildConnector } from 'undici'
 import { HttpCaller, type HttpCallerOptions } from './HttpCaller.js'
 
 /** A time limit that no test reaches. */
 const LONG_MILLISECONDS = 20_000
 
+/** A time limit that a call on loopback keeps by far, and a longer time for which the event loop stands still. */
+const SHORT_MILLISECONDS = 500
+const BLOCKED_MILLISECONDS = 700
+
 /** A server that counts what reaches it and answers when told to. */
 class CountingServer {
   connections = 0
@@ -21,6 +26,7 @@
       this.paths.push(request.url ?? '')
       if (request.url?.startsWith('/held') !== true) {
         response.end(request.url)
+        if (request.url === '/late') blockEventLoop()
         return
       }
       this.held.push(response)
@@ -61,6 +67,10 @@
   }
 }
 
+function blockEventLoop (): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCKED_MILLISECONDS)
+}
+
 async function waitUntil (isMet: () => boolean): Promise<void> {
   while (!isMet()) await sleep(2)
 }
@@ -122,3 +132,88 @@
   assert.deepEqual(await get(caller, address, '/a'), { kind: 'not-sent', reason: 'ECONNREFUSED' })
   assert.deepEqual(ends, ['closed', 'refused'])
 })
+
+test('calls that expire while all connections are busy leave the connections open', {
+  todo: 'issue 15: the connection that such a call would have used is closed'
+}, async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 2 })
+  const held = [get(caller, server.address, '/held'), get(caller, server.address, '/held')]
+  await server.waitForHeld(2)
+  const expired = await Promise.all(Array.from({ length: 40 }, () => get(caller, server.address, '/expired', 20)))
+  assert.deepEqual(new Set(expired.map(answer => answer.kind)), new Set(['not-sent']))
+  server.answerHeld()
+  assert.deepEqual((await Promise.all(held)).map(answer => answer.kind), ['answered', 'answered'])
+  for (let index = 0; index < 4; index++) {
+    assert.equal((await get(caller, server.address, '/after')).kind, 'answered')
+  }
+  assert.equal(server.connections, 2)
+})
+
+test('a call that expires while it waits for a connection is not received and is reported as not sent', async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 1 })
+  const held = get(caller, server.address, '/held')
+  await server.waitForHeld(1)
+  assert.deepEqual(await get(caller, server.address, '/expired', 20), { kind: 'not-sent', reason: 'timeout' })
+  const after = get(caller, server.address, '/after')
+  server.answerHeld()
+  await Promise.all([held, after])
+  assert.deepEqual(server.paths, ['/held', '/after'])
+})
+
+test('a call that expires while its connection is being opened leaves the connection to the next call', {
+  todo: 'issue 15: the connection is closed as soon as it is open'
+}, async context => {
+  const server = await CountingServer.create(context)
+  const connect = buildConnector({})
+  let letOpen = (): void => {}
+  const mayOpen = new Promise<void>(resolve => { letOpen = resolve })
+  const caller = createCaller(context, {
+    connections: 1,
+    openConnection: (options, callback) => { mayOpen.then(() => connect(options, callback)) }
+  })
+  assert.deepEqual(await get(caller, server.address, '/expired', 20), { kind: 'not-sent', reason: 'timeout' })
+  const after = get(caller, server.address, '/after')
+  letOpen()
+  assert.equal((await after).kind, 'answered')
+  assert.deepEqual(server.paths, ['/after'])
+  assert.equal(server.connections, 1)
+})
+
+test('an answer that arrives while the event loop stands still is delivered', {
+  todo: 'issue 15: the call is reported as lost before the answer is read'
+}, async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 1 })
+  await get(caller, server.address, '/before')
+  assert.equal((await get(caller, server.address, '/late', SHORT_MILLISECONDS)).kind, 'answered')
+})
+
+test('the wait for a connection does not shorten the time that an answer may take', {
+  todo: 'issue 15: one time limit bounds both'
+}, async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 1 })
+  const first = get(caller, server.address, '/held')
+  await server.waitForHeld(1)
+  const second = get(caller, server.address, '/held', 1000)
+  await sleep(600)
+  server.answerHeld()
+  await server.waitForHeld(1)
+  await sleep(600)
+  server.answerHeld()
+  assert.deepEqual([(await first).kind, (await second).kind], ['answered', 'answered'])
+})
+
+test('giving up an address reports waiting calls as not sent and calls in flight as lost', {
+  todo: 'issue 15: waiting calls are reported as lost'
+}, async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 1 })
+  const inFlight = get(caller, server.address, '/held')
+  await server.waitForHeld(1)
+  const waiting = get(caller, server.address, '/waiting')
+  caller.forget(server.address)
+  assert.deepEqual([(await inFlight).kind, (await waiting).kind], ['lost', 'not-sent'])
+})
