Let calls wait in a queue of HttpCaller, so that those that expire cost nothing

Cause: calls waited in the pool of the HTTP library. One whose time was over there was reported as not sent but kept its place; when a connection became free, it was aborted, which closed the connection. The next call opened a new one, which takes a round trip and processor time, so that more calls expired. Ruled out: only refusing such a call later, as it still takes its turn on a connection. Change: CallQueue gives a call a connection when one is free; a call that expires leaves the queue, and the library never has more than one request for a connection. A call that expires while its connection is opened is refused without closing the connection. The connection that was used last is taken first. An address that is given up reports calls that were never sent as not sent, also those whose connection is still being opened; any failure before a request is sent is now "not-sent"; before, only refused connections and those that took too long were. Evidence: three tests failed before and pass: 40 calls that expire behind two connections, accepted connections 42 before, 2 after; a call that expires while its connection is opened, 2 before, 1 after; the outcomes of an address that is given up. Calls one at a time opened 2 connections before and 1 after.

--- /dev/null
+++ b/src/shared/CallQueue.ts
@@ -0,0 +1,88 @@
+/** A call that runs on one connection. */
+export interface QueuedCall<Connection> {
+  /** Runs once, when a connection is free; `release` follows when the call no longer uses it. */
+  start (connection: Connection): void
+  /** Runs when the queue is closed while the call waits. */
+  close (): void
+}
+
+/** Options of a queue. */
+export interface CallQueueOptions<Connection> {
+  /** The greatest number of connections. */
+  connections: number
+  createConnection (): Connection
+  /** Returns whether a call can be sent on the connection without opening it first. */
+  isOpen (connection: Connection): boolean
+}
+
+/** Lets calls wait in order until one of a few connections is free; a call that leaves the queue costs nothing. */
+export class CallQueue<Connection> {
+  private readonly waiting = new Set<QueuedCall<Connection>>()
+  private readonly idle: Connection[] = []
+  private created = 0
+
+  private constructor (private readonly options: CallQueueOptions<Connection>) {}
+
+  /**
+   * Creates a queue without connections.
+   * @param options How many connections there may be, and how to make one.
+   * @returns The queue.
+   */
+  static create<Connection> (options: CallQueueOptions<Connection>): CallQueue<Connection> {
+    return new CallQueue(options)
+  }
+
+  /**
+   * Starts a call, or lets it wait for a connection.
+   * @param call The call.
+   */
+  add (call: QueuedCall<Connection>): void {
+    const connection = this.takeIdle() ?? this.createWithinLimit()
+    if (connection === null) this.waiting.add(call)
+    else call.start(connection)
+  }
+
+  /**
+   * Takes back a call that waits.
+   * @param call The call.
+   * @returns Whether it waited; a call that has started is left alone.
+   */
+  remove (call: QueuedCall<Connection>): boolean {
+    return this.waiting.delete(call)
+  }
+
+  /** Closes all calls that wait. */
+  close (): void {
+    const calls = [...this.waiting]
+    this.waiting.clear()
+    for (const call of calls) call.close()
+  }
+
+  /**
+   * Gives back the connection of a call that ended and starts the next call on it.
+   * @param connection The connection.
+   */
+  release (connection: Connection): void {
+    const [next] = this.waiting
+    if (next === undefined) {
+      this.idle.push(connection)
+      return
+    }
+    this.waiting.delete(next)
+    next.start(connection)
+  }
+
+  /** Prefers the connection that was used last, so that no more are kept open than the calls need. */
+  private takeIdle (): Connection | null {
+    for (let index = this.idle.length - 1; index >= 0; index--) {
+      if (this.options.isOpen(this.idle[index])) return this.idle.splice(index, 1)[0]
+    }
+    return this.idle.pop() ?? null
+  }
+
+  private createWithinLimit (): Connection | null {
+    if (this.created >= this.options.connections) return null
+    this.created++
+    return this.options.createConnection()
+  }
+}
--- a/src/shared/HttpCaller.test.ts
+++ b/src/shared/HttpCaller.test.ts
@@ -133,9 +133,7 @@
   assert.deepEqual(ends, ['closed', 'refused'])
 })
 
-test('calls that expire while all connections are busy leave the connections open', {
-  todo: 'issue 15: the connection that such a call would have used is closed'
-}, async context => {
+test('calls that expire while all connections are busy leave the connections open', async context => {
   const server = await CountingServer.create(context)
   const caller = createCaller(context, { connections: 2 })
   const held = [get(caller, server.address, '/held'), get(caller, server.address, '/held')]
@@ -162,9 +160,7 @@
   assert.deepEqual(server.paths, ['/held', '/after'])
 })
 
-test('a call that expires while its connection is being opened leaves the connection to the next call', {
-  todo: 'issue 15: the connection is closed as soon as it is open'
-}, async context => {
+test('a call that expires while its connection is being opened leaves the connection to the next call', async context => {
   const server = await CountingServer.create(context)
   const connect = buildConnector({})
   let letOpen = (): void => {}
@@ -206,9 +202,7 @@
   assert.deepEqual([(await first).kind, (await second).kind], ['answered', 'answered'])
 })
 
-test('giving up an address reports waiting calls as not sent and calls in flight as lost', {
-  todo: 'issue 15: waiting calls are reported as lost'
-}, async context => {
+test('giving up an address reports waiting calls as not sent and calls in flight as lost', async context => {
   const server = await CountingServer.create(context)
   const caller = createCaller(context, { connections: 1 })
   const inFlight = get(caller, server.address, '/held')
@@ -217,3 +211,31 @@
   caller.forget(server.address)
   assert.deepEqual([(await inFlight).kind, (await waiting).kind], ['lost', 'not-sent'])
 })
+
+test('giving up an address reports a call whose connection is still being opened as not sent', async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 1, openConnection: () => {} })
+  const opening = get(caller, server.address, '/opening')
+  caller.forget(server.address)
+  assert.equal((await opening).kind, 'not-sent')
+})
+
+test('calls that wait go on after calls in flight have expired or their connections broke', async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 2 })
+  const expired = Array.from({ length: 2 }, () => get(caller, server.address, '/held', 100))
+  const broken = Array.from({ length: 2 }, () => get(caller, server.address, '/held'))
+  const answered = Array.from({ length: 20 }, () => get(caller, server.address, '/after'))
+  assert.deepEqual((await Promise.all(expired)).map(answer => answer.kind), ['lost', 'lost'])
+  await server.waitForHeld(4)
+  server.dropConnections()
+  assert.deepEqual((await Promise.all(broken)).map(answer => answer.kind), ['lost', 'lost'])
+  assert.deepEqual(new Set((await Promise.all(answered)).map(answer => answer.kind)), new Set(['answered']))
+})
+
+test('calls in turn use one connection', async context => {
+  const server = await CountingServer.create(context)
+  const caller = createCaller(context, { connections: 3 })
+  for (let index = 0; index < 10; index++) await get(caller, server.address, '/in-turn')
+  assert.equal(server.connections, 1)
+})
--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -1,4 +1,6 @@
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { CallQueue } from './CallQueue.js'
+import { HttpConnection, openTcpConnection, type OpenConnection } from './HttpConnection.js'
+import { HttpExchange } from './HttpExchange.js'
 
 /** One call of an HTTP service. */
 export interface HttpCall {
@@ -15,7 +17,7 @@
 /** What came back of a call. */
 export type HttpAnswer =
   | { kind: 'answered', statusCode: number, body: Buffer }
-  /** The service received nothing: the connection was refused. */
+  /** The service received nothing. */
   | { kind: 'not-sent', reason: string }
   /** The service may have received the call. */
   | { kind: 'lost', reason: string }
@@ -33,9 +35,6 @@
   callEnded (address: string, end: HttpCallEnd): void
 }
 
-/** Opens a connection to the host and port that it is given, and passes it or the error on. */
-export type OpenConnection = buildConnector.connector
-
 /** Options of a caller. */
 export interface HttpCallerOptions {
   /** The greatest number of connections to one address. */
@@ -45,22 +44,21 @@
   openConnection?: OpenConnection
 }
 
-/** Idle connections stay open this long; opening one costs round trips and is billed. */
-const KEEP_ALIVE_MILLISECONDS = 60_000
-/** A connection that takes longer to open goes to a machine that is off or cut off. */
-const CONNECT_TIMEOUT_MILLISECONDS = 1000
-
-const openTcpConnection = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS, noDelay: true })
+/** The calls and connections of one address. */
+interface Service {
+  queue: CallQueue<HttpConnection>
+  connections: HttpConnection[]
+}
 
 /** Makes HTTP calls over kept connections, without the cost of the stream interfaces. */
 export class HttpCaller {
-  private readonly pools = new Map<string, Pool>()
+  private readonly services = new Map<string, Service>()
 
   private constructor (private readonly options: HttpCallerOptions) {}
 
   /**
    * Creates a caller.
-   * @param options The limit of connections.
+   * @param options The limit of connections, and who is told of them.
    * @returns The caller.
    */
   static create (options: HttpCallerOptions): HttpCaller {
@@ -73,117 +71,56 @@
    * @returns The answer, or whether the service may have received the call.
    */
   call (call: HttpCall): Promise<HttpAnswer> {
-    const pool = this.getPool(call.address)
-    return new Promise(resolve => {
-      const collector = AnswerCollector.create(call.timeoutMilliseconds, (answer, end) => {
+    const { queue } = this.getService(call.address)
+    return new Promise(resolve => HttpExchange.start({
+      call,
+      queue,
+      settle: (answer, end) => {
         this.options.observer?.callEnded(call.address, end)
         resolve(answer)
-      })
-      pool.dispatch({
-        method: call.method,
-        path: call.path,
-        headers: call.headers,
-        body: call.body,
-        // The collector's own timer applies; the timers of the library are too coarse.
-        headersTimeout: 0,
-        bodyTimeout: 0
-      }, collector)
-    })
+      }
+    }))
   }
 
-  /** Closes the connections to an address that is not called any more. */
+  /** Closes the connections to an address that is not called any more, and ends its calls. */
   forget (address: string): void {
-    const pool = this.pools.get(address)
-    this.pools.delete(address)
-    // The answers of calls in flight are reported as lost by their own handlers.
-    pool?.destroy().catch(() => {})
+    const service = this.services.get(address)
+    if (service === undefined) return
+    this.services.delete(address)
+    service.queue.close()
+    for (const connection of service.connections) connection.destroy()
   }
 
-  /** Closes all connections. */
+  /** Closes all connections and ends all calls. */
   close (): void {
-    for (const address of [...this.pools.keys()]) this.forget(address)
+    for (const address of [...this.services.keys()]) this.forget(address)
   }
 
-  private getPool (address: string): Pool {
-    const known = this.pools.get(address)
+  private getService (address: string): Service {
+    const known = this.services.get(address)
     if (known !== undefined) return known
-    const pool = new Pool(`http://${address}`, {
+    const connections: HttpConnection[] = []
+    const queue = CallQueue.create<HttpConnection>({
       connections: this.options.connections,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
-      connect: this.options.openConnection ?? openTcpConnection
+      createConnection: () => {
+        const connection = this.createConnection(address)
+        connections.push(connection)
+        return connection
+      },
+      isOpen: connection => connection.isOpen
     })
-    const { observer } = this.options
-    if (observer !== undefined) {
-      pool.on('connect', () => observer.connectionOpened(address))
-      pool.on('disconnect', (_origin, _targets, error) => observer.connectionClosed(address, getReason(error)))
-    }
-    this.pools.set(address, pool)
-    return pool
-  }
-}
-
-type Settle = (answer: HttpAnswer, end: HttpCallEnd) => void
-
-/** Collects one answer and drops the connection when the time is over. */
-class AnswerCollector implements Dispatcher.DispatchHandler {
-  private controller: Dispatcher.DispatchController | null = null
-  private statusCode = 0
-  private chunks: Buffer[] = []
-  private timedOut = false
-  private readonly timer: NodeJS.Timeout
-
-  private constructor (timeoutMilliseconds: number, private readonly settle: Settle) {
-    this.timer = setTimeout(() => this.expire(), timeoutMilliseconds)
-  }
-
-  static create (timeoutMilliseconds: number, settle: Settle): AnswerCollector {
-    return new AnswerCollector(timeoutMilliseconds, settle)
-  }
-
-  onRequestStart (controller: Dispatcher.DispatchController): void {
-    this.controller = controller
-    if (this.timedOut) controller.abort(new Error('timeout'))
-  }
-
-  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
-    this.statusCode = statusCode
-  }
-
-  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.chunks.push(chunk)
-  }
-
-  onResponseEnd (): void {
-    clearTimeout(this.timer)
-    const body = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks)
-    this.settle({ kind: 'answered', statusCode: this.statusCode, body }, 'answered')
-  }
-
-  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    if (this.timedOut) return
-    clearTimeout(this.timer)
-    const reason = getReason(error)
-    const isRefused = reason === 'ECONNREFUSED' || reason === 'UND_ERR_CONNECT_TIMEOUT'
-    const isClosed = reason === 'UND_ERR_DESTROYED'
-    this.settle(
-      { kind: isRefused ? 'not-sent' : 'lost', reason },
-      isRefused ? 'refused' : isClosed ? 'closed' : 'broken'
-    )
+    const service = { queue, connections }
+    this.services.set(address, service)
+    return service
   }
 
-  private expire (): void {
-    this.timedOut = true
-    const isWaiting = this.controller === null
-    this.settle(
-      { kind: isWaiting ? 'not-sent' : 'lost', reason: 'timeout' },
-      isWaiting ? 'expired-waiting' : 'expired-in-flight'
-    )
-    this.controller?.abort(new Error('timeout'))
+  private createConnection (address: string): HttpConnection {
+    const { observer, openConnection = openTcpConnection } = this.options
+    return HttpConnection.create({
+      address,
+      openConnection,
+      opened: () => observer?.connectionOpened(address),
+      closed: reason => observer?.connectionClosed(address, reason)
+    })
   }
 }
-
-function getReason (error: Error & { code?: string }): string {
-  return error.code ?? error.message
-}
--- /dev/null
+++ b/src/shared/HttpExchange.ts
@@ -0,0 +1,100 @@
+import type { Dispatcher } from 'undici'
+import type { CallQueue, QueuedCall } from './CallQueue.js'
+import type { HttpAnswer, HttpCall, HttpCallEnd } from './HttpCaller.js'
+import { getReason, type HttpConnection } from './HttpConnection.js'
+
+/** Options of an exchange. */
+export interface HttpExchangeOptions {
+  call: HttpCall
+  queue: CallQueue<HttpConnection>
+  /** Runs once, with what came back. */
+  settle (answer: HttpAnswer, end: HttpCallEnd): void
+}
+
+/** One call from its wait for a connection to its answer. */
+export class HttpExchange implements QueuedCall<HttpConnection>, Dispatcher.DispatchHandler {
+  private connection: HttpConnection | null = null
+  /** Present once the request is sent. */
+  private controller: Dispatcher.DispatchController | null = null
+  private statusCode = 0
+  private readonly chunks: Buffer[] = []
+  private isSettled = false
+  private readonly timer: NodeJS.Timeout
+
+  private constructor (private readonly options: HttpExchangeOptions) {
+    this.timer = setTimeout(() => this.expire(), options.call.timeoutMilliseconds)
+  }
+
+  /**
+   * Starts a call, or lets it wait in the queue.
+   * @param options The call, its queue and who is told of its end.
+   */
+  static start (options: HttpExchangeOptions): void {
+    options.queue.add(new HttpExchange(options))
+  }
+
+  start (connection: HttpConnection): void {
+    this.connection = connection
+    const { method, path, headers, body } = this.options.call
+    // The timers of the library are too coarse.
+    connection.dispatch({ method, path, headers, body, headersTimeout: 0, bodyTimeout: 0 }, this)
+  }
+
+  /** Ends a call that waits, as its address is given up. */
+  close (): void {
+    this.settle({ kind: 'not-sent', reason: 'closed' }, 'closed')
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    // Unlike an abort, an error that is thrown here leaves the connection open.
+    if (this.isSettled) throw new Error('the call expired before its connection was open')
+    this.controller = controller
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.statusCode = statusCode
+  }
+
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    const body = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks)
+    this.settle({ kind: 'answered', statusCode: this.statusCode, body }, 'answered')
+    this.release()
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    const reason = getReason(error)
+    const isSent = this.controller !== null
+    const isClosed = reason === 'UND_ERR_DESTROYED'
+    this.settle({ kind: isSent ? 'lost' : 'not-sent', reason }, isClosed ? 'closed' : isSent ? 'broken' : 'refused')
+    this.release()
+  }
+
+  private expire (): void {
+    if (this.controller === null) {
+      this.options.queue.remove(this)
+      this.settle({ kind: 'not-sent', reason: 'timeout' }, 'expired-waiting')
+    } else {
+      this.settle({ kind: 'lost', reason: 'timeout' }, 'expired-in-flight')
+      // A connection that stays silent is not used again.
+      this.controller.abort(new Error('timeout'))
+    }
+  }
+
+  private settle (answer: HttpAnswer, end: HttpCallEnd): void {
+    if (this.isSettled) return
+    this.isSettled = true
+    clearTimeout(this.timer)
+    this.options.settle(answer, end)
+  }
+
+  private release (): void {
+    const { connection } = this
+    if (connection === null) return
+    this.connection = null
+    this.options.queue.release(connection)
+  }
+}
