Keep a run that a list has shown when an older try of its start is refused

What callers could see: a task at work in two places at once (TWICE). Cause: a start is tried again under the same attempt. When a list shows the run meanwhile, and it is then being stopped (its worker drains, it stands still), a refused later try removed the run although it still worked, and its task started elsewhere at once. Change: a run that a list or an answered stop has settled is over only by a later list. Test: fails before (attempt 2 is started at 40 ms while attempt 1 is being stopped) and passes with the change. Conclusion: the other causes for which a run is given up are unchanged.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -132,3 +132,18 @@
     'worker-0 job.0.0.0 task-done', 'worker-0 other.0.0.0 unknown-job', 'worker-0 job.0.0.1#1 not-listed'
   ])
 })
+
+test('a run that a list has shown keeps its place when an older try of its start is refused while it is stopped', () => {
+  const engine = createEngine(2, [{ checkpointing: true }])
+  const [{ worker, run }] = plan(engine, 10)
+  run.sentAt = 10
+  run.startUncertain = true
+  const running = [{ taskName: run.task.name, attempt: 1, checkpoint: '', percent: 5, usageFigure: 1000 }]
+  engine.applyReport(worker, { ...EMPTY_REPORT, running }, 20, 21)
+  engine.setWorker({ ...worker.entry, state: 'draining', remainingMilliseconds: 0 })
+  assert.equal(run.state, 'stopping')
+  engine.applyStartOutcome(worker, run, { kind: 'rejected', reason: 'late' }, 30)
+  assert.deepEqual(plan(engine, 40), [])
+  engine.applyReport(worker, EMPTY_REPORT, 50, 51)
+  assert.equal(plan(engine, 60).length, 1)
+})
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -233,8 +233,9 @@
       if (run.state === 'starting') this.orderStop(worker, run.task.name, run.attempt, run)
       return
     }
-    const cause = outcome.kind === 'not-sent' ? 'not-sent' : 'start-refused'
-    if (run.state === 'starting' || run.state === 'stopping') this.loseRun(worker, run, cause, now)
+    // Another try of the same start was carried out, or a stop was answered: lists tell when the run is over.
+    if (run.settledAt !== null) return
+    this.loseRun(worker, run, outcome.kind === 'not-sent' ? 'not-sent' : 'start-refused', now)
   }
 
   /**
