Place no more starts than can be sent soon

Callers saw: lasting tasks came back 25 s after a lapse (LOST), and too little was served (SHORT). Cause: after a takeover one plan placed every task that had to start again, some 450 at once. The owner's loop stood still for up to 0.7 s, and the starts were sent long after the lists on which they were placed. Change: a plan stops when 64 orders wait for their turn, highest rank first; the next one places the rest on newer lists. Test: a plan with a limit of 3 places 3 of 10 tasks, and later plans the other 7.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -147,3 +147,15 @@
   engine.applyReport(worker, EMPTY_REPORT, 50, 51)
   assert.equal(plan(engine, 60).length, 1)
 })
+
+test('a plan places no more starts than can be sent, and the next one goes on where room is left', () => {
+  const engine = createEngine(4, [{ taskCount: 10, processorsMilli: 1000 }])
+  engine.plan(10, 10, true, 3)
+  assert.equal(engine.takeOrders().length, 3)
+  engine.plan(20, 20, true, 0)
+  assert.equal(engine.takeOrders().length, 0)
+  engine.plan(30, 30, true, 20)
+  assert.equal(engine.takeOrders().length, 7)
+  engine.plan(40, 40, true, 20)
+  assert.equal(engine.takeOrders().length, 0)
+})
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -60,6 +60,8 @@
   private readonly unresolved = new Map<string, number>()
   private queueServices: ReadonlyMap<string, string> = new Map()
   private dirty = true
+  /** How many more tasks the current plan may start. */
+  private startsLeft = Infinity
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
     this.jobs = JobTable.create({ epoch })
@@ -273,10 +275,12 @@
    * @param now The monotonic time.
    * @param wallMilliseconds The time of day.
    * @param mayStart Whether new starts are allowed now.
+   * @param startLimit How many starts can be sent soon; the tasks beyond it are placed by a later plan, on newer lists.
    */
-  plan (now: number, wallMilliseconds: number, mayStart: boolean): void {
+  plan (now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity): void {
     this.expireWorkers(now)
-    if (!mayStart || !this.dirty) return
+    if (!mayStart || !this.dirty || startLimit <= 0) return
+    this.startsLeft = startLimit
     this.dirty = false
     const blocked = new Set<string>()
     for (const job of rankJobs(this.jobs.getJobs(), wallMilliseconds)) {
@@ -287,6 +291,10 @@
         for (const step of occurrence.steps) {
           if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
           this.startTasks(step, this.getConditions(serviceName, now), blocked)
+          if (this.startsLeft <= 0) {
+            this.dirty = true
+            return
+          }
         }
       }
     }
@@ -341,6 +349,7 @@
     if (blocked.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
+      if (this.startsLeft <= 0) return
       const worker = chooseWorker(task, this.getWorkers(), conditions)
       if (worker === null) {
         blocked.add(size)
@@ -367,6 +376,7 @@
       overTargetSince: null,
       slowedSince: null
     }
+    this.startsLeft--
     task.nextAttempt = attempt + 1
     addRun(worker, run)
     this.orders.push({ kind: 'start', worker, run })
--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -44,6 +44,7 @@
   private readonly lanes = new Map<string, WorkerLane>()
   /** Lanes with waiting orders in the order of their turns. */
   private readonly turns = new Set<WorkerLane>()
+  private waitingCount = 0
 
   private constructor (private readonly options: OrderGateOptions) {
     this.total = ConcurrencyLimit.create({ limit: options.totalLimit })
@@ -63,6 +64,11 @@
     return this.total.getUsed()
   }
 
+  /** The number of orders that wait for their turn. */
+  get waiting (): number {
+    return this.waitingCount
+  }
+
   /**
    * Waits until an order may be sent.
    * @param request The order.
@@ -70,8 +76,13 @@
    */
   async acquire (request: OrderRequest): Promise<'send' | 'withdrawn'> {
     const lane = this.getLane(request.workerId)
+    this.waitingCount++
     return await new Promise(resolve => {
-      lane.waiting[request.priority].push({ isNeeded: request.isNeeded, settle: resolve })
+      const settle = (outcome: 'send' | 'withdrawn') => {
+        this.waitingCount--
+        resolve(outcome)
+      }
+      lane.waiting[request.priority].push({ isNeeded: request.isNeeded, settle })
       this.turns.add(lane)
       this.advance()
     })
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -60,6 +60,11 @@
     this.gate.withdrawUnneeded()
   }
 
+  /** The number of orders that wait to be sent. */
+  get waiting (): number {
+    return this.gate.waiting
+  }
+
   /** Withdraws waiting orders that have lost their reason, so that their room is free at once. */
   withdrawUnneeded (): void {
     this.gate.withdrawUnneeded()
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -48,6 +48,8 @@
 const OWNER_START_LIMIT_MILLISECONDS = 5000
 /** Changes of this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
+/** More starts than these are placed only when earlier ones were sent: about 0.2 s of them at 300 starts a second. */
+const WAITING_ORDER_LIMIT = 64
 /** How often time alone is looked at: leases that ended, occurrences that are due. */
 const TICK_MILLISECONDS = 200
 /** A connection that has gone silent must show within the 3 s in which a cancelled job has to stop. */
@@ -391,7 +393,7 @@
     const mayStart = !this.draining && this.loaded && site.getConfiguration() !== null &&
       this.getRenewalAge() < OWNER_START_LIMIT_MILLISECONDS
     this.sender.withdrawUnneeded()
-    this.engine.plan(now, clock.wallMilliseconds(), mayStart)
+    this.engine.plan(now, clock.wallMilliseconds(), mayStart, WAITING_ORDER_LIMIT - this.sender.waiting)
     for (const order of this.engine.takeOrders()) {
       const entry = this.loops.get(order.worker.entry.workerId)
       if (entry !== undefined) this.sender.send(order, entry.client)
