Let the time limit of an answer run from the moment its call is sent

Cause: one time limit, set when the call is made, bounds the wait for a connection and the answer. Ruled out: a second timer for each call. The limit is extended without setting a timer. Change: timeoutMilliseconds runs from the moment the request is sent; queueTimeoutMilliseconds, by default the same, bounds the time before. A call may therefore take twice its limit, if its caller does not set the second one.

--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -1,4 +1,5 @@
 import { CallQueue } from './CallQueue.js'
+import { SystemClock, type Clock } from './Clock.js'
 import { HttpConnection, openTcpConnection, type OpenConnection } from './HttpConnection.js'
 import { HttpExchange } from './HttpExchange.js'
 
@@ -10,8 +11,10 @@
   path: string
   headers?: Record<string, string>
   body?: string | Buffer
-  /** After this time the connection is dropped, so that a silent one is not used again. */
+  /** Runs from the moment the call is sent; then the connection is dropped, so that a silent one is not used again. */
   timeoutMilliseconds: number
+  /** How long the call may wait before it is sent; the same as `timeoutMilliseconds` when absent. */
+  queueTimeoutMilliseconds?: number
 }
 
 /** What came back of a call. */
@@ -54,6 +57,8 @@
 export class HttpCaller {
   private readonly services = new Map<string, Service>()
 
+  private readonly clock: Clock = SystemClock.create()
+
   private constructor (private readonly options: HttpCallerOptions) {}
 
   /**
@@ -75,6 +80,7 @@
     return new Promise(resolve => HttpExchange.start({
       call,
       queue,
+      clock: this.clock,
       settle: (answer, end) => {
         this.options.observer?.callEnded(call.address, end)
         resolve(answer)
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -1,12 +1,15 @@
 import type { Dispatcher } from 'undici'
 import type { CallQueue, QueuedCall } from './CallQueue.js'
+import type { Clock } from './Clock.js'
 import type { HttpAnswer, HttpCall, HttpCallEnd } from './HttpCaller.js'
 import { getReason, type HttpConnection } from './HttpConnection.js'
+import { TimeLimit } from './TimeLimit.js'
 
 /** Options of an exchange. */
 export interface HttpExchangeOptions {
   call: HttpCall
   queue: CallQueue<HttpConnection>
+  clock: Clock
   /** Runs once, with what came back. */
   settle (answer: HttpAnswer, end: HttpCallEnd): void
 }
@@ -19,10 +22,11 @@
   private statusCode = 0
   private readonly chunks: Buffer[] = []
   private isSettled = false
-  private readonly timer: NodeJS.Timeout
+  private readonly limit: TimeLimit
 
   private constructor (private readonly options: HttpExchangeOptions) {
-    this.timer = setTimeout(() => this.expire(), options.call.timeoutMilliseconds)
+    this.limit = TimeLimit.create({ clock: options.clock, expire: () => this.expire() })
+    this.limit.start(options.call.queueTimeoutMilliseconds ?? options.call.timeoutMilliseconds)
   }
 
   /**
@@ -49,6 +53,7 @@
     // Unlike an abort, an error that is thrown here leaves the connection open.
     if (this.isSettled) throw new Error('the call expired before its connection was open')
     this.controller = controller
+    this.limit.start(this.options.call.timeoutMilliseconds)
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
@@ -87,7 +92,7 @@
   private settle (answer: HttpAnswer, end: HttpCallEnd): void {
     if (this.isSettled) return
     this.isSettled = true
-    clearTimeout(this.timer)
+    this.limit.cancel()
     this.options.settle(answer, end)
   }
 
--- /dev/null
+++ b/src/shared/TimeLimit.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { TimeLimit } from './TimeLimit.js'
+import { VirtualClock } from './VirtualClock.js'
+
+function createLimit () {
+  const clock = VirtualClock.create()
+  const expiredAt: number[] = []
+  const limit = TimeLimit.create({ clock, expire: () => { expiredAt.push(clock.monotonicMilliseconds()) } })
+  return { clock, limit, expiredAt }
+}
+
+test('a limit passes once at its end', async () => {
+  const { clock, limit, expiredAt } = createLimit()
+  limit.start(100)
+  await clock.advance(1000)
+  assert.deepEqual(expiredAt, [100])
+})
+
+test('a cancelled limit does not pass', async () => {
+  const { clock, limit, expiredAt } = createLimit()
+  limit.start(100)
+  await clock.advance(99)
+  limit.cancel()
+  await clock.advance(1000)
+  assert.deepEqual(expiredAt, [])
+})
+
+test('a limit that is started anew passes at the new end, later or earlier', async () => {
+  const { clock, limit, expiredAt } = createLimit()
+  limit.start(100)
+  await clock.advance(60)
+  limit.start(100)
+  await clock.advance(200)
+  limit.start(100)
+  limit.start(10)
+  await clock.advance(200)
+  assert.deepEqual(expiredAt, [160, 270])
+})
--- /dev/null
+++ b/src/shared/TimeLimit.ts
@@ -0,0 +1,61 @@
+import type { CancelTimer, Clock } from './Clock.js'
+
+/** Options of a time limit. */
+export interface TimeLimitOptions {
+  clock: Clock
+  /** Runs when the time is over; not after `cancel`. */
+  expire (): void
+}
+
+/** A time limit that is cheap to extend. */
+export class TimeLimit {
+  private deadline = 0
+  /** When the timer runs; a limit that is extended leaves it in place. */
+  private timerDue = Infinity
+  private cancelTimer: CancelTimer | null = null
+
+  private constructor (private readonly options: TimeLimitOptions) {}
+
+  /**
+   * Creates a limit that is not yet running.
+   * @param options The clock and what to do at the end.
+   * @returns The limit.
+   */
+  static create (options: TimeLimitOptions): TimeLimit {
+    return new TimeLimit(options)
+  }
+
+  /**
+   * Starts the limit, or starts it anew.
+   * @param milliseconds How long it lasts from now.
+   */
+  start (milliseconds: number): void {
+    this.deadline = this.options.clock.monotonicMilliseconds() + milliseconds
+    if (this.timerDue <= this.deadline) return
+    this.cancel()
+    this.setTimer(milliseconds)
+  }
+
+  /** Ends the limit without effect. */
+  cancel (): void {
+    this.cancelTimer?.()
+    this.cancelTimer = null
+    this.timerDue = Infinity
+  }
+
+  private setTimer (milliseconds: number): void {
+    this.timerDue = this.deadline
+    this.cancelTimer = this.options.clock.setTimer(milliseconds, () => this.check())
+  }
+
+  private check (): void {
+    const rest = this.deadline - this.options.clock.monotonicMilliseconds()
+    if (rest > 0) {
+      // Timers of the machine have whole milliseconds.
+      this.setTimer(Math.ceil(rest))
+    } else {
+      this.cancel()
+      this.options.expire()
+    }
+  }
+}
