Ask the workers of an earlier owner before its leases count as over

What callers could see: after a takeover a task that was done is started again (TWICE). Cause: the workers that an earlier owner may have used counted as settled when its leases were over by time, although this owner had not asked them. Ends that were listed and not acknowledged were then unknown to it. Test: fails before (the task is started again and again from 6 s on) and passes with the change.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -453,7 +453,9 @@
 
   private expireWorkers (now: number): void {
     for (const [workerId, expiresAt] of this.unresolved) {
-      if (now >= expiresAt) {
+      // Ends of before the expiry are in the lists of a worker that this owner has not asked yet.
+      const askedAt = this.workers.get(workerId)?.unansweredCallSentAt ?? null
+      if (askedAt !== null && askedAt >= expiresAt) {
         this.unresolved.delete(workerId)
         this.dirty = true
       }
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -41,7 +41,7 @@
 
 /** An owner with workers whose calls are answered by the test, planning each 100 ms. */
 function createOwner (
-  workerCalls: Array<(clock: VirtualClock) => FakeCalls>, steps: Array<Partial<StepSpecification>>
+  workerCalls: Array<(clock: VirtualClock) => FakeCalls>, steps: Array<Partial<StepSpecification>>, recovered = false
 ) {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
@@ -94,8 +94,12 @@
       }
     },
     progress: null,
-    recovered: false
+    recovered
   }, clock.monotonicMilliseconds())
+  if (recovered) {
+    const expiresAt = clock.monotonicMilliseconds() + LEASE_MILLISECONDS
+    for (const workerId of clients.keys()) engine.expectAnswer(workerId, expiresAt)
+  }
   const plan = () => {
     const now = clock.monotonicMilliseconds()
     engine.markDirty()
@@ -173,3 +177,29 @@
   assert.equal(started.length, inFlight)
   assert.equal([...engine.workers.values()][0].runs.size <= inFlight, true)
 })
+
+test('a new owner starts no task that was done before while it could not ask a worker for longer than a lease', async () => {
+  const started: string[] = []
+  let canAsk = false
+  const silent = (clock: VirtualClock): FakeCalls => ({
+    hold: () => {
+      if (!canAsk) return { kind: 'not-sent', reason: 'timeout' }
+      const end = { number: 1, taskName: 'job.0.0.0', attempt: 1, end: 'done' as const, checkpoint: '' }
+      return createReport(clock, { ended: [end] })
+    },
+    start: async () => ({ kind: 'not-sent', reason: 'timeout' })
+  })
+  const other = (clock: VirtualClock): FakeCalls => ({
+    hold: () => createReport(clock, {}),
+    start: async taskName => {
+      started.push(taskName)
+      return { kind: 'accepted', workerMilliseconds: null }
+    }
+  })
+  const { clock, engine } = createOwner([silent, other], [{}], true)
+  await clock.advance(LEASE_MILLISECONDS + 2000)
+  canAsk = true
+  await clock.advance(1000)
+  assert.deepEqual(started, [])
+  assert.equal(engine.jobs.getJob('job')?.finalState, 'completed')
+})
