Add failing tests of starts that wait for their turn

Cause: a waiting start is not withdrawn when its worker drains or its data centre gets no new work, and a call that throws keeps its turn. All are todo until the fix.

--- /dev/null
+++ b/src/instance/orderTurns.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Registry } from 'prom-client'
+import { createStep } from '../../stand-ins/platform/createStep.js'
+import { DispatchEngine, type OrderOutcome, type WorkerClient } from '../dispatch/index.js'
+import { silentLogger } from '../shared/Logger.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+import { createInstanceMetrics } from './InstanceMetrics.js'
+import { OrderSender } from './OrderSender.js'
+
+const ACCEPTED: OrderOutcome = { kind: 'accepted', workerMilliseconds: null }
+
+/** An owner of one worker with three tasks, whose starts the test answers. */
+function createOwner (start: (attempt: number) => Promise<OrderOutcome>) {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 1 })
+  const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
+  const sender = OrderSender.create({
+    engine, clock, logger: silentLogger, metrics, onChange: () => {}, onDeposed: () => {}
+  })
+  const worker = engine.setWorker({
+    workerId: 'worker-0',
+    serviceName: 'desk',
+    address: 'host:1',
+    dataCentre: 'south-a',
+    state: 'ready',
+    labels: [],
+    capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
+    bornAtMilliseconds: 1,
+    remainingMilliseconds: null
+  })
+  worker.registered = true
+  engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 990, 1000)
+  engine.jobs.add({
+    submission: {
+      jobId: 'job',
+      queueName: 'queue',
+      serviceName: 'desk',
+      priority: 0,
+      attemptLimit: 3,
+      stretch: 2,
+      targetLatencyMilliseconds: 400,
+      acceptedAtMilliseconds: 0,
+      specification: {
+        taskDescription: 'text',
+        steps: [createStep({ taskCount: 3, processorsMilli: 1000 })],
+        startAtMilliseconds: 0,
+        intervalMilliseconds: 0,
+        repeatCount: 0
+      }
+    },
+    progress: null,
+    recovered: false
+  }, 1000)
+  const client: WorkerClient = {
+    start: async order => await start(order.attempt),
+    stop: async () => ACCEPTED,
+    setPace: async () => ACCEPTED,
+    hold: async () => ({ kind: 'unknown', reason: 'not used' }),
+    close: () => {}
+  }
+  engine.plan(1000, 1000, true)
+  const sent = engine.takeOrders().map(order => sender.send(order, client))
+  return { clock, engine, worker, sent }
+}
+
+/** Holds starts back until the test lets all go. */
+function createHeldStarts () {
+  let count = 0
+  const held: Array<(outcome: OrderOutcome) => void> = []
+  return {
+    start: async () => {
+      count++
+      return await new Promise<OrderOutcome>(resolve => held.push(resolve))
+    },
+    answer: () => { for (const resolve of held.splice(0)) resolve(ACCEPTED) },
+    getCount: () => count
+  }
+}
+
+test('a start that waits for its turn is withdrawn when its worker begins to drain', {
+  todo: 'a start that waits is withdrawn only when its run is settled or its worker gives no answer'
+}, async () => {
+  const starts = createHeldStarts()
+  const { clock, engine, worker } = createOwner(starts.start)
+  await clock.advance(1)
+  assert.equal(starts.getCount(), 2)
+  engine.setWorker({ ...worker.entry, state: 'draining', remainingMilliseconds: 2000 })
+  starts.answer()
+  await clock.advance(1)
+  assert.equal(starts.getCount(), 2)
+})
+
+test('a start that waits for its turn is withdrawn when its data centre gets no new work', {
+  todo: 'a start that waits is withdrawn only when its run is settled or its worker gives no answer'
+}, async () => {
+  const starts = createHeldStarts()
+  const { clock, engine } = createOwner(starts.start)
+  await clock.advance(1)
+  engine.setDataCentresOut(new Set(['south-a']))
+  starts.answer()
+  await clock.advance(1)
+  assert.equal(starts.getCount(), 2)
+})
+
+test('a call that throws gives its turn back', {
+  todo: 'sendInTurn releases its turn only when the call resolves'
+}, async () => {
+  let count = 0
+  const { clock, sent } = createOwner(async () => {
+    count++
+    throw new Error('no answer can be made of this')
+  })
+  for (const promise of sent) promise.catch(() => {})
+  await clock.advance(1)
+  assert.equal(count, 3)
+})
