Start the next call only after the failure of a connection was reported

What callers would have seen: a process that ends by itself when a worker or a peer refuses a connection while further calls wait for it. Cause: the next call was started from within the library's report of the failure, which it does not allow: it throws from a timer or socket event, which ends the process. Change: the connection is given back in a microtask.

--- a/src/shared/HttpCaller.test.ts
+++ b/src/shared/HttpCaller.test.ts
@@ -271,3 +271,12 @@
   assert.deepEqual([(await late).kind, (await waiting).kind], ['answered', 'answered'])
   assert.equal(server.connections, 1)
 })
+
+test('calls that wait behind a connection that is refused are refused in turn', async context => {
+  const closed = await CountingServer.create(context)
+  const { address } = closed
+  await closed.close()
+  const caller = createCaller(context, { connections: 1 })
+  const answers = await Promise.all(Array.from({ length: 3 }, () => get(caller, address, '/refused')))
+  assert.deepEqual(answers, Array(3).fill({ kind: 'not-sent', reason: 'ECONNREFUSED' }))
+})
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -75,7 +75,8 @@
     const isSent = this.controller !== null
     const isClosed = reason === 'UND_ERR_DESTROYED'
     this.settle({ kind: isSent ? 'lost' : 'not-sent', reason }, isClosed ? 'closed' : isSent ? 'broken' : 'refused')
-    this.release()
+    // The library takes no request for a connection while it reports the failure of that connection.
+    queueMicrotask(() => this.release())
   }
 
   private expire (): void {
