Search workers for a waiting task only where some worker has the room

StartCandidates finds the workers that may get new work once for each plan and service, and the rooms on them that no other room covers. Rooms only shrink within a plan, so the test never turns down a task that would fit; one that it lets through is searched for as before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -7,6 +7,7 @@
 import { decidePace } from './decidePace.js'
 import { JobTable } from './JobTable.js'
 import { rankJobs } from './rankJobs.js'
+import { StartCandidates } from './StartCandidates.js'
 import { applyReport, type ReportContext } from './applyReport.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
@@ -253,14 +254,19 @@
     if (!mayStart || !this.dirty) return
     this.dirty = false
     const blocked = new Set<string>()
+    const candidatesOf = new Map<string, StartCandidates>()
+    const workers = this.getWorkers()
     for (const job of rankJobs(this.jobs.getJobs(), wallMilliseconds)) {
       if (job.finalState !== null || (job.recovered && !this.isResolved())) continue
       this.jobs.openDueOccurrences(job, wallMilliseconds, now)
       const serviceName = this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
+      const conditions = this.getConditions(serviceName, now)
+      const candidates = candidatesOf.get(serviceName) ?? StartCandidates.create(workers, conditions)
+      candidatesOf.set(serviceName, candidates)
       for (const occurrence of job.occurrences.values()) {
         for (const step of occurrence.steps) {
           if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
-          this.startTasks(step, this.getConditions(serviceName, now), blocked)
+          this.startTasks(step, conditions, candidates, blocked)
         }
       }
     }
@@ -302,7 +308,9 @@
     }
   }
 
-  private startTasks (step: StepRecord, conditions: ChoiceConditions, blocked: Set<string>): void {
+  private startTasks (
+    step: StepRecord, conditions: ChoiceConditions, candidates: StartCandidates, blocked: Set<string>
+  ): void {
     const { specification } = step
     if (specification.gang) {
       const placement = selectGangPlacement(step, this.workers.values(), conditions)
@@ -315,7 +323,7 @@
     if (blocked.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
-      const worker = chooseWorker(task, this.getWorkers(), conditions)
+      const worker = candidates.choose(task)
       if (worker === null) {
         blocked.add(size)
         return
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -97,13 +97,27 @@
  */
 export function chooseWorker (
   task: TaskRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions
+): WorkerRecord | null {
+  const emptyWorkerCost = task.step.specification.targetMilliseconds > 0 ? getEmptyWorkerCost(workers) : 0
+  return chooseAmong(task, workers.filter(worker => isEligible(worker, conditions)), emptyWorkerCost, conditions)
+}
+
+/**
+ * Chooses the worker for a task from those that may get new work.
+ * @param task The task.
+ * @param eligible The workers for which `isEligible` holds.
+ * @param emptyWorkerCost What a worker without serving tasks costs a serving task.
+ * @param conditions The advisor and the time.
+ * @returns The worker, or null when the task has to wait.
+ */
+export function chooseAmong (
+  task: TaskRecord, eligible: readonly WorkerRecord[], emptyWorkerCost: number, conditions: ChoiceConditions
 ): WorkerRecord | null {
   const { specification } = task.step
-  const emptyWorkerCost = specification.targetMilliseconds > 0 ? getEmptyWorkerCost(workers) : 0
   let best: WorkerRecord | null = null
   let bestCost = Infinity
-  for (const worker of workers) {
-    if (!isEligible(worker, conditions) || !fits(worker, task)) continue
+  for (const worker of eligible) {
+    if (!fits(worker, task)) continue
     const { labels } = worker.entry
     if (specification.requiredLabel !== '' && !labels.includes(specification.requiredLabel)) continue
     const limit = specification.maximumPerWorker
@@ -160,7 +174,13 @@
   return hasServing ? cost : emptyWorkerCost
 }
 
-function getEmptyWorkerCost (workers: readonly WorkerRecord[]): number {
-  const emptyCount = workers.filter(worker => worker.servingReserved === 0).length
+/**
+ * Returns what a worker without serving tasks costs a serving task.
+ * @param workers All workers.
+ * @returns The cost, higher while few such workers are left.
+ */
+export function getEmptyWorkerCost (workers: readonly WorkerRecord[]): number {
+  let emptyCount = 0
+  for (const worker of workers) if (worker.servingReserved === 0) emptyCount++
   return emptyCount > workers.length * EMPTY_WORKER_SHARE ? EMPTY_WORKER_COST : SCARCE_EMPTY_WORKER_COST
 }
