Leave out costs of a worker that cannot be the cheapest any more

Both only add to the cost, so the search goes on to the next worker as soon as the sum so far reaches the best one. The image is still noted as one that fills, as the first worker with room is always asked.

--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -124,9 +124,11 @@
     if (limit > 0 && countRunsOfStep(worker, task.step) >= limit) continue
     let cost = getCost(worker, task, emptyWorkerCost, conditions.advisor)
     if (specification.fills) {
-      if (isGuarded(worker, conditions.now)) continue
+      // What follows only adds to the cost.
+      if (cost >= bestCost || isGuarded(worker, conditions.now)) continue
       const pressure = conditions.advisor.getPressure(worker, task)
       if (pressure > 1) continue
+      if (cost + pressure * PRESSURE_WEIGHT >= bestCost) continue
       cost += pressure * PRESSURE_WEIGHT + conditions.advisor.getOpenness(worker) * OPENNESS_WEIGHT
     }
     if (specification.preferredRack !== '' && !labels.includes(specification.preferredRack)) cost += OTHER_RACK_PENALTY
