Rank only the jobs that have a task waiting to start

Each plan ranked all live jobs, also those of which every task runs: with 300 lasting jobs and nothing to start that is 230 to 241 us of each plan, 24 us with 33 jobs. Plans come up to 125 times a second.

The sort is stable and compares pairs, so leaving out jobs of which nothing can start doesn't change the sequence of the others. Occurrences that are due and not open yet still count, and are opened after the ranking as before.

After: 42 to 47 us with 300 lasting jobs, 6 us with 33; two runs of each in turn, third lowest of 25 batches of 60 plans. No change with 3,000 waiting tasks, which are all ranked.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -6,6 +6,7 @@
 import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { JobTable } from './JobTable.js'
+import { mayStartTasks } from './mayStartTasks.js'
 import { rankJobs } from './rankJobs.js'
 import { StartCandidates } from './StartCandidates.js'
 import { applyReport, type ReportContext } from './applyReport.js'
@@ -256,8 +257,7 @@
     const blocked = new Set<string>()
     const candidatesOf = new Map<string, StartCandidates>()
     const workers = this.getWorkers()
-    for (const job of rankJobs(this.jobs.getJobs(), wallMilliseconds)) {
-      if (job.finalState !== null || (job.recovered && !this.isResolved())) continue
+    for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
       this.jobs.openDueOccurrences(job, wallMilliseconds, now)
       const serviceName = this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
       const conditions = this.getConditions(serviceName, now)
@@ -273,6 +273,11 @@
     this.moveSlowedRuns(now)
   }
 
+  private getStartableJobs (wallMilliseconds: number): JobRecord[] {
+    return [...this.jobs.getJobs()].filter(job => job.finalState === null &&
+      (!job.recovered || this.isResolved()) && mayStartTasks(job, wallMilliseconds))
+  }
+
   private getWorkers (): readonly WorkerRecord[] {
     return [...this.workers.values()]
   }
