Look for slowed runs without a list for each worker

Each plan built two lists of runs for each worker to find the ones that were slowed for long, which are seldom any. Now the runs are looked at in place; an order to stop one changes its state only, so the sequence is the same.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -3,7 +3,7 @@
 } from '../jobs/index.js'
 import { chooseWorker, type ChoiceConditions } from './chooseWorker.js'
 import { findStalledRuns } from './findStalledRuns.js'
-import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
+import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { JobTable } from './JobTable.js'
 import { mayStartTasks } from './mayStartTasks.js'
@@ -301,8 +301,9 @@
   /** A run that must stay slow beside what it disturbs goes on elsewhere, where that costs little work. */
   private moveSlowedRuns (now: number): void {
     for (const worker of this.workers.values()) {
-      for (const run of getFillingRuns(worker)) {
+      for (const run of worker.runs.values()) {
         if (run.slowedSince === null || now - run.slowedSince < SLOWED_MILLISECONDS || run.state !== 'running') continue
+        if (!run.task.step.specification.fills) continue
         if (!run.task.step.specification.checkpointing && run.percent > LARGEST_LOST_PERCENT) continue
         const conditions = this.getConditions(worker.entry.serviceName, now)
         const other = chooseWorker(
