--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -3,11 +3,13 @@
 } from '../jobs/index.js'
 import { chooseWorker, type ChoiceConditions } from './chooseWorker.js'
 import { findStalledRuns } from './findStalledRuns.js'
-import { ColocationAdvisor, getFillingRuns } from './ColocationAdvisor.js'
+import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { silentDispatchObserver, type DispatchObserver, type RunLossCause } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
+import { mayStartTasks } from './mayStartTasks.js'
 import { rankJobs } from './rankJobs.js'
+import { StartCandidates } from './StartCandidates.js'
 import { applyReport, type ReportContext } from './applyReport.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
@@ -62,6 +64,7 @@
   private dirty = true
   /** How many more tasks the current plan may start. */
   private startsLeft = Infinity
+  private readonly sizeKeys = new WeakMap<StepRecord, string>()
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
     this.jobs = JobTable.create({ epoch })
@@ -283,14 +286,18 @@
     this.startsLeft = startLimit
     this.dirty = false
     const blocked = new Set<string>()
-    for (const job of rankJobs(this.jobs.getJobs(), wallMilliseconds)) {
-      if (job.finalState !== null || (job.recovered && !this.isResolved())) continue
+    const candidatesOf = new Map<string, StartCandidates>()
+    const workers = this.getWorkers()
+    for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
       this.jobs.openDueOccurrences(job, wallMilliseconds, now)
       const serviceName = this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
+      const conditions = this.getConditions(serviceName, now)
+      const candidates = candidatesOf.get(serviceName) ?? StartCandidates.create(workers, conditions)
+      candidatesOf.set(serviceName, candidates)
       for (const occurrence of job.occurrences.values()) {
         for (const step of occurrence.steps) {
           if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
-          this.startTasks(step, this.getConditions(serviceName, now), blocked)
+          this.startTasks(step, conditions, candidates, blocked)
           if (this.startsLeft <= 0) {
             this.dirty = true
             return
@@ -301,6 +308,11 @@
     this.moveSlowedRuns(now)
   }
 
+  private getStartableJobs (wallMilliseconds: number): JobRecord[] {
+    return [...this.jobs.getJobs()].filter(job => job.finalState === null &&
+      (!job.recovered || this.isResolved()) && mayStartTasks(job, wallMilliseconds))
+  }
+
   private getWorkers (): readonly WorkerRecord[] {
     return [...this.workers.values()]
   }
@@ -323,8 +335,9 @@
   /** A run that must stay slow beside what it disturbs goes on elsewhere, where that costs little work. */
   private moveSlowedRuns (now: number): void {
     for (const worker of this.workers.values()) {
-      for (const run of getFillingRuns(worker)) {
+      for (const run of worker.runs.values()) {
         if (run.slowedSince === null || now - run.slowedSince < SLOWED_MILLISECONDS || run.state !== 'running') continue
+        if (!run.task.step.specification.fills) continue
         if (!run.task.step.specification.checkpointing && run.percent > LARGEST_LOST_PERCENT) continue
         const conditions = this.getConditions(worker.entry.serviceName, now)
         const other = chooseWorker(
@@ -336,7 +349,9 @@
     }
   }
 
-  private startTasks (step: StepRecord, conditions: ChoiceConditions, blocked: Set<string>): void {
+  private startTasks (
+    step: StepRecord, conditions: ChoiceConditions, candidates: StartCandidates, blocked: Set<string>
+  ): void {
     const { specification } = step
     if (specification.gang) {
       const placement = selectGangPlacement(step, this.workers.values(), conditions)
@@ -345,12 +360,12 @@
       return
     }
     // A step whose size did not fit a moment ago does not fit now either; the search is the costly part.
-    const size = getSizeKey(step)
+    const size = this.getKnownSizeKey(step)
     if (blocked.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
       if (this.startsLeft <= 0) return
-      const worker = chooseWorker(task, this.getWorkers(), conditions)
+      const worker = candidates.choose(task)
       if (worker === null) {
         blocked.add(size)
         return
@@ -359,6 +374,14 @@
     }
   }
 
+  private getKnownSizeKey (step: StepRecord): string {
+    const known = this.sizeKeys.get(step)
+    if (known !== undefined) return known
+    const size = getSizeKey(step)
+    this.sizeKeys.set(step, size)
+    return size
+  }
+
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number, now: number): void {
     const run: RunRecord = {
       task,
