--- a/src/instance/orderTurns.test.ts
+++ b/src/instance/orderTurns.test.ts
@@ -16,8 +16,13 @@
   const engine = DispatchEngine.create({ epoch: 1 })
   const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
   const sender = OrderSender.create({
+    engine,
+    clock,
+    logger: silentLogger,
+    metrics,
     mayStart: () => true,
-    engine, clock, logger: silentLogger, metrics, onChange: () => {}, onDeposed: () => {}
+    onChange: () => {},
+    onDeposed: () => {}
   })
   const worker = engine.setWorker({
     workerId: 'worker-0',
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -47,7 +47,9 @@
   const engine = DispatchEngine.create({ epoch: 1 })
   const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
   const common = { engine, clock, logger: silentLogger, metrics }
-  const sender = OrderSender.create({ ...common, mayStart: () => true, onChange: () => engine.markDirty(), onDeposed: () => {} })
+  const sender = OrderSender.create({
+    ...common, mayStart: () => true, onChange: () => engine.markDirty(), onDeposed: () => {}
+  })
   const clients = new Map<string, WorkerClient>()
   for (const [index, createCalls] of workerCalls.entries()) {
     const worker = engine.setWorker({
