Emulate processor time and worker connections

The emulated site charged nothing for a call, an answer or a plan, and had no limit of connections to a worker, so no test had an owner that is late.

EmulatedProcessor runs the timers and answers of one process one after another, each for a cost divided by the share of a core. EmulatedConnections gives a process three connections to a worker, a queue of calls, the time limits of RunnerClient from the moment of queueing, and a choice of what an expired call does to the connection that it is given later. Both are an option of EmulatedSite and off by default. RunJudge can count a listed end as taken note of, and a start between an end and its acknowledgement.

--- /dev/null
+++ b/stand-ins/platform/EmulatedConnections.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { OrderOutcome, WorkerClient } from '../../src/dispatch/index.js'
+import { VirtualClock } from '../../src/shared/VirtualClock.js'
+import { EmulatedConnections, type ExpiredCalls } from './EmulatedConnections.js'
+import { EmulatedProcessor } from './EmulatedProcessor.js'
+
+const LATENCY_MILLISECONDS = 100
+
+function createConnections (expiredCalls: ExpiredCalls) {
+  const clock = VirtualClock.create()
+  const processor = EmulatedProcessor.create({ clock, share: 1 })
+  const counts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
+  const stopped: string[] = []
+  const worker = {
+    stop: async (taskName: string): Promise<OrderOutcome> => {
+      stopped.push(taskName)
+      await new Promise<void>(resolve => { clock.setTimer(LATENCY_MILLISECONDS, resolve) })
+      return { kind: 'accepted', workerMilliseconds: 0 }
+    }
+  } as unknown as WorkerClient
+  const connections = EmulatedConnections.create({
+    worker, processor, clock, expiredCalls, counts, isAlive: () => true, countWaitingJobs: () => 0
+  })
+  const sendStops = async (count: number) =>
+    await Promise.all(Array.from({ length: count }, (_, index) => connections.stop(`task-${index}`, 1, 1)))
+  return { clock, counts, stopped, sendStops }
+}
+
+function countKinds (outcomes: OrderOutcome[]): Record<string, number> {
+  const kinds: Record<string, number> = {}
+  for (const { kind } of outcomes) kinds[kind] = (kinds[kind] ?? 0) + 1
+  return kinds
+}
+
+test('calls beyond the limit of connections wait, and use those that are open', async () => {
+  const { clock, counts, sendStops } = createConnections('destroys-connection')
+  const pending = sendStops(7)
+  await clock.advance(1000)
+  assert.deepEqual(countKinds(await pending), { accepted: 7 })
+  assert.deepEqual(counts, { opened: 3, expiredUnsent: 0, expiredSent: 0 })
+})
+
+test('a call that expires while it waits is not sent, and may destroy the connection that it is given', async () => {
+  for (const [expiredCalls, opened] of [['destroys-connection', 9], ['leaves-queue', 6]] as const) {
+    const { clock, counts, stopped, sendStops } = createConnections(expiredCalls)
+    const first = sendStops(15)
+    await clock.advance(1000)
+    assert.deepEqual(countKinds(await first), { accepted: 9, unknown: 6 }, expiredCalls)
+    assert.equal(stopped.length, 12)
+    const second = sendStops(3)
+    await clock.advance(1000)
+    assert.deepEqual(countKinds(await second), { accepted: 3 }, expiredCalls)
+    assert.deepEqual(counts, { opened, expiredUnsent: 3, expiredSent: 3 }, expiredCalls)
+  }
+})
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -12,6 +12,8 @@
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { createStep } from './createStep.js'
+import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
+import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
 import { RunJudge } from './RunJudge.js'
@@ -22,6 +24,17 @@
   random: () => number
   instanceCount: number
   workerCount: number
+  /** Charges processor time and limits connections; without it, work takes no time. */
+  processorTime?: ProcessorTimeOptions
+  /** Counts a listed end as taken note of, as the platform does where no fault is near. */
+  countsListedEnds?: boolean
+}
+
+/** What the processes of a site are charged for. */
+export interface ProcessorTimeOptions {
+  /** The share of a core that each process gets. */
+  share: number
+  expiredCalls: ExpiredCalls
 }
 
 /** One process of the system with its surroundings. */
@@ -30,6 +43,8 @@
   process: SimulatedProcess
   tables: EmulatedTableClient
   address: string
+  /** Null where work takes no time. */
+  processor: EmulatedProcessor | null
 }
 
 /** The only queue of an emulated site. */
@@ -55,7 +70,9 @@
 
 /** A whole site on one virtual clock: the platform's tables, workers, and processes of the system. */
 export class EmulatedSite {
-  readonly judge = RunJudge.create()
+  readonly judge: RunJudge
+  /** Counts of the connections of all processes to workers, where processor time is charged. */
+  readonly connectionCounts: ConnectionCounts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
   readonly tables: EmulatedTables
   readonly workers = new Map<string, EmulatedWorker>()
   readonly instances: EmulatedInstance[] = []
@@ -65,6 +82,7 @@
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
     this.tables = EmulatedTables.create({ clock })
+    this.judge = RunJudge.create({ countsListedEnds: options.countsListedEnds ?? false })
   }
 
   /**
@@ -117,7 +135,9 @@
       clock, random, store: MemoryTableService.create(), workerClient: { exchange: neverAnswer }
     })
     const tables = this.tables.createClient(random)
-    const gated = gateTables(process, tables)
+    const processor = this.createProcessor(process)
+    const receiver = processor ?? process
+    const gated = gateTables(process, processor, tables)
     const address = `${instanceId}:1`
     const instance = Instance.create({
       instanceId,
@@ -132,23 +152,23 @@
         decodeOperatorRow,
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
-      peer: this.createPeer(process),
+      peer: this.createPeer(receiver),
       registry: new Registry(),
       strength: { processors: 1, linkMegabitsPerSecond: 1000 },
       census: {
-        listLivingWorkers: async () => await process.receive(Promise.resolve({
+        listLivingWorkers: async () => await receiver.receive(Promise.resolve({
           kind: 'ok' as const,
           value: new Set([...this.workers].filter(([, worker]) => worker.isAlive).map(([workerId]) => workerId))
         }))
       },
-      clock: process.clock,
+      clock: receiver.clock,
       logger: silentLogger,
       leaseMilliseconds: LEASE_MILLISECONDS,
-      createWorkerClient: entry => gateWorker(process, this.workers.get(entry.workerId)!),
+      createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId),
       random
     })
     const known = this.instances.findIndex(other => other.address === address)
-    const added = { instance, process, tables, address }
+    const added = { instance, process, tables, address, processor }
     if (known >= 0) this.instances[known] = added
     else this.instances.push(added)
     instance.start()
@@ -165,7 +185,7 @@
     jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {},
     at: EmulatedInstance = this.chooseInstance()
   ): Promise<SubmitOutcome> {
-    const { process, instance } = at
+    const { process, instance, processor } = at
     this.tasks.set(jobId, {
       processorsMilli: 1000, memoryMegabytes: 1000, accelerators: 0, durationMilliseconds: 800, failureCount: 0, ...task
     })
@@ -173,6 +193,7 @@
     const specification: JobSpecification = {
       taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
     }
+    if (processor !== null) await processor.receive(Promise.resolve(), 'request')
     return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, 3000))
   }
 
@@ -188,6 +209,10 @@
     return alive[Math.floor(this.options.random() * alive.length)] ?? this.instances[0]
   }
 
+  private expirePeerCall (): Promise<null> {
+    return new Promise(resolve => { this.options.clock.setTimer(PROBE_TIMEOUT_MILLISECONDS, () => resolve(null)) })
+  }
+
   private list (workerId: string): void {
     const worker = this.workers.get(workerId)!
     const entry: WorkerEntry = {
@@ -212,7 +237,30 @@
     this.tables.apply({ operations: [{ kind: 'delete', table, key, condition: { kind: 'any' } }] })
   }
 
-  private createPeer (process: SimulatedProcess): OwnerPeer {
+  private createProcessor (process: SimulatedProcess): EmulatedProcessor | null {
+    const { processorTime } = this.options
+    if (processorTime === undefined) return null
+    return EmulatedProcessor.create({ clock: process.clock, share: processorTime.share })
+  }
+
+  private createWorkerClient (
+    process: SimulatedProcess, processor: EmulatedProcessor | null, workerId: string
+  ): WorkerClient {
+    const worker = this.workers.get(workerId)!
+    const { processorTime, clock } = this.options
+    if (processor === null || processorTime === undefined) return gateWorker(process, worker)
+    return EmulatedConnections.create({
+      worker,
+      processor,
+      clock,
+      expiredCalls: processorTime.expiredCalls,
+      counts: this.connectionCounts,
+      isAlive: () => process.isAlive(),
+      countWaitingJobs: () => this.getOwner()?.instance.answers.countWaiting(EMULATED_QUEUE.name) ?? 0
+    })
+  }
+
+  private createPeer (process: Receiver): OwnerPeer {
     const find = (address: string) => this.instances.find(other => other.address === address)
     const ask = async <Value>(address: string, answer: (other: EmulatedInstance) => Value): Promise<Value | null> => {
       const other = find(address)
@@ -221,7 +269,9 @@
         await new Promise<void>(resolve => { process.clock.setTimer(PROBE_TIMEOUT_MILLISECONDS, resolve) })
         return null
       }
-      return await process.receive(Promise.resolve(answer(other)))
+      if (other.processor === null) return await process.receive(Promise.resolve(answer(other)))
+      const answered = other.processor.receive(Promise.resolve(), 'request').then(() => answer(other))
+      return await process.receive(Promise.race([answered, this.expirePeerCall()]))
     }
     return {
       probe: async address => {
@@ -239,6 +289,9 @@
   }
 }
 
+/** Where a process gets its results and the time from. */
+type Receiver = Pick<SimulatedProcess, 'clock' | 'receive'>
+
 function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
   return {
@@ -248,10 +301,14 @@
 }
 
 /** Lets calls of a process through while it runs; answers wait while it is frozen and never reach a dead one. */
-function gateTables (process: SimulatedProcess, tables: EmulatedTableClient): TableService & TableFeed {
+function gateTables (
+  process: SimulatedProcess, processor: EmulatedProcessor | null, tables: EmulatedTableClient
+): TableService & TableFeed {
   const pass = async <Value>(call: () => Promise<Value>): Promise<Value> => {
     await process.receive(Promise.resolve())
-    return await process.receive(call())
+    if (processor === null) return await process.receive(call())
+    processor.charge('call')
+    return await processor.receive(call())
   }
   return {
     transact: transaction => pass(() => tables.transact(transaction)),
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -47,6 +47,8 @@
 /** The way of a call and its answer. */
 const ROUND_TRIP_MILLISECONDS = 2
 const STOP_MILLISECONDS = 50
+/** With no fault near, an end counts as taken note of this long after it was listed. */
+const LISTED_MILLISECONDS = 100
 /** The clock of a worker does not begin at zero. */
 const CLOCK_OFFSET_MILLISECONDS = 100_000
 
@@ -56,6 +58,8 @@
   private readonly runs = new Map<string, Run>()
   private readonly highestAttempts = new Map<string, number>()
   private ends: ListedEnd[] = []
+  /** Ends during or before a lapse of the lease, in which a later start is allowed. */
+  private readonly lapsedEnds = new WeakSet<ListedEnd>()
   private endCount = 0
   private epoch = 0
   private leaseDeadline = 0
@@ -110,6 +114,7 @@
     this.acknowledge(request.acknowledgedEnd)
     if (request.waitMilliseconds > 0 && this.ends.length === 0) await this.waitForEnd(request.waitMilliseconds)
     if (this.faults.cutOff || !this.alive) return { kind: 'unknown', reason: 'no answer' }
+    this.noteListedEnds()
     return {
       kind: 'reported',
       report: {
@@ -224,6 +229,7 @@
     if (!this.runs.has(`${run.taskName}#${run.attempt}`)) return
     this.forgetRun(run)
     this.endCount++
+    if (end === 'done') this.options.judge.noteDone(run.taskName)
     this.ends.push({
       number: this.endCount, taskName: run.taskName, attempt: run.attempt, end, checkpoint: run.checkpoint
     })
@@ -245,13 +251,27 @@
     this.ends = this.ends.filter(end => end.number > number)
   }
 
+  /** An end that was listed counts as taken note of, unless the lease has lapsed since the end. */
+  private noteListedEnds (): void {
+    const listed = this.ends.filter(({ end }) => end === 'done')
+    if (listed.length === 0) return
+    const { bornAt } = this
+    this.options.clock.setTimer(LISTED_MILLISECONDS, () => {
+      if (this.bornAt !== bornAt) return
+      for (const end of listed) if (!this.lapsedEnds.has(end)) this.options.judge.noteListedDone(end.taskName)
+    })
+  }
+
   private extendLease (deadline: number | null): void {
     if (deadline !== null) this.leaseDeadline = Math.max(this.leaseDeadline, deadline)
   }
 
   private watchLease (): void {
     this.cancelLeaseWatch = this.options.clock.setTimer(100, () => {
-      if (this.now() > this.leaseDeadline) for (const run of [...this.runs.values()]) this.end(run, 'lapsed')
+      if (this.now() > this.leaseDeadline) {
+        for (const run of [...this.runs.values()]) this.end(run, 'lapsed')
+        for (const end of this.ends) this.lapsedEnds.add(end)
+      }
       this.watchLease()
     })
   }
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -1,8 +1,16 @@
+/** Options of a judge. */
+export interface RunJudgeOptions {
+  /** Whether a listed end as done counts as taken note of, as an acknowledged one does. */
+  countsListedEnds: boolean
+}
+
 /** Watches all emulated workers and notes each promise that a run breaks. */
 export class RunJudge {
   readonly violations: string[] = []
   private readonly running = new Map<string, Set<string>>()
   private readonly done = new Set<string>()
+  /** Starts of tasks after an end as done that has not been taken note of, by the task's name. */
+  private readonly startsAfterDone = new Map<string, string[]>()
   private readonly accepted = new Set<string>()
   startCount = 0
   /** The worker of each start, in the order of the starts. */
@@ -10,14 +18,15 @@
   /** How many runs of each task have failed, on any worker. */
   readonly failureCounts = new Map<string, number>()
 
-  private constructor () {}
+  private constructor (private readonly options: RunJudgeOptions) {}
 
   /**
    * Creates a judge that has seen nothing.
+   * @param options What counts as a broken promise.
    * @returns The judge.
    */
-  static create (): RunJudge {
-    return new RunJudge()
+  static create (options: RunJudgeOptions = { countsListedEnds: false }): RunJudge {
+    return new RunJudge(options)
   }
 
   /** Notes that a client's submission may have been stored. */
@@ -32,6 +41,7 @@
     const runs = this.running.get(taskName) ?? new Set()
     if (runs.size > 0) this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
     if (this.done.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
+    else this.startsAfterDone.get(taskName)?.push(`run ${attempt} on ${workerId}`)
     if (!isWithinCapacity) this.violations.push(`limit: ${workerId} is over its capacity with ${taskName}`)
     const jobId = taskName.split('.', 1)[0]
     if (!this.accepted.has(jobId)) this.violations.push(`unasked: ${taskName}`)
@@ -44,11 +54,26 @@
     this.running.get(taskName)?.delete(`${workerId}#${attempt}`)
   }
 
+  /** Notes that a run has ended as done, which nobody has taken note of yet. */
+  noteDone (taskName: string): void {
+    if (this.options.countsListedEnds && !this.startsAfterDone.has(taskName)) this.startsAfterDone.set(taskName, [])
+  }
+
   /** Notes that an end as done was acknowledged. */
   noteAcknowledgedDone (taskName: string): void {
     this.done.add(taskName)
   }
 
+  /** Notes that an end as done was listed a while ago, under a lease that did not lapse since the end. */
+  noteListedDone (taskName: string): void {
+    if (!this.options.countsListedEnds) return
+    this.done.add(taskName)
+    for (const start of this.startsAfterDone.get(taskName) ?? []) {
+      this.violations.push(`again: ${taskName} ${start} after its listed end`)
+    }
+    this.startsAfterDone.delete(taskName)
+  }
+
   /** Returns the names of the tasks at work. */
   getRunningTasks (): string[] {
     return [...this.running].filter(([, runs]) => runs.size > 0).map(([name]) => name).sort()
