Report the real progress of emulated runs

An emulated worker reported 50% for every run that ends, so the owner took each run of more than its stall limit for one that stands still, stopped it and avoided its worker.

--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -124,7 +124,7 @@
           taskName: run.taskName,
           attempt: run.attempt,
           checkpoint: run.checkpoint,
-          percent: run.task.durationMilliseconds === Infinity ? 100 : 50,
+          percent: this.getPercent(run),
           usageFigure: run.task.processorsMilli
         })),
         ended: [...this.ends]
@@ -214,6 +214,12 @@
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
+  private getPercent (run: Run): number {
+    const { durationMilliseconds } = run.task
+    if (durationMilliseconds === Infinity) return 100
+    return Math.min(99, Math.floor((this.now() - run.startedAt) / durationMilliseconds * 100))
+  }
+
   private finish (run: Run): void {
     const { failureCounts } = this.options.judge
     const failed = failureCounts.get(run.taskName) ?? 0
