Judge starts after listed ends by the run that ended

A task whose first end was excused, because the worker's lease lapsed before the end was listed for 100 ms, was counted as started again when the end of its second run was listed.

--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -235,7 +235,7 @@
     if (!this.runs.has(`${run.taskName}#${run.attempt}`)) return
     this.forgetRun(run)
     this.endCount++
-    if (end === 'done') this.options.judge.noteDone(run.taskName)
+    if (end === 'done') this.options.judge.noteDone(run.taskName, run.attempt)
     this.ends.push({
       number: this.endCount, taskName: run.taskName, attempt: run.attempt, end, checkpoint: run.checkpoint
     })
@@ -264,7 +264,9 @@
     const { bornAt } = this
     this.options.clock.setTimer(LISTED_MILLISECONDS, () => {
       if (this.bornAt !== bornAt) return
-      for (const end of listed) if (!this.lapsedEnds.has(end)) this.options.judge.noteListedDone(end.taskName)
+      for (const end of listed) {
+        if (!this.lapsedEnds.has(end)) this.options.judge.noteListedDone(end.taskName, end.attempt)
+      }
     })
   }
 
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -9,8 +9,10 @@
   readonly violations: string[] = []
   private readonly running = new Map<string, Set<string>>()
   private readonly done = new Set<string>()
-  /** Starts of tasks after an end as done that has not been taken note of, by the task's name. */
-  private readonly startsAfterDone = new Map<string, string[]>()
+  /** Tasks whose end as done was listed, whether or not it was acknowledged. */
+  private readonly listedDone = new Set<string>()
+  /** Starts after an end as done that has not been taken note of, by the task's name and the attempt that ended. */
+  private readonly startsAfterDone = new Map<string, Map<number, string[]>>()
   private readonly accepted = new Set<string>()
   startCount = 0
   /** The worker of each start, in the order of the starts. */
@@ -41,7 +43,10 @@
     const runs = this.running.get(taskName) ?? new Set()
     if (runs.size > 0) this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
     if (this.done.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
-    else this.startsAfterDone.get(taskName)?.push(`run ${attempt} on ${workerId}`)
+    else if (this.listedDone.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its listed end`)
+    for (const starts of this.startsAfterDone.get(taskName)?.values() ?? []) {
+      starts.push(`run ${attempt} on ${workerId}`)
+    }
     if (!isWithinCapacity) this.violations.push(`limit: ${workerId} is over its capacity with ${taskName}`)
     const jobId = taskName.split('.', 1)[0]
     if (!this.accepted.has(jobId)) this.violations.push(`unasked: ${taskName}`)
@@ -55,8 +60,10 @@
   }
 
   /** Notes that a run has ended as done, which nobody has taken note of yet. */
-  noteDone (taskName: string): void {
-    if (this.options.countsListedEnds && !this.startsAfterDone.has(taskName)) this.startsAfterDone.set(taskName, [])
+  noteDone (taskName: string, attempt: number): void {
+    if (!this.options.countsListedEnds) return
+    const startsByAttempt = this.startsAfterDone.get(taskName) ?? new Map<number, string[]>()
+    this.startsAfterDone.set(taskName, startsByAttempt.set(attempt, []))
   }
 
   /** Notes that an end as done was acknowledged. */
@@ -65,13 +72,14 @@
   }
 
   /** Notes that an end as done was listed a while ago, under a lease that did not lapse since the end. */
-  noteListedDone (taskName: string): void {
+  noteListedDone (taskName: string, attempt: number): void {
     if (!this.options.countsListedEnds) return
-    this.done.add(taskName)
-    for (const start of this.startsAfterDone.get(taskName) ?? []) {
-      this.violations.push(`again: ${taskName} ${start} after its listed end`)
+    this.listedDone.add(taskName)
+    const startsByAttempt = this.startsAfterDone.get(taskName)
+    for (const start of startsByAttempt?.get(attempt) ?? []) {
+      this.violations.push(`again: ${taskName} ${start} after run ${attempt} was done, which was listed later`)
     }
-    this.startsAfterDone.delete(taskName)
+    startsByAttempt?.delete(attempt)
   }
 
   /** Returns the names of the tasks at work. */
