Add scenarios with a late owner that fail on the present code

No test had such an owner.

EmulatedLoad submits the jobs of Thuan Phat at a share of their rates. overloadFaults.test.ts plays them on 33 workers and 8 processes of 0.27 of a core: the usual load, a wave, a plan of 400 starts, the store away for 3 s, a loss of power of all processes, restarts in turn, and generated mixtures. It checks that no task is started after its end as done was listed or acknowledged, that no two runs overlap, that every accepted job is completed, that lasting tasks run again within 6 s, and the number of connections.

The usual load and the wave pass. With two cores all scenarios pass, so they fail for want of processor time alone. The four and the generated mixtures are marked as todo until the fix.

Ruled out as the only cause: connections destroyed by expired calls.

Trace of one such start (calls that leave the queue): the worker answers every hold within 2 ms with the end as done, the owner handles the answers after its own time limit of the hold and drops them, asks again without renewing, takes the lease for lapsed 6 s after the last renewal, and starts the task elsewhere.

--- /dev/null
+++ b/src/instance/overloadFaults.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fastCheck from 'fast-check'
+import { EmulatedLoad } from '../../stand-ins/platform/EmulatedLoad.js'
+import { EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
+import type { ExpiredCalls } from '../../stand-ins/platform/EmulatedConnections.js'
+import { createRandom } from '../../stand-ins/shared/createRandom.js'
+import { getTestSeed } from '../shared/testSeed.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+
+/** The sizes of Thuan Phat Effluent Compliance. */
+const INSTANCE_COUNT = 8
+const WORKER_COUNT = 33
+/** The share of a core of one of its processes. */
+const PROCESSOR_SHARE = 0.27
+/** So fast that the owner is never late. */
+const SPARE_PROCESSOR_SHARE = 2
+/** What `HttpCaller` does; the commit that changes it changes this too. */
+const EXPIRED_CALLS: ExpiredCalls = 'destroys-connection'
+const CONNECTIONS_PER_WORKER = 3
+/** Assumed: an owner may open each connection a second time after faults. */
+const REOPENED_FACTOR = 2
+/** The rule on lasting tasks: one that does not run must run again within this time, where there is room. */
+const LASTING_RESTART_MILLISECONDS = 6000
+/** How long a site may take to complete all jobs once nothing more arrives, as in the tests of site faults. */
+const COMPLETION_MILLISECONDS = 40_000
+const STORE_OUTAGE_MILLISECONDS = 3000
+/** Processes that lost power are back after this time. */
+const RESTART_MILLISECONDS = 3000
+
+interface Surroundings {
+  clock: VirtualClock
+  site: EmulatedSite
+  load: EmulatedLoad
+}
+
+/** A load with a fault. */
+interface Scenario {
+  name: string
+  seed: number
+  /** Why it fails today. */
+  todo?: string
+  play (surroundings: Surroundings): Promise<void>
+}
+
+async function createSite (seed: number, share: number): Promise<Surroundings> {
+  const clock = VirtualClock.create()
+  const random = createRandom(seed)
+  const site = EmulatedSite.create({
+    clock,
+    random,
+    instanceCount: INSTANCE_COUNT,
+    workerCount: WORKER_COUNT,
+    processorTime: { share, expiredCalls: EXPIRED_CALLS },
+    countsListedEnds: true
+  })
+  const load = EmulatedLoad.create({ site, clock, random })
+  await load.play(6000, 0)
+  return { clock, site, load }
+}
+
+/** Plays the time after the last fault and checks every promise. */
+async function settleAndCheck ({ site, load }: Surroundings): Promise<void> {
+  load.watchLastingTasks()
+  await load.play(COMPLETION_MILLISECONDS, 0)
+  const unfinished = await load.getUnfinishedJobs()
+  const bound = WORKER_COUNT * CONNECTIONS_PER_WORKER * REOPENED_FACTOR * load.ownerCount
+  const broken = [...site.judge.violations]
+  if (unfinished.length > 0) {
+    broken.push(`${unfinished.length} of ${load.acceptedJobs.length} accepted jobs unfinished: ${unfinished[0]}`)
+  }
+  const { taskName, milliseconds } = load.longestAbsence
+  if (milliseconds > LASTING_RESTART_MILLISECONDS) broken.push(`lost: ${taskName} does not run for ${milliseconds} ms`)
+  const { opened } = site.connectionCounts
+  if (opened > bound) broken.push(`connections: ${opened} opened by ${load.ownerCount} owners, at most ${bound} expected`)
+  for (const worker of site.workers.values()) worker.shutDown()
+  assert.deepEqual(broken, [])
+}
+
+function restart (site: EmulatedSite, clock: VirtualClock, address: string): void {
+  clock.setTimer(RESTART_MILLISECONDS, () => { site.addInstance(address.split(':')[0]) })
+}
+
+async function loseStore ({ site, load }: Surroundings, rate: number): Promise<void> {
+  for (const { tables } of site.instances) tables.faults.cutOff = true
+  await load.play(STORE_OUTAGE_MILLISECONDS, rate)
+  for (const { tables } of site.instances) tables.faults.cutOff = false
+}
+
+async function loseAllPower ({ site, clock, load }: Surroundings, rate: number): Promise<void> {
+  for (const { process, address } of site.instances) {
+    process.kill()
+    restart(site, clock, address)
+  }
+  await load.play(RESTART_MILLISECONDS, rate)
+}
+
+async function restartInTurn ({ site, clock, load }: Surroundings, rate: number): Promise<void> {
+  for (const { address } of [...site.instances]) {
+    const stopped = site.instances.find(other => other.address === address)!
+    stopped.instance.stop()
+    clock.setTimer(2600, () => stopped.process.kill())
+    clock.setTimer(3500, () => { site.addInstance(address.split(':')[0]) })
+    await load.play(4000, rate)
+  }
+}
+
+const LATE_OWNER = 'issue 15: an owner that is late loses its workers and starts their finished tasks again'
+
+const SCENARIOS: Scenario[] = [
+  {
+    name: 'the usual load opens connections once and loses no task',
+    seed: 1,
+    play: async ({ load }) => await load.play(30_000, 1.2)
+  },
+  {
+    name: 'an owner catches up after a wave of load',
+    seed: 1,
+    play: async ({ load }) => {
+      await load.play(14_000, 1)
+      await load.play(10_000, 2)
+      await load.play(8000, 1)
+    }
+  },
+  {
+    name: 'a late owner starts no finished task again and loses no lasting task after a plan of many starts',
+    seed: 8,
+    todo: LATE_OWNER,
+    play: async ({ load }) => {
+      await load.play(14_000, 0.7)
+      load.submitWideJob(400)
+      await load.play(10_000, 0.7)
+    }
+  },
+  {
+    name: 'a late owner starts no finished task again and loses no lasting task after an outage of the store',
+    seed: 5,
+    todo: LATE_OWNER,
+    play: async surroundings => {
+      await surroundings.load.play(14_000, 1.2)
+      await loseStore(surroundings, 1.2)
+      await surroundings.load.play(10_000, 1.2)
+    }
+  },
+  {
+    name: 'a late owner starts no finished task again and loses no lasting task after all processes lost power',
+    seed: 8,
+    todo: LATE_OWNER,
+    play: async surroundings => {
+      await surroundings.load.play(14_000, 1.2)
+      await loseAllPower(surroundings, 1.2)
+      await surroundings.load.play(10_000, 1.2)
+    }
+  },
+  {
+    name: 'a late owner starts no finished task again and loses no lasting task while processes are restarted in turn',
+    seed: 5,
+    todo: LATE_OWNER,
+    play: async surroundings => {
+      await surroundings.load.play(10_000, 1.2)
+      await restartInTurn(surroundings, 1.2)
+      await surroundings.load.play(4000, 1.2)
+    }
+  }
+]
+
+async function playScenario ({ seed, play }: Scenario, share: number): Promise<void> {
+  const surroundings = await createSite(seed, share)
+  await play(surroundings)
+  await settleAndCheck(surroundings)
+}
+
+for (const scenario of SCENARIOS) {
+  test(scenario.name, { todo: scenario.todo }, async () => {
+    await playScenario(scenario, PROCESSOR_SHARE)
+  })
+}
+
+test('with processor time to spare the same scenarios break no promise', async () => {
+  for (const scenario of SCENARIOS) await playScenario(scenario, SPARE_PROCESSOR_SHARE)
+})
+
+const PROPERTY_NAME = 'a late owner breaks no promise under waves, outages and deaths of processes'
+
+test(PROPERTY_NAME, { todo: LATE_OWNER }, async () => {
+  const event = fastCheck.record({
+    kind: fastCheck.constantFrom('wave', 'wide-job', 'store-away', 'kill-owner', 'lose-power', 'freeze-owner'),
+    gapMilliseconds: fastCheck.integer({ min: 1000, max: 6000 })
+  })
+  const schedules = fastCheck.record({
+    seed: fastCheck.integer(),
+    rate: fastCheck.constantFrom(0.7, 0.85, 1, 1.2),
+    events: fastCheck.array(event, { minLength: 1, maxLength: 3 })
+  })
+  await fastCheck.assert(fastCheck.asyncProperty(schedules, async ({ seed, rate, events }) => {
+    const surroundings = await createSite(seed, PROCESSOR_SHARE)
+    await surroundings.load.play(8000, rate)
+    for (const { kind, gapMilliseconds } of events) {
+      await playEvent(kind, surroundings, rate)
+      await surroundings.load.play(gapMilliseconds, rate)
+    }
+    await surroundings.load.play(5000, rate)
+    await settleAndCheck(surroundings)
+  }), { numRuns: 10, seed: getTestSeed(), endOnFailure: true })
+})
+
+async function playEvent (kind: string, surroundings: Surroundings, rate: number): Promise<void> {
+  const { site, clock, load } = surroundings
+  const owner = site.getOwner()
+  if (kind === 'wave') {
+    await load.play(6000, rate * 2)
+  } else if (kind === 'wide-job') {
+    load.submitWideJob(300)
+  } else if (kind === 'store-away') {
+    await loseStore(surroundings, rate)
+  } else if (kind === 'lose-power') {
+    await loseAllPower(surroundings, rate)
+  } else if (kind === 'kill-owner' && owner !== undefined) {
+    owner.process.kill()
+    restart(site, clock, owner.address)
+    await load.play(RESTART_MILLISECONDS, rate)
+  } else if (kind === 'freeze-owner') {
+    owner?.process.freeze(4000)
+    await load.play(4000, rate)
+  }
+}
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -39,6 +39,10 @@
 /** Assumed: opening a connection within a region takes as long as a call. */
 const ROUND_TRIP_MILLISECONDS = 2
 
+const TIMED_OUT = { kind: 'unknown', reason: 'timeout' } as const
+/** `RunnerClient` does not tell a call that was not sent from one without an answer. */
+const NOT_SENT = { kind: 'unknown', reason: 'not sent' } as const
+
 interface Connection {
   state: 'closed' | 'opening' | 'open'
   call: QueuedCall | null
@@ -177,7 +181,7 @@
       counts.expiredUnsent++
       if (expiredCalls === 'leaves-queue') this.withdraw(call)
     }
-    call.settle({ kind: 'unknown', reason: call.isSent ? 'timeout' : 'not sent in time' })
+    call.settle(call.isSent ? TIMED_OUT : NOT_SENT)
   }
 
   /** Takes a call back that was not sent; a connection that is being opened for it serves the next one. */
--- a/stand-ins/platform/EmulatedProcessor.ts
+++ b/stand-ins/platform/EmulatedProcessor.ts
@@ -7,7 +7,7 @@
 export interface EmulatedProcessorOptions {
   /** The clock of the process; its timers stand still while the process does. */
   clock: Clock
-  /** The share of a core that the process gets, above 0 and at most 1. */
+  /** The share of a core that the process gets; above 1 for a core that is faster than the one measured on. */
   share: number
 }
 
