--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -1,8 +1,18 @@
+/** Options of a judge. */
+export interface RunJudgeOptions {
+  /** Whether a listed end as done counts as taken note of, as an acknowledged one does. */
+  countsListedEnds: boolean
+}
+
 /** Watches all emulated workers and notes each promise that a run breaks. */
 export class RunJudge {
   readonly violations: string[] = []
   private readonly running = new Map<string, Set<string>>()
   private readonly done = new Set<string>()
+  /** Tasks whose end as done was listed, whether or not it was acknowledged. */
+  private readonly listedDone = new Set<string>()
+  /** Starts after an end as done that has not been taken note of, by the task's name and the attempt that ended. */
+  private readonly startsAfterDone = new Map<string, Map<number, string[]>>()
   private readonly accepted = new Set<string>()
   startCount = 0
   /** The worker of each start, in the order of the starts. */
@@ -10,14 +20,15 @@
   /** How many runs of each task have failed, on any worker. */
   readonly failureCounts = new Map<string, number>()
 
-  private constructor () {}
+  private constructor (private readonly options: RunJudgeOptions) {}
 
   /**
    * Creates a judge that has seen nothing.
+   * @param options What counts as a broken promise.
    * @returns The judge.
    */
-  static create (): RunJudge {
-    return new RunJudge()
+  static create (options: RunJudgeOptions = { countsListedEnds: false }): RunJudge {
+    return new RunJudge(options)
   }
 
   /** Notes that a client's submission may have been stored. */
@@ -32,6 +43,10 @@
     const runs = this.running.get(taskName) ?? new Set()
     if (runs.size > 0) this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
     if (this.done.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
+    else if (this.listedDone.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its listed end`)
+    for (const starts of this.startsAfterDone.get(taskName)?.values() ?? []) {
+      starts.push(`run ${attempt} on ${workerId}`)
+    }
     if (!isWithinCapacity) this.violations.push(`limit: ${workerId} is over its capacity with ${taskName}`)
     const jobId = taskName.split('.', 1)[0]
     if (!this.accepted.has(jobId)) this.violations.push(`unasked: ${taskName}`)
@@ -44,11 +59,29 @@
     this.running.get(taskName)?.delete(`${workerId}#${attempt}`)
   }
 
+  /** Notes that a run has ended as done, which nobody has taken note of yet. */
+  noteDone (taskName: string, attempt: number): void {
+    if (!this.options.countsListedEnds) return
+    const startsByAttempt = this.startsAfterDone.get(taskName) ?? new Map<number, string[]>()
+    this.startsAfterDone.set(taskName, startsByAttempt.set(attempt, []))
+  }
+
   /** Notes that an end as done was acknowledged. */
   noteAcknowledgedDone (taskName: string): void {
     this.done.add(taskName)
   }
 
+  /** Notes that an end as done was listed a while ago, under a lease that did not lapse since the end. */
+  noteListedDone (taskName: string, attempt: number): void {
+    if (!this.options.countsListedEnds) return
+    this.listedDone.add(taskName)
+    const startsByAttempt = this.startsAfterDone.get(taskName)
+    for (const start of startsByAttempt?.get(attempt) ?? []) {
+      this.violations.push(`again: ${taskName} ${start} after run ${attempt} was done, which was listed later`)
+    }
+    startsByAttempt?.delete(attempt)
+  }
+
   /** Returns the names of the tasks at work. */
   getRunningTasks (): string[] {
     return [...this.running].filter(([, runs]) => runs.size > 0).map(([name]) => name).sort()
