--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -5,6 +5,7 @@
 import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
+import { silentDispatchObserver, type DispatchObserver, type RunLossCause } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { mayStartTasks } from './mayStartTasks.js'
 import { rankJobs } from './rankJobs.js'
@@ -13,7 +14,7 @@
 import { selectGangPlacement } from './selectGangPlacement.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, getEarliestWorkerTime, removeRun, type WorkerEntry, type WorkerRecord
+  addRun, createWorkerRecord, isLeaseOver, isSent, removeRun, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** What the owner has to send. */
@@ -24,8 +25,8 @@
 
 /** How long a worker gets no new work after it turned a start away as unhealthy. */
 const UNHEALTHY_PAUSE_MILLISECONDS = 1500
-/** A worker whose lease ended this long ago on its own clock runs nothing any more. */
-const EXPIRY_MARGIN_MILLISECONDS = 100
+/** A worker that a start could not be sent to gets none for this long; by then a call for its lists has failed too. */
+const UNSENT_PAUSE_MILLISECONDS = 300
 /** A draining worker's resumable tasks leave this long before its least remaining time ends. */
 const DRAIN_MARGIN_MILLISECONDS = 1200
 
@@ -42,6 +43,8 @@
 export interface DispatchEngineOptions {
   /** The owner's epoch, which is the fencing token of all orders. */
   epoch: number
+  /** Is told why runs were lost; silent by default. */
+  observer?: DispatchObserver
 }
 
 /**
@@ -60,8 +63,10 @@
   private queueServices: ReadonlyMap<string, string> = new Map()
   private dirty = true
   private readonly sizeKeys = new WeakMap<StepRecord, string>()
+  /** How many more tasks the current plan may start. */
+  private startsLeft = Infinity
 
-  private constructor (readonly epoch: number) {
+  private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
     this.jobs = JobTable.create({ epoch })
   }
 
@@ -71,7 +76,7 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    return new DispatchEngine(options.epoch)
+    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver)
   }
 
   /** Returns and clears the orders that were decided. */
@@ -112,7 +117,7 @@
       return worker
     }
     // A new life is believed when the worker itself reports it, together with what it runs.
-    if (entry.bornAtMilliseconds > known.entry.bornAtMilliseconds) this.markUnreachable(known)
+    if (entry.bornAtMilliseconds > known.entry.bornAtMilliseconds) this.markUnreachable(known, null)
     known.entry = { ...entry, bornAtMilliseconds: known.entry.bornAtMilliseconds }
     known.listed = true
     if (entry.state === 'draining') this.leaveDraining(known)
@@ -146,7 +151,7 @@
    * @param now The monotonic time.
    */
   confirmGone (worker: WorkerRecord, now: number): void {
-    for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+    for (const run of [...worker.runs.values()]) this.loseRun(worker, run, 'worker-gone', now)
     worker.foreignRuns.clear()
     this.unresolved.delete(worker.entry.workerId)
     this.dirty = true
@@ -172,13 +177,16 @@
     }
     worker.clockReading = { workerMilliseconds: report.workerMilliseconds, receivedAt: now }
     worker.reportedAt = sentAt
+    worker.unansweredCallSentAt = null
     const context: ReportContext = {
       jobs: this.jobs,
       sentAt,
       now,
       stop: (taskName, attempt, run) => this.orderStop(worker, taskName, attempt, run),
       failJob: job => this.failJob(job),
-      stopCopies: task => this.stopRuns(task)
+      stopCopies: task => this.stopRuns(task),
+      loseRun: run => this.loseRun(worker, run, 'not-listed', now),
+      ignoreEnd: (ended, reason) => this.observer.onEndIgnored(worker, ended, reason)
     }
     const changed = applyReport(worker, report, context)
     worker.knowledge = 'synchronized'
@@ -195,8 +203,13 @@
     }
   }
 
-  /** Notes that a worker gave no answer; it gets no new work until it does. */
-  markUnreachable (worker: WorkerRecord): void {
+  /**
+   * Notes that a call to a worker failed; it gets no new work until it answers one.
+   * @param worker The worker.
+   * @param sentAt Monotonic time at which the call was sent, or null when it was not sent.
+   */
+  markUnreachable (worker: WorkerRecord, sentAt: number | null): void {
+    worker.unansweredCallSentAt = sentAt ?? worker.unansweredCallSentAt
     if (worker.knowledge === 'synchronized') worker.knowledge = 'unreachable'
   }
 
@@ -218,13 +231,28 @@
       run.progressedAt = now
       return
     }
-    if (outcome.kind === 'unhealthy') worker.quarantinedUntil = now + UNHEALTHY_PAUSE_MILLISECONDS
+    if (outcome.kind === 'not-sent') pauseWorker(worker, now + UNSENT_PAUSE_MILLISECONDS)
+    if (outcome.kind === 'unhealthy') pauseWorker(worker, now + UNHEALTHY_PAUSE_MILLISECONDS)
     if (outcome.kind === 'unknown' || run.startUncertain) {
       run.startUncertain = true
       if (run.state === 'starting') this.orderStop(worker, run.task.name, run.attempt, run)
       return
     }
-    if (run.state === 'starting' || run.state === 'stopping') removeRun(worker, run, now)
+    // Another try of the same start was carried out, or a stop was answered: lists tell when the run is over.
+    if (run.settledAt !== null) return
+    this.loseRun(worker, run, outcome.kind === 'not-sent' ? 'not-sent' : 'start-refused', now)
+  }
+
+  /**
+   * Frees the room of a run whose start was withdrawn before it was sent.
+   * @param worker The worker.
+   * @param run The run.
+   * @param now The monotonic time.
+   */
+  withdrawRun (worker: WorkerRecord, run: RunRecord, now: number): void {
+    if (!run.task.runs.includes(run)) return
+    this.dirty = true
+    this.loseRun(worker, run, 'not-sent', now)
   }
 
   /**
@@ -250,10 +278,12 @@
    * @param now The monotonic time.
    * @param wallMilliseconds The time of day.
    * @param mayStart Whether new starts are allowed now.
+   * @param startLimit How many starts can be sent soon; the tasks beyond it are placed by a later plan, on newer lists.
    */
-  plan (now: number, wallMilliseconds: number, mayStart: boolean): void {
+  plan (now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity): void {
     this.expireWorkers(now)
-    if (!mayStart || !this.dirty) return
+    if (!mayStart || !this.dirty || startLimit <= 0) return
+    this.startsLeft = startLimit
     this.dirty = false
     const blocked = new Set<string>()
     const candidatesOf = new Map<string, StartCandidates>()
@@ -268,6 +298,10 @@
         for (const step of occurrence.steps) {
           if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
           this.startTasks(step, conditions, candidates, blocked)
+          if (this.startsLeft <= 0) {
+            this.dirty = true
+            return
+          }
         }
       }
     }
@@ -291,7 +325,7 @@
   private moveStalledRuns (worker: WorkerRecord, now: number): void {
     const stalled = findStalledRuns(worker, now)
     if (stalled.length === 0) return
-    worker.quarantinedUntil = Math.max(worker.quarantinedUntil, now + STALLED_PAUSE_MILLISECONDS)
+    pauseWorker(worker, now + STALLED_PAUSE_MILLISECONDS)
     for (const run of stalled) {
       run.task.failedOn.add(worker.entry.workerId)
       this.orderStop(worker, run.task.name, run.attempt, run)
@@ -330,6 +364,7 @@
     if (blocked.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
+      if (this.startsLeft <= 0) return
       const worker = candidates.choose(task)
       if (worker === null) {
         blocked.add(size)
@@ -354,7 +389,7 @@
       workerId: worker.entry.workerId,
       state: 'starting',
       startedAt: now,
-      sentAt: now,
+      sentAt: -Infinity,
       startUncertain: false,
       settledAt: null,
       percent: 0,
@@ -364,16 +399,24 @@
       overTargetSince: null,
       slowedSince: null
     }
+    this.startsLeft--
     task.nextAttempt = attempt + 1
     addRun(worker, run)
     this.orders.push({ kind: 'start', worker, run })
   }
 
+  private loseRun (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
+    this.observer.onRunLost(worker, run, cause, now)
+    removeRun(worker, run, now)
+  }
+
   private orderStop (worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null): void {
     if (run !== null) {
       run.state = 'stopping'
       // Only an answer to this stop settles a start that got none.
       if (run.startUncertain) run.settledAt = null
+      // A start that still waits to be sent is withdrawn; the worker knows nothing of it.
+      if (!isSent(run)) return
     }
     this.orders.push({ kind: 'stop', worker, taskName, attempt, run })
   }
@@ -415,7 +458,7 @@
   private resetWorker (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) {
       if (run.sentAt <= worker.reportedAt) {
-        removeRun(worker, run, now)
+        this.loseRun(worker, run, 'worker-restarted', now)
       } else {
         run.startUncertain = true
         this.orderStop(worker, run.task.name, run.attempt, run)
@@ -433,25 +476,30 @@
 
   private expireWorkers (now: number): void {
     for (const [workerId, expiresAt] of this.unresolved) {
-      if (now >= expiresAt) {
+      // Ends of before the expiry are in the lists of a worker that this owner has not asked yet.
+      const askedAt = this.workers.get(workerId)?.unansweredCallSentAt ?? null
+      if (askedAt !== null && askedAt >= expiresAt) {
         this.unresolved.delete(workerId)
         this.dirty = true
       }
     }
     for (const worker of this.workers.values()) {
       if (worker.knowledge === 'synchronized') continue
-      const workerTime = getEarliestWorkerTime(worker, now)
-      const isOver = workerTime !== null && workerTime > worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS
+      const isOver = isLeaseOver(worker)
       if (isOver && worker.runs.size > 0) {
-        for (const run of [...worker.runs.values()]) removeRun(worker, run, now)
+        for (const run of [...worker.runs.values()]) this.loseRun(worker, run, 'lease-expired', now)
         this.dirty = true
       }
       const isForgettable = !worker.listed && worker.runs.size === 0 && !this.unresolved.has(worker.entry.workerId)
-      if (isForgettable && (isOver || workerTime === null)) this.workers.delete(worker.entry.workerId)
+      if (isForgettable && (isOver || worker.clockReading === null)) this.workers.delete(worker.entry.workerId)
     }
   }
 }
 
+function pauseWorker (worker: WorkerRecord, until: number): void {
+  worker.quarantinedUntil = Math.max(worker.quarantinedUntil, until)
+}
+
 function getSizeKey (step: StepRecord): string {
   const { specification: s, occurrence } = step
   const place = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
