Split the dispatch engine: orders, plans of starts, moves and earlier owners' workers

Orders (OrderBook), the placing of one plan (StartPlan), the choice of runs to move (findRunsToMove), outcomes of starts (applyStartOutcome) and workers of earlier owners (UnresolvedWorkers) stand alone now, and a run is created in one place.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,41 +1,27 @@
 import {
-  isStepReady, type JobRecord, type RunRecord, type StepRecord, type TaskRecord
+  createRun, isStepReady, type JobRecord, type RunRecord, type TaskRecord
 } from '../jobs/index.js'
 import { chooseWorker, isInService, type ChoiceConditions } from './chooseWorker.js'
+import { findRunsToLeave, mayLeaveAsSlowed } from './findRunsToMove.js'
 import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
 import { silentDispatchObserver, type DispatchObserver, type RunLossCause } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { mayStartTasks } from './mayStartTasks.js'
+import { OrderBook, type DispatchOrder } from './OrderBook.js'
 import { rankJobs } from './rankJobs.js'
-import { StartCandidates } from './StartCandidates.js'
+import { StartPlan } from './StartPlan.js'
+import { UnresolvedWorkers } from './UnresolvedWorkers.js'
 import { applyReport, type ReportContext } from './applyReport.js'
-import { selectGangPlacement } from './selectGangPlacement.js'
+import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseOver, isSent, removeRun, type WorkerEntry, type WorkerRecord
+  addRun, createWorkerRecord, isLeaseOver, pauseWorker, removeRun, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
-/** What the owner has to send. */
-export type DispatchOrder =
-  | { kind: 'start', worker: WorkerRecord, run: RunRecord }
-  | { kind: 'stop', worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null }
-  | { kind: 'pace', worker: WorkerRecord, run: RunRecord, percent: number }
-
-/** How long a worker gets no new work after it turned a start away as unhealthy. */
-const UNHEALTHY_PAUSE_MILLISECONDS = 1500
-/** A worker that a start could not be sent to gets none for this long; by then a call for its lists has failed too. */
-const UNSENT_PAUSE_MILLISECONDS = 300
-/** A draining worker's resumable tasks leave this long before its least remaining time ends. */
-const DRAIN_MARGIN_MILLISECONDS = 1200
-
-/** A run that was slowed below this for this long is moved, where another worker can take it without harm. */
+/** A run that is slowed below this is moved after a while. */
 const SLOWED_PERCENT = 35
-const SLOWED_MILLISECONDS = 1600
-/** A run without checkpoints is moved only while it would lose at most this much of its work. */
-const LARGEST_LOST_PERCENT = 35
-
 /** A worker on which tasks stood still gets a task again after this time, which shows whether it works. */
 const STALLED_PAUSE_MILLISECONDS = 3000
 
@@ -56,15 +42,11 @@
   readonly jobs: JobTable
   readonly workers = new Map<string, WorkerRecord>()
   readonly advisor = ColocationAdvisor.create()
-  private orders: DispatchOrder[] = []
+  private readonly orders = OrderBook.create()
   private dataCentresOut: ReadonlySet<string> = new Set()
-  /** Workers that may run tasks of earlier owners and have not answered: identifier and time of certain expiry. */
-  private readonly unresolved = new Map<string, number>()
+  private readonly unresolved = UnresolvedWorkers.create()
   private queueServices: ReadonlyMap<string, string> = new Map()
   private dirty = true
-  /** How many more tasks the current plan may start. */
-  private startsLeft = Infinity
-  private readonly sizeKeys = new WeakMap<StepRecord, string>()
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
     this.jobs = JobTable.create({ epoch })
@@ -81,9 +63,7 @@
 
   /** Returns and clears the orders that were decided. */
   takeOrders (): DispatchOrder[] {
-    const { orders } = this
-    this.orders = []
-    return orders
+    return this.orders.take()
   }
 
   /** Sets the service of each queue, as the newest configuration has it. */
@@ -120,7 +100,9 @@
     if (entry.bornAtMilliseconds > known.entry.bornAtMilliseconds) this.markUnreachable(known, null)
     known.entry = { ...entry, bornAtMilliseconds: known.entry.bornAtMilliseconds }
     known.listed = true
-    if (entry.state === 'draining') this.leaveDraining(known)
+    if (entry.state === 'draining') {
+      for (const run of findRunsToLeave(known)) this.orders.stop(known, run)
+    }
     return known
   }
 
@@ -136,7 +118,7 @@
    * @param expiresAt Monotonic time from which nothing of an earlier owner can run there.
    */
   expectAnswer (workerId: string, expiresAt: number): void {
-    this.unresolved.set(workerId, expiresAt)
+    this.unresolved.add(workerId, expiresAt)
   }
 
   /** Returns the workers that give no answer and may run tasks. */
@@ -153,13 +135,13 @@
   confirmGone (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) this.loseRun(worker, run, 'worker-gone', now)
     worker.foreignRuns.clear()
-    this.unresolved.delete(worker.entry.workerId)
+    this.unresolved.resolve(worker.entry.workerId)
     this.dirty = true
   }
 
   /** Tells whether the runs of all earlier owners are known or certainly over. */
   isResolved (): boolean {
-    return this.unresolved.size === 0
+    return this.unresolved.isEmpty
   }
 
   /**
@@ -182,7 +164,8 @@
       jobs: this.jobs,
       sentAt,
       now,
-      stop: (taskName, attempt, run) => this.orderStop(worker, taskName, attempt, run),
+      stop: run => this.orders.stop(worker, run),
+      stopForeign: (taskName, attempt) => this.orders.stopForeign(worker, taskName, attempt),
       failJob: job => this.failJob(job),
       stopCopies: task => this.stopRuns(task),
       loseRun: run => this.loseRun(worker, run, 'not-listed', now),
@@ -190,7 +173,7 @@
     }
     const changed = applyReport(worker, report, context)
     worker.knowledge = 'synchronized'
-    if (this.unresolved.delete(entry.workerId) || changed) this.dirty = true
+    if (this.unresolved.resolve(entry.workerId) || changed) this.dirty = true
     this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
@@ -199,7 +182,7 @@
       run.pacePercent = percent
       run.progressedAt = now
       worker.fillChangedAt = now
-      this.orders.push({ kind: 'pace', worker, run, percent })
+      this.orders.pace(worker, run, percent)
     }
   }
 
@@ -223,24 +206,11 @@
   applyStartOutcome (worker: WorkerRecord, run: RunRecord, outcome: OrderOutcome, now: number): void {
     this.dirty = true
     if (!run.task.runs.includes(run)) return
-    if (outcome.kind === 'accepted') {
-      run.startUncertain = false
-      run.task.step.occurrence.job.hasStarted = true
-      if (run.state === 'starting') run.state = 'running'
-      run.settledAt = now
-      run.progressedAt = now
-      return
-    }
-    if (outcome.kind === 'not-sent') pauseWorker(worker, now + UNSENT_PAUSE_MILLISECONDS)
-    if (outcome.kind === 'unhealthy') pauseWorker(worker, now + UNHEALTHY_PAUSE_MILLISECONDS)
-    if (outcome.kind === 'unknown' || run.startUncertain) {
-      run.startUncertain = true
-      if (run.state === 'starting') this.orderStop(worker, run.task.name, run.attempt, run)
-      return
-    }
-    // Another try of the same start was carried out, or a stop was answered: lists tell when the run is over.
-    if (run.settledAt !== null) return
-    this.loseRun(worker, run, outcome.kind === 'not-sent' ? 'not-sent' : 'start-refused', now)
+    applyStartOutcome(worker, run, outcome, {
+      now,
+      stop: stopped => this.orders.stop(worker, stopped),
+      loseRun: (lost, cause) => this.loseRun(worker, lost, cause, now)
+    })
   }
 
   /**
@@ -294,31 +264,35 @@
   plan (now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity): void {
     this.expireWorkers(now)
     if (!mayStart || !this.dirty || startLimit <= 0) return
-    this.startsLeft = startLimit
     this.dirty = false
-    const blocked = new Set<string>()
-    const candidatesOf = new Map<string, StartCandidates>()
-    const workers = this.getWorkers()
+    const plan = StartPlan.create({
+      workers: [...this.workers.values()],
+      startLimit,
+      getConditions: serviceName => this.getConditions(serviceName, now),
+      start: (task, worker, attempt) => this.start(task, worker, attempt, now)
+    })
     for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
       this.jobs.openDueOccurrences(job, wallMilliseconds, now)
-      const serviceName = this.getServiceName(job)
-      const conditions = this.getConditions(serviceName, now)
-      const candidates = candidatesOf.get(serviceName) ?? StartCandidates.create(workers, conditions)
-      candidatesOf.set(serviceName, candidates)
-      for (const occurrence of job.occurrences.values()) {
-        for (const step of occurrence.steps) {
-          if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
-          this.startTasks(step, conditions, candidates, blocked)
-          if (this.startsLeft <= 0) {
-            this.dirty = true
-            return
-          }
-        }
+      this.placeJob(job, plan)
+      if (plan.isFull) {
+        this.dirty = true
+        return
       }
     }
     this.moveSlowedRuns(now)
   }
 
+  private placeJob (job: JobRecord, plan: StartPlan): void {
+    const serviceName = this.getServiceName(job)
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of occurrence.steps) {
+        if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
+        plan.placeStep(step, serviceName)
+        if (plan.isFull) return
+      }
+    }
+  }
+
   private getServiceName (job: JobRecord): string {
     return this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
   }
@@ -328,10 +302,6 @@
       (!job.recovered || this.isResolved()) && mayStartTasks(job, wallMilliseconds))
   }
 
-  private getWorkers (): readonly WorkerRecord[] {
-    return [...this.workers.values()]
-  }
-
   private getConditions (serviceName: string, now: number): ChoiceConditions {
     return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
   }
@@ -343,7 +313,7 @@
     pauseWorker(worker, now + STALLED_PAUSE_MILLISECONDS)
     for (const run of stalled) {
       run.task.failedOn.add(worker.entry.workerId)
-      this.orderStop(worker, run.task.name, run.attempt, run)
+      this.orders.stop(worker, run)
     }
   }
 
@@ -351,73 +321,22 @@
   private moveSlowedRuns (now: number): void {
     for (const worker of this.workers.values()) {
       for (const run of worker.runs.values()) {
-        if (run.slowedSince === null || now - run.slowedSince < SLOWED_MILLISECONDS || run.state !== 'running') continue
-        if (!run.task.step.specification.fills) continue
-        if (!run.task.step.specification.checkpointing && run.percent > LARGEST_LOST_PERCENT) continue
+        if (!mayLeaveAsSlowed(run, now)) continue
         const conditions = this.getConditions(worker.entry.serviceName, now)
         const other = chooseWorker(
-          run.task, this.getWorkers(), { ...conditions, excludedWorkerId: worker.entry.workerId })
+          run.task, [...this.workers.values()], { ...conditions, excludedWorkerId: worker.entry.workerId })
         if (other === null || this.advisor.getPressure(other, run.task) > 0) continue
         run.slowedSince = null
-        this.orderStop(worker, run.task.name, run.attempt, run)
+        this.orders.stop(worker, run)
       }
     }
   }
 
-  private startTasks (
-    step: StepRecord, conditions: ChoiceConditions, candidates: StartCandidates, blocked: Set<string>
-  ): void {
-    const { specification } = step
-    if (specification.gang) {
-      const placement = selectGangPlacement(step, this.workers.values(), conditions)
-      const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
-      for (const { task, worker } of placement) this.start(task, worker, attempt, conditions.now)
-      return
-    }
-    // A step whose size did not fit a moment ago does not fit now either; the search is the costly part.
-    const size = this.getKnownSizeKey(step)
-    if (blocked.has(size)) return
-    for (const task of step.tasks) {
-      if (task.done || task.runs.length > 0) continue
-      if (this.startsLeft <= 0) return
-      const worker = candidates.choose(task)
-      if (worker === null) {
-        blocked.add(size)
-        return
-      }
-      this.start(task, worker, task.nextAttempt, conditions.now)
-    }
-  }
-
-  private getKnownSizeKey (step: StepRecord): string {
-    const known = this.sizeKeys.get(step)
-    if (known !== undefined) return known
-    const size = getSizeKey(step)
-    this.sizeKeys.set(step, size)
-    return size
-  }
-
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number, now: number): void {
-    const run: RunRecord = {
-      task,
-      attempt,
-      workerId: worker.entry.workerId,
-      state: 'starting',
-      startedAt: now,
-      sentAt: -Infinity,
-      startUncertain: false,
-      settledAt: null,
-      percent: 0,
-      progressedAt: now,
-      usageFigure: 0,
-      pacePercent: 100,
-      overTargetSince: null,
-      slowedSince: null
-    }
-    this.startsLeft--
+    const run = createRun(task, worker.entry.workerId, attempt, now)
     task.nextAttempt = attempt + 1
     addRun(worker, run)
-    this.orders.push({ kind: 'start', worker, run })
+    this.orders.start(worker, run)
   }
 
   private loseRun (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
@@ -425,21 +344,10 @@
     removeRun(worker, run, now)
   }
 
-  private orderStop (worker: WorkerRecord, taskName: string, attempt: number, run: RunRecord | null): void {
-    if (run !== null) {
-      run.state = 'stopping'
-      // Only an answer to this stop settles a start that got none.
-      if (run.startUncertain) run.settledAt = null
-      // A start that still waits to be sent is withdrawn; the worker knows nothing of it.
-      if (!isSent(run)) return
-    }
-    this.orders.push({ kind: 'stop', worker, taskName, attempt, run })
-  }
-
   private stopRuns (task: TaskRecord): void {
     for (const run of [...task.runs]) {
       const worker = this.workers.get(run.workerId)
-      if (worker !== undefined && run.state !== 'stopping') this.orderStop(worker, task.name, run.attempt, run)
+      if (worker !== undefined && run.state !== 'stopping') this.orders.stop(worker, run)
     }
   }
 
@@ -455,17 +363,6 @@
     this.stopJob(job)
   }
 
-  /** Tasks that can resume, or that never end, leave a draining worker; others get the time that is left. */
-  private leaveDraining (worker: WorkerRecord): void {
-    const remaining = worker.entry.remainingMilliseconds ?? 0
-    for (const run of worker.runs.values()) {
-      if (run.state !== 'running') continue
-      const { checkpointing, longRunning, estimateMilliseconds } = run.task.step.specification
-      const isTooLong = estimateMilliseconds > remaining - DRAIN_MARGIN_MILLISECONDS
-      if (longRunning || (checkpointing && isTooLong)) this.orderStop(worker, run.task.name, run.attempt, run)
-    }
-  }
-
   /**
    * The worker's process is another one: nothing of the earlier life runs. An order that was sent since the last report
    * of the earlier life, or got no answer, may reach the new one, so its run is stopped and settled by the lists.
@@ -476,7 +373,7 @@
         this.loseRun(worker, run, 'worker-restarted', now)
       } else {
         run.startUncertain = true
-        this.orderStop(worker, run.task.name, run.attempt, run)
+        this.orders.stop(worker, run)
       }
     }
     worker.foreignRuns.clear()
@@ -490,14 +387,7 @@
   }
 
   private expireWorkers (now: number): void {
-    for (const [workerId, expiresAt] of this.unresolved) {
-      // Ends of before the expiry are in the lists of a worker that this owner has not asked yet.
-      const askedAt = this.workers.get(workerId)?.unansweredCallSentAt ?? null
-      if (askedAt !== null && askedAt >= expiresAt) {
-        this.unresolved.delete(workerId)
-        this.dirty = true
-      }
-    }
+    if (this.unresolved.expire(this.workers)) this.dirty = true
     for (const worker of this.workers.values()) {
       if (worker.knowledge === 'synchronized') continue
       const isOver = isLeaseOver(worker)
@@ -510,14 +400,3 @@
     }
   }
 }
-
-function pauseWorker (worker: WorkerRecord, until: number): void {
-  worker.quarantinedUntil = Math.max(worker.quarantinedUntil, until)
-}
-
-function getSizeKey (step: StepRecord): string {
-  const { specification: s, occurrence } = step
-  const place = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
-  return `${occurrence.job.submission.queueName} ${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ` +
-    `${s.accelerators} ${s.requiredLabel} ${place}`
-}
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -175,6 +175,15 @@
   return workerTime !== null && workerTime > worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS
 }
 
+/**
+ * Keeps new work off a worker for a while.
+ * @param worker The worker.
+ * @param until Monotonic time until which it gets none; a longer pause that is in force stays.
+ */
+export function pauseWorker (worker: WorkerRecord, until: number): void {
+  worker.quarantinedUntil = Math.max(worker.quarantinedUntil, until)
+}
+
 /**
  * Counts the runs of a step on a worker.
  * @param worker The worker.
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, RunRecord, TaskRecord } from '../jobs/index.js'
+import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import type { IgnoredEndReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
 import type { ListedEnd, ListedRun, WorkerReport } from './WorkerProtocol.js'
@@ -17,7 +17,9 @@
   /** Monotonic time at which the call was sent: what was settled later may be missing from the lists. */
   sentAt: number
   now: number
-  stop (taskName: string, attempt: number, run: RunRecord | null): void
+  stop (run: RunRecord): void
+  /** Stops a run that belongs to no live job. */
+  stopForeign (taskName: string, attempt: number): void
   failJob (job: JobRecord): void
   stopCopies (task: TaskRecord): void
   /** Takes a run as over of which the worker listed no end. */
@@ -61,11 +63,11 @@
     if (task === undefined || task.done) {
       const isKnown = worker.foreignRuns.has(key)
       worker.foreignRuns.set(key, { name: row.taskName, attempt: row.attempt })
-      if (!isKnown) context.stop(row.taskName, row.attempt, null)
+      if (!isKnown) context.stopForeign(row.taskName, row.attempt)
       return
     }
     run = adoptRun(worker, task, row, now)
-    if (task.runs.length > 1 && !task.step.specification.speculative) context.stop(row.taskName, row.attempt, run)
+    if (task.runs.length > 1 && !task.step.specification.speculative) context.stop(run)
   }
   if (run.state === 'starting') run.state = 'running'
   run.startUncertain = false
@@ -87,20 +89,13 @@
 /** Takes over a run that an earlier owner started, or whose start seemed lost. */
 function adoptRun (worker: WorkerRecord, task: TaskRecord, row: ListedRun, now: number): RunRecord {
   const run: RunRecord = {
-    task,
-    attempt: row.attempt,
-    workerId: worker.entry.workerId,
+    ...createRun(task, worker.entry.workerId, row.attempt, now),
     state: 'running',
-    startedAt: now,
-    sentAt: -Infinity,
-    startUncertain: false,
     settledAt: now,
     percent: row.percent,
-    progressedAt: now,
     usageFigure: row.usageFigure,
-    pacePercent: -1,
-    overTargetSince: null,
-    slowedSince: null
+    // The pace that an earlier owner set is not known.
+    pacePercent: -1
   }
   task.nextAttempt = Math.max(task.nextAttempt, row.attempt + 1)
   addRun(worker, run)
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -134,6 +134,33 @@
   return occurrence
 }
 
+/**
+ * Creates a run that is about to start.
+ * @param task The task.
+ * @param workerId The worker.
+ * @param attempt The number of the start.
+ * @param now The monotonic time.
+ * @returns The run, not yet among those of its task and worker.
+ */
+export function createRun (task: TaskRecord, workerId: string, attempt: number, now: number): RunRecord {
+  return {
+    task,
+    attempt,
+    workerId,
+    state: 'starting',
+    startedAt: now,
+    sentAt: -Infinity,
+    startUncertain: false,
+    settledAt: null,
+    percent: 0,
+    progressedAt: now,
+    usageFigure: 0,
+    pacePercent: 100,
+    overTargetSince: null,
+    slowedSince: null
+  }
+}
+
 /**
  * Tells whether all steps before a step are done.
  * @param step The step.
