Take only a refused connection as the end of the owner's process

Cause: a probe of the owner that ended with ECONNRESET or UND_ERR_SOCKET counted as refused. Two of them in a row let a peer take over at once, and its wait for the leases of earlier owners left out the time for which a living owner may go on renewing. The platform resets connections of processes that live. Ruled out: a process that ended is still found. Its port refuses the connections of the next two probes, so a probe that was under way when it ended costs at most one probe interval. Change: only a call that was not sent because the connection was refused counts; all else is silence. Test: probes of a server that resets each connection, or ends it without an answer, came back as refused before and come back as silent now; a closed port is still refused.

--- /dev/null
+++ b/src/instance/OwnerPeer.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { HttpCaller } from '../shared/HttpCaller.js'
+import { HttpOwnerPeer } from './OwnerPeer.js'
+
+/** Starts a process that treats each connection the same once it has read something. */
+async function startServer (context: TestContext, onData: (socket: Socket) => void): Promise<Server> {
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    socket.once('data', () => onData(socket))
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  context.after(() => server.close())
+  return server
+}
+
+function getAddress (server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function createPeer (context: TestContext): HttpOwnerPeer {
+  const caller = HttpCaller.create({ connections: 1 })
+  context.after(() => caller.close())
+  return HttpOwnerPeer.create({ caller })
+}
+
+test('an owner whose connections are reset does not count as gone', async context => {
+  const server = await startServer(context, socket => socket.resetAndDestroy())
+  const peer = createPeer(context)
+  for (let index = 0; index < 2; index++) {
+    assert.deepEqual(await peer.probe(getAddress(server)), { kind: 'silent', reason: 'ECONNRESET' })
+  }
+})
+
+test('an owner whose connections end without an answer does not count as gone', async context => {
+  const server = await startServer(context, socket => socket.destroy())
+  assert.deepEqual(await createPeer(context).probe(getAddress(server)), { kind: 'silent', reason: 'UND_ERR_SOCKET' })
+})
+
+test('an owner whose address refuses connections counts as gone', async context => {
+  const server = await startServer(context, () => {})
+  const address = getAddress(server)
+  await new Promise(resolve => server.close(resolve))
+  assert.deepEqual(await createPeer(context).probe(address), { kind: 'refused' })
+})
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -31,7 +31,8 @@
 const STATE_TIMEOUT_MILLISECONDS = 400
 /** The owner tries once to store what a peer sends, within one timeout of a store call. */
 const STORE_TIMEOUT_MILLISECONDS = 1300
-const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
+/** Only this failure shows that no process listens; connections of a process that lives may be reset. */
+const REFUSED_CODE = 'ECONNREFUSED'
 
 /** The calls from one process of the system to the owner. */
 export interface OwnerPeer {
@@ -68,8 +69,8 @@
       const body = JSON.parse(answer.body.toString()) as { isOwner: boolean, renewalAge: number }
       return { kind: 'alive', ...body }
     }
-    const reason = answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason
-    return REFUSED_CODES.has(reason) ? { kind: 'refused' } : { kind: 'silent', reason }
+    if (answer.kind === 'not-sent' && answer.reason === REFUSED_CODE) return { kind: 'refused' }
+    return { kind: 'silent', reason: answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason }
   }
 
   async getJobState (address: string, jobId: string): Promise<OwnerJobState> {
