Give the owner's calls of the store connections of their own

Cause: renewals, progress and the owner's other writes shared eight connections with the submissions and lookups of callers and with three long polls. With a slow store, renewals waited behind callers' calls, expired without being sent, and peers found a heartbeat that had not changed for the time after which they take over. Change: an instance gets two table services.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -18,7 +18,10 @@
   region: string
   /** Where peers reach this process. */
   peerAddress: string
-  tableService: TableService
+  /** Carries what keeps the ownership; calls of callers must not be able to hold it up. */
+  ownerTable: TableService
+  /** Carries the calls of callers and peers. */
+  callerTable: TableService
   feed: TableFeed
   platform: PlatformSite
   peer: OwnerPeer
@@ -51,7 +54,7 @@
   private stopping = false
 
   private constructor (private readonly options: InstanceOptions) {
-    const { tableService, clock, logger, peer, instanceId, region, peerAddress } = options
+    const { ownerTable, callerTable, clock, logger, peer, instanceId, region, peerAddress } = options
     this.metrics = createInstanceMetrics(options.registry, {
       isOwner: () => this.election.isOwner(),
       countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0
@@ -64,7 +67,7 @@
       instanceId,
       address: peerAddress,
       region,
-      tableService,
+      tableService: ownerTable,
       peer,
       clock,
       logger,
@@ -75,7 +78,7 @@
     })
     this.answers = this.createAnswers()
     this.gateway = JobGateway.create({
-      tableService,
+      tableService: callerTable,
       peer,
       metrics: this.metrics,
       ownAnswers: this.answers,
@@ -133,7 +136,7 @@
     this.dispatcher = ShardDispatcher.create({
       shardId: SHARD_ID,
       fence,
-      tableService: options.tableService,
+      tableService: options.ownerTable,
       feed: options.feed,
       site: this.site,
       clock: options.clock,
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -123,7 +123,8 @@
       instanceId,
       region: 'south',
       peerAddress: address,
-      tableService: gated,
+      ownerTable: gated,
+      callerTable: gated,
       feed: gated,
       platform: {
         feed: gated,
