--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
-import type { Operation, Row, TableService } from '../table/TableService.js'
+import type { Row, TableService } from '../table/TableService.js'
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
@@ -20,6 +20,7 @@
 import { ProgressWriter } from './ProgressWriter.js'
 import type { SiteWatch } from './SiteWatch.js'
 import { WorkerLoop } from './WorkerLoop.js'
+import { WorkerRegistry } from './WorkerRegistry.js'
 
 /** Options of a dispatcher. */
 export interface ShardDispatcherOptions {
@@ -66,13 +67,13 @@
   private readonly writer: ProgressWriter
   private readonly cleaner: FinishedJobCleaner
   private readonly sender: OrderSender
+  private readonly registry: WorkerRegistry
   private readonly loopDelay: LoopDelayWatch
   private readonly loops = new Map<string, { loop: WorkerLoop, client: WorkerClient }>()
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
   private planScheduled = false
-  private registering = false
   private nextCensusAt = 0
   private nextLearnedAt = 0
   private cancelTick: () => void = () => {}
@@ -86,6 +87,13 @@
     this.sender = OrderSender.create({
       ...options, engine: this.engine, mayStart: () => this.mayStart(), onChange: () => this.schedulePlan()
     })
+    this.registry = WorkerRegistry.create({
+      ...options,
+      onRegistered: () => {
+        this.engine.markDirty()
+        this.schedulePlan()
+      }
+    })
     this.writer = ProgressWriter.create({
       ...options,
       engine: this.engine,
@@ -139,6 +147,7 @@
     this.writer.stop()
     this.cleaner.stop()
     this.sender.stop()
+    this.registry.stop()
     this.jobFollower?.stop()
     for (const workerId of [...this.loops.keys()]) this.stopLoop(workerId)
   }
@@ -163,7 +172,7 @@
       if (!this.loops.has(entry.workerId)) this.startLoop(worker)
     }
     for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.unlistWorker(workerId)
-    this.registerWorkers()
+    this.registry.register(this.engine.workers)
     this.schedulePlan()
   }
 
@@ -272,57 +281,6 @@
     entry?.client.close()
   }
 
-  /** Makes durable which workers may hold tasks before the first task is sent there. */
-  private async registerWorkers (): Promise<void> {
-    if (this.registering) return
-    const added = [...this.engine.workers.values()].filter(worker => !worker.registered).slice(0, 90)
-    if (added.length === 0) return
-    this.registering = true
-    const { shardId, fence, tableService } = this.options
-    const operations: Operation[] = added.map(worker => ({
-      kind: 'put',
-      table: HOLDING_TABLE,
-      key: worker.entry.workerId,
-      value: worker.entry as unknown as JsonValue,
-      condition: { kind: 'any' }
-    }))
-    operations.push({
-      kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
-    })
-    const outcome = await tableService.transact({ operations })
-    this.registering = false
-    if (this.stopped) return
-    if (outcome.kind === 'committed') {
-      for (const worker of added) worker.registered = true
-      this.engine.markDirty()
-      this.schedulePlan()
-    } else if (outcome.kind === 'conflict') {
-      return this.options.onDeposed('the registration of workers found another owner')
-    } else {
-      await this.pause(LOAD_RETRY_MILLISECONDS)
-    }
-    await this.registerWorkers()
-  }
-
-  private async unregisterWorker (workerId: string): Promise<void> {
-    this.stopLoop(workerId)
-    const outcome = await this.options.tableService.transact({
-      operations: [
-        { kind: 'delete', table: HOLDING_TABLE, key: workerId, condition: { kind: 'any' } },
-        {
-          kind: 'check',
-          table: SHARD_TABLE,
-          key: this.options.shardId,
-          condition: { kind: 'version', version: this.options.fence.rowVersion }
-        }
-      ]
-    })
-    if (outcome.kind !== 'committed') {
-      // A row that stays costs a successor one call to a worker that is gone.
-      this.options.logger.info('the row of a worker that is gone was not removed', { worker: workerId })
-    }
-  }
-
   private tick (): void {
     if (this.stopped) return
     const now = this.options.clock.monotonicMilliseconds()
@@ -336,7 +294,9 @@
     if (now >= this.nextCensusAt) this.takeCensus()
     if (now >= this.nextLearnedAt) this.storeLearned()
     for (const workerId of this.loops.keys()) {
-      if (!this.engine.workers.has(workerId)) this.unregisterWorker(workerId)
+      if (this.engine.workers.has(workerId)) continue
+      this.stopLoop(workerId)
+      this.registry.unregister(workerId)
     }
   }
 
--- /dev/null
+++ b/src/instance/WorkerRegistry.ts
@@ -0,0 +1,98 @@
+import type { WorkerRecord } from '../dispatch/index.js'
+import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
+import type { Clock } from '../shared/Clock.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+import type { Logger } from '../shared/Logger.js'
+import type { Operation, TableService } from '../table/TableService.js'
+import { HOLDING_TABLE } from './jobRows.js'
+
+/** Options of a registry. */
+export interface WorkerRegistryOptions {
+  shardId: string
+  fence: Fence
+  tableService: TableService
+  clock: Clock
+  logger: Logger
+  /** Workers were registered, so tasks may start there. */
+  onRegistered (): void
+  onDeposed (reason: string): void
+}
+
+/** A transaction holds 100 entries; the rest is left for the check of the owner. */
+const WORKERS_PER_WRITE = 90
+const RETRY_MILLISECONDS = 200
+
+/** Makes durable which workers may hold tasks, so that a successor asks them. */
+export class WorkerRegistry {
+  private registering = false
+  private stopped = false
+
+  private constructor (private readonly options: WorkerRegistryOptions) {}
+
+  /**
+   * Creates a registry.
+   * @param options The shard, its owner and the store.
+   * @returns The registry.
+   */
+  static create (options: WorkerRegistryOptions): WorkerRegistry {
+    return new WorkerRegistry(options)
+  }
+
+  /** Writes nothing more; outcomes of calls in flight are ignored. */
+  stop (): void {
+    this.stopped = true
+  }
+
+  /**
+   * Registers workers before the first task is sent there, until none is left.
+   * @param workers All workers.
+   */
+  async register (workers: ReadonlyMap<string, WorkerRecord>): Promise<void> {
+    if (this.registering || this.stopped) return
+    const added = [...workers.values()].filter(worker => !worker.registered).slice(0, WORKERS_PER_WRITE)
+    if (added.length === 0) return
+    this.registering = true
+    const operations: Operation[] = added.map(worker => ({
+      kind: 'put',
+      table: HOLDING_TABLE,
+      key: worker.entry.workerId,
+      value: worker.entry as unknown as JsonValue,
+      condition: { kind: 'any' }
+    }))
+    const outcome = await this.options.tableService.transact({ operations: [...operations, this.checkOwner()] })
+    this.registering = false
+    if (this.stopped) return
+    if (outcome.kind === 'committed') {
+      for (const worker of added) worker.registered = true
+      this.options.onRegistered()
+    } else if (outcome.kind === 'conflict') {
+      return this.options.onDeposed('the registration of workers found another owner')
+    } else {
+      await new Promise<void>(resolve => { this.options.clock.setTimer(RETRY_MILLISECONDS, resolve) })
+    }
+    await this.register(workers)
+  }
+
+  /**
+   * Removes the row of a worker that is gone.
+   * @param workerId The worker.
+   */
+  async unregister (workerId: string): Promise<void> {
+    const outcome = await this.options.tableService.transact({
+      operations: [
+        { kind: 'delete', table: HOLDING_TABLE, key: workerId, condition: { kind: 'any' } },
+        this.checkOwner()
+      ]
+    })
+    if (outcome.kind === 'committed') return
+    // A row that stays costs a successor one call to a worker that is gone.
+    this.options.logger.info('the row of a worker that is gone was not removed', { worker: workerId })
+  }
+
+  private checkOwner (): Operation {
+    const { shardId, fence } = this.options
+    return {
+      kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
+    }
+  }
+}
