--- a/src/instance/orderTurns.test.ts
+++ b/src/instance/orderTurns.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { Registry } from 'prom-client'
 import { createStep } from '../../stand-ins/platform/createStep.js'
-import { DispatchEngine, type OrderOutcome, type WorkerClient } from '../dispatch/index.js'
+import { DispatchEngine, type DispatchOrder, type OrderOutcome, type WorkerClient } from '../dispatch/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { createInstanceMetrics } from './InstanceMetrics.js'
@@ -58,16 +58,20 @@
     progress: null,
     recovered: false
   }, 1000)
+  const stopped = { count: 0, send: (order: DispatchOrder) => sender.send(order, client) }
   const client: WorkerClient = {
     start: async order => await start(order.attempt),
-    stop: async () => ACCEPTED,
+    stop: async () => {
+      stopped.count++
+      return ACCEPTED
+    },
     setPace: async () => ACCEPTED,
     hold: async () => ({ kind: 'unknown', reason: 'not used' }),
     close: () => {}
   }
   engine.plan(1000, 1000, true)
   const sent = engine.takeOrders().map(order => sender.send(order, client))
-  return { clock, engine, worker, sent }
+  return { clock, engine, worker, sent, stopped }
 }
 
 /** Holds starts back until the test lets all go. */
@@ -115,3 +119,20 @@
   await clock.advance(1)
   assert.equal(count, 3)
 })
+
+test('stops of a worker that gives no answer are not sent before it answers', async () => {
+  const starts = createHeldStarts()
+  const { clock, engine, worker, stopped } = createOwner(starts.start)
+  await clock.advance(1)
+  starts.answer()
+  await clock.advance(1)
+  starts.answer()
+  engine.markUnreachable(worker, 1000)
+  engine.cancelJob('job')
+  for (const order of engine.takeOrders()) stopped.send(order)
+  await clock.advance(5000)
+  assert.equal(stopped.count, 0)
+  worker.knowledge = 'synchronized'
+  await clock.advance(1500)
+  assert.equal(stopped.count, 3)
+})
