Keep the connection of an attempt that is abandoned before it is sent

Cause: an attempt that was abandoned while it waited for a connection was aborted when its turn came. undici closes the connection of an aborted request, even when nothing of it was sent, and the next attempt had to open a new one. Change: the handler throws an error instead, which undici reports to the handler and which leaves the connection open. The same holds for an attempt that undici wants to send a second time. Test: an abandoned attempt between two others on one connection opened a second one before, and none now. The upstream receives nothing of it, and it is reported as not sent, both as before. The tests of src/routing and src/entry pass.

--- a/src/routing/UpstreamClient.ts
+++ b/src/routing/UpstreamClient.ts
@@ -150,18 +150,14 @@
     private readonly resolve: (result: AttemptResult) => void
   ) {}
 
-  /** Runs right before the first byte is written to a connection. */
+  /** Runs right before the first byte is written; unlike an abort, an error thrown here leaves the connection open. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     if (this.started) {
       // undici may resend a request whose connection it reset itself; the first sending may have run.
       this.settle({ kind: 'lost', reason: 'connection-lost', detail: 'connection reset' })
-      controller.abort(new Error('an attempt is sent once'))
-      return
-    }
-    if (this.aborted) {
-      controller.abort(new Error('abandoned before it was sent'))
-      return
+      throw new Error('an attempt is sent once')
     }
+    if (this.aborted) throw new Error('abandoned before it was sent')
     this.started = true
     this.controller = controller
   }
