Start no call for a caller that has stopped waiting

Cause: a lookup of a state had no deadline and could take one call to the owner and three of the store, whatever time the caller had sent; submissions and cancellations went on for callers that had closed their connection. With a slow store such calls take the connections that other callers wait for. Change: the gateway is told how long a caller waits, counted from the arrival of its request, and whether it has left. It looks before each try and each call of a lookup, and starts none when the time is over or the caller has left. A call under way is not cut short, and an answer that is ready is delivered, also late. A submission that is given up ends as unknown, not as rejected, since an earlier copy of the request may be stored.

--- /dev/null
+++ b/src/instance/JobGateway.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Registry } from 'prom-client'
+import { EMULATED_QUEUE } from '../../stand-ins/platform/EmulatedSite.js'
+import { silentLogger } from '../shared/Logger.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+import { createInstanceMetrics } from './InstanceMetrics.js'
+import { JobGateway, type CallerWait } from './JobGateway.js'
+
+const OWNER_MILLISECONDS = 400
+const STORE_MILLISECONDS = 1000
+const SPECIFICATION = {
+  taskDescription: 'text', steps: [], startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
+}
+
+/** Creates a gateway whose owner gives no answer and whose store loses each answer, both after their time limits. */
+function createGateway () {
+  const clock = VirtualClock.create()
+  const calls: string[] = []
+  const answer = async <Value>(name: string, milliseconds: number, value: Value): Promise<Value> => {
+    calls.push(name)
+    await new Promise<void>(resolve => { clock.setTimer(milliseconds, resolve) })
+    return value
+  }
+  const gateway = JobGateway.create({
+    tableService: {
+      transact: () => answer('write', STORE_MILLISECONDS, { kind: 'unknown' as const, reason: 'timeout' }),
+      read: () => answer('read', STORE_MILLISECONDS, { kind: 'ok' as const, value: null }),
+      readMany: () => answer('read', STORE_MILLISECONDS, { kind: 'unavailable' as const, reason: 'timeout' }),
+      scan: () => answer('read', STORE_MILLISECONDS, { kind: 'unavailable' as const, reason: 'timeout' })
+    },
+    peer: {
+      probe: () => answer('probe', OWNER_MILLISECONDS, { kind: 'silent' as const, reason: 'timeout' }),
+      getJobState: () => answer('owner', OWNER_MILLISECONDS, null),
+      countWaiting: () => answer('owner', OWNER_MILLISECONDS, null),
+      storeSubmission: () => answer('owner', OWNER_MILLISECONDS, 'unknown' as const),
+      storeCancellation: () => answer('owner', OWNER_MILLISECONDS, 'unknown' as const)
+    },
+    metrics: createInstanceMetrics(new Registry(), { isOwner: () => false, countLiveJobs: () => 0 }),
+    ownAnswers: {
+      probe: () => ({ isOwner: false, renewalAge: 0 }),
+      getJobState: () => null,
+      countWaiting: () => null,
+      storeSubmission: async () => 'unknown',
+      storeCancellation: async () => 'unknown'
+    },
+    isOwner: () => false,
+    getOwnerAddress: () => 'owner:1',
+    clock,
+    logger: silentLogger
+  })
+  return { gateway, clock, calls }
+}
+
+function waitFor (milliseconds: number): CallerWait {
+  return { milliseconds, hasLeft: () => false }
+}
+
+test('a lookup starts no call after the time of its caller', async () => {
+  const { gateway, clock, calls } = createGateway()
+  const outcome = gateway.getState('a', waitFor(300))
+  await clock.advance(5000)
+  assert.deepEqual(await outcome, { kind: 'unavailable' })
+  assert.deepEqual(calls, ['owner'])
+})
+
+test('a lookup that has its answer delivers it although the time of its caller is over', async () => {
+  const { gateway, clock, calls } = createGateway()
+  const outcome = gateway.getState('a', waitFor(1500))
+  await clock.advance(5000)
+  assert.deepEqual(await outcome, { kind: 'missing' })
+  assert.deepEqual(calls, ['owner', 'read', 'read'])
+})
+
+test('nothing is started for a caller that has left', async () => {
+  const { gateway, clock, calls } = createGateway()
+  const wait: CallerWait = { milliseconds: 3000, hasLeft: () => true }
+  const outcomes = Promise.all([
+    gateway.getState('a', wait),
+    gateway.submit('b', SPECIFICATION, EMULATED_QUEUE, wait),
+    gateway.cancel('c', wait)
+  ])
+  await clock.advance(5000)
+  assert.deepEqual((await outcomes).map(outcome => outcome.kind), ['unavailable', 'unknown', 'unavailable'])
+  assert.deepEqual(calls, [])
+})
+
+test('a submission is not repeated for a caller that leaves during its first call', async () => {
+  const { gateway, clock, calls } = createGateway()
+  let hasLeft = false
+  const outcome = gateway.submit('a', SPECIFICATION, EMULATED_QUEUE, { milliseconds: 10_000, hasLeft: () => hasLeft })
+  hasLeft = true
+  await clock.advance(15_000)
+  assert.deepEqual(await outcome, { kind: 'unknown' })
+  assert.deepEqual(calls, ['write'])
+})
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -26,6 +26,14 @@
 /** What became of a cancellation. */
 export type CancelOutcome = { kind: 'cancelled' } | { kind: 'missing' } | { kind: 'unavailable' }
 
+/** How long the answer to a caller is of use; nothing is started for it afterwards. */
+export interface CallerWait {
+  /** How much longer the caller waits, from the moment at which the gateway is asked. */
+  milliseconds: number
+  /** Whether the caller has closed its connection. */
+  hasLeft (): boolean
+}
+
 /** Options of a gateway. */
 export interface JobGatewayOptions {
   tableService: TableService
@@ -70,15 +78,15 @@
    * @param jobId The caller's identifier of the job.
    * @param specification What the caller asked for.
    * @param queue The queue.
-   * @param deadlineMilliseconds How long the caller waits.
+   * @param wait How long the caller waits.
    * @returns Whether the job is stored.
    */
   async submit (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, deadlineMilliseconds: number
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait
   ): Promise<SubmitOutcome> {
     const { clock, metrics } = this.options
     const since = clock.monotonicMilliseconds()
-    const outcome = await this.storeUntilSettled(jobId, specification, queue, deadlineMilliseconds)
+    const outcome = await this.storeUntilSettled(jobId, specification, queue, wait)
     metrics.submissions.inc({ outcome: outcome.kind })
     metrics.submissionSeconds.observe((clock.monotonicMilliseconds() - since) / 1000)
     return outcome
@@ -87,21 +95,27 @@
   /**
    * Looks up the state of a job: from the owner's memory, or from the store when the owner gives no answer.
    * @param jobId The job.
+   * @param wait How long the caller waits.
    * @returns The state, or that the job is missing or cannot be looked up.
    */
-  async getState (jobId: string): Promise<StateOutcome> {
+  async getState (jobId: string, wait: CallerWait): Promise<StateOutcome> {
+    const isOver = this.createOverCheck(wait)
+    if (isOver()) return this.giveUpLookup(jobId)
     const told = await this.askOwner(jobId)
     if (told !== null && told !== 'unknown') return { kind: 'known', state: told }
+    if (isOver()) return this.giveUpLookup(jobId)
     const { tableService } = this.options
     const progress = await tableService.read({ table: PROGRESS_TABLE, key: jobId })
     if (progress.kind !== 'ok') return { kind: 'unavailable' }
     const row = progress.value === null ? null : decodeProgress(progress.value.value)
     if (row?.state !== undefined) return { kind: 'known', state: row.state }
     if (row !== null) return { kind: 'known', state: 'running' }
+    if (isOver()) return this.giveUpLookup(jobId)
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return { kind: 'unavailable' }
     if (job.value === null) return { kind: 'missing' }
     if (!isFinishedJob(job.value.value)) return { kind: 'known', state: 'pending' }
+    if (isOver()) return this.giveUpLookup(jobId)
     // The job ended between the two reads.
     return await this.readFinalState(jobId)
   }
@@ -109,16 +123,18 @@
   /**
    * Asks for a job to be cancelled; the request is durable when this says so.
    * @param jobId The job.
-   * @param deadlineMilliseconds How long the caller waits.
+   * @param wait How long the caller waits.
    * @returns Whether the job will be stopped, is missing, or cannot be reached.
    */
-  async cancel (jobId: string, deadlineMilliseconds: number): Promise<CancelOutcome> {
+  async cancel (jobId: string, wait: CallerWait): Promise<CancelOutcome> {
     const { clock, logger } = this.options
-    const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
+    const isOver = this.createOverCheck(wait)
+    const end = clock.monotonicMilliseconds() + wait.milliseconds - ANSWER_MARGIN_MILLISECONDS
     do {
+      if (isOver()) break
       let outcome = await this.storeCancellation(jobId)
       const address = this.getOtherOwner()
-      if ((outcome === 'unknown' || outcome === 'not-stored') && address !== null) {
+      if ((outcome === 'unknown' || outcome === 'not-stored') && address !== null && !isOver()) {
         outcome = await this.options.peer.storeCancellation(address, jobId)
       }
       if (outcome === 'stored') {
@@ -145,7 +161,7 @@
   }
 
   private async storeUntilSettled (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, deadlineMilliseconds: number
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait
   ): Promise<SubmitOutcome> {
     const { clock, logger } = this.options
     const submission: JobSubmission = {
@@ -159,12 +175,18 @@
       acceptedAtMilliseconds: Math.round(clock.wallMilliseconds()),
       specification
     }
-    const end = clock.monotonicMilliseconds() + deadlineMilliseconds - ANSWER_MARGIN_MILLISECONDS
+    const isOver = this.createOverCheck(wait)
+    const end = clock.monotonicMilliseconds() + wait.milliseconds - ANSWER_MARGIN_MILLISECONDS
     let mayBeStored = false
     for (;;) {
+      if (isOver()) {
+        // Not a rejection, as an earlier copy of the request may be stored.
+        logger.info('submission given up', { job: jobId, reason: 'the caller has stopped waiting' })
+        return { kind: 'unknown' }
+      }
       let outcome = await this.storeSubmission(submission)
       const address = this.getOtherOwner()
-      if (outcome !== 'stored' && address !== null) {
+      if (outcome !== 'stored' && address !== null && !isOver()) {
         // The store may turn this process away and serve the owner.
         mayBeStored ||= outcome === 'unknown'
         outcome = await this.options.peer.storeSubmission(address, submission)
@@ -242,6 +264,17 @@
     return outcome.kind === 'committed' ? 'stored' : 'unknown'
   }
 
+  private createOverCheck (wait: CallerWait): () => boolean {
+    const { clock } = this.options
+    const end = clock.monotonicMilliseconds() + wait.milliseconds
+    return () => wait.hasLeft() || clock.monotonicMilliseconds() >= end
+  }
+
+  private giveUpLookup (jobId: string): StateOutcome {
+    this.options.logger.info('lookup given up', { job: jobId, reason: 'the caller has stopped waiting' })
+    return { kind: 'unavailable' }
+  }
+
   private getRetryAfterSeconds (): number {
     const now = this.options.clock.monotonicMilliseconds()
     const lasted = Math.ceil((now - (this.failingSince ?? now)) / 1000)
--- a/src/instance/siteFaults.test.ts
+++ b/src/instance/siteFaults.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import fastCheck from 'fast-check'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
-import { EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
+import { EMULATED_WAIT, EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
 import { getTestSeed } from '../shared/testSeed.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 
@@ -19,7 +19,7 @@
 async function getStates (site: EmulatedSite, clock: VirtualClock, jobIds: string[]): Promise<string[]> {
   const { instance, process } = site.chooseInstance()
   const pending = Promise.all(jobIds.map(async jobId => {
-    const outcome = await process.receive(instance.gateway.getState(jobId))
+    const outcome = await process.receive(instance.gateway.getState(jobId, EMULATED_WAIT))
     return outcome.kind === 'known' ? outcome.state : outcome.kind
   }))
   await clock.advance(3000)
@@ -61,7 +61,7 @@
   await clock.advance(1000)
   assert.equal(site.judge.getRunningTasks().length, 4)
   const { instance } = site.chooseInstance()
-  const pending = instance.gateway.cancel('watch', 3000)
+  const pending = instance.gateway.cancel('watch', EMULATED_WAIT)
   await clock.advance(1000)
   assert.deepEqual(await pending, { kind: 'cancelled' })
   await clock.advance(2000)
@@ -146,7 +146,7 @@
   const submitted = site.submit('a', [{ taskCount: 2, longRunning: true }], { durationMilliseconds: Infinity }, other)
   await clock.advance(2500)
   assert.deepEqual(await submitted, { kind: 'accepted' })
-  const cancelled = other.instance.gateway.cancel('a', 3000)
+  const cancelled = other.instance.gateway.cancel('a', EMULATED_WAIT)
   await clock.advance(3000)
   assert.deepEqual(await cancelled, { kind: 'cancelled' })
   assert.deepEqual(site.judge.getRunningTasks(), [])
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -1,7 +1,7 @@
 import { Registry } from 'prom-client'
 import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
 import {
-  Instance, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
+  Instance, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
 import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
@@ -45,6 +45,9 @@
   timeoutMilliseconds: 3000
 }
 
+/** A caller that waits for an answer as long as the queue allows. */
+export const EMULATED_WAIT: CallerWait = { milliseconds: 3000, hasLeft: () => false }
+
 const WORKER_CAPACITY = { processorsMilli: 16_000, memoryMegabytes: 64_000, accelerators: 0 }
 const LEASE_MILLISECONDS = 6000
 /** A worker that is silent for this long leaves the list. */
@@ -174,7 +177,7 @@
     const specification: JobSpecification = {
       taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
     }
-    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, 3000))
+    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, EMULATED_WAIT))
   }
 
   /** Takes a data centre out, or back in. */
