--- a/stand-ins/platform/EmulatedLoad.ts
+++ b/stand-ins/platform/EmulatedLoad.ts
@@ -1,6 +1,6 @@
 import type { JobState, StepSpecification } from '../../src/jobs/index.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
-import type { EmulatedSite } from './EmulatedSite.js'
+import { EMULATED_WAIT, type EmulatedSite } from './EmulatedSite.js'
 import type { EmulatedTask } from './EmulatedWorker.js'
 
 /** Options of a load. */
@@ -106,7 +106,7 @@
     const unfinished: string[] = []
     for (const jobId of this.acceptedJobs) {
       const { instance, process } = site.chooseInstance()
-      const pending = process.receive(instance.gateway.getState(jobId))
+      const pending = process.receive(instance.gateway.getState(jobId, EMULATED_WAIT))
       const state: { value: JobState | string } = { value: 'unanswered' }
       pending.then(outcome => { state.value = outcome.kind === 'known' ? outcome.state : outcome.kind })
       for (let passed = 0; passed < STATE_MILLISECONDS && state.value === 'unanswered'; passed += 10) {
