Ignore a late conflict of a progress writer that was stopped

What callers could see: a process that is owner again gives the ownership up without cause, and nothing starts until the next takeover. Cause: a write that was in flight when the writer was stopped told its instance of the takeover, also when the instance had acquired the ownership anew since, with another writer. Change: only a writer that was not stopped reports a takeover. Test: fails before (one report) and passes with the change; the other 8 tests of the file pass before and after.

--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -190,8 +190,11 @@
       return 'durable'
     }
     this.lastFailure = 'another owner'
-    this.state = 'stopped'
-    this.options.onDeposed()
+    // A late answer to a writer that was stopped says nothing about an ownership acquired since.
+    if (!this.isStopped()) {
+      this.state = 'stopped'
+      this.options.onDeposed()
+    }
     return 'deposed'
   }
 
--- a/src/instance/durableEnds.test.ts
+++ b/src/instance/durableEnds.test.ts
@@ -265,6 +265,21 @@
   assert.equal(fixture.deposedCount, 1)
 })
 
+test('a late answer to a writer that was stopped does not end an ownership acquired since', async () => {
+  const fixture = WriterFixture.create(8)
+  fixture.writer.run()
+  await fixture.advance(200)
+  fixture.refusedShare = 1
+  fixture.finishTask(fixture.workers[0], 0, 0)
+  await fixture.advance(200)
+  fixture.writer.stop()
+  fixture.replaceOwner()
+  fixture.refusedShare = 0
+  await fixture.advance(3000)
+  assert.equal(fixture.deposedCount, 0)
+  assert.equal(fixture.workers[0].acknowledgeableEnd, 0)
+})
+
 test('an end that may be acknowledged is durable whatever the store refuses, loses or does late', async () => {
   const share = fastCheck.constantFrom(0, 0, 0.1, 0.5, 1)
   const event = fastCheck.record({
