--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,16 +1,18 @@
 import { parseArgs } from 'node:util'
 import { SoakRun } from './SoakRun.js'
 
-/** A few dozen processes are the usual size of all runs together. */
-const PROCESS_COUNT = 4
-const WORKER_COUNT = 6
+/** A few dozen processes are the usual size of all runs together; some runs go up to a few hundred. */
+const USUAL_PROCESS_COUNT = '4'
+const USUAL_WORKER_COUNT = '6'
 const DURATION_MILLISECONDS = 15_000
 
 const { values } = parseArgs({
   options: {
     seeds: { type: 'string', default: '1' },
     seed: { type: 'string', default: String(Date.now() % 1_000_000) },
-    parallel: { type: 'string', default: '3' }
+    parallel: { type: 'string', default: '3' },
+    processes: { type: 'string', default: USUAL_PROCESS_COUNT },
+    workers: { type: 'string', default: USUAL_WORKER_COUNT }
   }
 })
 const waiting = Array.from({ length: Number(values.seeds) }, (_, index) => Number(values.seed) + index)
@@ -19,7 +21,10 @@
 async function playWaiting (): Promise<void> {
   for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
     const result = await SoakRun.play({
-      seed, processCount: PROCESS_COUNT, workerCount: WORKER_COUNT, durationMilliseconds: DURATION_MILLISECONDS
+      seed,
+      processCount: Number(values.processes),
+      workerCount: Number(values.workers),
+      durationMilliseconds: DURATION_MILLISECONDS
     })
     if (result.violations.length > 0) failedCount++
     console.log(JSON.stringify(result))
