--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createStep } from '../../stand-ins/platform/createStep.js'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import type { JobSubmission, StepSpecification } from '../jobs/index.js'
 import { DispatchEngine } from './DispatchEngine.js'
 import type { DispatchObserver, WorkerEntry, WorkerReport } from './index.js'
@@ -12,38 +13,16 @@
 ) {
   const engine = DispatchEngine.create({ epoch: 1, observer })
   for (let index = 0; index < workerCount; index++) {
-    const entry: WorkerEntry = {
+    const entry: WorkerEntry = createWorkerEntry({
       workerId: `worker-${index}`,
-      serviceName: 'desk',
-      address: 'host:1',
       dataCentre: index % 2 === 0 ? 'south-a' : 'south-b',
-      state: 'ready',
-      labels: ['a', `rack-${index}`],
-      capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
-      bornAtMilliseconds: 1,
-      remainingMilliseconds: null
-    }
+      labels: ['a', `rack-${index}`]
+    })
     const worker = engine.setWorker(entry)
     worker.registered = true
     engine.applyReport(worker, EMPTY_REPORT, 0, 1)
   }
-  const submission: JobSubmission = {
-    jobId: 'job',
-    queueName: 'queue',
-    serviceName: 'desk',
-    priority: 0,
-    attemptLimit,
-    stretch: 2,
-    targetLatencyMilliseconds: 400,
-    acceptedAtMilliseconds: 0,
-    specification: {
-      taskDescription: 'text',
-      steps: steps.map(createStep),
-      startAtMilliseconds: 0,
-      intervalMilliseconds: 0,
-      repeatCount: 0
-    }
-  }
+  const submission: JobSubmission = createSubmission(steps, { attemptLimit })
   engine.jobs.add({ submission, progress: null, recovered: false }, 0)
   return engine
 }
--- a/src/dispatch/lostRuns.test.ts
+++ b/src/dispatch/lostRuns.test.ts
@@ -1,22 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createStep } from '../../stand-ins/platform/createStep.js'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import type { StepSpecification } from '../jobs/index.js'
 import { DispatchEngine, type DispatchOrder, type WorkerEntry, type WorkerReport } from './index.js'
 
 const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
-const ENTRY: WorkerEntry = {
-  workerId: 'worker-0',
-  serviceName: 'desk',
-  address: 'host:1',
-  dataCentre: 'south-a',
-  state: 'ready',
-  labels: ['a'],
-  capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
-  bornAtMilliseconds: 1,
-  remainingMilliseconds: null
-}
+const ENTRY: WorkerEntry = createWorkerEntry()
 
 function createEngine (step: Partial<StepSpecification>, recovered = false) {
   const engine = DispatchEngine.create({ epoch: 1 })
@@ -26,23 +17,7 @@
     engine.applyReport(worker, EMPTY_REPORT, 0, 1)
   }
   engine.jobs.add({
-    submission: {
-      jobId: 'job',
-      queueName: 'queue',
-      serviceName: 'desk',
-      priority: 0,
-      attemptLimit: 3,
-      stretch: 2,
-      targetLatencyMilliseconds: 400,
-      acceptedAtMilliseconds: 0,
-      specification: {
-        taskDescription: 'text',
-        steps: [createStep(step)],
-        startAtMilliseconds: 0,
-        intervalMilliseconds: 0,
-        repeatCount: 0
-      }
-    },
+    submission: createSubmission([step]),
     progress: null,
     recovered
   }, 0)
--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createStep } from '../../stand-ins/platform/createStep.js'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine } from '../dispatch/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
@@ -9,36 +10,10 @@
 
 function createEngine () {
   const engine = DispatchEngine.create({ epoch: 1 })
-  const worker = engine.setWorker({
-    workerId: 'worker-0',
-    serviceName: 'desk',
-    address: 'host:1',
-    dataCentre: 'south-a',
-    state: 'ready',
-    labels: [],
-    capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
-    bornAtMilliseconds: 1,
-    remainingMilliseconds: null
-  })
+  const worker = engine.setWorker(createWorkerEntry())
   worker.registered = true
   engine.jobs.add({
-    submission: {
-      jobId: 'job',
-      queueName: 'queue',
-      serviceName: 'desk',
-      priority: 0,
-      attemptLimit: 3,
-      stretch: 2,
-      targetLatencyMilliseconds: 400,
-      acceptedAtMilliseconds: 0,
-      specification: {
-        taskDescription: 'text',
-        steps: [createStep({ taskCount: 2 })],
-        startAtMilliseconds: 0,
-        intervalMilliseconds: 0,
-        repeatCount: 0
-      }
-    },
+    submission: createSubmission([{ taskCount: 2 }]),
     progress: null,
     recovered: false
   }, 0)
--- a/src/instance/durableEnds.test.ts
+++ b/src/instance/durableEnds.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fastCheck from 'fast-check'
-import { createStep } from '../../stand-ins/platform/createStep.js'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import { DispatchEngine, type ListedEnd, type WorkerRecord } from '../dispatch/index.js'
@@ -126,40 +127,14 @@
 
   private addJob (jobId: string): void {
     this.engine.jobs.add({
-      submission: {
-        jobId,
-        queueName: 'queue',
-        serviceName: 'desk',
-        priority: 0,
-        attemptLimit: 3,
-        stretch: 2,
-        targetLatencyMilliseconds: 400,
-        acceptedAtMilliseconds: 0,
-        specification: {
-          taskDescription: 'text',
-          steps: [createStep({ taskCount: TASKS_PER_JOB })],
-          startAtMilliseconds: 0,
-          intervalMilliseconds: 0,
-          repeatCount: 0
-        }
-      },
+      submission: createSubmission([{ taskCount: TASKS_PER_JOB }], { jobId }),
       progress: null,
       recovered: false
     }, 0)
   }
 
   private addWorker (workerId: string): void {
-    const worker = this.engine.setWorker({
-      workerId,
-      serviceName: 'desk',
-      address: 'host:1',
-      dataCentre: 'south-a',
-      state: 'ready',
-      labels: [],
-      capacity: { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 },
-      bornAtMilliseconds: 1,
-      remainingMilliseconds: null
-    })
+    const worker = this.engine.setWorker(createWorkerEntry({ workerId }))
     this.workers.push(worker)
     this.ends.set(worker, [])
   }
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Registry } from 'prom-client'
-import { createStep } from '../../stand-ins/platform/createStep.js'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import {
   DispatchEngine, type HoldOutcome, type OrderOutcome, type WorkerClient, type WorkerReport
 } from '../dispatch/index.js'
@@ -52,17 +53,10 @@
   })
   const clients = new Map<string, WorkerClient>()
   for (const [index, createCalls] of workerCalls.entries()) {
-    const worker = engine.setWorker({
+    const worker = engine.setWorker(createWorkerEntry({
       workerId: `worker-${index}`,
-      serviceName: 'desk',
-      address: 'host:1',
-      dataCentre: 'south-a',
-      state: 'ready',
-      labels: ['a'],
-      capacity: { processorsMilli: 64_000, memoryMegabytes: 64_000, accelerators: 0 },
-      bornAtMilliseconds: 1,
-      remainingMilliseconds: null
-    })
+      capacity: { processorsMilli: 64_000, memoryMegabytes: 64_000, accelerators: 0 }
+    }))
     worker.registered = true
     const client = createClient(clock, createCalls(clock))
     clients.set(worker.entry.workerId, client)
@@ -78,23 +72,7 @@
     }).run()
   }
   engine.jobs.add({
-    submission: {
-      jobId: 'job',
-      queueName: 'queue',
-      serviceName: 'desk',
-      priority: 0,
-      attemptLimit: 3,
-      stretch: 2,
-      targetLatencyMilliseconds: 400,
-      acceptedAtMilliseconds: 0,
-      specification: {
-        taskDescription: 'text',
-        steps: steps.map(createStep),
-        startAtMilliseconds: 0,
-        intervalMilliseconds: 0,
-        repeatCount: 0
-      }
-    },
+    submission: createSubmission(steps),
     progress: null,
     recovered
   }, clock.monotonicMilliseconds())
