--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -94,36 +94,37 @@
   }
 
   private async sendStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<void> {
-    const { clock, metrics } = this.options
-    const orderedAt = clock.monotonicMilliseconds()
-    metrics.waitSeconds.observe((orderedAt - run.task.waitingSince) / 1000)
+    const orderedAt = this.now()
+    this.options.metrics.waitSeconds.observe((orderedAt - run.task.waitingSince) / 1000)
+    const request: OrderRequest = {
+      workerId: worker.entry.workerId,
+      priority: 'start',
+      isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
+        (isSent(run) || this.now() - orderedAt < LONGEST_START_WAIT_MILLISECONDS)
+    }
     let outcome: TurnOutcome = { kind: 'withdrawn' }
     for (let tries = 0; tries < START_TRIES; tries++) {
-      outcome = await this.sendInTurn({
-        workerId: worker.entry.workerId,
-        priority: 'start',
-        isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
-          (isSent(run) || clock.monotonicMilliseconds() - orderedAt < LONGEST_START_WAIT_MILLISECONDS)
-      }, () => this.callStart(worker, run, client))
+      outcome = await this.sendInTurn(request, () => this.callStart(worker, run, client))
       if (outcome.kind !== 'unknown') break
       run.startUncertain = true
     }
     if (this.stopped) return
     if (outcome.kind === 'fenced') return this.options.onDeposed('a worker refused a start of this epoch')
-    if (outcome.kind === 'withdrawn' && !isSent(run)) {
-      metrics.starts.inc({ outcome: outcome.kind })
-      this.options.engine.withdrawRun(worker, run, this.now())
-    } else if (outcome.kind === 'withdrawn') {
-      // An earlier try may have been carried out; a run that was settled meanwhile is left alone.
-      const unknown: OrderOutcome = { kind: 'unknown', reason: 'not repeated' }
-      if (run.state === 'starting') this.options.engine.applyStartOutcome(worker, run, unknown, this.now())
-    } else {
-      this.noteStart(run, outcome, orderedAt)
-      this.options.engine.applyStartOutcome(worker, run, outcome, this.now())
-    }
+    this.noteStart(run, outcome, orderedAt)
+    if (outcome.kind === 'withdrawn') this.withdrawStart(worker, run)
+    else this.options.engine.applyStartOutcome(worker, run, outcome, this.now())
     this.options.onChange()
   }
 
+  private withdrawStart (worker: WorkerRecord, run: RunRecord): void {
+    const { engine } = this.options
+    if (!isSent(run)) return engine.withdrawRun(worker, run, this.now())
+    // An earlier try may have been carried out; a run that was settled meanwhile is left alone.
+    if (run.state === 'starting') {
+      engine.applyStartOutcome(worker, run, { kind: 'unknown', reason: 'not repeated' }, this.now())
+    }
+  }
+
   private async callStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<OrderOutcome> {
     const now = this.now()
     const workerTime = getEarliestWorkerTime(worker, now)
@@ -144,9 +145,11 @@
     return outcome
   }
 
-  private noteStart (run: RunRecord, outcome: OrderOutcome, orderedAt: number): void {
+  /** Counts a start; one that was withdrawn has no line, as `run lost` tells of it. */
+  private noteStart (run: RunRecord, outcome: TurnOutcome, orderedAt: number): void {
     const { metrics, logger, engine } = this.options
     metrics.starts.inc({ outcome: outcome.kind })
+    if (outcome.kind === 'withdrawn') return
     metrics.startSeconds.observe((this.now() - orderedAt) / 1000)
     logger.info('task start', {
       task: run.task.name,
