--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -17,7 +17,7 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseOver, pauseWorker, removeRun, type WorkerEntry, type WorkerRecord
+  addRun, clearProcessState, createWorkerRecord, isLeaseOver, pauseWorker, removeRun, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** A run that is slowed below this is moved after a while. */
@@ -376,13 +376,7 @@
         this.orders.stop(worker, run)
       }
     }
-    worker.foreignRuns.clear()
-    worker.appliedEnd = 0
-    worker.acknowledgeableEnd = 0
-    worker.leaseDeadline = 0
-    worker.clockReading = null
-    worker.knowledge = 'unknown'
-    worker.failureStreak = 0
+    clearProcessState(worker)
     this.dirty = true
   }
 
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -105,6 +105,20 @@
   }
 }
 
+/**
+ * Clears what was known of the worker's process, because another one has taken its place.
+ * @param worker The worker; its runs stay.
+ */
+export function clearProcessState (worker: WorkerRecord): void {
+  worker.foreignRuns.clear()
+  worker.appliedEnd = 0
+  worker.acknowledgeableEnd = 0
+  worker.leaseDeadline = 0
+  worker.clockReading = null
+  worker.knowledge = 'unknown'
+  worker.failureStreak = 0
+}
+
 /**
  * Returns the key of a run among the runs of its worker.
  * @param name The name of the task.
