--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -17,7 +17,8 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, clearProcessState, createWorkerRecord, isLeaseOver, pauseWorker, removeRun, type WorkerEntry, type WorkerRecord
+  addRun, clearProcessState, createWorkerRecord, isLeaseOver, pauseWorker, removeRun, type WorkerEntry,
+  type WorkerRecord
 } from './WorkerRecord.js'
 
 /** A run that is slowed below this is moved after a while. */
