--- a/src/instance/JobGateway.test.ts
+++ b/src/instance/JobGateway.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Registry } from 'prom-client'
+import { absentOwnerAnswers } from '../../stand-ins/platform/absentOwnerAnswers.js'
 import { EMULATED_QUEUE } from '../../stand-ins/platform/EmulatedSite.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
@@ -37,13 +38,7 @@
       storeCancellation: () => answer('owner', OWNER_MILLISECONDS, 'unknown' as const)
     },
     metrics: createInstanceMetrics(new Registry(), { isOwner: () => false, countLiveJobs: () => 0 }),
-    ownAnswers: {
-      probe: () => ({ isOwner: false, renewalAge: 0 }),
-      getJobState: () => null,
-      countWaiting: () => null,
-      storeSubmission: async () => 'unknown',
-      storeCancellation: async () => 'unknown'
-    },
+    ownAnswers: absentOwnerAnswers,
     isOwner: () => false,
     getOwnerAddress: () => 'owner:1',
     clock,
--- a/src/instance/overloadFaults.test.ts
+++ b/src/instance/overloadFaults.test.ts
@@ -93,6 +93,15 @@
   await load.play(RESTART_MILLISECONDS, rate)
 }
 
+/** Plays a fault between two spans of a full load. */
+async function playAround (
+  surroundings: Surroundings, fault: (surroundings: Surroundings, rate: number) => Promise<void>
+): Promise<void> {
+  await surroundings.load.play(14_000, 1.2)
+  await fault(surroundings, 1.2)
+  await surroundings.load.play(10_000, 1.2)
+}
+
 async function restartInTurn ({ site, clock, load }: Surroundings, rate: number): Promise<void> {
   for (const { address } of [...site.instances]) {
     const stopped = site.instances.find(other => other.address === address)!
@@ -130,20 +139,12 @@
   {
     name: 'a late owner starts no finished task again and loses no lasting task after an outage of the store',
     seed: 5,
-    play: async surroundings => {
-      await surroundings.load.play(14_000, 1.2)
-      await loseStore(surroundings, 1.2)
-      await surroundings.load.play(10_000, 1.2)
-    }
+    play: async surroundings => await playAround(surroundings, loseStore)
   },
   {
     name: 'a late owner starts no finished task again and loses no lasting task after all processes lost power',
     seed: 8,
-    play: async surroundings => {
-      await surroundings.load.play(14_000, 1.2)
-      await loseAllPower(surroundings, 1.2)
-      await surroundings.load.play(10_000, 1.2)
-    }
+    play: async surroundings => await playAround(surroundings, loseAllPower)
   },
   {
     name: 'a late owner starts no finished task again and loses no lasting task while processes are restarted in turn',
--- /dev/null
+++ b/stand-ins/platform/absentOwnerAnswers.ts
@@ -0,0 +1,10 @@
+import type { OwnerAnswers } from '../../src/instance/index.js'
+
+/** The answers of a process that owns nothing. */
+export const absentOwnerAnswers: OwnerAnswers = {
+  probe: () => ({ isOwner: false, renewalAge: 0 }),
+  getJobState: () => null,
+  countWaiting: () => null,
+  storeSubmission: async () => 'unknown',
+  storeCancellation: async () => 'unknown'
+}
