Log and count what delays tasks after a takeover

Adds the lines 'waiting for workers of earlier owners', 'worker reconciled', 'all workers reconciled' and 'long-running task waits' with its reason, a gauge of unreconciled workers, a counter of how they were reconciled, and a histogram of the restarts of long-running tasks. No decision changes.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -93,7 +93,8 @@
   const events: string[] = []
   const observer: DispatchObserver = {
     onRunLost: (worker, run, cause) => events.push(`${worker.entry.workerId} ${run.task.name}#${run.attempt} ${cause}`),
-    onCompletionIgnored: (worker, ended, reason) => events.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`)
+    onCompletionIgnored: (worker, ended, reason) => events.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`),
+    onReconciled: () => {}
   }
   const engine = createEngine(1, [{ taskCount: 2 }], 3, observer)
   const [first, second] = plan(engine, 10)
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -6,8 +6,11 @@
 import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace } from './decidePace.js'
-import { silentDispatchObserver, type DispatchObserver, type RunLossCause } from './DispatchObserver.js'
+import {
+  silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
+} from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
+import { explainWaiting, type WaitingReason } from './explainWaiting.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { rankJobs } from './rankJobs.js'
@@ -137,7 +140,7 @@
   confirmWorkerExited (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'worker-gone', now)
     worker.orphanedRuns.clear()
-    this.unreconciled.markReconciled(worker.entry.workerId)
+    this.markReconciled(worker, 'process-ended')
     this.dirty = true
   }
 
@@ -146,6 +149,23 @@
     return this.unreconciled.isEmpty
   }
 
+  /** Returns the workers that may run tasks of earlier owners, with the monotonic time at which that is over. */
+  getUnreconciledWorkers (): ReadonlyMap<string, number> {
+    return this.unreconciled.getExpiries()
+  }
+
+  /**
+   * Returns why a ready task has no run.
+   * @param task The task.
+   * @param now The monotonic time.
+   * @returns The reason.
+   */
+  explainWaiting (task: TaskRecord, now: number): WaitingReason {
+    const { job } = task.step.occurrence
+    if (job.recovered && !this.isReconciled()) return 'unreconciled-worker'
+    return explainWaiting(task, this.workers.values(), this.getConditions(this.getServiceName(job), now))
+  }
+
   /**
    * Applies a worker's report.
    * @param worker The worker.
@@ -175,7 +195,8 @@
     }
     const changed = applyReport(worker, report, context)
     worker.syncState = 'synchronized'
-    if (this.unreconciled.markReconciled(entry.workerId) || changed) this.dirty = true
+    this.markReconciled(worker, 'reported')
+    if (changed) this.dirty = true
     this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
@@ -346,6 +367,12 @@
     removeRun(worker, run, now)
   }
 
+  private markReconciled (worker: WorkerRecord, cause: ReconciliationCause): void {
+    if (!this.unreconciled.markReconciled(worker.entry.workerId)) return
+    this.dirty = true
+    this.observer.onReconciled(worker, cause)
+  }
+
   private stopRuns (task: TaskRecord): void {
     for (const run of [...task.runs]) {
       const worker = this.workers.get(run.workerId)
@@ -384,7 +411,10 @@
   }
 
   private expireWorkers (now: number): void {
-    if (this.unreconciled.expire(this.workers)) this.dirty = true
+    for (const workerId of this.unreconciled.findExpired(this.workers)) {
+      const worker = this.workers.get(workerId)
+      if (worker !== undefined) this.markReconciled(worker, 'lease-expired')
+    }
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
       const isExpired = isLeaseExpired(worker)
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -9,16 +9,22 @@
 /** The reason for which a reported completion changes no task. */
 export type IgnoredCompletionReason = 'unknown-job' | 'job-finished' | 'task-done'
 
+/** How it became certain which runs of earlier owners a worker has. */
+export type ReconciliationCause = 'reported' | 'process-ended' | 'lease-expired'
+
 /** Receives events of the engine for logs and counters, without influence on its decisions. */
 export interface DispatchObserver {
   /** Is called when a run is considered over without a completion; its task may start again. */
   onRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void
   /** Is called when a reported completion has no effect. */
   onCompletionIgnored (worker: WorkerRecord, ended: ListedCompletion, reason: IgnoredCompletionReason): void
+  /** Is called when the runs of earlier owners on a worker are known or certainly over. */
+  onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
 }
 
 /** An observer that does nothing. */
 export const silentDispatchObserver: DispatchObserver = {
   onRunLost: () => {},
-  onCompletionIgnored: () => {}
+  onCompletionIgnored: () => {},
+  onReconciled: () => {}
 }
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -31,7 +31,7 @@
   }
 
   /**
-   * Removes a worker that has reported or whose process has exited.
+   * Removes a worker whose runs of earlier owners are known or certainly over.
    * @param workerId The worker.
    * @returns Whether the worker was unreconciled before.
    */
@@ -39,19 +39,24 @@
     return this.expiries.delete(workerId)
   }
 
+  /** Returns the monotonic time from which no run of an earlier owner can exist, by worker. */
+  getExpiries (): ReadonlyMap<string, number> {
+    return this.expiries
+  }
+
   /**
-   * Removes workers that did not respond to a call sent after their expiry.
+   * Finds workers that did not respond to a call sent after their expiry.
    *
-   * A worker that was not called may still hold completions from before the expiry, so time alone removes no worker.
+   * A worker that was not called may still hold completions from before the expiry, so time alone is no proof.
    * @param workers All workers.
-   * @returns Whether a worker was removed.
+   * @returns The identifiers of the workers.
    */
-  expire (workers: ReadonlyMap<string, WorkerRecord>): boolean {
-    let changed = false
+  findExpired (workers: ReadonlyMap<string, WorkerRecord>): string[] {
+    const expired: string[] = []
     for (const [workerId, expiresAt] of this.expiries) {
       const callSentAt = workers.get(workerId)?.unansweredCallSentAt ?? null
-      if (callSentAt !== null && callSentAt >= expiresAt) changed = this.expiries.delete(workerId) || changed
+      if (callSentAt !== null && callSentAt >= expiresAt) expired.push(workerId)
     }
-    return changed
+    return expired
   }
 }
--- /dev/null
+++ b/src/dispatch/explainWaiting.ts
@@ -0,0 +1,26 @@
+import type { TaskRecord } from '../jobs/index.js'
+import { fits, isEligible, type ChoiceConditions } from './chooseWorker.js'
+import type { WorkerRecord } from './WorkerRecord.js'
+
+/**
+ * Why a ready task has no run: a worker that may run it has not been reconciled, no worker may get new work, no such
+ * worker has the free capacity, or there is a worker for it that no plan has chosen yet.
+ */
+export type WaitingReason = 'unreconciled-worker' | 'no-eligible-worker' | 'no-free-capacity' | 'not-planned'
+
+/**
+ * Returns why no worker has been chosen for a task whose start is allowed.
+ * @param task The task.
+ * @param workers All workers.
+ * @param conditions The conditions of the choice.
+ * @returns The reason.
+ */
+export function explainWaiting (
+  task: TaskRecord, workers: Iterable<WorkerRecord>, conditions: ChoiceConditions
+): WaitingReason {
+  const label = task.step.specification.requiredLabel
+  const eligible = [...workers].filter(worker =>
+    isEligible(worker, conditions) && (label === '' || worker.entry.labels.includes(label)))
+  if (eligible.length === 0) return 'no-eligible-worker'
+  return eligible.some(worker => fits(worker, task)) ? 'not-planned' : 'no-free-capacity'
+}
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,6 +1,8 @@
 export * from './ColocationAdvisor.js'
 export * from './DispatchEngine.js'
 export * from './DispatchObserver.js'
+export type { WaitingReason } from './explainWaiting.js'
+export * from './findWaitingLongRunningTasks.js'
 export * from './JobTable.js'
 export * from './PendingOrders.js'
 export * from './OrderGate.js'
--- a/src/instance/EventLoopDelayMonitor.test.ts
+++ b/src/instance/EventLoopDelayMonitor.test.ts
@@ -1,16 +1,15 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Registry } from 'prom-client'
 import type { LogFields } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { createInstanceMetrics } from './InstanceMetrics.js'
+import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 
 test('an episode of delays is logged as one pair of lines, with its duration and its longest delay', async () => {
   const clock = VirtualClock.create()
   const lines: Array<[string, LogFields]> = []
   const log = (message: string, fields: LogFields = {}) => { lines.push([message, fields]) }
-  const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
+  const metrics = createTestMetrics(true)
   const monitor = EventLoopDelayMonitor.create({ clock, metrics, logger: { info: log, warn: log, error: log } })
   const tickAfter = async (delay: number) => {
     const dueAt = clock.monotonicMilliseconds() + 200
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -57,7 +57,8 @@
     const { ownerTable, callerTable, clock, logger, peer, instanceId, region, peerAddress } = options
     this.metrics = createInstanceMetrics(options.registry, {
       isOwner: () => this.election.isOwner(),
-      countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0
+      countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0,
+      countUnreconciledWorkers: () => this.dispatcher?.engine.getUnreconciledWorkers().size ?? 0
     })
     this.site = SiteWatch.create({
       platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -20,6 +20,8 @@
   paceChanges: Counter
   lostRuns: Counter<'cause'>
   ignoredEndedRuns: Counter<'reason'>
+  reconciledWorkers: Counter<'cause'>
+  longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
   loopDelaySeconds: Histogram
 }
@@ -31,7 +33,7 @@
  * @returns The metrics.
  */
 export function createInstanceMetrics (
-  registry: Registry, readers: { isOwner (): boolean, countLiveJobs (): number }
+  registry: Registry, readers: { isOwner (): boolean, countLiveJobs (): number, countUnreconciledWorkers (): number }
 ): InstanceMetrics {
   const registers = [registry]
   const owner: Gauge = new Gauge({
@@ -46,6 +48,12 @@
     registers,
     collect: () => liveJobs.set(readers.countLiveJobs())
   })
+  const unreconciledWorkers: Gauge = new Gauge({
+    name: 'papayamoor_instance_unreconciled_workers',
+    help: 'Workers of the owned shard that may run tasks of an earlier owner and have not reported yet.',
+    registers,
+    collect: () => unreconciledWorkers.set(readers.countUnreconciledWorkers())
+  })
   return {
     submissions: new Counter({
       name: 'papayamoor_instance_submissions_total',
@@ -110,6 +118,18 @@
       labelNames: ['reason'],
       registers
     }),
+    reconciledWorkers: new Counter({
+      name: 'papayamoor_instance_reconciled_workers_total',
+      help: 'Workers whose runs of earlier owners became known or were certainly over, by cause.',
+      labelNames: ['cause'],
+      registers
+    }),
+    longRunningRestartSeconds: new Histogram({
+      name: 'papayamoor_instance_long_running_restart_seconds',
+      help: 'Time from the end of a run of a long-running task, or from a takeover, to its next start.',
+      buckets: WAIT_BUCKETS_SECONDS,
+      registers
+    }),
     workerCallFailures: new Counter({
       name: 'papayamoor_instance_worker_call_failures_total',
       help: 'Renewals of leases that got no list back, by reason.',
--- a/src/instance/JobGateway.test.ts
+++ b/src/instance/JobGateway.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Registry } from 'prom-client'
 import { absentOwnerAnswers } from '../../stand-ins/platform/absentOwnerAnswers.js'
 import { EMULATED_QUEUE } from '../../stand-ins/platform/EmulatedSite.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { createInstanceMetrics } from './InstanceMetrics.js'
+import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { JobGateway, type CallerWait } from './JobGateway.js'
 
 const OWNER_MILLISECONDS = 400
@@ -37,7 +36,7 @@
       storeSubmission: () => respondAfter('owner', OWNER_MILLISECONDS, 'unknown' as const),
       storeCancellation: () => respondAfter('owner', OWNER_MILLISECONDS, 'unknown' as const)
     },
-    metrics: createInstanceMetrics(new Registry(), { isOwner: () => false, countLiveJobs: () => 0 }),
+    metrics: createTestMetrics(false),
     ownerApi: absentOwnerAnswers,
     isOwner: () => false,
     getOwnerAddress: () => 'owner:1',
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -95,7 +95,9 @@
 
   private async sendStart (worker: WorkerRecord, run: RunRecord, client: WorkerClient): Promise<void> {
     const orderedAt = this.now()
-    this.options.metrics.waitSeconds.observe((orderedAt - run.task.waitingSince) / 1000)
+    const waitSeconds = (orderedAt - run.task.waitingSince) / 1000
+    this.options.metrics.waitSeconds.observe(waitSeconds)
+    if (run.task.step.specification.longRunning) this.options.metrics.longRunningRestartSeconds.observe(waitSeconds)
     const request: OrderRequest = {
       workerId: worker.entry.workerId,
       priority: 'start',
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -18,6 +18,7 @@
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
+import { RecoveryMonitor } from './RecoveryMonitor.js'
 import type { SiteWatch } from './SiteWatch.js'
 import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
@@ -69,6 +70,7 @@
   private readonly sender: OrderSender
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
+  private readonly recoveryMonitor: RecoveryMonitor
   private readonly loops = new Map<string, { loop: WorkerLeaseLoop, client: WorkerClient }>()
   private jobFollower: TableFollower | null = null
   private stopped = false
@@ -83,6 +85,7 @@
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
+    this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.cleaner = FinishedJobCleaner.create(options)
     this.sender = OrderSender.create({
       ...options, engine: this.engine, mayStart: () => this.mayStart(), onChange: () => this.schedulePlan()
@@ -291,6 +294,7 @@
     this.engine.jobs.expireFinalStates(now)
     this.engine.markDirty()
     this.plan()
+    this.recoveryMonitor.check()
     if (now >= this.nextLivenessCheckAt) this.checkUnresponsiveWorkers()
     if (now >= this.nextLearnedStoreAt) this.storeLearnedEffects()
     const removedWorkerIds = [...this.loops.keys()].filter(workerId => !this.engine.workers.has(workerId))
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -34,6 +34,12 @@
         number: ended.number,
         reason
       })
+    },
+    onReconciled: (worker, cause) => {
+      metrics.reconciledWorkers.inc({ cause })
+      // Not logged, because nearly all workers report within a second of a takeover.
+      if (cause === 'reported') return
+      logger.info('worker reconciled', { worker: worker.entry.workerId, cause })
     }
   }
 }
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Registry } from 'prom-client'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import {
@@ -9,7 +8,7 @@
 import type { StepSpecification } from '../jobs/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { createInstanceMetrics } from './InstanceMetrics.js'
+import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { OrderSender } from './OrderSender.js'
 import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 
@@ -46,7 +45,7 @@
 ) {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
-  const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
+  const metrics = createTestMetrics(true)
   const common = { engine, clock, logger: silentLogger, metrics }
   const sender = OrderSender.create({
     ...common, mayStart: () => true, onChange: () => engine.markDirty(), onDeposed: () => {}
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Registry } from 'prom-client'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type DispatchOrder, type OrderOutcome, type WorkerClient } from '../dispatch/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { createInstanceMetrics } from './InstanceMetrics.js'
+import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { OrderSender } from './OrderSender.js'
 
 const ACCEPTED: OrderOutcome = { kind: 'accepted', workerMilliseconds: null }
@@ -15,7 +14,7 @@
 function createOwner (start: (attempt: number) => Promise<OrderOutcome>) {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
-  const metrics = createInstanceMetrics(new Registry(), { isOwner: () => true, countLiveJobs: () => 0 })
+  const metrics = createTestMetrics(true)
   const sender = OrderSender.create({
     engine,
     clock,
