Delay only the tasks that an unreachable worker may run after a takeover

An owner now stores the worker of a long-running task, in the progress of its job, before it sends the start. A successor starts such a task unless its own worker is not reconciled. Any other task starts at once when a worker has reported it as running to this owner, or a task of a step that it depends on: no earlier owner can have started it elsewhere. What remains waits for all workers, as before: short tasks without a run in any report. Storing each start was ruled out: it would put a write of the store before every urgent start, and stop all starts while the store is away.

An owner of an older version stores nothing, so the row of the shard carries the version since which every owner has stored assignments; jobs older than that wait as before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -118,7 +118,7 @@
   }
 
   /**
-   * Registers a worker that may run tasks of an earlier owner; recovered jobs start nothing until it is reconciled.
+   * Registers a worker that may run tasks of an earlier owner; these tasks do not start until it is reconciled.
    * @param workerId The worker.
    * @param expiresAt Monotonic time from which no run of an earlier owner can exist there.
    */
@@ -161,9 +161,9 @@
    * @returns The reason.
    */
   explainWaiting (task: TaskRecord, now: number): WaitingReason {
-    const { job } = task.step.occurrence
-    if (job.recovered && !this.isReconciled()) return 'unreconciled-worker'
-    return explainWaiting(task, this.workers.values(), this.getConditions(this.getServiceName(job), now))
+    if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
+    const serviceName = this.getServiceName(task.step.occurrence.job)
+    return explainWaiting(task, this.workers.values(), this.getConditions(serviceName, now))
   }
 
   /**
@@ -292,6 +292,7 @@
       workers: [...this.workers.values()],
       startLimit,
       getConditions: serviceName => this.getConditions(serviceName, now),
+      mayStart: task => !this.unreconciled.mayRun(task),
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
     for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
@@ -321,8 +322,9 @@
   }
 
   private getStartableJobs (wallMilliseconds: number): JobRecord[] {
-    return [...this.jobs.getJobs()].filter(job => job.finalState === null &&
-      (!job.recovered || this.isReconciled()) && hasWaitingTask(job, wallMilliseconds))
+    const mayStart = (task: TaskRecord) => !this.unreconciled.mayRun(task)
+    return [...this.jobs.getJobs()].filter(job =>
+      job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   }
 
   private getConditions (serviceName: string, now: number): ChoiceConditions {
@@ -358,6 +360,10 @@
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number, now: number): void {
     const run = createRun(task, worker.entry.workerId, attempt, now)
     task.nextAttempt = attempt + 1
+    if (task.step.specification.longRunning) {
+      task.assignedWorkerId = worker.entry.workerId
+      this.jobs.markChanged(task.step.occurrence.job)
+    }
     addRun(worker, run)
     this.orders.start(worker, run)
   }
@@ -371,6 +377,7 @@
     if (!this.unreconciled.markReconciled(worker.entry.workerId)) return
     this.dirty = true
     this.observer.onReconciled(worker, cause)
+    if (this.isReconciled()) this.jobs.confirmRecovered()
   }
 
   private stopRuns (task: TaskRecord): void {
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -17,6 +17,8 @@
   progress: JsonValue | null
   /** Whether an earlier owner accepted the job. */
   recovered: boolean
+  /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
+  hasStoredAssignments?: boolean
 }
 
 /** The jobs of one shard and the states that are reported to their submitters. */
@@ -55,6 +57,7 @@
       finishedOccurrences: new Set(),
       hasStarted: false,
       recovered: added.recovered,
+      hasStoredAssignments: added.hasStoredAssignments ?? false,
       finalState: null,
       addedAt: now
     }
@@ -83,6 +86,17 @@
     return this.jobs.size
   }
 
+  /** Records that the runs of all earlier owners are known, so that every task without a run may start. */
+  confirmRecovered (): void {
+    for (const job of this.jobs.values()) {
+      if (!job.recovered) continue
+      job.recovered = false
+      for (const { steps } of job.occurrences.values()) {
+        for (const step of steps) for (const task of step.tasks) task.earlierRuns = 'none'
+      }
+    }
+  }
+
   /**
    * Returns the state of a job as reported to its submitter.
    * @param jobId The job.
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -10,6 +10,8 @@
   /** The number of starts that can be sent soon. */
   startLimit: number
   getConditions (serviceName: string): ChoiceConditions
+  /** Returns whether no unknown run of a task can exist. */
+  mayStart (task: TaskRecord): boolean
   start (task: TaskRecord, worker: WorkerRecord, attempt: number): void
 }
 
@@ -56,7 +58,8 @@
   }
 
   private placeGang (step: StepRecord, serviceName: string): void {
-    const { workers, getConditions } = this.options
+    const { workers, getConditions, mayStart } = this.options
+    if (!step.tasks.every(mayStart)) return
     const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
     for (const { task, worker } of selectGangPlacement(step, workers, getConditions(serviceName))) {
       this.start(task, worker, attempt)
@@ -69,7 +72,7 @@
     if (this.unplaceableSizes.has(size)) return
     const candidates = this.getCandidates(serviceName)
     for (const task of step.tasks) {
-      if (task.done || task.runs.length > 0) continue
+      if (task.done || task.runs.length > 0 || !this.options.mayStart(task)) continue
       if (this.isFull) return
       const worker = candidates.choose(task)
       if (worker === null) {
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,3 +1,4 @@
+import type { TaskRecord } from '../jobs/index.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
 /** Workers that may run tasks of earlier owners and have not reported to this owner yet. */
@@ -39,6 +40,17 @@
     return this.expiries.delete(workerId)
   }
 
+  /**
+   * Returns whether an unknown run of a task may exist on a worker that is not reconciled.
+   * @param task The task.
+   * @returns Whether starting the task now may run it twice.
+   */
+  mayRun (task: TaskRecord): boolean {
+    if (task.earlierRuns === 'none') return false
+    if (task.earlierRuns === 'any') return this.expiries.size > 0
+    return task.assignedWorkerId !== null && this.expiries.has(task.assignedWorkerId)
+  }
+
   /** Returns the monotonic time from which no run of an earlier owner can exist, by worker. */
   getExpiries (): ReadonlyMap<string, number> {
     return this.expiries
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,4 +1,4 @@
-import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
+import { confirmOnlyRun, createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import type { IgnoredCompletionReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
 import type { ListedCompletion, ListedRun, WorkerReport } from './WorkerProtocol.js'
@@ -69,6 +69,8 @@
       return
     }
     run = adoptRun(worker, task, row, now)
+    confirmOnlyRun(task)
+    recordAssignment(worker, task, context)
     if (task.runs.length > 1 && !task.step.specification.speculative) context.stop(run)
   }
   if (run.state === 'starting') run.state = 'running'
@@ -83,6 +85,13 @@
   if (row.checkpoint !== '') run.task.checkpoint = row.checkpoint
 }
 
+/** Stores the worker of a long-running task that an earlier owner started without storing it. */
+function recordAssignment (worker: WorkerRecord, task: TaskRecord, context: ReportContext): void {
+  if (!task.step.specification.longRunning || task.assignedWorkerId === worker.entry.workerId) return
+  task.assignedWorkerId = worker.entry.workerId
+  context.jobs.markChanged(task.step.occurrence.job)
+}
+
 function isOverTarget (run: RunRecord): boolean {
   return isServing(run.task) && run.percent >= 100 &&
     run.usageFigure > run.task.step.specification.targetMilliseconds
--- a/src/dispatch/hasWaitingTask.ts
+++ b/src/dispatch/hasWaitingTask.ts
@@ -1,4 +1,4 @@
-import { getOccurrenceCount, isStepReady, type JobRecord } from '../jobs/index.js'
+import { getOccurrenceCount, isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
 
 /**
  * Returns whether a job has a task that waits to start, so that the job must be ranked.
@@ -6,13 +6,16 @@
  * On sites with mostly long-running jobs, ranking all jobs in each plan costs more than this check.
  * @param job The job.
  * @param wallMilliseconds The time of day.
+ * @param mayStart Returns whether no unknown run of a task can exist.
  * @returns Whether a task of a ready step waits, or an occurrence is due whose tasks are not created yet.
  */
-export function hasWaitingTask (job: JobRecord, wallMilliseconds: number): boolean {
+export function hasWaitingTask (
+  job: JobRecord, wallMilliseconds: number, mayStart: (task: TaskRecord) => boolean
+): boolean {
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
       const isWaiting = step.doneCount < step.tasks.length &&
-        step.tasks.some(task => !task.done && task.runs.length === 0)
+        step.tasks.some(task => !task.done && task.runs.length === 0 && mayStart(task))
       if (isWaiting && isStepReady(step)) return true
     }
   }
--- a/src/dispatch/rankJobs.test.ts
+++ b/src/dispatch/rankJobs.test.ts
@@ -30,6 +30,7 @@
     finishedOccurrences: new Set(),
     hasStarted: false,
     recovered: false,
+    hasStoredAssignments: false,
     finalState: null,
     addedAt: 0
   }
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,13 +1,12 @@
 import type { Registry } from 'prom-client'
 import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
-import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableService } from '../table/TableService.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
-import { OwnerElection, type InstanceResources } from './OwnerElection.js'
+import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
 import { LEASE_RENEWAL_LIMIT_MILLISECONDS, ShardDispatcher } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
@@ -74,7 +73,7 @@
       logger,
       resources: options.resources,
       random: options.random,
-      onAcquired: (fence, earlierOwnerStopped) => this.startDispatcher(fence, earlierOwnerStopped),
+      onAcquired: takeover => this.startDispatcher(takeover),
       onDeposed: reason => this.stopDispatcher(reason)
     })
     this.ownerApi = this.createOwnerApi()
@@ -128,8 +127,9 @@
     this.site.stopFollowingWorkers()
   }
 
-  private startDispatcher (fence: Fence, earlierOwnerStopped: boolean): void {
+  private startDispatcher (takeover: Takeover): void {
     const { options } = this
+    const { fence, earlierOwnerStopped, assignmentsStoredSince } = takeover
     const now = options.clock.monotonicMilliseconds()
     const earlierRenewalsEndWithin = earlierOwnerStopped ? 0 : LEASE_RENEWAL_LIMIT_MILLISECONDS
     this.dispatcher?.stop()
@@ -145,6 +145,7 @@
       livenessSource: options.livenessSource,
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
+      assignmentsStoredSince,
       earlierLeasesEndAt: now + earlierRenewalsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       createWorkerClient: options.createWorkerClient,
       getRenewedAt: () => this.election.getRenewedAt(),
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -15,6 +15,8 @@
   metrics: InstanceMetrics
   /** Returns whether this process may start tasks now. */
   mayStart (): boolean
+  /** Stores the assignment of a run of a long-running task; resolves to whether it is durable. */
+  storeAssignment (run: RunRecord): Promise<boolean>
   /** Called after a change that may allow another task to start. */
   onChange (): void
   onDeposed (reason: string): void
@@ -46,6 +48,8 @@
 export class OrderSender {
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
   private stopped = false
+  /** The number of starts whose assignments are being stored. */
+  private storingCount = 0
 
   private constructor (private readonly options: OrderSenderOptions) {}
 
@@ -66,7 +70,7 @@
 
   /** The number of queued orders. */
   get queuedCount (): number {
-    return this.gate.waiting
+    return this.gate.waiting + this.storingCount
   }
 
   /** Withdraws queued orders that are no longer needed, which frees their reserved capacity at once. */
@@ -97,12 +101,19 @@
     const orderedAt = this.now()
     const waitSeconds = (orderedAt - run.task.waitingSince) / 1000
     this.options.metrics.waitSeconds.observe(waitSeconds)
-    if (run.task.step.specification.longRunning) this.options.metrics.longRunningRestartSeconds.observe(waitSeconds)
+    if (run.task.step.specification.longRunning) {
+      this.options.metrics.longRunningRestartSeconds.observe(waitSeconds)
+      if (!await this.storeAssignment(run)) {
+        if (!this.stopped) this.withdrawStart(worker, run)
+        return
+      }
+    }
+    const queuedAt = this.now()
     const request: OrderRequest = {
       workerId: worker.entry.workerId,
       priority: 'start',
       isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
-        (isSent(run) || this.now() - orderedAt < LONGEST_START_WAIT_MILLISECONDS)
+        (isSent(run) || this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS)
     }
     let outcome: SendOutcome = { kind: 'withdrawn' }
     for (let sendCount = 0; sendCount < START_SEND_LIMIT; sendCount++) {
@@ -118,6 +129,14 @@
     this.options.onChange()
   }
 
+  /** Stores the assignment of a run, so that a successor knows where the run may be; returns whether it is durable. */
+  private async storeAssignment (run: RunRecord): Promise<boolean> {
+    this.storingCount++
+    const isStored = await this.options.storeAssignment(run)
+    this.storingCount--
+    return isStored && !this.stopped
+  }
+
   private withdrawStart (worker: WorkerRecord, run: RunRecord): void {
     const { engine } = this.options
     if (!isSent(run)) return engine.withdrawRun(worker, run, this.now())
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -11,6 +11,15 @@
   linkMegabitsPerSecond: number
 }
 
+/** What a process knows when it becomes owner. */
+export interface Takeover {
+  fence: Fence
+  /** Whether the earlier owner has certainly stopped renewing the leases of workers. */
+  earlierOwnerStopped: boolean
+  /** The row version since which all owners have stored assignments, or null when some have not. */
+  assignmentsStoredSince: number | null
+}
+
 /** Options of an election. */
 export interface OwnerElectionOptions {
   shardId: string
@@ -26,7 +35,7 @@
   resources: InstanceResources
   /** Returns a number from 0 to 1 for the random part of a candidate's delay. */
   random (): number
-  onAcquired (fence: Fence, earlierOwnerStopped: boolean): void
+  onAcquired (takeover: Takeover): void
   onDeposed (reason: string): void
 }
 
@@ -179,7 +188,8 @@
     const fence = this.lease.getFence()
     if (fence === null) return
     logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
-    this.options.onAcquired(fence, earlierOwnerStopped)
+    const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
+    this.options.onAcquired({ fence, earlierOwnerStopped, assignmentsStoredSince })
   }
 
   private async isOwnerAlive (): Promise<boolean> {
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -30,6 +30,8 @@
 const RETRY_MILLISECONDS = 200
 /** The longest time a lease loop waits for a write, so that leases are renewed during an outage of the store. */
 const DURABILITY_WAIT_MILLISECONDS = 800
+/** The longest time a start waits for its assignment to be stored; the task is then placed again. */
+const ASSIGNMENT_WAIT_MILLISECONDS = 2000
 /** The process may exit 2.6 s after SIGTERM, and the release after a flush takes a store call of up to 1 s. */
 const FLUSH_LIMIT_MILLISECONDS = 1500
 
@@ -45,6 +47,8 @@
   isComplete: boolean
   /** The last ended run of each worker that is durable once this batch is written. */
   lastEndedRuns: Map<string, { number: number, bornAtMilliseconds: number }>
+  /** Called once the batch is durable. */
+  jobWaiters: Array<() => void>
 }
 
 /**
@@ -62,6 +66,7 @@
   private headVersion: number | null = null
   private readonly writer: SettledWriter
   private waiters: Array<() => void> = []
+  private readonly jobWaiters = new Map<JobRecord, Array<() => void>>()
   private currentWrite: Promise<unknown> = Promise.resolve()
 
   private constructor (private readonly options: ProgressWriterOptions) {
@@ -130,6 +135,23 @@
     })
   }
 
+  /**
+   * Waits until the present progress of a changed job is durable.
+   * @param job The job.
+   * @returns Whether it is durable; false after a time limit.
+   */
+  waitForJob (job: JobRecord): Promise<boolean> {
+    return new Promise(resolve => {
+      const cancel = this.options.clock.setTimer(ASSIGNMENT_WAIT_MILLISECONDS, () => resolve(false))
+      const waiters = this.jobWaiters.get(job) ?? []
+      this.jobWaiters.set(job, waiters)
+      waiters.push(() => {
+        cancel()
+        resolve(true)
+      })
+    })
+  }
+
   private async writeAll (): Promise<boolean> {
     await this.currentWrite
     while (!this.isStopped()) {
@@ -231,11 +253,14 @@
         lastEndedRuns.set(workerId, { number: worker.appliedCompletion, bornAtMilliseconds })
       }
     }
-    return { transaction: { operations }, writeId, written, isComplete, lastEndedRuns }
+    const jobWaiters = jobs.flatMap(job => this.jobWaiters.get(job) ?? [])
+    for (const job of jobs) this.jobWaiters.delete(job)
+    return { transaction: { operations }, writeId, written, isComplete, lastEndedRuns, jobWaiters }
   }
 
   private confirmBatch (batch: Batch): void {
     const { engine, clock } = this.options
+    for (const notify of batch.jobWaiters) notify()
     for (const [workerId, { number, bornAtMilliseconds }] of batch.lastEndedRuns) {
       const worker = engine.workers.get(workerId)
       // A new incarnation of a worker numbers its ended runs from 1.
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -38,6 +38,8 @@
   leaseMilliseconds: number
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
   earlierLeasesEndAt: number
+  /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
+  assignmentsStoredSince: number | null
   createWorkerClient (entry: WorkerEntry): WorkerClient
   /** Returns the monotonic time of the last successful renewal of the ownership. */
   getRenewedAt (): number
@@ -88,7 +90,11 @@
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.cleaner = FinishedJobCleaner.create(options)
     this.sender = OrderSender.create({
-      ...options, engine: this.engine, mayStart: () => this.mayStart(), onChange: () => this.schedulePlan()
+      ...options,
+      engine: this.engine,
+      mayStart: () => this.mayStart(),
+      storeAssignment: run => this.writer.waitForJob(run.task.step.occurrence.job),
+      onChange: () => this.schedulePlan()
     })
     this.registry = WorkerRegistry.create({
       ...options,
@@ -189,8 +195,8 @@
     if (!isComplete || this.stopped) return false
     if (learned.value !== null) this.engine.advisor.import(learned.value.value as unknown as LearnedEffects)
     const now = clock.monotonicMilliseconds()
-    const progressByJobId = new Map(progress.value.rows.map(row => [row.key, row.value]))
-    for (const [jobId, value] of progressByJobId) {
+    const progressByJobId = new Map(progress.value.rows.map(row => [row.key, row]))
+    for (const [jobId, { value }] of progressByJobId) {
       const { state } = decodeProgress(value)
       if (state !== undefined) this.engine.jobs.setFinalState(jobId, state, now)
     }
@@ -204,6 +210,7 @@
       this.engine.requireReconciliation(row.key, this.options.earlierLeasesEndAt)
       this.startLoop(worker)
     }
+    if (this.engine.isReconciled()) this.engine.jobs.confirmRecovered()
     this.followJobs(jobs.value.version)
     return true
   }
@@ -237,8 +244,9 @@
     this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]), () => null, false)
   }
 
-  private addJobs (rows: Row[], getProgress: (jobId: string) => JsonValue | null, recovered: boolean): void {
+  private addJobs (rows: Row[], getProgress: (jobId: string) => Row | null, recovered: boolean): void {
     const now = this.options.clock.monotonicMilliseconds()
+    const { assignmentsStoredSince } = this.options
     for (const row of rows) {
       if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
       const submission = decodeSubmission(row.value)
@@ -247,7 +255,9 @@
         continue
       }
       const progress = getProgress(row.key)
-      this.engine.jobs.add({ submission, progress, recovered }, now)
+      const hasStoredAssignments = assignmentsStoredSince !== null &&
+        Math.max(row.version, progress?.version ?? 0) > assignmentsStoredSince
+      this.engine.jobs.add({ submission, progress: progress?.value ?? null, recovered, hasStoredAssignments }, now)
     }
     for (const row of rows) {
       const jobId = getCancelledJobId(row.key)
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -48,7 +48,11 @@
   const metrics = createTestMetrics(true)
   const common = { engine, clock, logger: silentLogger, metrics }
   const sender = OrderSender.create({
-    ...common, mayStart: () => true, onChange: () => engine.markDirty(), onDeposed: () => {}
+    ...common,
+    mayStart: () => true,
+    onChange: () => engine.markDirty(),
+    storeAssignment: async () => true,
+    onDeposed: () => {}
   })
   const clients = new Map<string, WorkerClient>()
   for (const [index, createCalls] of workerCalls.entries()) {
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -22,6 +22,7 @@
     metrics,
     mayStart: () => true,
     onChange: () => {},
+    storeAssignment: async () => true,
     onDeposed: () => {}
   })
   const worker = engine.setWorker(createWorkerEntry())
@@ -110,3 +111,35 @@
   await clock.advance(1500)
   assert.equal(stops.count, 3)
 })
+
+test('a start of a long-running task is not sent before its assignment is stored', async () => {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 1 })
+  const answers: Array<(isStored: boolean) => void> = []
+  const sender = OrderSender.create({
+    engine,
+    clock,
+    logger: silentLogger,
+    metrics: createTestMetrics(true),
+    mayStart: () => true,
+    onChange: () => {},
+    storeAssignment: async () => await new Promise(resolve => answers.push(resolve)),
+    onDeposed: () => {}
+  })
+  const worker = engine.setWorker(createWorkerEntry())
+  worker.registered = true
+  engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 990, 1000)
+  engine.jobs.add({
+    submission: createSubmission([{ taskCount: 2, longRunning: true }]), progress: null, recovered: false
+  }, 1000)
+  const starts = createPendingStarts()
+  const client = { start: starts.start } as unknown as WorkerClient
+  engine.plan(1000, 1000, true)
+  for (const order of engine.takeOrders()) sender.send(order, client)
+  await clock.advance(100)
+  assert.deepEqual([starts.getCount(), sender.queuedCount], [0, 2])
+  answers[0](true)
+  answers[1](false)
+  await clock.advance(1)
+  assert.deepEqual([starts.getCount(), sender.queuedCount, worker.runs.size], [1, 0, 1])
+})
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -32,6 +32,12 @@
   slowedSince: number | null
 }
 
+/**
+ * Where a run that an earlier owner started and that this owner does not know of may exist: nowhere (`none`), only on
+ * the worker to which the task is assigned (`assigned`), or on any worker of earlier owners (`any`).
+ */
+export type EarlierRunScope = 'none' | 'assigned' | 'any'
+
 /** One task of one step of an occurrence. */
 export interface TaskRecord {
   step: StepRecord
@@ -46,6 +52,9 @@
   /** The latest checkpoint; empty when there is none. */
   checkpoint: string
   runs: RunRecord[]
+  /** The worker of the latest start of a long-running task, stored before the start is sent; null for no start. */
+  assignedWorkerId: string | null
+  earlierRuns: EarlierRunScope
   /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
   /** Monotonic time at which the last run ended, or at which the task was created. */
@@ -78,8 +87,10 @@
   finishedOccurrences: Set<number>
   /** Whether a worker has executed a start of one of its tasks. */
   hasStarted: boolean
-  /** Whether the job was accepted by an earlier owner, so that its tasks may run on workers not yet reconciled. */
+  /** Whether an earlier owner accepted the job and some of its workers are not reconciled yet. */
   recovered: boolean
+  /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
+  hasStoredAssignments: boolean
   finalState: FinalJobState | null
   /** Monotonic time at which this process accepted or loaded the job. */
   addedAt: number
@@ -129,6 +140,8 @@
         failedAttempts: new Set(),
         nextAttempt: firstAttempt,
         checkpoint: '',
+        assignedWorkerId: null,
+        earlierRuns: getInitialScope(job, specification),
         runs: [],
         failedWorkerIds: new Set(),
         waitingSince: now
@@ -139,6 +152,27 @@
   return occurrence
 }
 
+function getInitialScope (job: JobRecord, step: StepSpecification): EarlierRunScope {
+  if (!job.recovered) return 'none'
+  return step.longRunning && job.hasStoredAssignments ? 'assigned' : 'any'
+}
+
+/**
+ * Records that this owner knows the only run of a task that is not done, because a worker reports it as running.
+ *
+ * No earlier owner can have started the steps that depend on the task.
+ * @param task The task.
+ */
+export function confirmOnlyRun (task: TaskRecord): void {
+  task.earlierRuns = 'none'
+  const unreadyIndexes = new Set([task.step.index])
+  for (const step of task.step.occurrence.steps) {
+    if (!step.specification.afterSteps.some(index => unreadyIndexes.has(index))) continue
+    unreadyIndexes.add(step.index)
+    for (const dependent of step.tasks) dependent.earlierRuns = 'none'
+  }
+}
+
 /**
  * Creates the record of a run whose start was decided but not sent.
  * @param task The task.
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,5 +1,7 @@
 import type { JsonValue } from '../shared/JsonValue.js'
-import { createOccurrence, getOccurrenceCount, type JobRecord, type OccurrenceRecord } from './JobRecord.js'
+import {
+  createOccurrence, getOccurrenceCount, type JobRecord, type OccurrenceRecord, type TaskRecord
+} from './JobRecord.js'
 import type { FinalJobState } from './JobSpecification.js'
 
 /** The durable progress of a job, stored beside its submission. Names are short because writes are billed by byte. */
@@ -16,6 +18,11 @@
   failures?: Record<string, number[]>
   /** The latest checkpoint by `occurrence.step.index`. */
   checkpoints?: Record<string, string>
+  /**
+   * The workers of the latest starts of long-running tasks by `occurrence.step.index`: empty text when the worker is
+   * unknown, no entry when no owner has started the task.
+   */
+  assigned?: Record<string, string>
 }
 
 /**
@@ -42,12 +49,19 @@
         if (task.checkpoint !== '') {
           row.checkpoints = { ...row.checkpoints, [`${prefix}.${task.index}`]: task.checkpoint }
         }
+        const assignment = getAssignment(task)
+        if (assignment !== null) row.assigned = { ...row.assigned, [`${prefix}.${task.index}`]: assignment }
       }
     }
   }
   return row
 }
 
+function getAssignment (task: TaskRecord): string | null {
+  if (!task.step.specification.longRunning) return null
+  return task.assignedWorkerId ?? (task.earlierRuns === 'any' ? '' : null)
+}
+
 /**
  * Decodes a progress row.
  * @param value The value of the row.
@@ -81,6 +95,7 @@
     const task = findTask(job, suffix, firstAttempt, now)
     if (task !== undefined) task.checkpoint = checkpoint
   }
+  if (job.hasStoredAssignments) restoreAssignments(job, row.assigned ?? {}, firstAttempt, now)
 }
 
 /**
@@ -116,6 +131,17 @@
   return getOccurrence(job, occurrence, firstAttempt, now)?.steps[step]?.tasks[index]
 }
 
+function restoreAssignments (
+  job: JobRecord, assigned: Record<string, string>, firstAttempt: number, now: number
+): void {
+  for (const [suffix, workerId] of Object.entries(assigned)) {
+    const task = findTask(job, suffix, firstAttempt, now)
+    if (task === undefined) continue
+    if (workerId === '') task.earlierRuns = 'any'
+    else task.assignedWorkerId = workerId
+  }
+}
+
 function markDone (job: JobRecord, suffix: string, firstAttempt: number, now: number): void {
   const task = findTask(job, suffix, firstAttempt, now)
   if (task === undefined || task.done) return
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -43,6 +43,11 @@
   writeId: string
   /** Earlier owners that may still be active; the journal records up to which epoch all owners have stopped. */
   earlier: EarlierOwner[]
+  /**
+   * The row version since which all owners have stored the assignments of long-running tasks before their starts; 0 for
+   * the version of this row itself. Absent in the row of an owner that does not store them.
+   */
+  assignmentsStoredSince?: number
 }
 
 /** The value of the row `shard-heartbeats/<shard>`. */
@@ -95,6 +100,7 @@
   private observedSince: number | null = null
   private readonly relinquishedEpochs = new Set<number>()
   private earlierOwners: EarlierOwner[] = []
+  private assignmentsStoredSince: number | null = null
 
   private constructor (
     private readonly options: ShardLeaseOptions,
@@ -153,6 +159,11 @@
     return this.earlierOwners
   }
 
+  /** Returns the row version since which all earlier owners have stored assignments, or null when the last has not. */
+  getAssignmentsStoredSince (): number | null {
+    return this.assignmentsStoredSince
+  }
+
   /** Returns the monotonic time of the last successful renewal. */
   getRenewedAt (): number {
     return this.renewedAt
@@ -206,7 +217,16 @@
     const { shardId, owner, address, region } = this.options
     const epoch = (this.getObservedOwner()?.epoch ?? 0) + 1
     const writeId = createIdentifier()
-    const row: ShardRow = { owner, address, region, epoch, writeId, earlier: this.getEarlierOwners() }
+    const assignmentsStoredSince = getAssignmentsStoredSince(this.observedShard)
+    const row: ShardRow = {
+      owner,
+      address,
+      region,
+      epoch,
+      writeId,
+      earlier: this.getEarlierOwners(),
+      assignmentsStoredSince: assignmentsStoredSince ?? 0
+    }
     const heartbeat: HeartbeatRow = { owner, epoch, beat: 0, summary: null, released: false }
     const outcome = await this.writer.transactAndSettle({
       operations: [{
@@ -231,6 +251,7 @@
     }
     this.advance('acquired')
     this.earlierOwners = row.earlier
+    this.assignmentsStoredSince = assignmentsStoredSince
     this.fence = { epoch, rowVersion }
     this.renewedAt = sentAt
     this.beat = 0
@@ -319,6 +340,14 @@
   }
 }
 
+function getAssignmentsStoredSince (row: Row | null): number | null {
+  // Without an earlier owner, no task has ever been started.
+  if (row === null) return 0
+  const { assignmentsStoredSince } = row.value as unknown as ShardRow
+  if (assignmentsStoredSince === undefined) return null
+  return assignmentsStoredSince === 0 ? row.version : assignmentsStoredSince
+}
+
 function getUnchangedCondition (row: Row | null): Condition {
   return row === null ? { kind: 'absent' } : { kind: 'version', version: row.version }
 }
