Search a worker for tasks of each image and each service

Callers saw a task that did not start although a worker had room for it and would have been chosen, while another task of the same size waited that fits nowhere.

Cause: a plan skips all tasks of a size once one of them found no worker. The key of the size left out two properties that exclude workers: the image of a best-effort task, because interference with serving tasks excludes a worker for some images only, and the service, which may differ within a queue that the configuration does not list.

Ruled out: failedWorkerIds and preferredRack only add to the cost of a worker; the required label and maximumPerWorker are part of the key already; a persistent violation of a latency target excludes a worker for best-effort tasks of all images, and the key has fills.

Change: the image is part of the key of a best-effort step, and the sizes that did not fit are kept with the candidates of a service.

--- a/src/dispatch/StartCandidates.ts
+++ b/src/dispatch/StartCandidates.ts
@@ -22,6 +22,8 @@
  * that no other worker's dominates in all dimensions, and a task that fits none of these needs no search.
  */
 export class StartCandidates {
+  /** Sizes that did not fit; free capacity only decreases during a plan, so they are not searched for again. */
+  readonly unplaceableSizes = new Set<string>()
   private eligible: WorkerRecord[] | null = null
   private maximalCapacities: FreeCapacity[] | null = null
 
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -23,7 +23,6 @@
  * stops at the number of starts that can be sent soon, and once a task does not fit, others of its size are skipped.
  */
 export class StartPlan {
-  private readonly unplaceableSizes = new Set<string>()
   private readonly candidates = new Map<string, StartCandidates>()
   private remainingStarts: number
 
@@ -64,16 +63,15 @@
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
-    // Free capacity only decreases during a plan, so a size that did not fit once is not searched for again.
     const size = getSizeKey(step)
-    if (this.unplaceableSizes.has(size)) return
     const candidates = this.getCandidates(serviceName)
+    if (candidates.unplaceableSizes.has(size)) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
       if (this.isFull) return
       const worker = candidates.choose(task)
       if (worker === null) {
-        this.unplaceableSizes.add(size)
+        candidates.unplaceableSizes.add(size)
         return
       }
       this.start(task, worker, task.nextAttempt)
@@ -94,13 +92,16 @@
   }
 }
 
+/** Returns a key that is equal only for steps whose tasks fit into the same workers, see `chooseEligibleWorker`. */
 function getSizeKey (step: StepRecord): string {
   const cached = sizeKeys.get(step)
   if (cached !== undefined) return cached
   const { specification: s, occurrence } = step
   const scope = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
-  const size = `${occurrence.job.submission.queueName} ${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ` +
-    `${s.accelerators} ${s.requiredLabel} ${scope}`
+  // Interference excludes workers only for tasks that use unused processors.
+  const image = s.fills ? JSON.stringify(s.image) : ''
+  const size = `${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ${s.accelerators} ` +
+    `${JSON.stringify(s.requiredLabel)} ${scope} ${image}`
   sizeKeys.set(step, size)
   return size
 }
