Start long-running tasks again before other work

Cause: jobs with long-running steps are ranked behind all short work of their priority and behind all higher priorities, and the number of starts of a plan is bounded. While a backlog of short work lasts, it takes each start and all free capacity first. That rank is right for the first start, which nobody has been promised, but not for a restart, which must follow within 6 s.

Ruled out: the end of the run is applied at once, and workers have room: in the second test below 33 workers use 16 of 528 processors while the tasks wait.

Change: TaskRecord.hasRun says that a task has run. An index of the long-running tasks that have run and wait again is kept in the order in which their runs ended, and a plan places these before the ranked jobs. Half of the starts of plans are reserved for them, so that a takeover after which all long-running tasks must start again does not delay urgent work; what one side does not use, the other one gets. First starts keep their rank. No run is stopped for a restart.

Result: the first two tests of longRunningRestart.test.ts failed before (both: a task did not run for 27,000 ms, the whole test) and pass now; they measure 200 ms and 900 ms. The third one passes before and now, and fails when all starts are reserved for restarts. In restarts.test.ts the tests on the share fail with that change too.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -11,6 +11,7 @@
 import { hasWaitingTask } from './hasWaitingTask.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { rankJobs } from './rankJobs.js'
+import { RestartShare } from './RestartShare.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
 import { applyReport, type ReportContext } from './applyReport.js'
@@ -48,6 +49,7 @@
   private dataCentresOut: ReadonlySet<string> = new Set()
   private readonly unreconciled = UnreconciledWorkers.create()
   private queueServices: ReadonlyMap<string, string> = new Map()
+  private readonly restartShare = RestartShare.create()
   private dirty = true
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
@@ -273,6 +275,7 @@
       getConditions: serviceName => this.getConditions(serviceName, now),
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
+    this.placeRestarts(plan, startLimit)
     for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
       this.jobs.createDueOccurrences(job, wallMilliseconds, now)
       this.placeJob(job, plan)
@@ -284,6 +287,16 @@
     this.moveSlowedRuns(now)
   }
 
+  /** Places restarts before all other work, as many as the share of the plan that is reserved for them allows. */
+  private placeRestarts (plan: StartPlan, startLimit: number): void {
+    const reserved = this.restartShare.reserve(startLimit)
+    for (const task of this.jobs.waitingRestarts.getWaiting()) {
+      if (plan.startCount >= reserved) return
+      const { job } = task.step.occurrence
+      if (this.mayStartTasksOf(job)) plan.placeRestart(task, this.getServiceName(job))
+    }
+  }
+
   private placeJob (job: JobRecord, plan: StartPlan): void {
     const serviceName = this.getServiceName(job)
     for (const occurrence of job.occurrences.values()) {
@@ -300,8 +313,12 @@
   }
 
   private getStartableJobs (wallMilliseconds: number): JobRecord[] {
-    return [...this.jobs.getJobs()].filter(job => job.finalState === null &&
-      (!job.recovered || this.isReconciled()) && hasWaitingTask(job, wallMilliseconds))
+    return [...this.jobs.getJobs()].filter(job =>
+      this.mayStartTasksOf(job) && hasWaitingTask(job, wallMilliseconds))
+  }
+
+  private mayStartTasksOf (job: JobRecord): boolean {
+    return job.finalState === null && (!job.recovered || this.isReconciled())
   }
 
   private getConditions (serviceName: string, now: number): ChoiceConditions {
@@ -344,6 +361,7 @@
   private markRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
     this.observer.onRunLost(worker, run, cause, now)
     removeRun(worker, run, now)
+    this.jobs.waitingRestarts.add(run.task)
   }
 
   private stopRuns (task: TaskRecord): void {
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -3,6 +3,7 @@
   type JobRecord, type JobState, type JobSubmission, type TaskRecord
 } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
+import { WaitingRestarts } from './WaitingRestarts.js'
 
 /** How long a durable final state can be queried before it is removed. */
 const FINAL_STATE_RETENTION_MILLISECONDS = 180_000
@@ -21,6 +22,7 @@
 
 /** The jobs of one shard and the states that are reported to their submitters. */
 export class JobTable {
+  readonly waitingRestarts = WaitingRestarts.create()
   private readonly jobs = new Map<string, JobRecord>()
   private readonly finalStates = new Map<string, { state: FinalJobState, since: number }>()
   private readonly changed = new Set<JobRecord>()
@@ -59,8 +61,9 @@
       addedAt: now
     }
     if (added.progress !== null) restoreProgress(job, decodeProgress(added.progress), this.firstAttempt, now)
-    if (job.finalState !== null) this.setFinalState(submission.jobId, job.finalState, now)
-    else this.jobs.set(submission.jobId, job)
+    if (job.finalState !== null) return this.setFinalState(submission.jobId, job.finalState, now)
+    this.jobs.set(submission.jobId, job)
+    this.waitingRestarts.addJob(job)
   }
 
   /** Keeps a durable final state for queries. */
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -24,11 +24,11 @@
  */
 export class StartPlan {
   private readonly candidates = new Map<string, StartCandidates>()
-  private remainingStarts: number
+  /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
+  private readonly restartedGangs = new Set<StepRecord>()
+  private placedCount = 0
 
-  private constructor (private readonly options: StartPlanOptions) {
-    this.remainingStarts = options.startLimit
-  }
+  private constructor (private readonly options: StartPlanOptions) {}
 
   /**
    * Creates a plan that has placed nothing.
@@ -39,9 +39,14 @@
     return new StartPlan(options)
   }
 
+  /** The number of starts that the plan has placed. */
+  get startCount (): number {
+    return this.placedCount
+  }
+
   /** Whether the plan has reached its limit of starts. */
   get isFull (): boolean {
-    return this.remainingStarts <= 0
+    return this.placedCount >= this.options.startLimit
   }
 
   /**
@@ -54,6 +59,21 @@
     else this.placeTasks(step, serviceName)
   }
 
+  /**
+   * Places a task that has run before, or its whole gang, while workers have free capacity.
+   * @param task The task, which must wait and be ready to start.
+   * @param serviceName The service whose workers may run the task.
+   */
+  placeRestart (task: TaskRecord, serviceName: string): void {
+    const { step } = task
+    if (!step.specification.gang) {
+      this.placeTask(task, serviceName)
+    } else if (!this.restartedGangs.has(step)) {
+      this.restartedGangs.add(step)
+      this.placeGang(step, serviceName)
+    }
+  }
+
   private placeGang (step: StepRecord, serviceName: string): void {
     const { workers, getConditions } = this.options
     const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
@@ -63,23 +83,26 @@
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
-    const size = getSizeKey(step)
-    const candidates = this.getCandidates(serviceName)
-    if (candidates.unplaceableSizes.has(size)) return
+    if (this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0) continue
-      if (this.isFull) return
-      const worker = candidates.choose(task)
-      if (worker === null) {
-        candidates.unplaceableSizes.add(size)
-        return
-      }
-      this.start(task, worker, task.nextAttempt)
+      if (this.isFull || !this.placeTask(task, serviceName)) return
     }
   }
 
+  /** Returns whether the task got a worker. */
+  private placeTask (task: TaskRecord, serviceName: string): boolean {
+    const candidates = this.getCandidates(serviceName)
+    const size = getSizeKey(task.step)
+    if (candidates.unplaceableSizes.has(size)) return false
+    const worker = candidates.choose(task)
+    if (worker === null) candidates.unplaceableSizes.add(size)
+    else this.start(task, worker, task.nextAttempt)
+    return worker !== null
+  }
+
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number): void {
-    this.remainingStarts--
+    this.placedCount++
     this.options.start(task, worker, attempt)
   }
 
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -73,6 +73,7 @@
   }
   if (run.state === 'starting') run.state = 'running'
   run.startUncertain = false
+  run.task.hasRun = true
   run.task.step.occurrence.job.hasStarted = true
   run.confirmedAt ??= now
   if (row.percent !== run.percent) run.progressedAt = now
@@ -111,6 +112,8 @@
   if (task === undefined) return context.reportIgnoredCompletion(ended, getIgnoredReason(ended, context))
   const { job } = task.step.occurrence
   job.hasStarted = true
+  task.hasRun = true
+  context.jobs.waitingRestarts.add(task)
   if (task.done && run === undefined) context.reportIgnoredCompletion(ended, 'task-done')
   const isLive = job.finalState === null && !task.done
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
--- a/src/dispatch/applyStartOutcome.ts
+++ b/src/dispatch/applyStartOutcome.ts
@@ -29,6 +29,7 @@
   const { now } = context
   if (outcome.kind === 'accepted') {
     run.startUncertain = false
+    run.task.hasRun = true
     run.task.step.occurrence.job.hasStarted = true
     if (run.state === 'starting') run.state = 'running'
     run.confirmedAt = now
@@ -39,6 +40,7 @@
   if (outcome.kind === 'unhealthy') pauseWorker(worker, now + UNHEALTHY_PAUSE_MILLISECONDS)
   if (outcome.kind === 'unknown' || run.startUncertain) {
     run.startUncertain = true
+    run.task.hasRun = true
     if (run.state === 'starting') context.stop(run)
     return
   }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -46,6 +46,8 @@
   /** The latest checkpoint; empty when there is none. */
   checkpoint: string
   runs: RunRecord[]
+  /** Whether a worker has executed a start of the task, or may have executed one without a response. */
+  hasRun: boolean
   /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
   /** Monotonic time at which the last run ended, or at which the task was created. */
@@ -130,6 +132,7 @@
         nextAttempt: firstAttempt,
         checkpoint: '',
         runs: [],
+        hasRun: false,
         failedWorkerIds: new Set(),
         waitingSince: now
       })
