Restart long-running tasks on paused workers when no other one has room

Callers saw a long-running task that did not run for up to 12 s although workers had room.

Cause: a worker gets no new work for 3 to 12 s after three failed runs in a row. Where several long-running tasks fail, this pauses all workers of a service, and the pause is longer than the 6 s in which a task must run again.

Ruled out: orphaned runs also exclude a worker, but their resources are not reserved, so that a start beside them could exceed its capacity; this stays. Shorter pauses for all work were not tried: they would send more work to a worker that fails everything.

Change: a restart that has waited 3 s and finds no other worker is placed on a paused one. Other work and first starts still wait for the end of the pause, and a task tries such workers at most once in 3 s. Workers on which the task failed before keep their higher cost.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -4,6 +4,12 @@
 import { StartCandidates } from './StartCandidates.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
+/**
+ * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
+ * time in which a long-running task must run again. It also bounds how often a task tries such workers.
+ */
+const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
+
 /** Options of a plan. */
 export interface StartPlanOptions {
   workers: readonly WorkerRecord[]
@@ -24,6 +30,8 @@
  */
 export class StartPlan {
   private readonly candidates = new Map<string, StartCandidates>()
+  /** The candidates that include paused workers. */
+  private readonly pausedCandidates = new Map<string, StartCandidates>()
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -55,31 +63,36 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
-    if (step.specification.gang) this.placeGang(step, serviceName)
+    if (step.specification.gang) this.placeGang(step, this.options.getConditions(serviceName))
     else this.placeTasks(step, serviceName)
   }
 
   /**
-   * Places a task that has run before, or its whole gang, while workers have free capacity.
+   * Places a task that has run before, or its whole gang, while workers have free capacity. A task that has waited for
+   * long and finds no other worker is placed on one that is paused after failures.
    * @param task The task, which must wait and be ready to start.
    * @param serviceName The service whose workers may run the task.
    */
   placeRestart (task: TaskRecord, serviceName: string): void {
     const { step } = task
+    const conditions = this.options.getConditions(serviceName)
+    const mayUsePaused = conditions.now - task.waitingSince >= PAUSED_WORKER_WAIT_MILLISECONDS
     if (!step.specification.gang) {
-      this.placeTask(task, serviceName)
+      if (!this.placeTask(task, serviceName) && mayUsePaused) this.placeTask(task, serviceName, true)
     } else if (!this.restartedGangs.has(step)) {
       this.restartedGangs.add(step)
-      this.placeGang(step, serviceName)
+      if (!this.placeGang(step, conditions) && mayUsePaused) {
+        this.placeGang(step, { ...conditions, includesPaused: true })
+      }
     }
   }
 
-  private placeGang (step: StepRecord, serviceName: string): void {
-    const { workers, getConditions } = this.options
+  /** Returns whether the members of the gang got workers. */
+  private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
     const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
-    for (const { task, worker } of selectGangPlacement(step, workers, getConditions(serviceName))) {
-      this.start(task, worker, attempt)
-    }
+    const placement = selectGangPlacement(step, this.options.workers, conditions)
+    for (const { task, worker } of placement) this.start(task, worker, attempt)
+    return placement.length > 0
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
@@ -91,8 +104,8 @@
   }
 
   /** Returns whether the task got a worker. */
-  private placeTask (task: TaskRecord, serviceName: string): boolean {
-    const candidates = this.getCandidates(serviceName)
+  private placeTask (task: TaskRecord, serviceName: string, includesPaused = false): boolean {
+    const candidates = this.getCandidates(serviceName, includesPaused)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
     const worker = candidates.choose(task)
@@ -106,11 +119,13 @@
     this.options.start(task, worker, attempt)
   }
 
-  private getCandidates (serviceName: string): StartCandidates {
-    const existing = this.candidates.get(serviceName)
+  private getCandidates (serviceName: string, includesPaused = false): StartCandidates {
+    const cache = includesPaused ? this.pausedCandidates : this.candidates
+    const existing = cache.get(serviceName)
     if (existing !== undefined) return existing
-    const candidates = StartCandidates.create(this.options.workers, this.options.getConditions(serviceName))
-    this.candidates.set(serviceName, candidates)
+    const conditions = { ...this.options.getConditions(serviceName), includesPaused }
+    const candidates = StartCandidates.create(this.options.workers, conditions)
+    cache.set(serviceName, candidates)
     return candidates
   }
 }
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -50,6 +50,8 @@
   now: number
   /** The worker from which the task is moved to another one. */
   excludedWorkerId?: string
+  /** Whether workers may be chosen that are paused after failures; false by default. */
+  includesPaused?: boolean
 }
 
 /**
@@ -76,7 +78,7 @@
 export function isEligible (worker: WorkerRecord, conditions: ChoiceConditions): boolean {
   return isInService(worker, conditions.serviceName, conditions.dataCentresOut) &&
     worker.orphanedRuns.size === 0 && worker.entry.workerId !== conditions.excludedWorkerId &&
-    worker.quarantinedUntil <= conditions.now
+    (worker.quarantinedUntil <= conditions.now || conditions.includesPaused === true)
 }
 
 /**
--- a/src/dispatch/restarts.test.ts
+++ b/src/dispatch/restarts.test.ts
@@ -28,6 +28,7 @@
 
 /** Plans, lets the workers accept all starts, and returns the names of the started tasks. */
 function planStarts (engine: DispatchEngine, now: number, startLimit?: number): string[] {
+  engine.markDirty()
   engine.plan(now, now, true, startLimit)
   return engine.takeOrders().flatMap(order => {
     if (order.kind !== 'start') return []
@@ -121,3 +122,25 @@
   loseAllRuns(engine, 20)
   assert.deepEqual(planStarts(engine, 30), [])
 })
+
+test('a restart is placed on a paused worker only when it has waited and no other worker has room', () => {
+  const engine = createEngine(2, { processorsMilli: 1000, memoryMegabytes: 16_000, accelerators: 0 })
+  addJob(engine, 'watch', { longRunning: true })
+  planStarts(engine, 10)
+  addJob(engine, 'other', { longRunning: true })
+  planStarts(engine, 20)
+  const [first, second] = engine.workers.values()
+  engine.applyReport(first, EMPTY_REPORT, 100, 101)
+  first.quarantinedUntil = 12_000
+  assert.deepEqual(planStarts(engine, 200), [])
+  assert.deepEqual(planStarts(engine, 3000), [])
+  assert.deepEqual(planStarts(engine, 3200), ['watch.0.0.0'])
+  engine.applyReport(first, EMPTY_REPORT, 3300, 3301)
+  engine.applyReport(second, EMPTY_REPORT, 3300, 3301)
+  addJob(engine, 'short', {})
+  assert.deepEqual(planStarts(engine, 3400), ['watch.0.0.0'])
+  assert.equal(second.runs.size, 1)
+  assert.deepEqual(planStarts(engine, 6000), [])
+  assert.deepEqual(planStarts(engine, 6400), ['other.0.0.0'])
+  assert.equal(first.runs.size, 1)
+})
--- a/src/instance/longRunningRestart.test.ts
+++ b/src/instance/longRunningRestart.test.ts
@@ -32,6 +32,35 @@
   intervalMilliseconds: number
 }
 
+/**
+ * Lets time pass after the submission of the long-running job.
+ * @param site The site.
+ * @param clock Its clock.
+ * @param submit Called before each sample with the elapsed time.
+ * @returns The longest time that one of the tasks did not run after its first run.
+ */
+async function measureDowntimes (
+  site: EmulatedSite, clock: VirtualClock, submit: (elapsedMilliseconds: number) => void
+): Promise<number> {
+  const names = Array.from({ length: LONG_RUNNING_TASK_COUNT }, (_, index) => `${LONG_RUNNING_JOB}.0.0.${index}`)
+  await clock.advance(2000)
+  const firstRuns = site.judge.getRunningTasks().filter(name => names.includes(name))
+  assert.deepEqual(firstRuns, names)
+  const lastRunAt = new Map(names.map(name => [name, clock.monotonicMilliseconds()]))
+  let longestMilliseconds = 0
+  for (let elapsed = 0; elapsed < 30_000; elapsed += SAMPLE_MILLISECONDS) {
+    submit(elapsed)
+    await clock.advance(SAMPLE_MILLISECONDS)
+    const running = new Set(site.judge.getRunningTasks())
+    const now = clock.monotonicMilliseconds()
+    for (const [name, at] of lastRunAt) {
+      if (running.has(name)) lastRunAt.set(name, now)
+      longestMilliseconds = Math.max(longestMilliseconds, now - at)
+    }
+  }
+  return longestMilliseconds
+}
+
 /**
  * Plays a site with a lasting backlog of short tasks beside long-running tasks whose runs fail.
  * @param options The site and its backlog.
@@ -44,27 +73,14 @@
     clock, random: createRandom(options.seed), instanceCount: 4, workerCount, processorTime
   })
   await clock.advance(4000)
-  const names = Array.from({ length: LONG_RUNNING_TASK_COUNT }, (_, index) => `${LONG_RUNNING_JOB}.0.0.${index}`)
   site.submit(LONG_RUNNING_JOB, [{ taskCount: LONG_RUNNING_TASK_COUNT, longRunning: true }], {
     durationMilliseconds: RUN_MILLISECONDS, failureCount: Infinity
   })
-  await clock.advance(2000)
-  assert.deepEqual(site.judge.getRunningTasks(), names)
-  const lastRunAt = new Map(names.map(name => [name, clock.monotonicMilliseconds()]))
-  let longestMilliseconds = 0
-  for (let elapsed = 0; elapsed < 30_000; elapsed += SAMPLE_MILLISECONDS) {
-    if (elapsed % options.intervalMilliseconds === 0) {
-      const resources = { processorsMilli: options.shortTaskMilli, memoryMegabytes: 100 }
-      site.submit(`short-${elapsed}`, [{ ...resources, taskCount: options.shortTasksPerInterval }], resources)
-    }
-    await clock.advance(SAMPLE_MILLISECONDS)
-    const running = new Set(site.judge.getRunningTasks())
-    for (const [name, at] of lastRunAt) {
-      const now = clock.monotonicMilliseconds()
-      if (running.has(name)) lastRunAt.set(name, now)
-      longestMilliseconds = Math.max(longestMilliseconds, now - at)
-    }
-  }
+  const longestMilliseconds = await measureDowntimes(site, clock, elapsed => {
+    if (elapsed % options.intervalMilliseconds !== 0) return
+    const resources = { processorsMilli: options.shortTaskMilli, memoryMegabytes: 100 }
+    site.submit(`short-${elapsed}`, [{ ...resources, taskCount: options.shortTasksPerInterval }], resources)
+  })
   for (const worker of site.workers.values()) worker.shutDown()
   return { longestMilliseconds, violations: site.judge.violations }
 }
@@ -90,6 +106,20 @@
   assert.ok(longestMilliseconds <= TASK_RESTART_MILLISECONDS, `a task did not run for ${longestMilliseconds} ms`)
 })
 
+test('a long-running task runs again in time although failures have paused all workers with room', async () => {
+  const clock = VirtualClock.create()
+  const site = EmulatedSite.create({ clock, random: createRandom(1), instanceCount: 4, workerCount: 4 })
+  await clock.advance(4000)
+  site.submit(LONG_RUNNING_JOB, [{ taskCount: LONG_RUNNING_TASK_COUNT, longRunning: true }], {
+    durationMilliseconds: RUN_MILLISECONDS, failureCount: Infinity
+  })
+  site.submit('failing', [{ taskCount: 12, longRunning: true }], { durationMilliseconds: 300, failureCount: Infinity })
+  const longestMilliseconds = await measureDowntimes(site, clock, () => {})
+  for (const worker of site.workers.values()) worker.shutDown()
+  assert.deepEqual(site.judge.violations, [])
+  assert.ok(longestMilliseconds <= TASK_RESTART_MILLISECONDS, `a task did not run for ${longestMilliseconds} ms`)
+})
+
 test('urgent work starts in time after a takeover in which all long-running tasks must start again', async () => {
   const clock = VirtualClock.create()
   const site = EmulatedSite.create({
