--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -14,6 +14,7 @@
 import { hasWaitingTask } from './hasWaitingTask.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { rankJobs } from './rankJobs.js'
+import { RestartShare } from './RestartShare.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
@@ -54,6 +55,7 @@
   /** The workers that this owner does not reach, as stored for its successor. */
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
+  private readonly restartShare = RestartShare.create()
   private dirty = true
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
@@ -301,6 +303,7 @@
       mayStart: task => !this.unreconciled.mayRun(task),
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
+    this.placeRestarts(plan, startLimit)
     for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
       this.jobs.createDueOccurrences(job, wallMilliseconds, now)
       this.placeJob(job, plan)
@@ -312,6 +315,16 @@
     this.moveSlowedRuns(now)
   }
 
+  /** Places restarts before all other work, as many as the share of the plan that is reserved for them allows. */
+  private placeRestarts (plan: StartPlan, startLimit: number): void {
+    const reserved = this.restartShare.reserve(startLimit)
+    for (const task of this.jobs.waitingRestarts.getWaiting()) {
+      if (plan.startCount >= reserved) return
+      const { job } = task.step.occurrence
+      if (job.finalState === null && !this.unreconciled.mayRun(task)) plan.placeRestart(task, this.getServiceName(job))
+    }
+  }
+
   private placeJob (job: JobRecord, plan: StartPlan): void {
     const serviceName = this.getServiceName(job)
     for (const occurrence of job.occurrences.values()) {
@@ -377,6 +390,7 @@
   private markRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
     this.observer.onRunLost(worker, run, cause, now)
     removeRun(worker, run, now)
+    this.jobs.waitingRestarts.add(run.task)
   }
 
   private markReconciled (worker: WorkerRecord, cause: ReconciliationCause): void {
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -4,6 +4,12 @@
 import { StartCandidates } from './StartCandidates.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
+/**
+ * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
+ * time in which a long-running task must run again. It also bounds how often a task tries such workers.
+ */
+const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
+
 /** Options of a plan. */
 export interface StartPlanOptions {
   workers: readonly WorkerRecord[]
@@ -25,13 +31,14 @@
  * stops at the number of starts that can be sent soon, and once a task does not fit, others of its size are skipped.
  */
 export class StartPlan {
-  private readonly unplaceableSizes = new Set<string>()
   private readonly candidates = new Map<string, StartCandidates>()
-  private remainingStarts: number
+  /** The candidates that include paused workers. */
+  private readonly pausedCandidates = new Map<string, StartCandidates>()
+  /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
+  private readonly restartedGangs = new Set<StepRecord>()
+  private placedCount = 0
 
-  private constructor (private readonly options: StartPlanOptions) {
-    this.remainingStarts = options.startLimit
-  }
+  private constructor (private readonly options: StartPlanOptions) {}
 
   /**
    * Creates a plan that has placed nothing.
@@ -42,9 +49,14 @@
     return new StartPlan(options)
   }
 
+  /** The number of starts that the plan has placed. */
+  get startCount (): number {
+    return this.placedCount
+  }
+
   /** Whether the plan has reached its limit of starts. */
   get isFull (): boolean {
-    return this.remainingStarts <= 0
+    return this.placedCount >= this.options.startLimit
   }
 
   /**
@@ -53,57 +65,84 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
-    if (step.specification.gang) this.placeGang(step, serviceName)
+    if (step.specification.gang) this.placeGang(step, this.options.getConditions(serviceName))
     else this.placeTasks(step, serviceName)
   }
 
-  private placeGang (step: StepRecord, serviceName: string): void {
-    const { workers, getConditions, mayStart } = this.options
-    if (!step.tasks.every(mayStart)) return
-    const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
-    for (const { task, worker } of selectGangPlacement(step, workers, getConditions(serviceName))) {
-      this.start(task, worker, attempt)
+  /**
+   * Places a task that has run before, or its whole gang, while workers have free capacity. A task that has waited for
+   * long and finds no other worker is placed on one that is paused after failures.
+   * @param task The task, which must wait and be ready to start.
+   * @param serviceName The service whose workers may run the task.
+   */
+  placeRestart (task: TaskRecord, serviceName: string): void {
+    const { step } = task
+    const conditions = this.options.getConditions(serviceName)
+    const mayUsePaused = conditions.now - task.waitingSince >= PAUSED_WORKER_WAIT_MILLISECONDS
+    if (!step.specification.gang) {
+      if (!this.placeTask(task, serviceName) && mayUsePaused) this.placeTask(task, serviceName, true)
+    } else if (!this.restartedGangs.has(step)) {
+      this.restartedGangs.add(step)
+      if (!this.placeGang(step, conditions) && mayUsePaused) {
+        this.placeGang(step, { ...conditions, includesPaused: true })
+      }
     }
   }
 
+  /** Returns whether the members of the gang got workers. */
+  private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
+    if (!step.tasks.every(this.options.mayStart)) return false
+    const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
+    const placement = selectGangPlacement(step, this.options.workers, conditions)
+    for (const { task, worker } of placement) this.start(task, worker, attempt)
+    return placement.length > 0
+  }
+
   private placeTasks (step: StepRecord, serviceName: string): void {
-    // Free capacity only decreases during a plan, so a size that did not fit once is not searched for again.
-    const size = getSizeKey(step)
-    if (this.unplaceableSizes.has(size)) return
-    const candidates = this.getCandidates(serviceName)
+    if (this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) return
     for (const task of step.tasks) {
       if (task.done || task.runs.length > 0 || !this.options.mayStart(task)) continue
-      if (this.isFull) return
-      const worker = candidates.choose(task)
-      if (worker === null) {
-        this.unplaceableSizes.add(size)
-        return
-      }
-      this.start(task, worker, task.nextAttempt)
+      if (this.isFull || !this.placeTask(task, serviceName)) return
     }
   }
 
+  /** Returns whether the task got a worker. */
+  private placeTask (task: TaskRecord, serviceName: string, includesPaused = false): boolean {
+    const candidates = this.getCandidates(serviceName, includesPaused)
+    const size = getSizeKey(task.step)
+    if (candidates.unplaceableSizes.has(size)) return false
+    const worker = candidates.choose(task)
+    if (worker === null) candidates.unplaceableSizes.add(size)
+    else this.start(task, worker, task.nextAttempt)
+    return worker !== null
+  }
+
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number): void {
-    this.remainingStarts--
+    this.placedCount++
     this.options.start(task, worker, attempt)
   }
 
-  private getCandidates (serviceName: string): StartCandidates {
-    const existing = this.candidates.get(serviceName)
+  private getCandidates (serviceName: string, includesPaused = false): StartCandidates {
+    const cache = includesPaused ? this.pausedCandidates : this.candidates
+    const existing = cache.get(serviceName)
     if (existing !== undefined) return existing
-    const candidates = StartCandidates.create(this.options.workers, this.options.getConditions(serviceName))
-    this.candidates.set(serviceName, candidates)
+    const conditions = { ...this.options.getConditions(serviceName), includesPaused }
+    const candidates = StartCandidates.create(this.options.workers, conditions)
+    cache.set(serviceName, candidates)
     return candidates
   }
 }
 
+/** Returns a key that is equal only for steps whose tasks fit into the same workers, see `chooseEligibleWorker`. */
 function getSizeKey (step: StepRecord): string {
   const cached = sizeKeys.get(step)
   if (cached !== undefined) return cached
   const { specification: s, occurrence } = step
   const scope = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
-  const size = `${occurrence.job.submission.queueName} ${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ` +
-    `${s.accelerators} ${s.requiredLabel} ${scope}`
+  // Interference excludes workers only for tasks that use unused processors.
+  const image = s.fills ? JSON.stringify(s.image) : ''
+  const size = `${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ${s.accelerators} ` +
+    `${JSON.stringify(s.requiredLabel)} ${scope} ${image}`
   sizeKeys.set(step, size)
   return size
 }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -55,6 +55,8 @@
   /** The worker of the latest start of a long-running task, stored before the start is sent; null for no start. */
   assignedWorkerId: string | null
   earlierRuns: EarlierRunScope
+  /** Whether a worker has executed a start of the task, or may have executed one without a response. */
+  hasRun: boolean
   /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
   /** Monotonic time at which the last run ended, or at which the task was created. */
@@ -143,6 +145,7 @@
         assignedWorkerId: null,
         earlierRuns: getInitialScope(job, specification),
         runs: [],
+        hasRun: false,
         failedWorkerIds: new Set(),
         waitingSince: now
       })
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -137,8 +137,12 @@
   for (const [suffix, workerId] of Object.entries(assigned)) {
     const task = findTask(job, suffix, firstAttempt, now)
     if (task === undefined) continue
-    if (workerId === '') task.earlierRuns = 'any'
-    else task.assignedWorkerId = workerId
+    if (workerId === '') {
+      task.earlierRuns = 'any'
+    } else {
+      task.assignedWorkerId = workerId
+      task.hasRun = true
+    }
   }
 }
 
