--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -31,6 +31,8 @@
    * when no fault occurs; the default is false.
    */
   treatsListedAsAcknowledged?: boolean
+  /** Rate of the clocks of all workers; the default is 1. */
+  workerClockRate?: number
 }
 
 /** How the processor time and the connections of the processes are emulated. */
@@ -106,8 +108,9 @@
 
   /** Starts a worker and adds it to the platform's list of workers. */
   addWorker (workerId: string): EmulatedWorker {
-    const { clock, random } = this.options
+    const { clock, random, workerClockRate } = this.options
     const worker = EmulatedWorker.create({
+      clockRate: workerClockRate,
       workerId,
       capacity: WORKER_CAPACITY,
       clock,
@@ -182,6 +185,16 @@
     return added
   }
 
+  /**
+   * Kills an instance and starts another process at its address.
+   * @param instance The instance.
+   * @param downMilliseconds The time between the two.
+   */
+  replaceInstance ({ process, address }: EmulatedInstance, downMilliseconds: number): void {
+    process.kill()
+    this.options.clock.setTimer(downMilliseconds, () => { this.addInstance(address.split(':')[0]) })
+  }
+
   /** Returns the running instance that is the owner, or undefined if there is none. */
   getOwner (): EmulatedInstance | undefined {
     return this.instances.find(({ process, instance }) => process.isAlive() && instance.ownerApi.probe().isOwner)
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -16,6 +16,8 @@
 export interface WorkerFaults {
   /** The network drops all messages in both directions. */
   cutOff: boolean
+  /** Calls to the worker while it is cut off fail as those of a process that has no open connection to it. */
+  failsToConnect: boolean
   /** Share of the orders, 0 to 1, that the worker executes while its response is lost. */
   lostAnswerShare: number
   /** Share of the orders, 0 to 1, that get no response and are executed `lateMilliseconds` later. */
@@ -31,6 +33,8 @@
   judge: RunJudge
   random: () => number
   getTask: (taskName: string) => EmulatedTask
+  /** Rate of the clock of the worker; the default is 1, and 0.98 is the slowest clock that the platform allows. */
+  clockRate?: number
 }
 
 interface Run {
@@ -44,17 +48,23 @@
 
 /** Time after which a call without a response ends as unknown. */
 const CALL_TIMEOUT_MILLISECONDS = 350
+/** Time after which the attempt to open a connection fails. */
+const CONNECT_TIMEOUT_MILLISECONDS = 1000
 /** Network delay of a call and its response together. */
 const ROUND_TRIP_MILLISECONDS = 2
 const STOP_MILLISECONDS = 50
 /** A completion under an unbroken lease counts as acknowledged this long after a report has listed it. */
 const LISTING_DELAY_MILLISECONDS = 100
+const CONNECT_TIMED_OUT = { kind: 'not-sent', reason: 'connect-timeout' } as const
 /** Offset of the clock of a worker from the clock of the site. */
 const CLOCK_OFFSET_MILLISECONDS = 100_000
 
 /** An emulated worker that follows the platform's rules on leases, epoch fencing, attempts and listed ended runs. */
 export class EmulatedWorker implements WorkerClient {
-  readonly faults: WorkerFaults = { cutOff: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 4000 }
+  readonly faults: WorkerFaults = {
+    cutOff: false, failsToConnect: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 4000
+  }
+
   private readonly runs = new Map<string, Run>()
   private readonly highestAttempts = new Map<string, number>()
   private endedRuns: ListedCompletion[] = []
@@ -66,6 +76,7 @@
   private bornAt: number
   private alive = true
   private waiters: Array<() => void> = []
+  private connectingUntil = -Infinity
   private cancelLeaseCheck: CancelTimer = () => {}
 
   private constructor (private readonly options: EmulatedWorkerOptions) {
@@ -90,7 +101,22 @@
     return this.alive
   }
 
+  /** Time until the lease ends on the clock of the site, negative if it has ended. */
+  get leaseRemainingMilliseconds (): number {
+    return (this.leaseDeadline - this.now()) / (this.options.clockRate ?? 1)
+  }
+
+  /** Returns how many runs of a task fit beside the current runs. */
+  countRoom (task: WorkerCapacity): number {
+    const { capacity } = this.options
+    const tasks = [...this.runs.values()].map(run => run.task)
+    const getRoom = (dimension: 'processorsMilli' | 'memoryMegabytes') =>
+      (capacity[dimension] - tasks.reduce((sum, other) => sum + other[dimension], 0)) / task[dimension]
+    return Math.floor(Math.min(getRoom('processorsMilli'), getRoom('memoryMegabytes')))
+  }
+
   async start (order: StartOrder): Promise<OrderOutcome> {
+    this.options.judge.recordOrder(order.taskName, this.options.workerId)
     return await this.deliverOrder(() => this.executeStart(order))
   }
 
@@ -105,8 +131,7 @@
   async hold (request: HoldRequest): Promise<HoldOutcome> {
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
-      await this.wait(CALL_TIMEOUT_MILLISECONDS)
-      return { kind: 'unknown', reason: 'no answer' }
+      return await this.failHold()
     }
     if (request.epoch < this.epoch) return { kind: 'fenced' }
     this.epoch = request.epoch
@@ -162,7 +187,7 @@
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
-      return { kind: 'unknown', reason: 'no answer' }
+      return this.isUnableToConnect() ? CONNECT_TIMED_OUT : { kind: 'unknown', reason: 'no answer' }
     }
     if (random() < this.faults.lateShare) {
       const { bornAt } = this
@@ -178,6 +203,23 @@
     return outcome
   }
 
+  /**
+   * Ends a hold that gets no response. Without an open connection, it ends before the attempt to open one, and a hold
+   * during that attempt ends in the queue, as in `platform/RunnerClient.ts`.
+   */
+  private async failHold (): Promise<HoldOutcome> {
+    const calledAt = this.now()
+    await this.wait(CALL_TIMEOUT_MILLISECONDS)
+    if (!this.isUnableToConnect()) return { kind: 'unknown', reason: 'no answer' }
+    if (calledAt < this.connectingUntil) return { kind: 'not-sent', reason: 'queue-timeout' }
+    this.connectingUntil = calledAt + CONNECT_TIMEOUT_MILLISECONDS
+    return { kind: 'unknown', reason: 'connect-timeout' }
+  }
+
+  private isUnableToConnect (): boolean {
+    return this.faults.cutOff && this.faults.failsToConnect
+  }
+
   private executeStart (order: StartOrder): OrderOutcome {
     const { options } = this
     if (order.epoch < this.epoch) return { kind: 'fenced' }
@@ -306,7 +348,8 @@
   }
 
   private now (): number {
-    return this.options.clock.monotonicMilliseconds() + CLOCK_OFFSET_MILLISECONDS
+    const { clock, clockRate } = this.options
+    return clock.monotonicMilliseconds() * (clockRate ?? 1) + CLOCK_OFFSET_MILLISECONDS
   }
 
   private waitForRoundTrip (): Promise<void> {
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -17,6 +17,10 @@
   startCount = 0
   /** The worker ID of each start, in the order of the starts. */
   readonly startWorkerIds: string[] = []
+  /** The worker of the last run of each task that has run. */
+  readonly lastRunWorkerIds = new Map<string, string>()
+  /** The worker to which the last start of each task was sent, whether or not it arrived. */
+  readonly lastOrderWorkerIds = new Map<string, string>()
   /** Number of failed runs of each task, over all workers. */
   readonly failureCounts = new Map<string, number>()
 
@@ -36,10 +40,16 @@
     this.submittedJobs.add(jobId)
   }
 
+  /** Records that an owner has sent a start, which may be lost on its way. */
+  recordOrder (taskName: string, workerId: string): void {
+    this.lastOrderWorkerIds.set(taskName, workerId)
+  }
+
   /** Records a start that a worker has executed, and checks the invariants. */
   recordStart (taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean): void {
     this.startCount++
     this.startWorkerIds.push(workerId)
+    this.lastRunWorkerIds.set(taskName, workerId)
     const runs = this.running.get(taskName) ?? new Set()
     if (runs.size > 0) this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
     if (this.acknowledged.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
