Keep a worker cut off during several process kills in the soak runs

One of twelve jobs is now long-running, and a run fails if one of their tasks does not run within the recovery time. With cutsWorkerOff, which odd seeds of soak/soak.ts use, one worker answers nothing for the whole run while all processes are killed three times. The emulated worker itself is cut off, which needs no proxy: its calls get no response.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -11,6 +11,8 @@
 /** Options of a soak run. */
 export interface SoakRunOptions {
   seed: number
+  /** Whether a worker stays cut off while all processes are killed several times; false by default. */
+  cutsWorkerOff?: boolean
   processCount: number
   workerCount: number
   /** How long jobs are submitted and faults are injected. */
@@ -44,6 +46,11 @@
 const RECOVERY_MILLISECONDS = 25_000
 const DOWN_MILLISECONDS = 1200
 const CALL_TIMEOUT_MILLISECONDS = 3000
+/** One of this many jobs is long-running. */
+const LONG_RUNNING_INTERVAL = 12
+const LONG_RUNNING_TASK_COUNT = 3
+/** When all processes are killed while a worker is cut off, as shares of the time in which faults are injected. */
+const KILL_TIMES = [0.3, 0.6, 0.9]
 const PROXY_MODES: ProxyMode[] = ['delay', 'silent', 'silent-answers']
 
 /** Runs the deployed program as separate processes and injects the faults that follow from one seed. */
@@ -138,6 +145,7 @@
     const pending: Array<Promise<void>> = []
     for (let number = 0; Date.now() < end; number++) {
       const jobId = (BigInt(this.options.seed) * 1_000_000n + BigInt(number)).toString(16).padStart(16, '0').slice(-16)
+      if (number % LONG_RUNNING_INTERVAL === 0) this.platform.longRunningJobs.add(jobId)
       pending.push(this.submit(jobId))
       await pause(JOB_INTERVAL_MILLISECONDS)
     }
@@ -146,13 +154,10 @@
 
   /** Submits a job up to five times, each time to a random process, until it is accepted or rejected. */
   private async submit (jobId: string): Promise<void> {
-    const body = JSON.stringify({
-      taskSpec: 'text',
-      steps: [
-        { count: 3, cpu: 1000, memMb: 500, estimateMs: 300 },
-        { count: 2, cpu: 1000, memMb: 500, estimateMs: 300, after: [0] }
-      ]
-    })
+    const step = { count: LONG_RUNNING_TASK_COUNT, cpu: 1000, memMb: 500, estimateMs: 300 }
+    const isLongRunning = this.platform.longRunningJobs.has(jobId)
+    const steps = isLongRunning ? [{ ...step, longRunning: true }] : [step, { ...step, count: 2, after: [0] }]
+    const body = JSON.stringify({ taskSpec: 'text', steps })
     this.platform.judge.recordSubmission(jobId)
     for (let attempt = 0; attempt < 5; attempt++) {
       const response = await this.call('POST', jobId, body)
@@ -166,6 +171,7 @@
   }
 
   private async injectFaultsUntil (end: number): Promise<void> {
+    const cut = this.options.cutsWorkerOff === true ? this.cutWorkerDuringKillsUntil(end) : null
     while (Date.now() < end) {
       await pause(FAULT_INTERVAL_MILLISECONDS * (0.5 + this.random()))
       const program = this.programs[Math.floor(this.random() * this.programs.length)]
@@ -179,6 +185,21 @@
       if (choice === 6) this.signal(program, 'SIGHUP')
     }
     for (const { proxy } of this.programs) proxy.mode = 'pass'
+    await cut
+  }
+
+  /** Keeps a worker cut off while all processes are killed several times. */
+  private async cutWorkerDuringKillsUntil (end: number): Promise<void> {
+    const start = Date.now()
+    const [workerId, worker] = [...this.platform.workers][this.options.seed % this.platform.workers.size]
+    this.faults.push(`cut ${workerId}`)
+    worker.faults.cutOff = true
+    for (const share of KILL_TIMES) {
+      await pause(Math.max(0, start + (end - start) * share - Date.now()))
+      for (const program of this.programs) this.signal(program, 'SIGKILL')
+    }
+    await pause(Math.max(0, end - Date.now()))
+    worker.faults.cutOff = false
   }
 
   private signal (program: Program, signal: NodeJS.Signals): void {
@@ -216,7 +237,9 @@
   /** Adds a violation for each accepted job that is not reported as completed within the recovery time. */
   private async checkJobs (): Promise<void> {
     const end = Date.now() + RECOVERY_MILLISECONDS
-    const unfinished = new Map([...this.acceptedJobs].map(jobId => [jobId, 'not asked']))
+    const { longRunningJobs } = this.platform
+    const shortJobs = [...this.acceptedJobs].filter(jobId => !longRunningJobs.has(jobId))
+    const unfinished = new Map(shortJobs.map(jobId => [jobId, 'not asked']))
     while (unfinished.size > 0 && Date.now() < end) {
       for (const jobId of [...unfinished.keys()]) {
         const response = await this.call('GET', jobId)
@@ -228,6 +251,15 @@
       await pause(200)
     }
     for (const [jobId, state] of unfinished) this.violations.push(`lost: ${jobId} is told as ${state}`)
+    while (this.getLongRunningTasksAway().length > 0 && Date.now() < end) await pause(200)
+    for (const taskName of this.getLongRunningTasksAway()) this.violations.push(`lost: ${taskName} does not run`)
+  }
+
+  private getLongRunningTasksAway (): string[] {
+    const running = new Set(this.platform.judge.getRunningTasks())
+    return [...this.acceptedJobs].filter(jobId => this.platform.longRunningJobs.has(jobId))
+      .flatMap(jobId => Array.from({ length: LONG_RUNNING_TASK_COUNT }, (_, index) => `${jobId}.0.0.${index}`))
+      .filter(taskName => !running.has(taskName))
   }
 
   private async call (method: 'GET' | 'POST', jobId: string, body?: string) {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -22,6 +22,7 @@
   for (let seed = pendingSeeds.shift(); seed !== undefined; seed = pendingSeeds.shift()) {
     const result = await SoakRun.execute({
       seed,
+      cutsWorkerOff: seed % 2 === 1,
       processCount: Number(values.processes),
       workerCount: Number(values.workers),
       durationMilliseconds: DURATION_MILLISECONDS
