--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -38,6 +38,11 @@
 
 const HOST = '127.0.0.1'
 const JOB_INTERVAL_MILLISECONDS = 120
+/** One of this many jobs is long-running. */
+const LONG_RUNNING_INTERVAL = 12
+const LONG_RUNNING_TASK_COUNT = 3
+/** When all processes are killed while a worker is cut off, as shares of the time in which faults are injected. */
+const KILL_TIMES = [0.3, 0.6, 0.9]
 const FAULT_INTERVAL_MILLISECONDS = 900
 /**
  * All processes may crash just before the end, so that recovery includes their start, the election, the leases of lost
@@ -46,11 +51,6 @@
 const RECOVERY_MILLISECONDS = 25_000
 const DOWN_MILLISECONDS = 1200
 const CALL_TIMEOUT_MILLISECONDS = 3000
-/** One of this many jobs is long-running. */
-const LONG_RUNNING_INTERVAL = 12
-const LONG_RUNNING_TASK_COUNT = 3
-/** When all processes are killed while a worker is cut off, as shares of the time in which faults are injected. */
-const KILL_TIMES = [0.3, 0.6, 0.9]
 const PROXY_MODES: ProxyMode[] = ['delay', 'silent', 'silent-answers']
 
 /** Runs the deployed program as separate processes and injects the faults that follow from one seed. */
