Judge the downtimes of long-running tasks during the faults of the overload tests

It now also feeds RestartJudge for the whole schedule; the measure after the last fault stays as it was.

--- a/src/instance/overloadFaults.test.ts
+++ b/src/instance/overloadFaults.test.ts
@@ -69,6 +69,10 @@
   }
   const { taskName, milliseconds } = load.longestDowntime
   if (milliseconds > TASK_RESTART_MILLISECONDS) violations.push(`lost: ${taskName} does not run for ${milliseconds} ms`)
+  const { violations: lateRestarts } = load.restartJudge
+  if (lateRestarts.length > 0) {
+    violations.push(`${lateRestarts.length} late restarts, the first: ${JSON.stringify(lateRestarts[0])}`)
+  }
   const { opened } = site.connectionCounts
   if (opened > limit) violations.push(`connections: ${opened} opened by ${load.ownerCount} owners, limit ${limit}`)
   for (const worker of site.workers.values()) worker.shutDown()
--- a/stand-ins/platform/EmulatedLoad.ts
+++ b/stand-ins/platform/EmulatedLoad.ts
@@ -2,6 +2,7 @@
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
 import { EMULATED_WAIT, type EmulatedSite } from './EmulatedSite.js'
 import type { EmulatedTask } from './EmulatedWorker.js'
+import { RestartJudge } from './RestartJudge.js'
 
 /** Options of an emulated load. */
 export interface EmulatedLoadOptions {
@@ -58,12 +59,16 @@
   ownerCount = 0
   /** The longest time that a long-running task has not run since the call of `measureDowntimes`. */
   longestDowntime = { taskName: '', milliseconds: 0 }
+  /** Judges the downtimes of long-running tasks during all faults. */
+  readonly restartJudge: RestartJudge
   private readonly downSince = new Map<string, number>()
   private measuredFrom = Infinity
   private owner: unknown = null
   private jobCount = 0
 
-  private constructor (private readonly options: EmulatedLoadOptions) {}
+  private constructor (private readonly options: EmulatedLoadOptions) {
+    this.restartJudge = RestartJudge.create(options)
+  }
 
   /**
    * Creates a load that has submitted no jobs.
@@ -82,7 +87,7 @@
   async advance (durationMilliseconds: number, rate: number): Promise<void> {
     for (let elapsed = 0; elapsed < durationMilliseconds; elapsed += INTERVAL_MILLISECONDS) {
       for (const kind of JOB_KINDS) this.submitJobs(kind, rate)
-      await this.options.clock.advance(INTERVAL_MILLISECONDS)
+      await this.restartJudge.advance(INTERVAL_MILLISECONDS)
       this.recordOwner()
       this.recordDowntimes()
     }
@@ -135,7 +140,9 @@
   ): void {
     const jobId = `${name}-${this.jobCount++}`
     this.options.site.submit(jobId, steps, task).then(outcome => {
-      if (outcome.kind === 'accepted') accepted.push(jobId)
+      if (outcome.kind !== 'accepted') return
+      accepted.push(jobId)
+      if (accepted === this.longRunningJobs) this.restartJudge.recordAcceptedJob(jobId, LONG_RUNNING_TASK_COUNT)
     })
   }
 
