Split the planning, the loading and the reconciliation out of the engine and the dispatcher

No decision changes: placeWaitingTasks, loadShardRows and applyPaceChange are moved code, and UnreconciledWorkers reports its own events.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,19 +1,16 @@
-import {
-  createRun, isStepReady, type JobRecord, type RunRecord, type TaskRecord
-} from '../jobs/index.js'
+import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { chooseWorker, isInService, type ChoiceConditions } from './chooseWorker.js'
 import { findRunsToDrain, mayMoveSlowedRun } from './findRunsToMove.js'
 import { findStalledRuns } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
-import { decidePace } from './decidePace.js'
+import { applyPaceChange, decidePace } from './decidePace.js'
 import {
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { explainWaiting, type WaitingReason } from './explainWaiting.js'
-import { hasWaitingTask } from './hasWaitingTask.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
-import { rankJobs } from './rankJobs.js'
+import { placeWaitingTasks, type PlanContext } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -26,8 +23,6 @@
   type WorkerRecord
 } from './WorkerRecord.js'
 
-/** A run whose pace stays below this is moved to another worker where possible. */
-const SLOWED_BELOW_PERCENT = 35
 /** A worker with stalled runs gets no new work for this time; the next task then probes whether it works. */
 const STALLED_PAUSE_MILLISECONDS = 3000
 
@@ -51,7 +46,11 @@
   readonly advisor = ColocationAdvisor.create()
   private readonly orders = PendingOrders.create()
   private dataCentresOut: ReadonlySet<string> = new Set()
-  private readonly unreconciled = UnreconciledWorkers.create()
+  /** The workers that may run tasks of earlier owners and have not reported to this owner yet. */
+  readonly unreconciled = UnreconciledWorkers.create({
+    workers: this.workers, onReconciled: (worker, cause) => this.handleReconciliation(worker, cause)
+  })
+
   /** The workers that this owner does not reach, as stored for its successor. */
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
@@ -123,15 +122,6 @@
     if (worker !== undefined) worker.listed = false
   }
 
-  /**
-   * Registers a worker that may run tasks of an earlier owner; these tasks do not start until it is reconciled.
-   * @param workerId The worker.
-   * @param expiresAt Monotonic time from which no run of an earlier owner can exist there.
-   */
-  requireReconciliation (workerId: string, expiresAt: number): void {
-    this.unreconciled.add(workerId, expiresAt)
-  }
-
   /** Returns the workers that do not respond and may run tasks. */
   getUnresponsiveWorkers (): WorkerRecord[] {
     return [...this.workers.values()].filter(worker => worker.syncState !== 'synchronized' &&
@@ -146,20 +136,10 @@
   confirmWorkerExited (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'worker-gone', now)
     worker.orphanedRuns.clear()
-    this.markReconciled(worker, 'process-ended')
+    this.unreconciled.markReconciled(worker, 'process-ended')
     this.dirty = true
   }
 
-  /** Returns whether the runs of all earlier owners are known or certainly over. */
-  isReconciled (): boolean {
-    return this.unreconciled.isEmpty
-  }
-
-  /** Returns the workers that may run tasks of earlier owners, with the monotonic time at which that is over. */
-  getUnreconciledWorkers (): ReadonlyMap<string, number> {
-    return this.unreconciled.getExpiries()
-  }
-
   /**
    * Returns why a ready task has no run.
    * @param task The task.
@@ -203,16 +183,12 @@
     worker.syncState = 'synchronized'
     const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(entry.workerId) ?? now
     worker.leaseDeadline = Math.max(worker.leaseDeadline, report.workerMilliseconds + earlierLeaseEndsAt - now)
-    this.markReconciled(worker, 'reported')
+    this.unreconciled.markReconciled(worker, 'reported')
     if (changed) this.dirty = true
     this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
-      if (percent < SLOWED_BELOW_PERCENT) run.slowedSince ??= now
-      else run.slowedSince = null
-      run.pacePercent = percent
-      run.progressedAt = now
-      worker.bestEffortChangedAt = now
+      applyPaceChange(worker, run, percent, now)
       this.orders.pace(worker, run, percent)
     }
   }
@@ -300,52 +276,28 @@
       workers: [...this.workers.values()],
       startLimit,
       getConditions: serviceName => this.getConditions(serviceName, now),
-      mayStart: task => !this.unreconciled.mayRun(task),
+      mayStart: this.mayStart,
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
-    this.placeRestarts(plan, startLimit)
-    for (const job of rankJobs(this.getStartableJobs(wallMilliseconds), wallMilliseconds)) {
-      this.jobs.createDueOccurrences(job, wallMilliseconds, now)
-      this.placeJob(job, plan)
-      if (plan.isFull) {
-        this.dirty = true
-        return
-      }
-    }
-    this.moveSlowedRuns(now)
-  }
-
-  /** Places restarts before all other work, as many as the share of the plan that is reserved for them allows. */
-  private placeRestarts (plan: StartPlan, startLimit: number): void {
-    const reserved = this.restartShare.reserve(startLimit)
-    for (const task of this.jobs.waitingRestarts.getWaiting()) {
-      if (plan.startCount >= reserved) return
-      const { job } = task.step.occurrence
-      if (job.finalState === null && !this.unreconciled.mayRun(task)) plan.placeRestart(task, this.getServiceName(job))
+    const context: PlanContext = {
+      jobs: this.jobs,
+      plan,
+      restartLimit: this.restartShare.reserve(startLimit),
+      wallMilliseconds,
+      now,
+      getServiceName: job => this.getServiceName(job),
+      mayStart: this.mayStart
     }
+    if (placeWaitingTasks(context) === 'plan-full') this.dirty = true
+    else this.moveSlowedRuns(now)
   }
 
-  private placeJob (job: JobRecord, plan: StartPlan): void {
-    const serviceName = this.getServiceName(job)
-    for (const occurrence of job.occurrences.values()) {
-      for (const step of occurrence.steps) {
-        if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
-        plan.placeStep(step, serviceName)
-        if (plan.isFull) return
-      }
-    }
-  }
+  private readonly mayStart = (task: TaskRecord): boolean => !this.unreconciled.mayRun(task)
 
   private getServiceName (job: JobRecord): string {
     return this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
   }
 
-  private getStartableJobs (wallMilliseconds: number): JobRecord[] {
-    const mayStart = (task: TaskRecord) => !this.unreconciled.mayRun(task)
-    return [...this.jobs.getJobs()].filter(job =>
-      job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
-  }
-
   private getConditions (serviceName: string, now: number): ChoiceConditions {
     return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
   }
@@ -393,11 +345,10 @@
     this.jobs.waitingRestarts.add(run.task)
   }
 
-  private markReconciled (worker: WorkerRecord, cause: ReconciliationCause): void {
-    if (!this.unreconciled.markReconciled(worker.entry.workerId)) return
+  private handleReconciliation (worker: WorkerRecord, cause: ReconciliationCause): void {
     this.dirty = true
     this.observer.onReconciled(worker, cause)
-    if (this.isReconciled()) this.jobs.confirmRecovered()
+    if (this.unreconciled.isEmpty) this.jobs.confirmRecovered()
   }
 
   private stopRuns (task: TaskRecord): void {
@@ -438,10 +389,7 @@
   }
 
   private expireWorkers (now: number): void {
-    for (const workerId of this.unreconciled.findExpired(this.workers)) {
-      const worker = this.workers.get(workerId)
-      if (worker !== undefined) this.markReconciled(worker, 'lease-expired')
-    }
+    this.unreconciled.expire()
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
       const isExpired = isLeaseExpired(worker)
--- a/src/dispatch/UnreachedWorkers.test.ts
+++ b/src/dispatch/UnreachedWorkers.test.ts
@@ -13,14 +13,14 @@
   engine.jobs.add({ submission: createSubmission([{}]), progress: null, recovered: true }, 0)
   const worker = engine.setWorker(createWorkerEntry())
   worker.registered = true
-  engine.requireReconciliation('worker-0', CERTAIN_END_MILLISECONDS)
+  engine.unreconciled.add('worker-0', CERTAIN_END_MILLISECONDS)
   const { unreached } = engine
   return {
     engine,
     worker,
     unreached,
-    needsRecord: (now: number) => unreached.needsRecord(engine.getUnreconciledWorkers(), now),
-    createRecord: (now: number) => unreached.createRecord(engine.getUnreconciledWorkers(), now)
+    needsRecord: (now: number) => unreached.needsRecord(engine.unreconciled.getExpiries(), now),
+    createRecord: (now: number) => unreached.createRecord(engine.unreconciled.getExpiries(), now)
   }
 }
 
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,19 +1,29 @@
 import type { TaskRecord } from '../jobs/index.js'
+import type { ReconciliationCause } from './DispatchObserver.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
+/** Options of the set. */
+export interface UnreconciledWorkersOptions {
+  /** All workers of the owner, which may change. */
+  workers: ReadonlyMap<string, WorkerRecord>
+  /** Called when the runs of earlier owners on a worker are known or certainly over. */
+  onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
+}
+
 /** Workers that may run tasks of earlier owners and have not reported to this owner yet. */
 export class UnreconciledWorkers {
   /** Monotonic time from which no run of an earlier owner can exist, by worker. */
   private readonly expiries = new Map<string, number>()
 
-  private constructor () {}
+  private constructor (private readonly options: UnreconciledWorkersOptions) {}
 
   /**
    * Creates an empty set.
+   * @param options The workers and the callback.
    * @returns The set.
    */
-  static create (): UnreconciledWorkers {
-    return new UnreconciledWorkers()
+  static create (options: UnreconciledWorkersOptions): UnreconciledWorkers {
+    return new UnreconciledWorkers(options)
   }
 
   /** Whether the runs of all earlier owners are known or certainly over. */
@@ -21,7 +31,11 @@
     return this.expiries.size === 0
   }
 
-  /** Adds a worker and the monotonic time from which no run of an earlier owner can exist there. */
+  /**
+   * Adds a worker that may run tasks of an earlier owner; these tasks do not start until it is reconciled.
+   * @param workerId The worker.
+   * @param expiresAt Monotonic time from which no run of an earlier owner can exist there.
+   */
   add (workerId: string, expiresAt: number): void {
     this.expiries.set(workerId, expiresAt)
   }
@@ -33,11 +47,11 @@
 
   /**
    * Removes a worker whose runs of earlier owners are known or certainly over.
-   * @param workerId The worker.
-   * @returns Whether the worker was unreconciled before.
+   * @param worker The worker.
+   * @param cause How this became certain.
    */
-  markReconciled (workerId: string): boolean {
-    return this.expiries.delete(workerId)
+  markReconciled (worker: WorkerRecord, cause: ReconciliationCause): void {
+    if (this.expiries.delete(worker.entry.workerId)) this.options.onReconciled(worker, cause)
   }
 
   /**
@@ -57,18 +71,17 @@
   }
 
   /**
-   * Finds workers that did not respond to a call sent after their expiry.
+   * Removes workers that did not respond to a call sent after their expiry.
    *
-   * A worker that was not called may still hold completions from before the expiry, so time alone is no proof.
-   * @param workers All workers.
-   * @returns The identifiers of the workers.
+   * A worker that was not called may still hold completions from before the expiry, so time alone removes no worker.
    */
-  findExpired (workers: ReadonlyMap<string, WorkerRecord>): string[] {
-    const expired: string[] = []
+  expire (): void {
     for (const [workerId, expiresAt] of this.expiries) {
-      const callSentAt = workers.get(workerId)?.unansweredCallSentAt ?? null
-      if (callSentAt !== null && callSentAt >= expiresAt) expired.push(workerId)
+      const worker = this.options.workers.get(workerId)
+      const callSentAt = worker?.unansweredCallSentAt ?? null
+      if (worker !== undefined && callSentAt !== null && callSentAt >= expiresAt) {
+        this.markReconciled(worker, 'lease-expired')
+      }
     }
-    return expired
   }
 }
--- a/src/dispatch/decidePace.ts
+++ b/src/dispatch/decidePace.ts
@@ -21,6 +21,8 @@
 const MINIMUM_PACE_PERCENT = 10
 /** The time after a pace change until metrics reflect it. */
 const SETTLE_MILLISECONDS = 450
+/** A run whose pace stays below this is moved to another worker where possible. */
+const SLOWED_BELOW_PERCENT = 35
 /** The step by which runs not known to interfere are slowed while a tail latency exceeds its target. */
 const UNEXPLAINED_STEP_PERCENT = 60
 /** The maximum step by which a pace is raised. */
@@ -112,3 +114,18 @@
   if (run.pacePercent < 0) return percent
   return Math.min(percent, run.pacePercent + RECOVERY_STEP_PERCENT)
 }
+
+/**
+ * Records that a new pace of a run has been decided.
+ * @param worker The worker.
+ * @param run The run.
+ * @param percent The pace.
+ * @param now The monotonic time.
+ */
+export function applyPaceChange (worker: WorkerRecord, run: RunRecord, percent: number, now: number): void {
+  if (percent < SLOWED_BELOW_PERCENT) run.slowedSince ??= now
+  else run.slowedSince = null
+  run.pacePercent = percent
+  run.progressedAt = now
+  worker.bestEffortChangedAt = now
+}
--- a/src/dispatch/earlierRuns.test.ts
+++ b/src/dispatch/earlierRuns.test.ts
@@ -26,7 +26,7 @@
   }, 0)
   for (const workerId of ['worker-0', 'worker-1']) {
     engine.setWorker(createWorkerEntry({ workerId })).registered = true
-    engine.requireReconciliation(workerId, CERTAIN_END_MILLISECONDS)
+    engine.unreconciled.add(workerId, CERTAIN_END_MILLISECONDS)
   }
   return engine
 }
--- a/src/dispatch/lostRuns.test.ts
+++ b/src/dispatch/lostRuns.test.ts
@@ -72,7 +72,7 @@
 test('does not restart tasks of an earlier owner after the expiry while their worker was not called', () => {
   const engine = createEngine({}, true)
   const unresponsive = engine.setWorker({ ...ENTRY, workerId: 'worker-2' })
-  engine.requireReconciliation('worker-2', 1000)
+  engine.unreconciled.add('worker-2', 1000)
   engine.markUnreachable(unresponsive, null)
   assert.deepEqual(plan(engine, 1100).map(order => order.run.attempt), [])
 })
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -57,7 +57,7 @@
     this.metrics = createInstanceMetrics(options.registry, {
       isOwner: () => this.election.isOwner(),
       countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0,
-      countUnreconciledWorkers: () => this.dispatcher?.engine.getUnreconciledWorkers().size ?? 0
+      countUnreconciledWorkers: () => this.dispatcher?.engine.unreconciled.getExpiries().size ?? 0
     })
     this.site = SiteWatch.create({
       platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -267,7 +267,7 @@
   private createUnreachedRecord (): UnreachedRecord | null {
     const { engine, clock } = this.options
     const now = clock.monotonicMilliseconds()
-    const unreconciled = engine.getUnreconciledWorkers()
+    const unreconciled = engine.unreconciled.getExpiries()
     return engine.unreached.needsRecord(unreconciled, now) ? engine.unreached.createRecord(unreconciled, now) : null
   }
 
--- a/src/instance/RecoveryMonitor.test.ts
+++ b/src/instance/RecoveryMonitor.test.ts
@@ -14,7 +14,7 @@
   engine.jobs.add({ submission, progress: null, recovered: true }, clock.monotonicMilliseconds())
   engine.jobs.createDueOccurrences(engine.jobs.getJob('job')!, 0, clock.monotonicMilliseconds())
   const worker = engine.setWorker(createWorkerEntry())
-  engine.requireReconciliation('worker-0', clock.monotonicMilliseconds() + 6300)
+  engine.unreconciled.add('worker-0', clock.monotonicMilliseconds() + 6300)
   const lines: string[] = []
   const logger = { ...silentLogger, info: (message: string, fields = {}) => lines.push(`${message} ${JSON.stringify(fields)}`) }
   const monitor = RecoveryMonitor.create({ engine, clock, logger })
--- a/src/instance/RecoveryMonitor.ts
+++ b/src/instance/RecoveryMonitor.ts
@@ -48,7 +48,7 @@
 
   private reportWorkers (now: number): void {
     const { engine, logger } = this.options
-    const expiries = engine.getUnreconciledWorkers()
+    const expiries = engine.unreconciled.getExpiries()
     if (expiries.size === 0) {
       if (this.waitingForWorkersSince === null) return
       logger.info('all workers reconciled', { afterMilliseconds: Math.round(now - this.waitingForWorkersSince) })
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -13,10 +13,10 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeSubmission, getCancelledJobId, HOLDING_TABLE, isFinishedJob, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE,
-  UNREACHED_TABLE
+  decodeSubmission, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { loadShardRows } from './loadShardRows.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
@@ -188,38 +188,31 @@
   }
 
   private async load (): Promise<boolean> {
-    const { feed, clock } = this.options
-    const jobs = await feed.readTable(JOB_TABLE)
-    const progress = await feed.readTable(PROGRESS_TABLE)
-    const holding = await feed.readTable(HOLDING_TABLE)
-    const learned = await this.options.tableService.read({ table: LEARNED_TABLE, key: this.options.shardId })
-    const unreachedReadAt = clock.monotonicMilliseconds()
-    const unreached = await this.options.tableService.read({ table: UNREACHED_TABLE, key: this.options.shardId })
-    const isComplete = jobs.kind === 'ok' && progress.kind === 'ok' && holding.kind === 'ok' &&
-      learned.kind === 'ok' && unreached.kind === 'ok'
-    if (!isComplete || this.stopped) return false
-    if (learned.value !== null) this.engine.advisor.import(learned.value.value as unknown as LearnedEffects)
-    const now = clock.monotonicMilliseconds()
-    const progressByJobId = new Map(progress.value.rows.map(row => [row.key, row]))
+    const rows = await loadShardRows(this.options)
+    if (rows === null || this.stopped) return false
+    const { jobs, learned, unreachedReadAt } = rows
+    if (learned !== null) this.engine.advisor.import(learned.value as unknown as LearnedEffects)
+    const now = this.now()
+    const progressByJobId = new Map(rows.progress.map(row => [row.key, row]))
     for (const [jobId, { value }] of progressByJobId) {
       const { state } = decodeProgress(value)
       if (state !== undefined) this.engine.jobs.setFinalState(jobId, state, now)
     }
-    this.addJobs(jobs.value.rows, key => progressByJobId.get(key) ?? null, true)
-    this.queueFinishedJobsForCleanup(jobs.value.rows)
-    const remainingLeases = this.restoreUnreachedWorkers(unreached.value)
-    for (const row of holding.value.rows) {
+    this.addJobs(jobs.rows, key => progressByJobId.get(key) ?? null, true)
+    this.queueFinishedJobsForCleanup(jobs.rows)
+    const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
+    for (const row of rows.holding) {
       const entry = row.value as unknown as WorkerEntry
       const worker = this.engine.setWorker(entry)
       worker.registered = true
       worker.listed = false
       const remaining = remainingLeases[row.key] ?? Infinity
       const leasesEndAt = Math.min(this.options.earlierLeasesEndAt, unreachedReadAt + remaining)
-      this.engine.requireReconciliation(row.key, leasesEndAt)
+      this.engine.unreconciled.add(row.key, leasesEndAt)
       this.startLoop(worker)
     }
-    if (this.engine.isReconciled()) this.engine.jobs.confirmRecovered()
-    this.followJobs(jobs.value.version)
+    if (this.engine.unreconciled.isEmpty) this.engine.jobs.confirmRecovered()
+    this.followJobs(jobs.version)
     return true
   }
 
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -81,7 +81,7 @@
   }, clock.monotonicMilliseconds())
   if (recovered) {
     const expiresAt = clock.monotonicMilliseconds() + LEASE_MILLISECONDS
-    for (const workerId of clients.keys()) engine.requireReconciliation(workerId, expiresAt)
+    for (const workerId of clients.keys()) engine.unreconciled.add(workerId, expiresAt)
   }
   const plan = () => {
     const now = clock.monotonicMilliseconds()
