End calls to invalid addresses as not sent instead of rejecting

Callers of HttpCaller.call rely on a promise that never rejects. For an address such as 10.0.0.1:99999, a/b:80, 999.1.1.1:80 or @:1 it rejected with "Invalid URL", because the constructor of undici's Client throws inside the executor of the promise. WorkerLeaseLoop.run has no handler for it, so that one such entry in the list of workers ended the owner's process.

The address is checked once, when its first call is made.

--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -1,6 +1,6 @@
 import { CallQueue } from './CallQueue.js'
 import { SystemClock, type Clock } from './Clock.js'
-import { HttpConnection, openTcpConnection, type OpenConnection } from './HttpConnection.js'
+import { HttpConnection, isValidAddress, openTcpConnection, type OpenConnection } from './HttpConnection.js'
 import { HttpExchange } from './HttpExchange.js'
 
 /** One call to an HTTP service. */
@@ -47,6 +47,9 @@
   openConnection?: OpenConnection
 }
 
+/** The reason of a call to an address that is not a host with an optional port. */
+export const INVALID_ADDRESS_REASON = 'invalid-address'
+
 /** The calls and connections of one address. */
 interface AddressPool {
   queue: CallQueue<HttpConnection>
@@ -71,11 +74,15 @@
   }
 
   /**
-   * Makes a call; the promise never rejects.
+   * Makes a call; the promise never rejects. A call to an invalid address ends as `not-sent`.
    * @param call The call.
    * @returns The response, or whether the service may have received the call.
    */
   call (call: HttpCall): Promise<HttpResult> {
+    if (!this.pools.has(call.address) && !isValidAddress(call.address)) {
+      this.options.observer?.callEnded(call.address, 'refused')
+      return Promise.resolve({ kind: 'not-sent', reason: INVALID_ADDRESS_REASON })
+    }
     const { queue } = this.getPool(call.address)
     return new Promise(resolve => HttpExchange.start({
       call,
--- a/src/shared/HttpConnection.ts
+++ b/src/shared/HttpConnection.ts
@@ -76,6 +76,18 @@
   }
 }
 
+/**
+ * Returns whether an address is a host with an optional port, and nothing else; a connection to it can then be created.
+ * @param address The address.
+ * @returns Whether the address is valid.
+ */
+export function isValidAddress (address: string): boolean {
+  const url = `http://${address}`
+  if (!URL.canParse(url)) return false
+  const { pathname, search, hash, username, password } = new URL(url)
+  return [pathname, search, hash, username, password].join('') === '/'
+}
+
 /**
  * Returns the cause of a failure.
  * @param error The failure.
