Play odd entries of workers in the soak runs of the deployed program

Every soak run has them from its start, and replaces the entries of workers with odd ones for half a second at a time, from a random stream of its own, so that the other faults of a seed stay the same.

A soak run now also reports each process that ends by itself, with its error output.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -15,6 +15,8 @@
   workerCount: number
   /** How long jobs are submitted and faults are injected. */
   durationMilliseconds: number
+  /** Whether there are other faults than odd entries of workers; true by default. */
+  hasOtherFaults?: boolean
 }
 
 /** The result of a soak run. */
@@ -29,6 +31,8 @@
 interface Program {
   name: string
   child: ChildProcess | null
+  /** Whether the process was told to end. */
+  isTerminating: boolean
   settingsPath: string
   callerPort: number
   proxy: LoopbackProxy
@@ -44,6 +48,11 @@
 const RECOVERY_MILLISECONDS = 25_000
 const DOWN_MILLISECONDS = 1200
 const CALL_TIMEOUT_MILLISECONDS = 3000
+/** The mean time between two odd entries, and how long one stays in place of a worker's own entry. */
+const ENTRY_FAULT_INTERVAL_MILLISECONDS = 1500
+const HEARTBEAT_MILLISECONDS = 500
+/** How much of the error output of a process is kept. */
+const ERROR_TEXT_LENGTH = 1000
 const PROXY_MODES: ProxyMode[] = ['delay', 'silent', 'silent-answers']
 
 /** Runs the deployed program as separate processes and injects the faults that follow from one seed. */
@@ -75,6 +84,7 @@
       workerPorts: ports.slice(2, 2 + options.workerCount),
       random: createRandom(options.seed + 1)
     })
+    platform.putOddEntries()
     const run = new SoakRun(options, platform)
     try {
       return await run.runSchedule(ports, ports.slice(2 + options.workerCount))
@@ -89,7 +99,11 @@
     }
     await pause(1500)
     const end = Date.now() + this.options.durationMilliseconds
-    await Promise.all([this.submitUntil(end), this.injectFaultsUntil(end)])
+    await Promise.all([
+      this.submitUntil(end),
+      this.replaceEntriesUntil(end),
+      this.options.hasOtherFaults === false ? null : this.injectFaultsUntil(end)
+    ])
     await this.checkJobs()
     this.violations.push(...this.platform.judge.violations)
     return {
@@ -118,7 +132,7 @@
       cloud: { address: `${HOST}:${platformPorts[1]}` },
       bounds: { maxHoldMs: 6000, graceS: 6 }
     }))
-    const program: Program = { name, child: null, settingsPath, callerPort, proxy }
+    const program: Program = { name, child: null, isTerminating: false, settingsPath, callerPort, proxy }
     this.programs.push(program)
     this.startProgram(program)
   }
@@ -126,9 +140,18 @@
   private startProgram (program: Program): void {
     if (this.isEnded) return
     const environment = { PATH: process.env.PATH, PAPAYAMOOR_SETTINGS: program.settingsPath }
-    const child = spawn(process.execPath, ['target/papayamoor.cjs'], { env: environment, stdio: 'ignore' })
+    const child = spawn(process.execPath, ['target/papayamoor.cjs'], {
+      env: environment, stdio: ['ignore', 'ignore', 'pipe']
+    })
     program.child = child
-    child.once('exit', () => {
+    program.isTerminating = false
+    let errors = ''
+    child.stderr.on('data', chunk => { errors = `${errors}${chunk}`.slice(0, ERROR_TEXT_LENGTH) })
+    child.once('exit', code => {
+      // Signals come from this run only; a process that ends by itself has an exit code.
+      if (code !== null && !(code === 0 && program.isTerminating)) {
+        this.violations.push(`ended: ${program.name} with code ${code}: ${errors}`)
+      }
       if (program.child === child) program.child = null
       setTimeout(() => { if (program.child === null) this.startProgram(program) }, DOWN_MILLISECONDS)
     })
@@ -181,8 +204,23 @@
     for (const { proxy } of this.programs) proxy.mode = 'pass'
   }
 
+  /** Replaces entries of workers with odd ones, until the worker writes its entry again. */
+  private async replaceEntriesUntil (end: number): Promise<void> {
+    const random = createRandom(this.options.seed + 2)
+    while (Date.now() < end) {
+      await pause(ENTRY_FAULT_INTERVAL_MILLISECONDS * (0.5 + random()))
+      const workerIds = [...this.platform.workers.keys()]
+      const workerId = workerIds[Math.floor(random() * workerIds.length)]
+      this.faults.push(`odd entry ${workerId}`)
+      this.platform.replaceWithOddEntry(workerId)
+      await pause(HEARTBEAT_MILLISECONDS)
+      this.platform.restoreEntry(workerId)
+    }
+  }
+
   private signal (program: Program, signal: NodeJS.Signals): void {
     this.faults.push(`${signal} ${program.name}`)
+    if (signal === 'SIGTERM') program.isTerminating = true
     program.child?.kill(signal)
   }
 
