Read rows of the holding table field by field

A new owner loads the holding table to find the workers that may run tasks of earlier owners. It used the values unchecked: a row that is not an object ended the load with "Cannot read properties of null" and, without a handler, the process, and then the process of each next owner; a row whose identifier differs from its key made the owner wait for a worker that it never called. Earlier versions of the program stored entries that are no longer accepted.

A row always names the worker of its key, because tasks may run there, and malformed fields become empty. A call to an empty or invalid address is an unknown outcome, so that such a worker counts as expired after the leases of the earlier owners, as any worker without a response, and not before.

--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -12,7 +12,8 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeSubmission, getCancelledJobId, HOLDING_TABLE, isFinishedJob, JOB_TABLE, LEARNED_TABLE, PROGRESS_TABLE
+  decodeHeldWorker, decodeSubmission, getCancelledJobId, HOLDING_TABLE, isFinishedJob, JOB_TABLE, LEARNED_TABLE,
+  PROGRESS_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
@@ -194,8 +195,7 @@
     this.addJobs(jobs.value.rows, key => progressByJobId.get(key) ?? null, true)
     this.queueFinishedJobsForCleanup(jobs.value.rows)
     for (const row of holding.value.rows) {
-      const entry = row.value as unknown as WorkerEntry
-      const worker = this.engine.setWorker(entry)
+      const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
       worker.registered = true
       worker.listed = false
       this.engine.requireReconciliation(row.key, this.options.earlierLeasesEndAt)
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -1,3 +1,4 @@
+import type { WorkerEntry } from '../dispatch/index.js'
 import type { JobSubmission } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 
@@ -81,3 +82,42 @@
   const isComplete = typeof submission.jobId === 'string' && Array.isArray(submission.specification?.steps)
   return isComplete ? submission as JobSubmission : null
 }
+
+/**
+ * Decodes a row of the holding table. Earlier versions of the program stored entries that are no longer accepted; tasks
+ * may run on each of these workers, so that a row always names one.
+ * @param key The key of the row, which is the worker's identifier.
+ * @param value The value of the row.
+ * @returns The worker; malformed fields are empty, and calls to an empty address fail.
+ */
+export function decodeHeldWorker (key: string, value: JsonValue): WorkerEntry {
+  const fields = getFields(value)
+  const capacity = getFields(fields.capacity)
+  return {
+    workerId: key,
+    serviceName: getText(fields.serviceName),
+    address: getText(fields.address),
+    dataCentre: getText(fields.dataCentre),
+    state: fields.state === 'ready' ? 'ready' : 'draining',
+    labels: Array.isArray(fields.labels) ? fields.labels.filter(label => typeof label === 'string') : [],
+    capacity: {
+      processorsMilli: getNumber(capacity.processorsMilli) ?? 0,
+      memoryMegabytes: getNumber(capacity.memoryMegabytes) ?? 0,
+      accelerators: getNumber(capacity.accelerators) ?? 0
+    },
+    bornAtMilliseconds: getNumber(fields.bornAtMilliseconds) ?? 0,
+    remainingMilliseconds: getNumber(fields.remainingMilliseconds)
+  }
+}
+
+function getFields (value: JsonValue | undefined): Record<string, JsonValue | undefined> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value) ? value : {}
+}
+
+function getText (value: JsonValue | undefined): string {
+  return typeof value === 'string' ? value : ''
+}
+
+function getNumber (value: JsonValue | undefined): number | null {
+  return typeof value === 'number' && Number.isFinite(value) ? value : null
+}
