Reject jobs with more tasks than an owner can hold

The owner keeps a record of each task whose occurrence is due. A submission with "count":1e308, or with a repeatCount of 1e15 and no interval, was accepted and stored; the plan of the owner then ran out of memory ("Reached heap limit" with a heap of 300 MB), and so would each next owner, because it loads the same row.

A job may have 100,000 tasks over all its occurrences, in whole numbers; the progress of that many does not fit in a row of the store. Rows that an earlier version stored are ignored with the log line for invalid rows.

Ruled out: deeply nested values in submissions.

--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -1,5 +1,5 @@
 import type { WorkerEntry } from '../dispatch/index.js'
-import type { JobSubmission } from '../jobs/index.js'
+import { hasValidTaskCount, type JobSubmission } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 
 /** The accepted jobs by identifier, and the requests to cancel them. */
@@ -80,7 +80,7 @@
   if (typeof value !== 'object' || value === null || Array.isArray(value)) return null
   const submission = value as unknown as Partial<JobSubmission>
   const isComplete = typeof submission.jobId === 'string' && Array.isArray(submission.specification?.steps)
-  return isComplete ? submission as JobSubmission : null
+  return isComplete && hasValidTaskCount(submission.specification!) ? submission as JobSubmission : null
 }
 
 /**
--- a/src/jobs/JobSpecification.ts
+++ b/src/jobs/JobSpecification.ts
@@ -35,6 +35,12 @@
   maximumAway: number
 }
 
+/**
+ * The maximum number of tasks of a job over all its occurrences. The owner keeps a record of each task whose occurrence
+ * is due, and the progress of more tasks does not fit in a row of the store.
+ */
+const MAXIMUM_JOB_TASKS = 100_000
+
 /** The part of a job that its submitter specifies. */
 export interface JobSpecification {
   /** Opaque text that is passed to the worker with each start. */
@@ -70,3 +76,16 @@
 
 /** The terminal states of a job. */
 export type FinalJobState = 'completed' | 'failed' | 'cancelled'
+
+/**
+ * Returns whether the owner can hold the tasks of a job.
+ * @param specification The job.
+ * @returns Whether its numbers of tasks and of occurrences are whole and not too large.
+ */
+export function hasValidTaskCount (specification: JobSpecification): boolean {
+  const { steps, repeatCount } = specification
+  const counts = [repeatCount, ...steps.map(step => step.taskCount)]
+  const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0)
+  return counts.every(count => Number.isSafeInteger(count) && count >= 0) &&
+    Math.max(1, taskCount) * Math.max(1, repeatCount) <= MAXIMUM_JOB_TASKS
+}
