Keep the process running after odd calls and answers between peers

The application for peers has async handlers without a handler for rejections, and polka catches no errors of single handlers. A body that is not JSON, a path with a malformed escape, or a peer whose connection breaks while it sends a submission ("aborted") therefore ended the owner's process. The client parsed answers with status 200 without a check: an answer that is not JSON, as another program at a reused address may give, ended the election loop or the process.

A request that cannot be read is now logged and rejected with 400, which the peer treats as an unknown outcome; submissions of peers are decoded as stored rows are. A malformed answer counts as no answer.

--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -66,8 +66,9 @@
       address, method: 'GET', path: '/owner', timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind === 'answered' && answer.statusCode === 200) {
-      const body = JSON.parse(answer.body.toString()) as { isOwner: boolean, renewalAge: number }
-      return { kind: 'alive', ...body }
+      const { isOwner, renewalAge } = parseObject(answer.body)
+      const isValid = typeof isOwner === 'boolean' && typeof renewalAge === 'number'
+      return isValid ? { kind: 'alive', isOwner, renewalAge } : { kind: 'silent', reason: 'malformed answer' }
     }
     if (answer.kind === 'not-sent' && answer.reason === REFUSED_CODE) return { kind: 'refused' }
     return { kind: 'silent', reason: answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason }
@@ -78,7 +79,8 @@
       address, method: 'GET', path: `/jobs/${jobId}`, timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
-    return (JSON.parse(answer.body.toString()) as { state: OwnerJobState }).state
+    const { state } = parseObject(answer.body)
+    return typeof state === 'string' ? state as OwnerJobState : null
   }
 
   async countWaiting (address: string, queueName: string): Promise<number | null> {
@@ -89,7 +91,8 @@
       timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
-    return (JSON.parse(answer.body.toString()) as { waiting: number | null }).waiting
+    const { waiting } = parseObject(answer.body)
+    return typeof waiting === 'number' ? waiting : null
   }
 
   async storeSubmission (address: string, submission: JobSubmission): Promise<StoreOutcome> {
@@ -111,6 +114,17 @@
     })
     if (answer.kind === 'not-sent') return 'not-stored'
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return 'unknown'
-    return (JSON.parse(answer.body.toString()) as { outcome: StoreOutcome }).outcome
+    const { outcome } = parseObject(answer.body)
+    return typeof outcome === 'string' ? outcome as StoreOutcome : 'unknown'
+  }
+}
+
+/** Parses an answer; the fields are absent when it is not a JSON object, as another program may use the address. */
+function parseObject (body: Buffer): Record<string, unknown> {
+  try {
+    const value = JSON.parse(body.toString()) as unknown
+    return typeof value === 'object' && value !== null ? value as Record<string, unknown> : {}
+  } catch {
+    return {}
   }
 }
--- a/src/instance/createPeerApplication.ts
+++ b/src/instance/createPeerApplication.ts
@@ -1,32 +1,52 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import polka, { type Polka } from 'polka'
+import polka, { type Polka, type Request } from 'polka'
 import type { Registry } from 'prom-client'
-import type { JobSubmission } from '../jobs/index.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+import type { Logger } from '../shared/Logger.js'
+import { decodeSubmission } from './jobRows.js'
 import type { OwnerApi } from './OwnerPeer.js'
 
+/** Options of the application for peers. */
+export interface PeerApplicationOptions {
+  /** The calls that the owner handles. */
+  ownerApi: OwnerApi
+  registry: Registry
+  logger: Logger
+}
+
 /**
  * Creates the HTTP application that serves peers and metrics.
- * @param options The calls that the owner handles, and the metrics.
+ * @param options The calls that the owner handles, the metrics and the logger.
  * @returns The application, which does not listen yet.
  */
-export function createPeerApplication (options: { ownerApi: OwnerApi, registry: Registry }): Polka {
-  const { ownerApi, registry } = options
+export function createPeerApplication (options: PeerApplicationOptions): Polka {
+  const { ownerApi, registry, logger } = options
+  /** Sends what `respond` returns, or status 400 when the request cannot be read: null or an error. */
+  const handle = (respond: (request: Request) => object | null | Promise<object | null>) =>
+    async (request: Request, response: ServerResponse): Promise<void> => {
+      try {
+        const body = await respond(request)
+        if (body !== null) return sendJson(response, body)
+        logger.warn('malformed request of a peer rejected', { path: request.url ?? '' })
+      } catch (error) {
+        logger.warn('request of a peer failed', { path: request.url ?? '', reason: (error as Error).message })
+      }
+      response.writeHead(400)
+      response.end()
+    }
   const application = polka()
-  application.get('/owner', (_request, response) => sendJson(response, ownerApi.probe()))
-  application.get('/jobs/:jobId', (request, response) => {
-    sendJson(response, { state: ownerApi.getJobState(request.params.jobId) })
-  })
-  application.get('/queues/:queueName', (request, response) => {
-    sendJson(response, { waiting: ownerApi.countWaiting(decodeURIComponent(request.params.queueName)) })
-  })
-  application.post('/submissions', async (request, response) => {
-    const submission = await readJson(request) as JobSubmission
-    sendJson(response, { outcome: await ownerApi.storeSubmission(submission) })
-  })
-  application.post('/cancellations', async (request, response) => {
-    const { jobId } = await readJson(request) as { jobId: string }
-    sendJson(response, { outcome: await ownerApi.storeCancellation(jobId) })
-  })
+  application.get('/owner', handle(() => ownerApi.probe()))
+  application.get('/jobs/:jobId', handle(request => ({ state: ownerApi.getJobState(request.params.jobId) })))
+  application.get('/queues/:queueName', handle(request => (
+    { waiting: ownerApi.countWaiting(decodeURIComponent(request.params.queueName)) })))
+  application.post('/submissions', handle(async request => {
+    const submission = decodeSubmission(await readJson(request))
+    return submission === null ? null : { outcome: await ownerApi.storeSubmission(submission) }
+  }))
+  application.post('/cancellations', handle(async request => {
+    const body = await readJson(request) as { jobId?: JsonValue } | null
+    return typeof body?.jobId === 'string' ? { outcome: await ownerApi.storeCancellation(body.jobId) } : null
+  }))
   application.get('/metrics', async (_request, response) => {
     response.setHeader('content-type', registry.contentType)
     response.end(await registry.metrics())
@@ -39,8 +59,8 @@
   response.end(JSON.stringify(body))
 }
 
-async function readJson (request: IncomingMessage): Promise<unknown> {
+async function readJson (request: IncomingMessage): Promise<JsonValue> {
   const chunks: Buffer[] = []
   for await (const chunk of request) chunks.push(chunk as Buffer)
-  return JSON.parse(Buffer.concat(chunks).toString())
+  return JSON.parse(Buffer.concat(chunks).toString()) as JsonValue
 }
