Call a worker at the address of its newest entry

The owner created the client of a worker from its first entry and kept it. A worker whose entry first had a wrong address, or that is listed again at another one, was called at the old address for as long as the owner lived: its tasks could start nowhere although its entry was right by then.

The owner now replaces the client when the address changes, and logs both. The lease loop goes on: a call in flight to the former address ends as failed, after which the loop acknowledges nothing and renews no lease before a report.

--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -62,6 +62,13 @@
 /** Interval at which learned interference is stored: a new owner loses at most this much of it. */
 const LEARNED_STORE_MILLISECONDS = 4000
 
+/** The lease loop of a worker, and the client with its address. */
+interface FollowedWorker {
+  loop: WorkerLeaseLoop
+  client: WorkerClient
+  address: string
+}
+
 /** Runs one shard as its owner: loads its jobs, renews worker leases, sends orders, and stores progress. */
 export class ShardDispatcher {
   readonly engine: DispatchEngine
@@ -70,7 +77,7 @@
   private readonly sender: OrderSender
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
-  private readonly loops = new Map<string, { loop: WorkerLeaseLoop, client: WorkerClient }>()
+  private readonly loops = new Map<string, FollowedWorker>()
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -170,7 +177,9 @@
     const entries = site.getWorkers()
     for (const entry of entries.values()) {
       const worker = this.engine.setWorker(entry)
-      if (!this.loops.has(entry.workerId)) this.startLoop(worker)
+      const loop = this.loops.get(entry.workerId)
+      if (loop === undefined) this.startLoop(worker)
+      else if (loop.address !== entry.address) this.replaceClient(loop, entry)
     }
     for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.markRemoved(workerId)
     this.registry.register(this.engine.workers)
@@ -256,11 +265,13 @@
 
   private startLoop (worker: WorkerRecord): void {
     const { clock, leaseMilliseconds, onDeposed } = this.options
-    const client = this.options.createWorkerClient(worker.entry)
+    const { workerId, address } = worker.entry
+    const followed = { client: this.options.createWorkerClient(worker.entry), address }
     const loop = WorkerLeaseLoop.create({
       worker,
       engine: this.engine,
-      client,
+      // Read for each call, because the client changes with the worker's address.
+      get client () { return followed.client },
       clock,
       leaseMilliseconds,
       logger: this.options.logger,
@@ -270,10 +281,19 @@
       onFenced: () => onDeposed('a worker rejected a lease renewal with an old epoch'),
       waitForDurability: () => this.writer.waitForDurability()
     })
-    this.loops.set(worker.entry.workerId, { loop, client })
+    this.loops.set(workerId, Object.assign(followed, { loop }))
     loop.run()
   }
 
+  /** Calls a worker at its new address; calls in flight to the former one end as failed. */
+  private replaceClient (followed: FollowedWorker, entry: WorkerEntry): void {
+    const { workerId, address } = entry
+    this.options.logger.info('worker has another address', { worker: workerId, from: followed.address, to: address })
+    followed.client.close()
+    followed.client = this.options.createWorkerClient(entry)
+    followed.address = address
+  }
+
   private stopLoop (workerId: string): void {
     const entry = this.loops.get(workerId)
     this.loops.delete(workerId)
