--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,6 +1,5 @@
 import {
-  DispatchEngine, type LearnedEffects, type UnreachedRecord, type WorkerCensus, type WorkerClient, type WorkerEntry,
-  type WorkerRecord
+  DispatchEngine, type LearnedEffects, type UnreachedRecord, type WorkerCensus, type WorkerClient, type WorkerEntry
 } from '../dispatch/index.js'
 import { decodeProgress } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
@@ -13,7 +12,7 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeSubmission, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
+  decodeHeldWorker, decodeSubmission, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { loadShardRows } from './loadShardRows.js'
@@ -22,7 +21,7 @@
 import { ProgressWriter } from './ProgressWriter.js'
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import type { SiteWatch } from './SiteWatch.js'
-import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
+import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
 /** Options of a dispatcher. */
@@ -75,7 +74,7 @@
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
   private readonly recoveryMonitor: RecoveryMonitor
-  private readonly loops = new Map<string, { loop: WorkerLeaseLoop, client: WorkerClient }>()
+  private readonly loops: WorkerLeaseLoops
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -105,6 +104,14 @@
         this.schedulePlan()
       }
     })
+    this.loops = WorkerLeaseLoops.create({
+      ...options,
+      engine: this.engine,
+      mayRenewLeases: () => this.getRenewalAge() < LEASE_RENEWAL_LIMIT_MILLISECONDS,
+      onReport: () => this.schedulePlan(),
+      onFenced: () => options.onDeposed('a worker rejected a lease renewal with an old epoch'),
+      waitForDurability: () => this.writer.waitForDurability()
+    })
     this.writer = ProgressWriter.create({
       ...options,
       engine: this.engine,
@@ -160,7 +167,7 @@
     this.sender.stop()
     this.registry.stop()
     this.jobFollower?.stop()
-    for (const workerId of [...this.loops.keys()]) this.stopLoop(workerId)
+    this.loops.stopAll()
   }
 
   /** Stores progress that is not durable yet, before the shard is released. */
@@ -179,8 +186,7 @@
     this.engine.setDataCentresOut(site.getDataCentresOut())
     const entries = site.getWorkers()
     for (const entry of entries.values()) {
-      const worker = this.engine.setWorker(entry)
-      if (!this.loops.has(entry.workerId)) this.startLoop(worker)
+      this.loops.follow(this.engine.setWorker(entry))
     }
     for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.markRemoved(workerId)
     this.registry.register(this.engine.workers)
@@ -202,14 +208,13 @@
     this.queueFinishedJobsForCleanup(jobs.rows)
     const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
     for (const row of rows.holding) {
-      const entry = row.value as unknown as WorkerEntry
-      const worker = this.engine.setWorker(entry)
+      const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
       worker.registered = true
       worker.listed = false
       const remaining = remainingLeases[row.key] ?? Infinity
       const leasesEndAt = Math.min(this.options.earlierLeasesEndAt, unreachedReadAt + remaining)
       this.engine.unreconciled.add(row.key, leasesEndAt)
-      this.startLoop(worker)
+      this.loops.follow(worker)
     }
     if (this.engine.unreconciled.isEmpty) this.engine.jobs.confirmRecovered()
     this.followJobs(jobs.version)
@@ -278,33 +283,6 @@
     this.schedulePlan()
   }
 
-  private startLoop (worker: WorkerRecord): void {
-    const { clock, leaseMilliseconds, onDeposed } = this.options
-    const client = this.options.createWorkerClient(worker.entry)
-    const loop = WorkerLeaseLoop.create({
-      worker,
-      engine: this.engine,
-      client,
-      clock,
-      leaseMilliseconds,
-      logger: this.options.logger,
-      metrics: this.options.metrics,
-      mayRenewLeases: () => this.getRenewalAge() < LEASE_RENEWAL_LIMIT_MILLISECONDS,
-      onReport: () => this.schedulePlan(),
-      onFenced: () => onDeposed('a worker rejected a lease renewal with an old epoch'),
-      waitForDurability: () => this.writer.waitForDurability()
-    })
-    this.loops.set(worker.entry.workerId, { loop, client })
-    loop.run()
-  }
-
-  private stopLoop (workerId: string): void {
-    const entry = this.loops.get(workerId)
-    this.loops.delete(workerId)
-    entry?.loop.stop()
-    entry?.client.close()
-  }
-
   private tick (): void {
     if (this.stopped) return
     const now = this.options.clock.monotonicMilliseconds()
@@ -318,8 +296,8 @@
     this.recoveryMonitor.check()
     if (now >= this.nextLivenessCheckAt) this.checkUnresponsiveWorkers()
     if (now >= this.nextLearnedStoreAt) this.storeLearnedEffects()
-    const removedWorkerIds = [...this.loops.keys()].filter(workerId => !this.engine.workers.has(workerId))
-    for (const workerId of removedWorkerIds) this.stopLoop(workerId)
+    const removedWorkerIds = this.loops.getWorkerIds().filter(workerId => !this.engine.workers.has(workerId))
+    for (const workerId of removedWorkerIds) this.loops.stop(workerId)
     this.registry.unregister(removedWorkerIds)
   }
 
@@ -378,8 +356,8 @@
     this.sender.withdrawUnneeded()
     this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), QUEUED_ORDER_LIMIT - this.sender.queuedCount)
     for (const order of this.engine.takeOrders()) {
-      const entry = this.loops.get(order.worker.entry.workerId)
-      if (entry !== undefined) this.sender.send(order, entry.client)
+      const client = this.loops.getClient(order.worker.entry.workerId)
+      if (client !== undefined) this.sender.send(order, client)
     }
   }
 
--- /dev/null
+++ b/src/instance/WorkerLeaseLoops.ts
@@ -0,0 +1,83 @@
+import type { WorkerClient, WorkerEntry, WorkerRecord } from '../dispatch/index.js'
+import { WorkerLeaseLoop, type WorkerLeaseLoopOptions } from './WorkerLeaseLoop.js'
+
+/** Options of the loops of all workers. */
+export interface WorkerLeaseLoopsOptions extends Omit<WorkerLeaseLoopOptions, 'worker' | 'client'> {
+  createWorkerClient (entry: WorkerEntry): WorkerClient
+}
+
+/** The lease loop of a worker, and the client with its address. */
+interface FollowedWorker {
+  loop: WorkerLeaseLoop
+  client: WorkerClient
+  address: string
+}
+
+/** Runs one lease loop and keeps one client for each worker of the owner. */
+export class WorkerLeaseLoops {
+  private readonly followed = new Map<string, FollowedWorker>()
+
+  private constructor (private readonly options: WorkerLeaseLoopsOptions) {}
+
+  /**
+   * Creates the loops of an owner that follows no worker yet.
+   * @param options The engine and the callbacks of all loops.
+   * @returns The loops.
+   */
+  static create (options: WorkerLeaseLoopsOptions): WorkerLeaseLoops {
+    return new WorkerLeaseLoops(options)
+  }
+
+  /** Starts the loop of a worker that is not followed yet, or calls it at the address of its present entry. */
+  follow (worker: WorkerRecord): void {
+    const followed = this.followed.get(worker.entry.workerId)
+    if (followed === undefined) this.start(worker)
+    else if (followed.address !== worker.entry.address) this.replaceClient(followed, worker.entry)
+  }
+
+  /** Returns the client of a worker, or undefined when the worker is not followed. */
+  getClient (workerId: string): WorkerClient | undefined {
+    return this.followed.get(workerId)?.client
+  }
+
+  /** Returns the identifiers of the followed workers. */
+  getWorkerIds (): string[] {
+    return [...this.followed.keys()]
+  }
+
+  /** Stops the loop of a worker and closes its client. */
+  stop (workerId: string): void {
+    const followed = this.followed.get(workerId)
+    this.followed.delete(workerId)
+    followed?.loop.stop()
+    followed?.client.close()
+  }
+
+  /** Stops all loops. */
+  stopAll (): void {
+    for (const workerId of this.getWorkerIds()) this.stop(workerId)
+  }
+
+  private start (worker: WorkerRecord): void {
+    const { createWorkerClient, ...loopOptions } = this.options
+    const { workerId, address } = worker.entry
+    const followed = { client: createWorkerClient(worker.entry), address }
+    const loop = WorkerLeaseLoop.create({
+      ...loopOptions,
+      worker,
+      // Read for each call, because the client changes with the worker's address.
+      get client () { return followed.client }
+    })
+    this.followed.set(workerId, Object.assign(followed, { loop }))
+    loop.run()
+  }
+
+  /** Calls a worker at its new address; calls in flight to the former one end as failed. */
+  private replaceClient (followed: FollowedWorker, entry: WorkerEntry): void {
+    const { workerId, address } = entry
+    this.options.logger.info('worker has another address', { worker: workerId, from: followed.address, to: address })
+    followed.client.close()
+    followed.client = this.options.createWorkerClient(entry)
+    followed.address = address
+  }
+}
