Store assignments only where all of them are known and fit into a row

Two faults of the stored assignments: a job of 2,000 long-running tasks did not fit into a row of the store, so the same batch was repeated forever and no progress of the shard became durable; and after an upgrade the row of a job with repeated occurrences left out those that this owner had not created yet, so a successor took them as never started and they could run twice.

A row now says 'unknown' instead of naming workers while the owner has not reconciled the workers of earlier owners, or when a job has more than 200 assigned tasks (90 rows of a batch then stay below 1 MB); a successor waits for all workers before it starts tasks of such a job.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,5 +1,5 @@
 import {
-  decodeProgress, findTask, getOccurrence, getOccurrenceCount, restoreProgress, type FinalJobState,
+  decodeProgress, findTask, getOccurrence, getOccurrenceCount, hasLongRunningStep, restoreProgress, type FinalJobState,
   type JobRecord, type JobState, type JobSubmission, type TaskRecord
 } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
@@ -59,7 +59,7 @@
       finishedOccurrences: new Set(),
       hasStarted: false,
       recovered: added.recovered,
-      hasStoredAssignments: added.hasStoredAssignments ?? false,
+      hasStoredAssignments: !added.recovered || added.hasStoredAssignments === true,
       finalState: null,
       addedAt: now
     }
@@ -94,6 +94,8 @@
     for (const job of this.jobs.values()) {
       if (!job.recovered) continue
       job.recovered = false
+      if (!job.hasStoredAssignments && hasLongRunningStep(job)) this.markChanged(job)
+      job.hasStoredAssignments = true
       for (const { steps } of job.occurrences.values()) {
         for (const step of steps) for (const task of step.tasks) task.earlierRuns = 'none'
       }
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -91,7 +91,8 @@
 function recordAssignment (worker: WorkerRecord, task: TaskRecord, context: ReportContext): void {
   if (!task.step.specification.longRunning || task.assignedWorkerId === worker.entry.workerId) return
   task.assignedWorkerId = worker.entry.workerId
-  context.jobs.markChanged(task.step.occurrence.job)
+  const { job } = task.step.occurrence
+  if (job.hasStoredAssignments) context.jobs.markChanged(job)
 }
 
 function isOverTarget (run: RunRecord): boolean {
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -91,7 +91,7 @@
   hasStarted: boolean
   /** Whether an earlier owner accepted the job and some of its workers are not reconciled yet. */
   recovered: boolean
-  /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
+  /** Whether this owner knows which long-running tasks earlier owners have started, and on which workers. */
   hasStoredAssignments: boolean
   finalState: FinalJobState | null
   /** Monotonic time at which this process accepted or loaded the job. */
@@ -155,6 +155,15 @@
   return occurrence
 }
 
+/**
+ * Returns whether a job has long-running tasks.
+ * @param job The job.
+ * @returns Whether a step of it is long-running.
+ */
+export function hasLongRunningStep (job: JobRecord): boolean {
+  return job.submission.specification.steps.some(step => step.longRunning)
+}
+
 function getInitialScope (job: JobRecord, step: StepSpecification): EarlierRunScope {
   if (!job.recovered) return 'none'
   return step.longRunning && job.hasStoredAssignments ? 'assigned' : 'any'
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,9 +1,12 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import {
-  createOccurrence, getOccurrenceCount, type JobRecord, type OccurrenceRecord, type TaskRecord
+  createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord
 } from './JobRecord.js'
 import type { FinalJobState } from './JobSpecification.js'
 
+/** 90 rows with this many assignments fit into one transaction of the store, of at most 1 MB. */
+const STORED_ASSIGNMENT_LIMIT = 200
+
 /** The durable progress of a job, stored beside its submission. Names are short because writes are billed by byte. */
 export interface JobProgressRow {
   /** The final state; absent while the job is live. */
@@ -19,10 +22,10 @@
   /** The latest checkpoint by `occurrence.step.index`. */
   checkpoints?: Record<string, string>
   /**
-   * The workers of the latest starts of long-running tasks by `occurrence.step.index`: empty text when the worker is
-   * unknown, no entry when no owner has started the task.
+   * The workers of the latest starts of long-running tasks by `occurrence.step.index`, without the tasks that no owner
+   * has started; `unknown` when some runs may be on any worker.
    */
-  assigned?: Record<string, string>
+  assigned?: Record<string, string> | 'unknown'
 }
 
 /**
@@ -34,6 +37,8 @@
 export function encodeProgress (job: JobRecord, wallMilliseconds: number): JobProgressRow {
   if (job.finalState !== null) return { state: job.finalState, at: Math.round(wallMilliseconds) }
   const row: JobProgressRow = {}
+  const assigned = encodeAssignments(job)
+  if (assigned !== null) row.assigned = assigned
   if (job.finishedOccurrences.size > 0) row.finished = [...job.finishedOccurrences]
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
@@ -49,17 +54,20 @@
         if (task.checkpoint !== '') {
           row.checkpoints = { ...row.checkpoints, [`${prefix}.${task.index}`]: task.checkpoint }
         }
-        const assignment = getAssignment(task)
-        if (assignment !== null) row.assigned = { ...row.assigned, [`${prefix}.${task.index}`]: assignment }
       }
     }
   }
   return row
 }
 
-function getAssignment (task: TaskRecord): string | null {
-  if (!task.step.specification.longRunning) return null
-  return task.assignedWorkerId ?? (task.earlierRuns === 'any' ? '' : null)
+function encodeAssignments (job: JobRecord): Record<string, string> | 'unknown' | null {
+  if (!hasLongRunningStep(job)) return null
+  if (job.recovered && !job.hasStoredAssignments) return 'unknown'
+  const assigned = [...job.occurrences.values()].flatMap(({ number, steps }) => steps.flatMap(step =>
+    step.tasks.flatMap(({ index, assignedWorkerId }) =>
+      assignedWorkerId === null ? [] : [[`${number}.${step.index}.${index}`, assignedWorkerId]])))
+  if (assigned.length > STORED_ASSIGNMENT_LIMIT) return 'unknown'
+  return assigned.length === 0 ? null : Object.fromEntries(assigned)
 }
 
 /**
@@ -83,6 +91,7 @@
     job.finalState = row.state
     return
   }
+  if (row.assigned === 'unknown') job.hasStoredAssignments = false
   for (const number of row.finished ?? []) job.finishedOccurrences.add(number)
   for (const [prefix, indexes] of Object.entries(row.done ?? {})) {
     for (const index of indexes) markDone(job, `${prefix}.${index}`, firstAttempt, now)
@@ -95,7 +104,7 @@
     const task = findTask(job, suffix, firstAttempt, now)
     if (task !== undefined) task.checkpoint = checkpoint
   }
-  if (job.hasStoredAssignments) restoreAssignments(job, row.assigned ?? {}, firstAttempt, now)
+  if (job.hasStoredAssignments) restoreAssignments(job, row.assigned, firstAttempt, now)
 }
 
 /**
@@ -132,17 +141,14 @@
 }
 
 function restoreAssignments (
-  job: JobRecord, assigned: Record<string, string>, firstAttempt: number, now: number
+  job: JobRecord, assigned: JobProgressRow['assigned'], firstAttempt: number, now: number
 ): void {
+  if (assigned === undefined || assigned === 'unknown') return
   for (const [suffix, workerId] of Object.entries(assigned)) {
     const task = findTask(job, suffix, firstAttempt, now)
     if (task === undefined) continue
-    if (workerId === '') {
-      task.earlierRuns = 'any'
-    } else {
-      task.assignedWorkerId = workerId
-      task.hasRun = true
-    }
+    task.assignedWorkerId = workerId
+    task.hasRun = true
   }
 }
 
