Record up to 1,000 unreached workers, of any name

Of 270 unreachable workers (5% of 5,400) 100 were recorded, always the same ones, so that a takeover began the wait anew for the others; and a worker named 'constructor' or '__proto__' had no number as its remaining time, so that it was never reconciled (5 of 8 tasks ran 30 s after a takeover).

--- a/src/dispatch/UnreachedWorkers.ts
+++ b/src/dispatch/UnreachedWorkers.ts
@@ -7,8 +7,8 @@
 const SHORTEST_FAILURE_MILLISECONDS = 1000
 /** A successor waits for at most this much longer than necessary, plus the time without an owner. */
 const RECORD_INTERVAL_MILLISECONDS = 1000
-/** 2% of the workers of a site of 5,400; a successor waits for the full lease of any others. */
-const RECORDED_WORKER_LIMIT = 100
+/** A row of the store holds this many, a fifth of a site of 5,400; a successor waits longer for any others. */
+const RECORDED_WORKER_LIMIT = 1000
 
 /**
  * The workers that the owner does not reach, as stored for a successor, so that it need not wait for full leases.
@@ -86,7 +86,8 @@
   }
 
   private getRemaining (unreconciled: ReadonlyMap<string, number>, now: number): UnreachedRecord {
-    const remaining: UnreachedRecord = {}
+    // Without a prototype, because a worker may have any name.
+    const remaining: UnreachedRecord = Object.create(null)
     let count = 0
     for (const [workerId, worker] of this.workers) {
       const isUnreached = worker.syncState !== 'synchronized' && worker.unansweredCallSentAt !== null &&
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -1,4 +1,4 @@
-import type { WorkerEntry } from '../dispatch/index.js'
+import type { UnreachedRecord, WorkerEntry } from '../dispatch/index.js'
 import { hasValidTaskCount, type JobSubmission } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 
@@ -113,6 +113,19 @@
   }
 }
 
+/**
+ * Decodes the row of unreached workers.
+ * @param value The value of the row.
+ * @returns The milliseconds until the leases have expired, by worker; entries that are no numbers are infinite.
+ */
+export function decodeUnreachedRecord (value: JsonValue): UnreachedRecord {
+  const record: UnreachedRecord = Object.create(null)
+  for (const [workerId, remaining] of Object.entries(getFields(value))) {
+    record[workerId] = getNumber(remaining) ?? Infinity
+  }
+  return record
+}
+
 function getFields (value: JsonValue | undefined): Record<string, JsonValue | undefined> {
   return typeof value === 'object' && value !== null && !Array.isArray(value) ? value : {}
 }
