Place other work while the assignments of restarts are being stored

At most 32 starts of long-running tasks are stored at a time, and they no longer count as queued orders. A worker that a stored record names as unreached is called every 0.2 s while it waits for the next record, not every 30 ms.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,7 +1,7 @@
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { chooseWorker, isInService, type ChoiceConditions } from './chooseWorker.js'
 import { findRunsToDrain, mayMoveSlowedRun } from './findRunsToMove.js'
-import { findStalledRuns } from './findStalledRuns.js'
+import { findStalledRuns, pauseStalledWorker } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { applyPaceChange, decidePace } from './decidePace.js'
 import {
@@ -10,7 +10,7 @@
 import { JobTable } from './JobTable.js'
 import { explainWaiting, type WaitingReason } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
-import { placeWaitingTasks, type PlanContext } from './placeWaitingTasks.js'
+import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -19,13 +19,9 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, clearProcessState, createWorkerRecord, isLeaseExpired, pauseWorker, removeRun, type WorkerEntry,
-  type WorkerRecord
+  addRun, clearProcessState, createWorkerRecord, isLeaseExpired, removeRun, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
-/** A worker with stalled runs gets no new work for this time; the next task then probes whether it works. */
-const STALLED_PAUSE_MILLISECONDS = 3000
-
 /** Options of a dispatch engine. */
 export interface DispatchEngineOptions {
   /** The epoch of the shard owner, which is the fencing token of all orders. */
@@ -101,8 +97,7 @@
     this.dirty = true
     const existing = this.workers.get(entry.workerId)
     if (existing === undefined) {
-      const worker = createWorkerRecord(entry)
-      worker.isRecordedUnreached = this.unreached.isRecorded(entry.workerId)
+      const worker = { ...createWorkerRecord(entry), isRecordedUnreached: this.unreached.isRecorded(entry.workerId) }
       this.workers.set(entry.workerId, worker)
       return worker
     }
@@ -148,8 +143,8 @@
    */
   explainWaiting (task: TaskRecord, now: number): WaitingReason {
     if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
-    const serviceName = this.getServiceName(task.step.occurrence.job)
-    return explainWaiting(task, this.workers.values(), this.getConditions(serviceName, now))
+    const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
+    return explainWaiting(task, this.workers.values(), conditions)
   }
 
   /**
@@ -267,19 +262,23 @@
    * @param wallMilliseconds The time of day.
    * @param mayStart Whether starts are allowed now.
    * @param startLimit The number of starts that can be sent soon; a later plan places other tasks, on newer reports.
+   * @param storedStartLimit The number of them that may be of long-running tasks, whose assignments are stored first.
    */
-  plan (now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity): void {
+  plan (
+    now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity, storedStartLimit = Infinity
+  ): void {
     this.expireWorkers(now)
     if (!mayStart || !this.dirty || startLimit <= 0) return
     this.dirty = false
     const plan = StartPlan.create({
       workers: [...this.workers.values()],
       startLimit,
+      storedStartLimit,
       getConditions: serviceName => this.getConditions(serviceName, now),
       mayStart: this.mayStart,
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
-    const context: PlanContext = {
+    const outcome = placeWaitingTasks({
       jobs: this.jobs,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
@@ -287,8 +286,8 @@
       now,
       getServiceName: job => this.getServiceName(job),
       mayStart: this.mayStart
-    }
-    if (placeWaitingTasks(context) === 'plan-full') this.dirty = true
+    })
+    if (outcome === 'plan-full') this.dirty = true
     else this.moveSlowedRuns(now)
   }
 
@@ -306,11 +305,8 @@
   private moveStalledRuns (worker: WorkerRecord, now: number): void {
     const stalled = findStalledRuns(worker, now)
     if (stalled.length === 0) return
-    pauseWorker(worker, now + STALLED_PAUSE_MILLISECONDS)
-    for (const run of stalled) {
-      run.task.failedWorkerIds.add(worker.entry.workerId)
-      this.orders.stop(worker, run)
-    }
+    pauseStalledWorker(worker, stalled, now)
+    for (const run of stalled) this.orders.stop(worker, run)
   }
 
   /** Stops runs that stay slowed by interference when another worker can take them and little work is lost. */
@@ -359,8 +355,8 @@
   }
 
   private stopJob (job: JobRecord): void {
-    for (const occurrence of job.occurrences.values()) {
-      for (const step of occurrence.steps) for (const task of step.tasks) this.stopRuns(task)
+    for (const { steps } of job.occurrences.values()) {
+      for (const step of steps) for (const task of step.tasks) this.stopRuns(task)
     }
   }
 
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -15,6 +15,8 @@
   workers: readonly WorkerRecord[]
   /** The number of starts that can be sent soon. */
   startLimit: number
+  /** The number of starts of long-running tasks, whose assignments are stored before they are sent. */
+  storedStartLimit: number
   getConditions (serviceName: string): ChoiceConditions
   /** Returns whether no unknown run of a task can exist. */
   mayStart (task: TaskRecord): boolean
@@ -37,6 +39,7 @@
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
+  private storedCount = 0
 
   private constructor (private readonly options: StartPlanOptions) {}
 
@@ -59,6 +62,11 @@
     return this.placedCount >= this.options.startLimit
   }
 
+  /** Whether the plan has reached its limit of starts of long-running tasks. */
+  get hasStoredStartLimit (): boolean {
+    return this.storedCount >= this.options.storedStartLimit
+  }
+
   /**
    * Places the waiting tasks of a step while workers have free capacity.
    * @param step The step, which must be ready to start.
@@ -91,7 +99,7 @@
 
   /** Returns whether the members of the gang got workers. */
   private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
-    if (!step.tasks.every(this.options.mayStart)) return false
+    if (!step.tasks.every(this.options.mayStart) || this.mustWaitForStore(step)) return false
     const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
     const placement = selectGangPlacement(step, this.options.workers, conditions)
     for (const { task, worker } of placement) this.start(task, worker, attempt)
@@ -108,6 +116,7 @@
 
   /** Returns whether the task got a worker. */
   private placeTask (task: TaskRecord, serviceName: string, includesPaused = false): boolean {
+    if (this.mustWaitForStore(task.step)) return false
     const candidates = this.getCandidates(serviceName, includesPaused)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
@@ -117,8 +126,13 @@
     return worker !== null
   }
 
+  private mustWaitForStore (step: StepRecord): boolean {
+    return step.specification.longRunning && this.hasStoredStartLimit
+  }
+
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number): void {
     this.placedCount++
+    if (task.step.specification.longRunning) this.storedCount++
     this.options.start(task, worker, attempt)
   }
 
--- a/src/dispatch/findStalledRuns.ts
+++ b/src/dispatch/findStalledRuns.ts
@@ -1,8 +1,10 @@
 import type { RunRecord } from '../jobs/index.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { pauseWorker, type WorkerRecord } from './WorkerRecord.js'
 
 /** A task of 5 s advances by one percent every 50 ms, so a run without progress for this long is not merely slow. */
 const STALL_MILLISECONDS = 1500
+/** A worker with stalled runs gets no new work for this time; the next task then probes whether it works. */
+const STALLED_PAUSE_MILLISECONDS = 3000
 /** A run with a pace below this may make no visible progress for long. */
 const MINIMUM_PACE_PERCENT = 10
 
@@ -23,3 +25,14 @@
   })
   return stalled.some(run => !run.task.step.specification.fills) ? stalled : []
 }
+
+/**
+ * Pauses a worker with stalled runs, and lets their tasks avoid it.
+ * @param worker The worker.
+ * @param stalled The stalled runs, of which there is at least one.
+ * @param now The monotonic time.
+ */
+export function pauseStalledWorker (worker: WorkerRecord, stalled: readonly RunRecord[], now: number): void {
+  pauseWorker(worker, now + STALLED_PAUSE_MILLISECONDS)
+  for (const run of stalled) run.task.failedWorkerIds.add(worker.entry.workerId)
+}
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -48,8 +48,7 @@
 export class OrderSender {
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
   private stopped = false
-  /** The number of starts whose assignments are being stored. */
-  private storingCount = 0
+  private storing = 0
 
   private constructor (private readonly options: OrderSenderOptions) {}
 
@@ -70,7 +69,12 @@
 
   /** The number of queued orders. */
   get queuedCount (): number {
-    return this.gate.waiting + this.storingCount
+    return this.gate.waiting
+  }
+
+  /** The number of starts whose assignments are being stored. */
+  get storingCount (): number {
+    return this.storing
   }
 
   /** Withdraws queued orders that are no longer needed, which frees their reserved capacity at once. */
@@ -131,9 +135,9 @@
 
   /** Stores the assignment of a run, so that a successor knows where the run may be; returns whether it is durable. */
   private async storeAssignment (run: RunRecord): Promise<boolean> {
-    this.storingCount++
+    this.storing++
     const isStored = await this.options.storeAssignment(run)
-    this.storingCount--
+    this.storing--
     return isStored && !this.stopped
   }
 
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,5 +1,5 @@
 import {
-  DispatchEngine, type LearnedEffects, type UnreachedRecord, type WorkerCensus, type WorkerClient, type WorkerEntry
+  DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry
 } from '../dispatch/index.js'
 import { decodeProgress } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
@@ -12,7 +12,7 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeHeldWorker, decodeSubmission, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
+  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { loadShardRows } from './loadShardRows.js'
@@ -55,6 +55,8 @@
 const PLAN_DELAY_MILLISECONDS = 8
 /** No further starts are planned while this many orders are queued: about 0.2 s of them at 300 starts a second. */
 const QUEUED_ORDER_LIMIT = 64
+/** No further starts of long-running tasks are planned while the assignments of this many are being stored. */
+const STORED_START_LIMIT = 32
 /** Interval at which expired leases and due occurrences are handled. */
 const TICK_MILLISECONDS = 200
 /** Bounds the detection of a dead connection, as a cancelled job must stop within 3 s. */
@@ -214,7 +216,7 @@
       const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
       worker.registered = true
       worker.listed = false
-      const remaining = remainingLeases[row.key] ?? Infinity
+      const remaining = remainingLeases.get(row.key) ?? Infinity
       const leasesEndAt = Math.min(this.options.earlierLeasesEndAt, unreachedReadAt + remaining)
       this.engine.unreconciled.add(row.key, leasesEndAt)
       this.loops.follow(worker)
@@ -225,13 +227,14 @@
   }
 
   /** Returns the milliseconds until the leases of workers that earlier owners did not reach have expired. */
-  private restoreUnreachedWorkers (row: Row | null): UnreachedRecord {
-    if (row === null) return {}
-    const record = row.value as UnreachedRecord
+  private restoreUnreachedWorkers (row: Row | null): ReadonlyMap<string, number> {
+    if (row === null) return new Map()
+    const record = decodeUnreachedRecord(row.value)
     this.engine.unreached.restore(record)
     // An owner that does not know the record may have renewed the leases of its workers.
     const { assignmentsStoredSince } = this.options
-    return assignmentsStoredSince !== null && row.version > assignmentsStoredSince ? record : {}
+    const isCurrent = assignmentsStoredSince !== null && row.version > assignmentsStoredSince
+    return new Map(isCurrent ? Object.entries(record) : [])
   }
 
   /** Queues the cleanup of jobs that ended under an earlier owner, which did not empty their rows. */
@@ -357,7 +360,9 @@
     const { clock } = this.options
     const now = clock.monotonicMilliseconds()
     this.sender.withdrawUnneeded()
-    this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), QUEUED_ORDER_LIMIT - this.sender.queuedCount)
+    const startLimit = QUEUED_ORDER_LIMIT - this.sender.queuedCount
+    const storedStartLimit = STORED_START_LIMIT - this.sender.storingCount
+    this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), startLimit, storedStartLimit)
     for (const order of this.engine.takeOrders()) {
       const client = this.loops.getClient(order.worker.entry.workerId)
       if (client !== undefined) this.sender.send(order, client)
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -95,6 +95,7 @@
     this.logEndedRuns(outcome.report, lastAppliedBefore)
     this.options.onReport(worker)
     if (worker.appliedCompletion > worker.durableCompletion) await this.options.waitForDurability()
+    else if (worker.isRecordedUnreached) await this.pause(RETRY_MILLISECONDS)
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
