--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -63,7 +63,7 @@
   }
 
   /** Whether the plan has reached its limit of starts of long-running tasks. */
-  get hasStoredStartLimit (): boolean {
+  get hasReachedStoredStartLimit (): boolean {
     return this.storedCount >= this.options.storedStartLimit
   }
 
@@ -127,7 +127,7 @@
   }
 
   private mustWaitForStore (step: StepRecord): boolean {
-    return step.specification.longRunning && this.hasStoredStartLimit
+    return step.specification.longRunning && this.hasReachedStoredStartLimit
   }
 
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number): void {
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -35,12 +35,12 @@
     placeJob(job, context)
     if (plan.isFull) return 'plan-full'
   }
-  return plan.hasStoredStartLimit ? 'plan-full' : 'complete'
+  return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
 }
 
 function placeRestarts ({ jobs, plan, restartLimit, getServiceName, mayStart }: PlanContext): void {
   for (const task of jobs.waitingRestarts.getWaiting()) {
-    if (plan.startCount >= restartLimit || plan.hasStoredStartLimit) return
+    if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return
     const { job } = task.step.occurrence
     if (job.finalState === null && mayStart(task)) plan.placeRestart(task, getServiceName(job))
   }
