Keep one queue per worker in the order gate

Cause: withdrawUnneeded empties the queue of a worker, but the queue stays in readyQueues. release then removes it from the map, the next order creates a new queue for the worker, and admitWaiting meets the old one and deletes the new one by the worker's identifier while its order is in flight.

Ruled out: a release without an acquire in OrderSender; sendWhenAdmitted pairs both in one try block.

Change: an idle queue leaves the map and the ready queues at once.

Result: the new test fails before the change with "release was called more often than tryAcquire succeeded" and passes after it.

--- a/src/dispatch/OrderGate.test.ts
+++ b/src/dispatch/OrderGate.test.ts
@@ -61,35 +61,65 @@
   assert.equal(gate.inFlight, 1)
 })
 
+test('counts the orders in flight to a worker whose queue was emptied by withdrawals', async () => {
+  const gate = OrderGate.create({ perWorkerLimit: 2, totalLimit: 2 })
+  const outcomes: string[] = []
+  let isNeeded = true
+  requestOrder(gate, outcomes, 'b1', 'b')
+  requestOrder(gate, outcomes, 'a1', 'a')
+  requestOrder(gate, outcomes, 'c1', 'c')
+  requestOrder(gate, outcomes, 'b2', 'b', 'start', () => isNeeded)
+  isNeeded = false
+  gate.withdrawUnneeded()
+  gate.release('b')
+  await flushPromises()
+  requestOrder(gate, outcomes, 'b3', 'b')
+  gate.release('a')
+  await flushPromises()
+  assert.deepEqual(outcomes, ['b1 send', 'a1 send', 'b2 withdrawn', 'c1 send', 'b3 send'])
+  gate.release('b')
+  gate.release('c')
+  assert.equal(gate.inFlight, 0)
+})
+
 test('keeps both limits and leaves no order queued for any sequence of requests and releases', async () => {
   const step = fastCheck.record({
     worker: fastCheck.integer({ min: 0, max: 4 }),
     priority: fastCheck.constantFrom<OrderPriority>('stop', 'start', 'pace'),
     isNeeded: fastCheck.boolean(),
+    isNeededUntilWithdrawal: fastCheck.boolean(),
+    withdraws: fastCheck.boolean(),
     releases: fastCheck.integer({ min: 0, max: 2 })
   })
   await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(step, { maxLength: 60 }), async steps => {
     const gate = OrderGate.create({ perWorkerLimit: 2, totalLimit: 5 })
     const inFlight: string[] = []
+    const neededUntilWithdrawal = new Set<number>()
     let settled = 0
     const release = async () => {
       const workerId = inFlight.shift()
       if (workerId !== undefined) gate.release(workerId)
       await flushPromises()
     }
-    for (const { worker, priority, isNeeded, releases } of steps) {
+    for (const [index, { worker, priority, isNeeded, isNeededUntilWithdrawal, withdraws, releases }] of steps.entries()) {
       const workerId = `worker-${worker}`
-      gate.acquire({ workerId, priority, isNeeded: () => isNeeded }).then(outcome => {
+      if (isNeededUntilWithdrawal) neededUntilWithdrawal.add(index)
+      const isStillNeeded = () => isNeeded || neededUntilWithdrawal.has(index)
+      gate.acquire({ workerId, priority, isNeeded: isStillNeeded }).then(outcome => {
         settled++
         if (outcome === 'send') inFlight.push(workerId)
       })
       await flushPromises()
       assert.ok(inFlight.length <= 5 && inFlight.length === gate.inFlight)
       for (const id of inFlight) assert.ok(inFlight.filter(other => other === id).length <= 2)
+      if (withdraws) {
+        neededUntilWithdrawal.clear()
+        gate.withdrawUnneeded()
+      }
       for (let count = 0; count < releases; count++) await release()
     }
     while (inFlight.length > 0) await release()
     assert.equal(settled, steps.length)
     assert.equal(gate.inFlight, 0)
-  }), { seed: getTestSeed(), numRuns: 60 })
+  }), { seed: getTestSeed(), numRuns: 200 })
 })
--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -111,6 +111,7 @@
           return false
         })
       }
+      this.removeIfIdle(queue)
     }
   }
 
@@ -132,8 +133,11 @@
     }
   }
 
+  /** Removes a queue from both collections, because a queue that is created later for the worker replaces it. */
   private removeIfIdle (queue: WorkerQueue): void {
-    if (queue.limit.getUsed() === 0 && countWaiting(queue) === 0) this.queues.delete(queue.workerId)
+    if (queue.limit.getUsed() > 0 || countWaiting(queue) > 0) return
+    this.queues.delete(queue.workerId)
+    this.readyQueues.delete(queue)
   }
 
   private getQueue (workerId: string): WorkerQueue {
