Let emulated workers execute pace orders

No test plays paces over HTTP yet; found while the owner was profiled against it.

Change: pace orders reach the emulated worker, which checks the epoch and reports the usage at the new pace. The emulation does not slow the run down.

--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -355,7 +355,7 @@
   return {
     start: order => forward(() => worker.start(order)),
     stop: (taskName, attempt, token) => forward(() => worker.stop(taskName, attempt, token)),
-    setPace: () => forward(() => worker.setPace()),
+    setPace: (taskName, attempt, percent, token) => forward(() => worker.setPace(taskName, attempt, percent, token)),
     hold: request => forward(() => worker.hold(request)),
     close: () => {}
   }
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -43,6 +43,8 @@
   task: EmulatedTask
   startedAt: number
   checkpoint: string
+  /** The share of its processors that the run uses; the emulation does not slow it down. */
+  pacePercent: number
   cancelCompletion: CancelTimer
 }
 
@@ -124,8 +126,8 @@
     return await this.deliverOrder(() => this.executeStop(taskName, attempt, epoch))
   }
 
-  async setPace (): Promise<OrderOutcome> {
-    return await this.deliverOrder(() => ({ kind: 'accepted', workerMilliseconds: this.now() }))
+  async setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome> {
+    return await this.deliverOrder(() => this.executePace(taskName, attempt, percent, epoch))
   }
 
   async hold (request: HoldRequest): Promise<HoldOutcome> {
@@ -150,7 +152,7 @@
           attempt: run.attempt,
           checkpoint: run.checkpoint,
           percent: this.getPercent(run),
-          usageFigure: run.task.processorsMilli
+          usageFigure: Math.round(run.task.processorsMilli * run.pacePercent / 100)
         })),
         ended: [...this.endedRuns]
       }
@@ -236,6 +238,7 @@
       task,
       startedAt: this.now(),
       checkpoint: order.checkpoint,
+      pacePercent: 100,
       cancelCompletion: () => {}
     }
     this.runs.set(key, run)
@@ -258,6 +261,14 @@
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
+  private executePace (taskName: string, attempt: number, percent: number, epoch: number): OrderOutcome {
+    if (epoch < this.epoch) return { kind: 'fenced' }
+    this.epoch = epoch
+    const run = this.runs.get(`${taskName}#${attempt}`)
+    if (run !== undefined) run.pacePercent = percent
+    return { kind: 'accepted', workerMilliseconds: this.now() }
+  }
+
   private getPercent (run: Run): number {
     const { durationMilliseconds } = run.task
     if (durationMilliseconds === Infinity) return 100
