Leave unused parts of libraries out of the program of an instance

Cause: memory is priced per process and dear on the further sites. The index of undici loads fetch, WebSocket, caches and mocks, and zod loads all of its languages; comments with characters beyond Latin-1 made the engine hold the 2.1 MB of source at two bytes a character. An idle process has 30.0 MB of anonymous memory, a bare Node.js 7.2 MB.

Ruled out: heap limits and threads of the engine.

--- a/src/shared/HttpConnection.ts
+++ b/src/shared/HttpConnection.ts
@@ -1,7 +1,9 @@
-import { buildConnector, Client, type Dispatcher } from 'undici'
+import type { buildConnector as BuildConnector, Dispatcher } from 'undici'
+import buildConnector from 'undici/lib/core/connect.js'
+import Client from 'undici/lib/dispatcher/client.js'
 
 /** Opens a connection to the given host and port, and passes the connection or the error to the callback. */
-export type OpenConnection = buildConnector.connector
+export type OpenConnection = BuildConnector.connector
 
 /** Options of an HTTP connection. */
 export interface HttpConnectionOptions {
