Confine unexpected errors to the activity in which they occur

Cause: orders, renewals, feeds, plans and writes ran as promises that nobody awaits, or in timers, so one unexpected error ended the process. Besides the order gate, a row of the job table with a malformed step did so in each owner that read it, and then in its successors.

Ruled out: catching only at the level of the process. The loop that threw would be gone, and with it the renewal of a lease or the feed of jobs.

Change: ErrorBoundary confines, logs (once a second and activity) and counts errors. Steps of stored jobs are checked when they are decoded.

In tests, unexpected errors still fail the test at once, unless it asks for confinement.

--- a/src/dispatch/OrderGate.test.ts
+++ b/src/dispatch/OrderGate.test.ts
@@ -101,7 +101,8 @@
       if (workerId !== undefined) gate.release(workerId)
       await flushPromises()
     }
-    for (const [index, { worker, priority, isNeeded, isNeededUntilWithdrawal, withdraws, releases }] of steps.entries()) {
+    for (const [index, request] of steps.entries()) {
+      const { worker, priority, isNeeded, isNeededUntilWithdrawal, withdraws, releases } = request
       const workerId = `worker-${worker}`
       if (isNeededUntilWithdrawal) neededUntilWithdrawal.add(index)
       const isStillNeeded = () => isNeeded || neededUntilWithdrawal.has(index)
--- a/src/instance/FinishedJobCleaner.ts
+++ b/src/instance/FinishedJobCleaner.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { Operation, TableService } from '../table/TableService.js'
 import { FINISHED_JOB_VALUE, getCancelKey, getPartition, JOB_TABLE } from './jobRows.js'
@@ -8,6 +9,7 @@
   tableService: TableService
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
 }
 
 /** Jobs that finish within this time share a write; a new owner needlessly reads the submissions of one interval. */
@@ -48,7 +50,7 @@
   start (): void {
     if (this.stopped) return
     this.cancelTimer = this.options.clock.setTimer(CLEANUP_INTERVAL_MILLISECONDS, () => {
-      this.emptyRows().then(() => this.start())
+      this.options.errors.runAsync('job-cleanup', async () => await this.emptyRows()).then(() => this.start())
     })
   }
 
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,6 +1,7 @@
 import type { Registry } from 'prom-client'
 import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
+import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableService } from '../table/TableService.js'
@@ -46,6 +47,8 @@
 export class Instance {
   readonly gateway: JobGateway
   readonly ownerApi: OwnerApi
+  /** Confines unexpected errors, and counts them in the metrics of this instance. */
+  readonly errors: ErrorBoundary
   private readonly metrics: InstanceMetrics
   private readonly election: OwnerElection
   private readonly site: SiteWatch
@@ -59,8 +62,12 @@
       countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0,
       countUnreconciledWorkers: () => this.dispatcher?.engine.unreconciled.getExpiries().size ?? 0
     })
+    const errors = ErrorBoundary.create({
+      clock, logger, onError: activity => this.metrics.unexpectedErrors.inc({ activity })
+    })
+    this.errors = errors
     this.site = SiteWatch.create({
-      platform: options.platform, clock, logger, onChange: () => this.updateDispatcher()
+      platform: options.platform, clock, logger, errors, onChange: () => this.updateDispatcher()
     })
     this.election = OwnerElection.create({
       shardId: SHARD_ID,
@@ -71,6 +78,7 @@
       peer,
       clock,
       logger,
+      errors,
       resources: options.resources,
       random: options.random,
       onAcquired: takeover => this.startDispatcher(takeover),
@@ -142,6 +150,7 @@
       site: this.site,
       clock: options.clock,
       logger: options.logger,
+      errors: this.errors,
       livenessSource: options.livenessSource,
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
@@ -152,7 +161,8 @@
       onDeposed: reason => this.election.depose(reason)
     })
     this.site.startFollowingWorkers()
-    this.dispatcher.run()
+    const { dispatcher } = this
+    this.errors.runAsync('dispatch', async () => await dispatcher.run())
   }
 
   private stopDispatcher (reason: string): void {
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -24,6 +24,7 @@
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
   loopDelaySeconds: Histogram
+  unexpectedErrors: Counter<'activity'>
 }
 
 /**
@@ -141,6 +142,12 @@
       help: 'How late the periodic timer of the owner ran.',
       buckets: LOOP_DELAY_BUCKETS_SECONDS,
       registers
+    }),
+    unexpectedErrors: new Counter({
+      name: 'papayamoor_instance_unexpected_errors_total',
+      help: 'Errors that no code expected, by the activity that they ended.',
+      labelNames: ['activity'],
+      registers
     })
   }
 }
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -4,6 +4,7 @@
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 
@@ -13,6 +14,7 @@
   clock: Clock
   logger: Logger
   metrics: InstanceMetrics
+  errors: ErrorBoundary
   /** Returns whether this process may start tasks now. */
   mayStart (): boolean
   /** Stores the assignment of a run of a long-running task; resolves to whether it is durable. */
@@ -83,11 +85,24 @@
   }
 
   /**
-   * Sends an order, with retries while its outcome is unknown, and reports the outcome to the engine.
+   * Sends an order, with retries while its outcome is unknown, and reports the outcome to the engine. An unexpected
+   * error costs this order only, so the promise never rejects.
    * @param order The order.
    * @param client The worker's client.
    */
   async send (order: DispatchOrder, client: WorkerClient): Promise<void> {
+    const { errors } = this.options
+    const isComplete = await errors.runAsync(`${order.kind}-order`, async () => await this.sendOrder(order, client))
+    if (isComplete || this.stopped) return
+    if (order.kind === 'start') errors.run('start-order', () => this.withdrawStart(order.worker, order.run))
+    if (order.kind === 'pace') order.run.pacePercent = -1
+    if (order.kind === 'stop') {
+      await this.pause(LONGEST_STOP_RETRY_MILLISECONDS)
+      await this.send(order, client)
+    }
+  }
+
+  private async sendOrder (order: DispatchOrder, client: WorkerClient): Promise<void> {
     if (order.kind === 'start') return await this.sendStart(order.worker, order.run, client)
     if (order.kind === 'stop') return await this.sendStop(order, client)
     const { worker, run, percent } = order
@@ -136,9 +151,11 @@
   /** Stores the assignment of a run, so that a successor knows where the run may be; returns whether it is durable. */
   private async storeAssignment (run: RunRecord): Promise<boolean> {
     this.storing++
-    const isStored = await this.options.storeAssignment(run)
-    this.storing--
-    return isStored && !this.stopped
+    try {
+      return await this.options.storeAssignment(run) && !this.stopped
+    } finally {
+      this.storing--
+    }
   }
 
   private withdrawStart (worker: WorkerRecord, run: RunRecord): void {
@@ -146,7 +163,7 @@
     if (!isSent(run)) return engine.withdrawRun(worker, run, this.now())
     // The worker may have executed an earlier send; a run whose outcome is known by now stays as it is.
     if (run.state === 'starting') {
-      engine.applyStartOutcome(worker, run, { kind: 'unknown', reason: 'start withdrawn before its retry' }, this.now())
+      engine.applyStartOutcome(worker, run, { kind: 'unknown', reason: 'start withdrawn after it was sent' }, this.now())
     }
   }
 
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -1,5 +1,6 @@
 import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
 import type { OwnerPeer } from './OwnerPeer.js'
@@ -31,6 +32,7 @@
   peer: OwnerPeer
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   /** The resources for the owner's work; a process with few of them waits longer before it tries to become owner. */
   resources: InstanceResources
   /** Returns a number from 0 to 1 for the random part of a candidate's delay. */
@@ -121,10 +123,10 @@
   async run (): Promise<void> {
     while (!this.stopped) {
       if (this.isOwner()) {
-        await this.renew()
+        await this.options.errors.runAsync('ownership-renewal', async () => await this.renew())
         await this.pause(RENEW_MILLISECONDS)
       } else {
-        await this.checkOwner()
+        await this.options.errors.runAsync('owner-check', async () => await this.checkOwner())
         await this.pause(PROBE_MILLISECONDS)
       }
     }
--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine } from '../dispatch/index.js'
@@ -36,6 +37,7 @@
     tableService: refusingStore,
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     onDurable: () => {},
     onDeposed: () => {}
   })
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -3,6 +3,7 @@
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import { createIdentifier } from '../shared/identifiers.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
 import { SettledWriter } from '../table/SettledWriter.js'
@@ -17,6 +18,7 @@
   tableService: TableService
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   onDurable (finished: JobRecord[]): void
   onDeposed (): void
 }
@@ -69,7 +71,7 @@
   private readonly writer: SettledWriter
   private waiters: Array<() => void> = []
   private readonly jobWaiters = new Map<JobRecord, Array<() => void>>()
-  private currentWrite: Promise<unknown> = Promise.resolve()
+  private currentWrite: Promise<boolean> = Promise.resolve(true)
 
   private constructor (private readonly options: ProgressWriterOptions) {
     this.writer = SettledWriter.create(options)
@@ -89,8 +91,8 @@
     while (this.state === 'writing') {
       await this.pause(BATCH_INTERVAL_MILLISECONDS)
       if (this.state !== 'writing') return
-      this.currentWrite = this.writeNext()
-      await this.currentWrite
+      this.currentWrite = this.options.errors.runAsync('progress-write', async () => await this.writeNext())
+      if (!await this.currentWrite) this.abandonBatch()
     }
   }
 
@@ -222,6 +224,13 @@
     return 'deposed'
   }
 
+  /** Gives up a batch after an unexpected error; its write may have taken effect, so the version is read again. */
+  private abandonBatch (): void {
+    this.markPendingJobsChanged()
+    this.pendingBatch = null
+    this.headVersion = null
+  }
+
   /** Marks the jobs of the pending batch as changed, because it was not written. */
   private markPendingJobsChanged (): void {
     for (const { job } of this.pendingBatch?.written ?? []) this.options.engine.jobs.markChanged(job)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -4,6 +4,7 @@
 import { decodeProgress } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
@@ -33,6 +34,7 @@
   site: SiteWatch
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   livenessSource: WorkerCensus
   metrics: InstanceMetrics
   /** The longest lease that workers grant. */
@@ -64,6 +66,8 @@
 const LOAD_RETRY_MILLISECONDS = 200
 /** Interval at which the platform is asked which worker processes are alive, while some do not respond. */
 const LIVENESS_CHECK_MILLISECONDS = 400
+/** After this time a check of the living workers counts as lost, and the next one begins. */
+const LONGEST_LIVENESS_CHECK_MILLISECONDS = 5000
 /** Interval at which learned interference is stored: a new owner loses at most this much of it. */
 const LEARNED_STORE_MILLISECONDS = 4000
 
@@ -147,7 +151,7 @@
 
   /** Loads the shard and runs it until the dispatcher is stopped. */
   async run (): Promise<void> {
-    while (!this.stopped && !await this.load()) await this.pause(LOAD_RETRY_MILLISECONDS)
+    while (!this.stopped && !await this.tryToLoad()) await this.pause(LOAD_RETRY_MILLISECONDS)
     if (this.stopped) return
     this.loaded = true
     const { jobs, workers } = this.engine
@@ -198,6 +202,12 @@
     this.schedulePlan()
   }
 
+  private async tryToLoad (): Promise<boolean> {
+    let isLoaded = false
+    await this.options.errors.runAsync('shard-load', async () => { isLoaded = await this.load() })
+    return isLoaded
+  }
+
   private async load (): Promise<boolean> {
     const rows = await loadShardRows(this.options)
     if (rows === null || this.stopped) return false
@@ -248,13 +258,14 @@
   }
 
   private followJobs (startVersion: number): void {
-    const { feed, clock, logger } = this.options
+    const { feed, clock, logger, errors } = this.options
     this.jobFollower = TableFollower.create({
       table: JOB_TABLE,
       startVersion,
       feed,
       clock,
       logger,
+      errors,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.addJobs(snapshot.rows, () => null, false),
       onChanges: changes => this.applyJobChanges(changes)
@@ -267,19 +278,9 @@
   }
 
   private addJobs (rows: Row[], getProgress: (jobId: string) => Row | null, recovered: boolean): void {
-    const now = this.options.clock.monotonicMilliseconds()
-    const { assignmentsStoredSince } = this.options
     for (const row of rows) {
       if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
-      const submission = decodeSubmission(row.value)
-      if (submission === null) {
-        this.options.logger.warn('invalid row in the job table ignored', { key: row.key })
-        continue
-      }
-      const progress = getProgress(row.key)
-      const hasStoredAssignments = assignmentsStoredSince !== null &&
-        Math.max(row.version, progress?.version ?? 0) > assignmentsStoredSince
-      this.engine.jobs.add({ submission, progress: progress?.value ?? null, recovered, hasStoredAssignments }, now)
+      this.options.errors.run('job-row', () => this.addJob(row, getProgress(row.key), recovered))
     }
     for (const row of rows) {
       const jobId = getCancelledJobId(row.key)
@@ -289,6 +290,15 @@
     this.schedulePlan()
   }
 
+  private addJob (row: Row, progress: Row | null, recovered: boolean): void {
+    const { assignmentsStoredSince, logger } = this.options
+    const submission = decodeSubmission(row.value)
+    if (submission === null) return logger.warn('invalid row in the job table ignored', { key: row.key })
+    const hasStoredAssignments = assignmentsStoredSince !== null &&
+      Math.max(row.version, progress?.version ?? 0) > assignmentsStoredSince
+    this.engine.jobs.add({ submission, progress: progress?.value ?? null, recovered, hasStoredAssignments }, this.now())
+  }
+
   private tick (): void {
     if (this.stopped) return
     const now = this.options.clock.monotonicMilliseconds()
@@ -296,12 +306,21 @@
       this.eventLoopDelay.recordTick(now + TICK_MILLISECONDS)
       this.tick()
     })
-    this.engine.jobs.expireFinalStates(now)
+    const { errors } = this.options
     this.engine.markDirty()
     this.plan()
+    errors.run('tick', () => this.runPeriodicTasks(now))
+    if (now >= this.nextLivenessCheckAt) {
+      errors.runAsync('liveness-check', async () => await this.checkUnresponsiveWorkers())
+    }
+    if (now >= this.nextLearnedStoreAt) {
+      errors.runAsync('learned-write', async () => await this.storeLearnedEffects())
+    }
+  }
+
+  private runPeriodicTasks (now: number): void {
+    this.engine.jobs.expireFinalStates(now)
     this.recoveryMonitor.check()
-    if (now >= this.nextLivenessCheckAt) this.checkUnresponsiveWorkers()
-    if (now >= this.nextLearnedStoreAt) this.storeLearnedEffects()
     const removedWorkerIds = this.loops.getWorkerIds().filter(workerId => !this.engine.workers.has(workerId))
     for (const workerId of removedWorkerIds) this.loops.stop(workerId)
     this.registry.unregister(removedWorkerIds)
@@ -332,7 +351,7 @@
   private async checkUnresponsiveWorkers (): Promise<void> {
     const unresponsiveWorkers = this.engine.getUnresponsiveWorkers()
     if (unresponsiveWorkers.length === 0) return
-    this.nextLivenessCheckAt = Infinity
+    this.nextLivenessCheckAt = this.now() + LONGEST_LIVENESS_CHECK_MILLISECONDS
     const living = await this.options.livenessSource.listLiveWorkers()
     this.nextLivenessCheckAt = this.now() + LIVENESS_CHECK_MILLISECONDS
     if (this.stopped || living.kind !== 'ok') return
@@ -356,7 +375,10 @@
   }
 
   private plan (): void {
-    if (this.stopped) return
+    if (!this.stopped) this.options.errors.run('plan', () => this.planAndSend())
+  }
+
+  private planAndSend (): void {
     const { clock } = this.options
     const now = clock.monotonicMilliseconds()
     this.sender.withdrawUnneeded()
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -1,5 +1,6 @@
 import type { WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
@@ -28,6 +29,7 @@
   platform: PlatformTables
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   onChange (): void
 }
 
@@ -46,12 +48,13 @@
   private workerFollower: TableFollower | null = null
 
   private constructor (private readonly options: SiteWatchOptions) {
-    const { platform, clock, logger } = options
+    const { platform, clock, logger, errors } = options
     this.operatorFollower = TableFollower.create({
       table: platform.operatorTable,
       feed: platform.feed,
       clock,
       logger,
+      errors,
       waitMilliseconds: OPERATOR_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.replaceOperatorRows(snapshot.rows),
       onChanges: changes => this.applyOperatorChanges(changes)
@@ -74,7 +77,7 @@
 
   /** Starts following the list of workers, which only the owner needs. */
   startFollowingWorkers (): void {
-    const { platform, clock, logger } = this.options
+    const { platform, clock, logger, errors } = this.options
     this.workersLoaded = false
     this.workers.clear()
     this.workerFollower = TableFollower.create({
@@ -82,6 +85,7 @@
       feed: platform.feed,
       clock,
       logger,
+      errors,
       waitMilliseconds: WORKER_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.replaceWorkers(snapshot.rows),
       onChanges: changes => this.applyWorkerChanges(changes)
--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type HoldRequest, type WorkerClient } from '../dispatch/index.js'
@@ -28,6 +29,7 @@
     clock,
     leaseMilliseconds: 6000,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
     mayRenewLeases: () => true,
     onReport: () => {},
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -2,6 +2,7 @@
   getEarliestWorkerTime, type DispatchEngine, type HoldOutcome, type WorkerClient, type WorkerRecord, type WorkerReport
 } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 
@@ -14,6 +15,7 @@
   leaseMilliseconds: number
   logger: Logger
   metrics: Pick<InstanceMetrics, 'workerCallFailures'>
+  errors: ErrorBoundary
   /** Returns whether this process may still renew leases. */
   mayRenewLeases (): boolean
   onReport (worker: WorkerRecord): void
@@ -57,9 +59,15 @@
 
   /** Calls the worker until the loop is stopped. */
   async run (): Promise<void> {
+    const { errors, engine, worker } = this.options
     while (!this.stopped) {
-      if (!this.options.mayRenewLeases()) await this.pause(RETRY_MILLISECONDS)
-      else await this.callWorker()
+      if (!this.options.mayRenewLeases()) {
+        await this.pause(RETRY_MILLISECONDS)
+      } else if (!await errors.runAsync('lease-renewal', async () => await this.callWorker())) {
+        // The report was not applied as a whole, so the worker gets no new work before the next one.
+        engine.markUnreachable(worker, null)
+        await this.pause(RETRY_MILLISECONDS)
+      }
     }
   }
 
--- a/src/instance/WorkerRegistry.test.ts
+++ b/src/instance/WorkerRegistry.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
@@ -32,6 +33,7 @@
     tableService,
     clock: VirtualClock.create(),
     logger: silentLogger,
+    errors: createTestErrors(VirtualClock.create()),
     onRegistered: () => {},
     onDeposed: () => {}
   })
@@ -49,6 +51,7 @@
     tableService: tables.createClient(createRandom(1)),
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     onRegistered: () => {},
     onDeposed: () => {}
   })
--- a/src/instance/WorkerRegistry.ts
+++ b/src/instance/WorkerRegistry.ts
@@ -1,9 +1,10 @@
 import type { WorkerRecord } from '../dispatch/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
-import type { Operation, TableService } from '../table/TableService.js'
+import type { Operation, TableService, TransactionOutcome } from '../table/TableService.js'
 import { HOLDING_TABLE } from './jobRows.js'
 
 /** Options of a registry. */
@@ -13,6 +14,7 @@
   tableService: TableService
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   /** Called when workers were registered, so that tasks may start on them. */
   onRegistered (): void
   onDeposed (reason: string): void
@@ -63,13 +65,13 @@
       value: worker.entry as unknown as JsonValue,
       condition: { kind: 'any' }
     }))
-    const outcome = await this.options.tableService.transact({ operations: [...operations, this.createOwnerCheck()] })
+    const outcome = await this.transact(operations)
     this.registering = false
     if (this.stopped) return
-    if (outcome.kind === 'committed') {
+    if (outcome?.kind === 'committed') {
       for (const worker of added) worker.registered = true
       this.options.onRegistered()
-    } else if (outcome.kind === 'conflict') {
+    } else if (outcome?.kind === 'conflict') {
       return this.options.onDeposed('the registration of workers conflicted with another owner')
     } else {
       await new Promise<void>(resolve => { this.options.clock.setTimer(RETRY_MILLISECONDS, resolve) })
@@ -87,13 +89,23 @@
       const operations: Operation[] = removed.map(workerId => ({
         kind: 'delete', table: HOLDING_TABLE, key: workerId, condition: { kind: 'any' }
       }))
-      const outcome = await this.options.tableService.transact({ operations: [...operations, this.createOwnerCheck()] })
-      if (outcome.kind === 'committed') continue
+      const outcome = await this.transact(operations)
+      if (outcome?.kind === 'committed') continue
       // No retry is needed: a remaining row costs a successor one call to a removed worker.
       this.options.logger.info('rows of removed workers not deleted', { workers: removed })
     }
   }
 
+  /** Writes as the owner; returns null after an unexpected error, which leaves open whether the write took effect. */
+  private async transact (operations: Operation[]): Promise<TransactionOutcome | null> {
+    const { errors, tableService } = this.options
+    let outcome: TransactionOutcome | null = null
+    await errors.runAsync('worker-registration', async () => {
+      outcome = await tableService.transact({ operations: [...operations, this.createOwnerCheck()] })
+    })
+    return outcome
+  }
+
   private createOwnerCheck (): Operation {
     const { shardId, fence } = this.options
     return {
--- a/src/instance/durableEndedRuns.test.ts
+++ b/src/instance/durableEndedRuns.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fastCheck from 'fast-check'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
@@ -56,6 +57,7 @@
       } as unknown as TableService,
       clock: this.clock,
       logger: { info: () => {}, warn: (_message, fields) => this.warnings.push(fields), error: () => {} },
+      errors: createTestErrors(this.clock),
       onDurable: () => {},
       onDeposed: () => { this.deposedCount++ }
     })
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -1,5 +1,5 @@
 import type { UnreachedRecord, WorkerEntry } from '../dispatch/index.js'
-import { hasValidTaskCount, type JobSubmission } from '../jobs/index.js'
+import { hasValidTaskCount, type JobSubmission, type StepSpecification } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 
 /** The accepted jobs by identifier, and the requests to cancel them. */
@@ -82,10 +82,16 @@
 export function decodeSubmission (value: JsonValue): JobSubmission | null {
   if (typeof value !== 'object' || value === null || Array.isArray(value)) return null
   const submission = value as unknown as Partial<JobSubmission>
-  const isComplete = typeof submission.jobId === 'string' && Array.isArray(submission.specification?.steps)
+  const steps = submission.specification?.steps
+  const isComplete = typeof submission.jobId === 'string' && Array.isArray(steps) && steps.every(isCompleteStep)
   return isComplete && hasValidTaskCount(submission.specification!) ? submission as JobSubmission : null
 }
 
+/** Returns whether a stored step has the structure that planning relies on. */
+function isCompleteStep (step: Partial<StepSpecification> | null): boolean {
+  return typeof step === 'object' && step !== null && Array.isArray(step.afterSteps)
+}
+
 /**
  * Decodes a row of the holding table. Earlier versions of the program stored entries that are no longer accepted; tasks
  * may run on each of these workers, so that a row always names one.
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import {
@@ -46,7 +47,7 @@
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
   const metrics = createTestMetrics(true)
-  const common = { engine, clock, logger: silentLogger, metrics }
+  const common = { engine, clock, logger: silentLogger, metrics, errors: createTestErrors(clock) }
   const sender = OrderSender.create({
     ...common,
     mayStart: () => true,
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type DispatchOrder, type OrderOutcome, type WorkerClient } from '../dispatch/index.js'
@@ -19,6 +20,7 @@
     engine,
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     metrics,
     mayStart: () => true,
     onChange: () => {},
@@ -120,6 +122,7 @@
     engine,
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
     mayStart: () => true,
     onChange: () => {},
--- a/src/instance/wideProgressRows.test.ts
+++ b/src/instance/wideProgressRows.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine } from '../dispatch/index.js'
@@ -42,6 +43,7 @@
     tableService: createStore(),
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     onDurable: () => {},
     onDeposed: () => {}
   })
--- a/src/instance/workerAddress.test.ts
+++ b/src/instance/workerAddress.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
@@ -30,6 +31,7 @@
     } as unknown as SiteWatch,
     clock,
     logger: silentLogger,
+    errors: createTestErrors(clock),
     livenessSource: { listLiveWorkers: async () => ({ kind: 'ok', value: new Set() }) },
     metrics: createTestMetrics(true),
     leaseMilliseconds: 6000,
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../shared/Clock.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed, TableSnapshot } from './TableFeed.js'
 
@@ -8,6 +9,7 @@
   feed: TableFeed
   clock: Clock
   logger: Logger
+  errors: ErrorBoundary
   /** How long one feed call waits for a change. */
   waitMilliseconds: number
   /** The table version that the caller has already read; when absent, the follower reads the whole table first. */
@@ -48,8 +50,13 @@
   /** Follows the table until `stop` is called. */
   async run (): Promise<void> {
     while (!this.stopped) {
-      const succeeded = this.version === null ? await this.readSnapshot() : await this.awaitChanges(this.version)
-      if (!succeeded && !this.stopped) await this.delayRetry()
+      let hasContact = false
+      const isComplete = await this.options.errors.runAsync(`feed-of-${this.options.table}`, async () => {
+        hasContact = this.version === null ? await this.readSnapshot() : await this.awaitChanges(this.version)
+      })
+      // Changes that were not applied as a whole are contained in a new snapshot.
+      if (!isComplete) this.version = null
+      if (!hasContact && !this.stopped) await this.delayRetry()
     }
   }
 
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -1,7 +1,7 @@
 import { Registry } from 'prom-client'
 import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
 import {
-  Instance, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
+  Instance, JOB_TABLE, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
 import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
@@ -12,6 +12,7 @@
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { createStep } from './createStep.js'
+import { strictLogger } from './createTestErrors.js'
 import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
@@ -33,6 +34,8 @@
   treatsListedAsAcknowledged?: boolean
   /** Rate of the clocks of all workers; the default is 1. */
   workerClockRate?: number
+  /** Whether instances may confine unexpected errors; by default, the first one fails the test. */
+  allowsUnexpectedErrors?: boolean
 }
 
 /** How the processor time and the connections of the processes are emulated. */
@@ -172,7 +175,7 @@
         }))
       },
       clock: receiver.clock,
-      logger: silentLogger,
+      logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
       leaseMilliseconds: LEASE_MILLISECONDS,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId),
       random
@@ -229,6 +232,11 @@
     return alive[Math.floor(this.options.random() * alive.length)] ?? this.instances[0]
   }
 
+  /** Stores a row of the job table, which need not be a valid submission. */
+  putJobRow (key: string, value: JsonValue): void {
+    this.putRow(JOB_TABLE, key, value)
+  }
+
   private waitForPeerTimeout (): Promise<null> {
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
