Keep the costs of workers across plans

Cause: an owner of hundreds of workers spends its time on choosing. Each start of a best-effort task computed the interference of the task with all runs of each worker that has room, and each plan looked over all runs of the site for slowed ones.

Ruled out: the search for tasks that cannot fit (StartCandidates, 0.1 s), the ranking of jobs (0.3 s), and the garbage collector (0.5 s).

Change: the cost of a worker for a step is computed again only after the worker has changed, or after an image was found to interfere or not to. Slowed runs are looked for each 200 ms in code of their own.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -52,6 +52,8 @@
 export class ColocationAdvisor {
   private readonly servingImages = new Map<string, ServingImage>()
   private readonly bestEffortImages = new Set<string>()
+  /** Increases when an image is new, or becomes or ceases to be compatible with a serving image. */
+  revision = 0
 
   private constructor () {}
 
@@ -81,7 +83,11 @@
       const serving = this.getServingImage(image)
       const features: Array<[number, number]> = [[serving.intercept, 1]]
       for (const [other, share] of shares) features.push([getFeature(serving, other), share])
+      const images = [...shares.keys()]
+      const wereCompatible = images.map(other => this.getEffect(image, other) === 0)
       serving.regression.learn(features, targetMilliseconds / run.usageFigure)
+      const isChanged = images.some((other, index) => (this.getEffect(image, other) === 0) !== wereCompatible[index])
+      if (isChanged) this.revision++
     }
   }
 
@@ -93,7 +99,7 @@
    */
   getInterferencePressure (worker: WorkerRecord, task: TaskRecord): number {
     const { image, processorsMilli } = task.step.specification
-    this.bestEffortImages.add(image)
+    this.addBestEffortImage(image)
     const added = processorsMilli / Math.max(1, worker.entry.capacity.processorsMilli)
     if (worker.servingReserved === 0) return 0
     const bestEffort = getBestEffortRuns(worker)
@@ -207,10 +213,17 @@
       const features = new Map<string, number>()
       for (const [other, weight] of Object.entries(effects)) {
         features.set(other, regression.addFeature(...weight))
-        this.bestEffortImages.add(other)
+        this.addBestEffortImage(other)
       }
       this.servingImages.set(image, { regression, intercept, features })
     }
+    this.revision++
+  }
+
+  private addBestEffortImage (image: string): void {
+    if (this.bestEffortImages.has(image)) return
+    this.bestEffortImages.add(image)
+    this.revision++
   }
 
   private getServingImage (image: string): ServingImage {
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,6 +1,6 @@
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
-import { chooseWorker, isInService, type ChoiceConditions } from './chooseWorker.js'
-import { findRunsToDrain, mayMoveSlowedRun } from './findRunsToMove.js'
+import { isInService, type ChoiceConditions } from './chooseWorker.js'
+import { findRunsToDrain } from './findRunsToMove.js'
 import { findStalledRuns, pauseStalledWorker } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { applyPaceChange, decidePace } from './decidePace.js'
@@ -12,8 +12,10 @@
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
+import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
+import { WorkerCosts } from './WorkerCosts.js'
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
 import { applyReport, type ReportContext } from './applyReport.js'
 import { applyStartOutcome } from './applyStartOutcome.js'
@@ -51,6 +53,8 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
+  private readonly costs = WorkerCosts.create()
+  private readonly slowedRunMover = SlowedRunMover.create()
   private dirty = true
 
   private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
@@ -103,6 +107,7 @@
     }
     // A new incarnation counts only once the worker itself reports it, together with its runs.
     if (entry.bornAtMilliseconds > existing.entry.bornAtMilliseconds) this.markUnreachable(existing, null)
+    existing.changeCount++
     existing.entry = { ...entry, bornAtMilliseconds: existing.entry.bornAtMilliseconds }
     existing.listed = true
     if (entry.state === 'draining') {
@@ -175,6 +180,7 @@
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
     const changed = applyReport(worker, report, context)
+    worker.changeCount++
     worker.syncState = 'synchronized'
     const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(entry.workerId) ?? now
     worker.leaseDeadline = Math.max(worker.leaseDeadline, report.workerMilliseconds + earlierLeaseEndsAt - now)
@@ -270,8 +276,9 @@
     this.expireWorkers(now)
     if (!mayStart || !this.dirty || startLimit <= 0) return
     this.dirty = false
+    const workers = [...this.workers.values()]
     const plan = StartPlan.create({
-      workers: [...this.workers.values()],
+      workers,
       startLimit,
       storedStartLimit,
       getConditions: serviceName => this.getConditions(serviceName, now),
@@ -287,8 +294,12 @@
       getServiceName: job => this.getServiceName(job),
       mayStart: this.mayStart
     })
-    if (outcome === 'plan-full') this.dirty = true
-    else this.moveSlowedRuns(now)
+    if (outcome === 'plan-full') {
+      this.dirty = true
+    } else {
+      const getConditions = (serviceName: string) => this.getConditions(serviceName, now)
+      this.slowedRunMover.moveRuns(workers, getConditions, (worker, run) => this.orders.stop(worker, run), now)
+    }
   }
 
   private readonly mayStart = (task: TaskRecord): boolean => !this.unreconciled.mayRun(task)
@@ -298,7 +309,7 @@
   }
 
   private getConditions (serviceName: string, now: number): ChoiceConditions {
-    return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, now }
+    return { serviceName, dataCentresOut: this.dataCentresOut, advisor: this.advisor, costs: this.costs, now }
   }
 
   /** Stops stalled runs, so that their tasks start elsewhere, and pauses their worker. */
@@ -309,21 +320,6 @@
     for (const run of stalled) this.orders.stop(worker, run)
   }
 
-  /** Stops runs that stay slowed by interference when another worker can take them and little work is lost. */
-  private moveSlowedRuns (now: number): void {
-    for (const worker of this.workers.values()) {
-      for (const run of worker.runs.values()) {
-        if (!mayMoveSlowedRun(run, now)) continue
-        const conditions = this.getConditions(worker.entry.serviceName, now)
-        const other = chooseWorker(
-          run.task, [...this.workers.values()], { ...conditions, excludedWorkerId: worker.entry.workerId })
-        if (other === null || this.advisor.getInterferencePressure(other, run.task) > 0) continue
-        run.slowedSince = null
-        this.orders.stop(worker, run)
-      }
-    }
-  }
-
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number, now: number): void {
     const run = createRun(task, worker.entry.workerId, attempt, now)
     task.nextAttempt = attempt + 1
--- a/src/dispatch/PendingOrders.ts
+++ b/src/dispatch/PendingOrders.ts
@@ -46,6 +46,7 @@
   /** Adds the stop of a run and marks the run as stopping. */
   stop (worker: WorkerRecord, run: RunRecord): void {
     run.state = 'stopping'
+    worker.changeCount++
     // After a start without a response, only the response to this stop confirms the state of the run.
     if (run.startUncertain) run.confirmedAt = null
     // A start that is still queued for sending is withdrawn instead: the worker does not know of the run.
--- a/src/dispatch/StartCandidates.ts
+++ b/src/dispatch/StartCandidates.ts
@@ -1,7 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
-import {
-  chooseEligibleWorker, getBestEffortProcessors, getEmptyWorkerCost, isEligible, type ChoiceConditions
-} from './chooseWorker.js'
+import { chooseEligibleWorker, isEligible, type ChoiceConditions } from './chooseWorker.js'
+import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
 /** Tolerance for rounding in sums: a task that exceeds a free capacity by less is compared with each worker. */
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -112,6 +112,7 @@
       if (task.done || task.runs.length > 0 || !this.options.mayStart(task)) continue
       if (this.isFull || !this.placeTask(task, serviceName)) return
     }
+    this.options.getConditions(serviceName).costs.forget(step)
   }
 
   /** Returns whether the task got a worker. */
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -73,6 +73,8 @@
   quarantinedUntil: number
   /** The duration of the latest quarantine for failed runs; 0 after a successful run. */
   quarantineMilliseconds: number
+  /** Increases with each change of the runs or of their figures, so that computed costs are known to be outdated. */
+  changeCount: number
   /** Monotonic time of the last pace change of a run on the worker. */
   paceChangedAt: number
   /** Monotonic time of the last change of the best-effort runs or their paces. */
@@ -110,6 +112,7 @@
     failureStreak: 0,
     quarantinedUntil: 0,
     quarantineMilliseconds: 0,
+    changeCount: 0,
     paceChangedAt: -Infinity,
     bestEffortChangedAt: -Infinity
   }
@@ -243,6 +246,7 @@
 
 function reserve (worker: WorkerRecord, step: StepRecord, sign: 1 | -1): void {
   const { specification } = step
+  worker.changeCount++
   worker.reserved.memoryMegabytes += sign * specification.memoryMegabytes
   worker.reserved.accelerators += sign * specification.accelerators
   if (specification.fills) {
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -7,6 +7,7 @@
 import { chooseWorker } from './chooseWorker.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { decidePace, PERSISTENT_VIOLATION_MILLISECONDS } from './decidePace.js'
+import { WorkerCosts } from './WorkerCosts.js'
 import { addRun, createWorkerRecord, type WorkerRecord } from './WorkerRecord.js'
 
 const TARGET_MILLISECONDS = 18
@@ -130,7 +131,7 @@
 
 test('places a serving task beside its image, then on an empty worker, but keeps a fifth of the workers empty', () => {
   const advisor = ColocationAdvisor.create()
-  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, now: 0 }
+  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, costs: WorkerCosts.create(), now: 0 }
   const rows: Array<[served: string[], emptyCount: number, chosen: string]> = [
     [['other', 'desk'], 4, 'worker-1'],
     [['other', 'other'], 4, 'worker-2'],
@@ -151,7 +152,7 @@
     different: { headroom: [2, 0.1], effects: { heavy: [0, 0.1], light: [-7, 0.1] } }
   })
   assert.equal(advisor.compareSensitivity('desk', 'unseen'), 'unknown')
-  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, now: 0 }
+  const conditions = { serviceName: 'desk', dataCentresOut: new Set<string>(), advisor, costs: WorkerCosts.create(), now: 0 }
   const task = createRun({ image: 'desk', targetMilliseconds: TARGET_MILLISECONDS, longRunning: true }).task
   const workers = createSite(['different', 'alike'], 4)
   assert.equal(chooseWorker(task, workers, conditions)?.entry.workerId, 'worker-1')
