--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -8,6 +8,9 @@
 /** The reason of a call that expired in the queue behind other calls, which says nothing about the service's health. */
 export const QUEUE_TIMEOUT_REASON = 'queue-timeout'
 
+/** The reason of a call that was sent and got no whole response in time. */
+export const TIMEOUT_REASON = 'timeout'
+
 /** Options of an HTTP exchange. */
 export interface HttpExchangeOptions {
   call: HttpCall
@@ -90,9 +93,9 @@
       const reason = this.connection === null ? QUEUE_TIMEOUT_REASON : 'connect-timeout'
       this.settle({ kind: 'not-sent', reason }, 'expired-waiting')
     } else {
-      this.settle({ kind: 'lost', reason: 'timeout' }, 'expired-in-flight')
+      this.settle({ kind: 'lost', reason: TIMEOUT_REASON }, 'expired-in-flight')
       // Aborting closes the connection, so that an unresponsive one is not reused.
-      this.controller.abort(new Error('timeout'))
+      this.controller.abort(new Error(TIMEOUT_REASON))
     }
   }
 
