Give the largest jobs a share of the starts

Cause: jobs with little remaining work go first, so in a lasting overload the largest ones wait until they are of no use.

Ruled out: a share for whichever job is the largest in time.

Change: a fifth of the starts of each priority goes to its largest job that can still meet its objective, and stays with that job until it is started or useless. The share counts starts that were made, so it holds whether orders or free capacity are scarce. The tasks of due occurrences are created before the jobs are ranked; a new job counted as one without work before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -9,6 +9,7 @@
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { explainWaiting, type WaitingReason } from './explainWaiting.js'
+import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
@@ -53,6 +54,7 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
+  private readonly largeJobShares = new Map<number, LargeJobShare>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
   private dirty = true
@@ -289,6 +291,7 @@
       jobs: this.jobs,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
+      largeJobShares: this.largeJobShares,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -39,9 +39,12 @@
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
+  private startLimit: number
   private storedCount = 0
 
-  private constructor (private readonly options: StartPlanOptions) {}
+  private constructor (private readonly options: StartPlanOptions) {
+    this.startLimit = options.startLimit
+  }
 
   /**
    * Creates a plan that has placed nothing.
@@ -59,7 +62,7 @@
 
   /** Whether the plan has reached its limit of starts. */
   get isFull (): boolean {
-    return this.placedCount >= this.options.startLimit
+    return this.placedCount >= this.startLimit
   }
 
   /** Whether the plan has reached its limit of starts of long-running tasks. */
@@ -67,6 +70,20 @@
     return this.storedCount >= this.options.storedStartLimit
   }
 
+  /**
+   * Places tasks with a lower limit of starts.
+   * @param count The number of starts.
+   * @param place Places the tasks.
+   * @returns The number of starts that were placed.
+   */
+  placeWithin (count: number, place: () => void): number {
+    const { startLimit, placedCount } = this
+    this.startLimit = Math.min(startLimit, placedCount + count)
+    place()
+    this.startLimit = startLimit
+    return this.placedCount - placedCount
+  }
+
   /**
    * Places the waiting tasks of a step while workers have free capacity.
    * @param step The step, which must be ready to start.
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,6 +1,7 @@
-import { isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
+import { hasLongRunningStep, isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
 import type { JobTable } from './JobTable.js'
+import { LargeJobShare } from './LargeJobShare.js'
 import { rankJobs } from './rankJobs.js'
 import type { StartPlan } from './StartPlan.js'
 
@@ -10,6 +11,8 @@
   plan: StartPlan
   /** The number of restarts of long-running tasks that precede all other work. */
   restartLimit: number
+  /** The shares of the large jobs by priority, kept across plans. */
+  largeJobShares: Map<number, LargeJobShare>
   /** The time of day. */
   wallMilliseconds: number
   /** The monotonic time. */
@@ -30,14 +33,54 @@
   placeRestarts(context)
   const startable = [...jobs.getJobs()].filter(job =>
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
-  for (const job of rankJobs(startable, wallMilliseconds)) {
-    jobs.createDueOccurrences(job, wallMilliseconds, now)
-    placeJob(job, context)
+  for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
+  for (const [priority, ranked] of groupByPriority(rankJobs(startable, wallMilliseconds))) {
+    placeJobs(ranked, getLargeJobShare(context, priority), context)
     if (plan.isFull) return 'plan-full'
   }
   return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
 }
 
+/** Groups jobs that are sorted by priority. */
+function groupByPriority (ranked: readonly JobRecord[]): Map<number, JobRecord[]> {
+  const groups = new Map<number, JobRecord[]>()
+  for (const job of ranked) {
+    const { priority } = job.submission
+    const group = groups.get(priority)
+    if (group === undefined) groups.set(priority, [job])
+    else group.push(job)
+  }
+  return groups
+}
+
+function getLargeJobShare ({ largeJobShares }: PlanContext, priority: number): LargeJobShare {
+  const existing = largeJobShares.get(priority)
+  if (existing !== undefined) return existing
+  const share = LargeJobShare.create()
+  largeJobShares.set(priority, share)
+  return share
+}
+
+/** Places the jobs of one priority: the largest ones within their share, then all in the order of their rank. */
+function placeJobs (ranked: readonly JobRecord[], share: LargeJobShare, context: PlanContext): void {
+  const { plan, wallMilliseconds } = context
+  let largeJobStarts = 0
+  if (share.allowance > 0 && ranked.length > 1) {
+    for (const job of share.selectJobs(ranked, wallMilliseconds)) {
+      const remaining = share.allowance - largeJobStarts
+      if (remaining <= 0 || plan.isFull) break
+      largeJobStarts += plan.placeWithin(remaining, () => placeJob(job, context))
+    }
+  }
+  let starts = largeJobStarts
+  for (const job of ranked) {
+    if (plan.isFull) break
+    const placed = plan.placeWithin(Infinity, () => placeJob(job, context))
+    if (!hasLongRunningStep(job)) starts += placed
+  }
+  share.recordStarts(starts, largeJobStarts)
+}
+
 function placeRestarts ({ jobs, plan, restartLimit, getServiceName, mayStart }: PlanContext): void {
   for (const task of jobs.waitingRestarts.getWaiting()) {
     if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, StepRecord } from '../jobs/index.js'
+import { hasLongRunningStep, type JobRecord, type StepRecord } from '../jobs/index.js'
 
 /**
  * Ranks jobs for the next start.
@@ -66,6 +66,31 @@
   return age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless'
 }
 
+/**
+ * Returns the estimated work of a job, whether it is done or not.
+ * @param job The job.
+ * @returns Thousandths of a processor times milliseconds.
+ */
+export function getTotalWork (job: JobRecord): number {
+  const { steps } = job.submission.specification
+  return steps.reduce((work, step) =>
+    work + step.taskCount * step.processorsMilli * Math.max(1, step.estimateMilliseconds), 0)
+}
+
+/**
+ * Selects the jobs that may use the share of large jobs.
+ * @param jobs The jobs.
+ * @param wallMilliseconds The time of day.
+ * @returns The jobs that complete by themselves and can still do so in time, the largest one first.
+ */
+export function selectLargeJobs (jobs: readonly JobRecord[], wallMilliseconds: number): JobRecord[] {
+  const rows = jobs
+    .filter(job => !hasLongRunningStep(job) && getUrgency(job, wallMilliseconds) === 'in-time')
+    .map(job => ({ job, work: getTotalWork(job) }))
+  rows.sort((left, right) => right.work - left.work)
+  return rows.map(row => row.job)
+}
+
 /**
  * Sorts jobs into the order in which their tasks should start.
  * @param jobs The jobs.
@@ -76,7 +101,7 @@
   const rows = [...jobs].map(job => ({
     job,
     priority: job.submission.priority,
-    longRunning: job.submission.specification.steps.some(step => step.longRunning) ? 1 : 0,
+    longRunning: hasLongRunningStep(job) ? 1 : 0,
     urgency: URGENCY_RANK[getUrgency(job, wallMilliseconds)],
     work: getRemainingWork(job)
   }))
