Log accepted starts and ended runs in batches

Cause: an owner of hundreds of workers logs a line for each start and for each report with ended runs.

Each event keeps its identifiers, so grep finds it as before. Starts that were not accepted, and all other decisions, keep a line each.

--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -3,6 +3,7 @@
   type OrderRequest, type WorkerClient, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
@@ -51,8 +52,11 @@
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
   private stopped = false
   private storing = 0
+  private readonly acceptedStarts: BatchedLog
 
-  private constructor (private readonly options: OrderSenderOptions) {}
+  private constructor (private readonly options: OrderSenderOptions) {
+    this.acceptedStarts = BatchedLog.create({ ...options, message: 'tasks started' })
+  }
 
   /**
    * Creates a sender.
@@ -66,6 +70,7 @@
   /** Stops sending orders; outcomes of calls in flight are ignored. */
   stop (): void {
     this.stopped = true
+    this.acceptedStarts.flush()
     this.gate.withdrawUnneeded()
   }
 
@@ -187,19 +192,25 @@
     return outcome
   }
 
-  /** Counts a start and logs it, except a withdrawn one, which is logged as `run lost`. */
+  /** Counts a start and logs it: accepted ones together, withdrawn ones as `run lost`, and each other one by itself. */
   private recordStart (run: RunRecord, outcome: SendOutcome, orderedAt: number): void {
     const { metrics, logger, engine } = this.options
     metrics.starts.inc({ outcome: outcome.kind })
     if (outcome.kind === 'withdrawn') return
     metrics.startSeconds.observe((this.now() - orderedAt) / 1000)
+    const { task, attempt, workerId } = run
+    if (outcome.kind === 'accepted') {
+      const checkpoint = task.checkpoint === '' ? '' : ' from a checkpoint'
+      this.acceptedStarts.add(`${task.name}#${attempt} on ${workerId} epoch ${engine.epoch}${checkpoint}`)
+      return
+    }
     logger.info('task start', {
-      task: run.task.name,
-      attempt: run.attempt,
-      worker: run.workerId,
+      task: task.name,
+      attempt,
+      worker: workerId,
       outcome: outcome.kind,
       epoch: engine.epoch,
-      isResumed: run.task.checkpoint !== ''
+      isResumed: task.checkpoint !== ''
     })
   }
 
--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -4,6 +4,7 @@
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type HoldRequest, type WorkerClient } from '../dispatch/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
@@ -29,6 +30,7 @@
     clock,
     leaseMilliseconds: 6000,
     logger: silentLogger,
+    endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
     errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
     mayRenewLeases: () => true,
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -1,6 +1,7 @@
 import {
   getEarliestWorkerTime, type DispatchEngine, type HoldOutcome, type WorkerClient, type WorkerRecord, type WorkerReport
 } from '../dispatch/index.js'
+import type { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
@@ -14,6 +15,8 @@
   clock: Clock
   leaseMilliseconds: number
   logger: Logger
+  /** Logs the ended runs of all workers. */
+  endedRuns: BatchedLog
   metrics: Pick<InstanceMetrics, 'workerCallFailures'>
   errors: ErrorBoundary
   /** Returns whether this process may still renew leases. */
@@ -124,9 +127,9 @@
   }
 
   private logEndedRuns (report: WorkerReport, lastAppliedBefore: number): void {
-    const { worker, logger } = this.options
+    const { worker, endedRuns } = this.options
     if (worker.appliedCompletion === lastAppliedBefore) return
-    logger.info('ended runs applied', {
+    endedRuns.add({
       worker: worker.entry.workerId,
       acknowledged: worker.durableCompletion,
       ends: report.ended
--- a/src/instance/WorkerLeaseLoops.ts
+++ b/src/instance/WorkerLeaseLoops.ts
@@ -1,8 +1,10 @@
 import type { WorkerClient, WorkerEntry, WorkerRecord } from '../dispatch/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
 import { WorkerLeaseLoop, type WorkerLeaseLoopOptions } from './WorkerLeaseLoop.js'
 
 /** Options of the loops of all workers. */
-export interface WorkerLeaseLoopsOptions extends Omit<WorkerLeaseLoopOptions, 'worker' | 'client'> {
+export interface WorkerLeaseLoopsOptions
+  extends Omit<WorkerLeaseLoopOptions, 'worker' | 'client' | 'endedRuns'> {
   createWorkerClient (entry: WorkerEntry): WorkerClient
 }
 
@@ -17,7 +19,11 @@
 export class WorkerLeaseLoops {
   private readonly followed = new Map<string, FollowedWorker>()
 
-  private constructor (private readonly options: WorkerLeaseLoopsOptions) {}
+  private readonly endedRuns: BatchedLog
+
+  private constructor (private readonly options: WorkerLeaseLoopsOptions) {
+    this.endedRuns = BatchedLog.create({ ...options, message: 'ended runs applied' })
+  }
 
   /**
    * Creates the loops of an owner that follows no worker yet.
@@ -56,6 +62,7 @@
   /** Stops all loops. */
   stopAll (): void {
     for (const workerId of this.getWorkerIds()) this.stop(workerId)
+    this.endedRuns.flush()
   }
 
   private start (worker: WorkerRecord): void {
@@ -64,6 +71,7 @@
     const followed = { client: createWorkerClient(worker.entry), address }
     const loop = WorkerLeaseLoop.create({
       ...loopOptions,
+      endedRuns: this.endedRuns,
       worker,
       // Read for each call, because the client changes with the worker's address.
       get client () { return followed.client }
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -7,6 +7,7 @@
   DispatchEngine, type HoldOutcome, type OrderOutcome, type WorkerClient, type WorkerReport
 } from '../dispatch/index.js'
 import type { StepSpecification } from '../jobs/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
@@ -66,6 +67,7 @@
     clients.set(worker.entry.workerId, client)
     WorkerLeaseLoop.create({
       ...common,
+      endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
       worker,
       client,
       leaseMilliseconds: LEASE_MILLISECONDS,
