Learn interference from the headroom of each step

And the swing of the load, 0.8 in headroom, hid effects of 0.5.

Change: the model of a serving image has a headroom for each step, which may change by 0.45 in a second, and effects that all its steps share. Latencies and processors in a report are those of the same half second, so each report counts. What the store keeps for a next owner has the same form.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -1,44 +1,22 @@
-import type { RunRecord, TaskRecord } from '../jobs/index.js'
-import { RecursiveLeastSquares } from './RecursiveLeastSquares.js'
+import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
+import { INITIAL_EFFECT, ServingImageModel, type LearnedServingImage } from './ServingImageModel.js'
 import { isServing, type WorkerRecord } from './WorkerRecord.js'
 
-/** Worker metrics cover half a second, so they reflect a run or a change of pace only after this time. */
-const METRIC_SETTLE_MILLISECONDS = 700
 /** Serving tasks have high latencies while they warm up. */
 const SERVING_WARM_UP_MILLISECONDS = 1500
 /** The headroom that must remain after a best-effort task starts, as a margin for load changes. */
 const MINIMUM_ADMISSION_HEADROOM = 1.35
-/** The assumed headroom of a serving image before its first sample. */
-const INITIAL_HEADROOM = 2
-/** The assumed effect of a pair of images before its first sample; lets one task of the image start and be observed. */
-const INITIAL_EFFECT = -2
-/** Initial variance of weights: effects between images reach 10, and load changes vary the headroom by about 0.6. */
-const EFFECT_VARIANCE = 25
-const SAMPLE_NOISE_VARIANCE = 0.5
-/** Halves the influence of a sample after about 1,400 further samples of an image, which takes about 20 s. */
-const FORGETTING_FACTOR = 0.9995
 /** Weights above this count as no interference: real effects are -4 or stronger, weaker ones are regression noise. */
 const COMPATIBLE_EFFECT = -2.2
 /** An effect counts as learned when its variance is at most this. */
 const CONVERGED_VARIANCE = 4
 
-/** A learned weight with its variance. */
-export type LearnedWeight = [weight: number, variance: number]
-
-/** The learned weights by serving image: its headroom without neighbours, and the effect of each best-effort image. */
-export type LearnedEffects = Record<string, { headroom: LearnedWeight, effects: Record<string, LearnedWeight> }>
+/** What was learned, by serving image. */
+export type LearnedEffects = Record<string, LearnedServingImage>
 
 /** Whether the same best-effort images interfere with two serving images. */
 export type SensitivityMatch = 'alike' | 'different' | 'unknown'
 
-interface ServingImage {
-  regression: RecursiveLeastSquares
-  /** The index of the constant feature, whose weight is the headroom without best-effort neighbours. */
-  intercept: number
-  /** The feature index of each best-effort image observed on the same worker. */
-  features: Map<string, number>
-}
-
 /**
  * Learns which best-effort images interfere with which serving images, and rates workers for a best-effort task.
  *
@@ -46,11 +24,12 @@
  * and absent between most, so best-effort tasks lose nothing by avoiding the pairs that interfere.
  *
  * The learned quantity is the headroom, that is, the latency target divided by the tail latency, which falls linearly
- * with the processors that an interfering image uses. `InterferenceModel` in `src/placement` attributes each sample to
- * the current neighbours, and so attributes load changes to them too; a regression with an intercept averages them out.
+ * with the processors that an interfering image uses. Both the latencies and the processors in a report are those of
+ * the last half second, so each report can be learned from, also just after a run has started. `InterferenceModel` in
+ * `src/placement` attributes each sample to the current neighbours, and so attributes load changes to them too.
  */
 export class ColocationAdvisor {
-  private readonly servingImages = new Map<string, ServingImage>()
+  private readonly servingImages = new Map<string, ServingImageModel>()
   private readonly bestEffortImages = new Set<string>()
   /** Increases when an image is new, or becomes or ceases to be compatible with a serving image. */
   revision = 0
@@ -71,21 +50,14 @@
    * @param now The monotonic time.
    */
   learn (worker: WorkerRecord, now: number): void {
-    const bestEffort = getBestEffortRuns(worker)
-    const isSettled = bestEffort.every(run => now - run.startedAt > METRIC_SETTLE_MILLISECONDS) &&
-      now - worker.bestEffortChangedAt > METRIC_SETTLE_MILLISECONDS
-    if (!isSettled) return
-    const shares = getUsedShares(worker, bestEffort)
-    for (const run of worker.runs.values()) {
-      if (!isServing(run.task) || run.percent < 100 || run.usageFigure <= 0) continue
-      if (now - run.startedAt < SERVING_WARM_UP_MILLISECONDS) continue
-      const { image, targetMilliseconds } = run.task.step.specification
-      const serving = this.getServingImage(image)
-      const features: Array<[number, number]> = [[serving.intercept, 1]]
-      for (const [other, share] of shares) features.push([getFeature(serving, other), share])
+    const shares = getUsedShares(worker)
+    for (const [step, runs] of groupServingRuns(worker, now)) {
+      const { image } = step.specification
+      const headrooms = runs.map(run => run.task.step.specification.targetMilliseconds / run.usageFigure)
+      const headroom = headrooms.reduce((sum, value) => sum + value, 0) / headrooms.length
       const images = [...shares.keys()]
       const wereCompatible = images.map(other => this.getEffect(image, other) === 0)
-      serving.regression.learn(features, targetMilliseconds / run.usageFigure)
+      this.getServingImage(image).learn(getStepKey(step), shares, headroom, now)
       const isChanged = images.some((other, index) => (this.getEffect(image, other) === 0) !== wereCompatible[index])
       if (isChanged) this.revision++
     }
@@ -131,11 +103,10 @@
    * @returns The effect; 0 for compatible images.
    */
   getEffect (servingImage: string, image: string): number {
-    const serving = this.servingImages.get(servingImage)
-    const feature = serving?.features.get(image)
-    if (serving === undefined || feature === undefined) return -INITIAL_EFFECT
-    const weight = serving.regression.getWeight(feature)
-    if (serving.regression.getVariance(feature) > CONVERGED_VARIANCE) return Math.max(-weight, -INITIAL_EFFECT)
+    const learned = this.servingImages.get(servingImage)?.getEffect(image)
+    if (learned === undefined) return -INITIAL_EFFECT
+    const [weight, variance] = learned
+    if (variance > CONVERGED_VARIANCE) return Math.max(-weight, -INITIAL_EFFECT)
     return weight > COMPATIBLE_EFFECT ? 0 : -weight
   }
 
@@ -171,51 +142,35 @@
   }
 
   private isLearned (servingImage: string, image: string): boolean {
-    const serving = this.servingImages.get(servingImage)
-    const feature = serving?.features.get(image)
-    return serving !== undefined && feature !== undefined &&
-      serving.regression.getVariance(feature) <= CONVERGED_VARIANCE
+    const learned = this.servingImages.get(servingImage)?.getEffect(image)
+    return learned !== undefined && learned[1] <= CONVERGED_VARIANCE
   }
 
   /** Returns the current headroom of a serving run, or the learned one of its image before the first metric. */
   private getHeadroom (serving: RunRecord): number {
     const { image, targetMilliseconds } = serving.task.step.specification
     if (serving.percent >= 100 && serving.usageFigure > 0) return targetMilliseconds / serving.usageFigure
-    const learned = this.servingImages.get(image)
-    return learned === undefined ? INITIAL_HEADROOM : learned.regression.getWeight(learned.intercept)
+    return this.getServingImage(image).getHeadroom()
   }
 
   /**
-   * Exports the learned weights for the next owner.
-   * @returns The weights, rounded because writes are billed by byte.
+   * Exports what was learned, for the next owner.
+   * @returns The learned effects.
    */
   export (): LearnedEffects {
-    const learned: LearnedEffects = {}
-    for (const [image, { regression, intercept, features }] of this.servingImages) {
-      const getLearned = (index: number): LearnedWeight =>
-        [Number(regression.getWeight(index).toFixed(2)), Number(regression.getVariance(index).toFixed(2))]
-      learned[image] = {
-        headroom: getLearned(intercept),
-        effects: Object.fromEntries([...features].map(([other, index]) => [other, getLearned(index)]))
-      }
-    }
-    return learned
+    return Object.fromEntries([...this.servingImages].map(([image, model]) => [image, model.export()]))
   }
 
   /**
-   * Imports the weights that an earlier owner learned.
-   * @param learned The weights.
+   * Imports what an earlier owner learned.
+   * @param learned The learned effects.
    */
   import (learned: LearnedEffects): void {
-    for (const [image, { headroom, effects }] of Object.entries(learned)) {
-      const regression = createRegression()
-      const intercept = regression.addFeature(...headroom)
-      const features = new Map<string, number>()
-      for (const [other, weight] of Object.entries(effects)) {
-        features.set(other, regression.addFeature(...weight))
-        this.addBestEffortImage(other)
-      }
-      this.servingImages.set(image, { regression, intercept, features })
+    for (const [image, servingImage] of Object.entries(learned)) {
+      const model = ServingImageModel.create()
+      model.import(servingImage)
+      this.servingImages.set(image, model)
+      for (const other of Object.keys(servingImage.effects)) this.addBestEffortImage(other)
     }
     this.revision++
   }
@@ -226,11 +181,10 @@
     this.revision++
   }
 
-  private getServingImage (image: string): ServingImage {
+  private getServingImage (image: string): ServingImageModel {
     const existing = this.servingImages.get(image)
     if (existing !== undefined) return existing
-    const regression = createRegression()
-    const added = { regression, intercept: regression.addFeature(INITIAL_HEADROOM), features: new Map() }
+    const added = ServingImageModel.create()
     this.servingImages.set(image, added)
     return added
   }
@@ -245,18 +199,21 @@
   return [...worker.runs.values()].filter(run => run.task.step.specification.fills && run.state !== 'stopping')
 }
 
-function createRegression (): RecursiveLeastSquares {
-  return RecursiveLeastSquares.create({
-    initialVariance: EFFECT_VARIANCE, noiseVariance: SAMPLE_NOISE_VARIANCE, forgettingFactor: FORGETTING_FACTOR
-  })
+function getStepKey ({ index, occurrence }: StepRecord): string {
+  return `${occurrence.job.submission.jobId}.${occurrence.number}.${index}`
 }
 
-function getFeature (serving: ServingImage, image: string): number {
-  const existing = serving.features.get(image)
-  if (existing !== undefined) return existing
-  const added = serving.regression.addFeature(INITIAL_EFFECT)
-  serving.features.set(image, added)
-  return added
+/** Returns the serving runs of a worker that have warmed up, by step. */
+function groupServingRuns (worker: WorkerRecord, now: number): Map<StepRecord, RunRecord[]> {
+  const groups = new Map<StepRecord, RunRecord[]>()
+  for (const run of worker.runs.values()) {
+    if (!isServing(run.task) || run.percent < 100 || run.usageFigure <= 0) continue
+    if (now - run.startedAt < SERVING_WARM_UP_MILLISECONDS) continue
+    const group = groups.get(run.task.step)
+    if (group === undefined) groups.set(run.task.step, [run])
+    else group.push(run)
+  }
+  return groups
 }
 
 function getServingImages (worker: WorkerRecord): Set<string> {
@@ -265,11 +222,12 @@
   return images
 }
 
-/** Returns the share of a worker's processors that each best-effort image uses. */
-function getUsedShares (worker: WorkerRecord, bestEffort: RunRecord[]): Map<string, number> {
+/** Returns the share of a worker's processors that each best-effort image uses, also by runs that are being stopped. */
+function getUsedShares (worker: WorkerRecord): Map<string, number> {
   const shares = new Map<string, number>()
-  for (const run of bestEffort) {
-    const { image } = run.task.step.specification
+  for (const run of worker.runs.values()) {
+    const { fills, image } = run.task.step.specification
+    if (!fills) continue
     const share = run.usageFigure / Math.max(1, worker.entry.capacity.processorsMilli)
     shares.set(image, (shares.get(image) ?? 0) + share)
   }
--- a/src/dispatch/RecursiveLeastSquares.ts
+++ b/src/dispatch/RecursiveLeastSquares.ts
@@ -1,11 +1,9 @@
 /** Options of a regression. */
 export interface RecursiveLeastSquaresOptions {
-  /** The variance of a weight before the first sample; a higher value adapts faster to the first samples. */
-  initialVariance: number
+  /** The maximum variance of a weight, which bounds the adaptation to later samples. */
+  maximumVariance: number
   /** The variance of the noise of a sample. */
   noiseVariance: number
-  /** The factor by which each sample reduces the influence of earlier ones; below 1 to track slow changes. */
-  forgettingFactor: number
 }
 
 /** An online linear regression (recursive least squares) to which features can be added at any time. */
@@ -27,10 +25,10 @@
   /**
    * Adds a feature.
    * @param weight The initial weight.
-   * @param variance The variance of the initial weight; lower for a weight that was learned earlier.
+   * @param variance The variance of the initial weight; a higher one adapts faster to the first samples.
    * @returns The index of the feature.
    */
-  addFeature (weight: number, variance = this.options.initialVariance): number {
+  addFeature (weight: number, variance: number): number {
     const index = this.weights.length
     this.weights.push(weight)
     for (const row of this.covariance) row.push(0)
@@ -38,6 +36,30 @@
     return index
   }
 
+  /**
+   * Makes a feature that is no longer needed a new one.
+   * @param index The index of the feature.
+   * @param weight The initial weight.
+   * @param variance The variance of the initial weight.
+   */
+  resetFeature (index: number, weight: number, variance: number): void {
+    this.weights[index] = weight
+    for (let other = 0; other < this.weights.length; other++) {
+      this.covariance[index][other] = 0
+      this.covariance[other][index] = 0
+    }
+    this.covariance[index][index] = variance
+  }
+
+  /**
+   * Lets a weight change: later samples count more for it than earlier ones.
+   * @param index The index of the feature.
+   * @param variance The variance of the change since the last sample.
+   */
+  addVariance (index: number, variance: number): void {
+    this.covariance[index][index] = Math.min(this.options.maximumVariance, this.covariance[index][index] + variance)
+  }
+
   /** Returns the weight of a feature. */
   getWeight (index: number): number {
     return this.weights[index]
@@ -54,7 +76,7 @@
    * @param value The observed value.
    */
   learn (features: ReadonlyArray<readonly [number, number]>, value: number): void {
-    const { noiseVariance, forgettingFactor, initialVariance } = this.options
+    const { noiseVariance } = this.options
     const count = this.weights.length
     const gains = new Array<number>(count).fill(0)
     let predicted = 0
@@ -68,12 +90,9 @@
     const error = value - predicted
     for (let index = 0; index < count; index++) this.weights[index] += gains[index] / variance * error
     for (let row = 0; row < count; row++) {
-      for (let column = 0; column < count; column++) {
-        this.covariance[row][column] -= gains[row] * gains[column] / variance
-      }
-      // Without this bound, forgetting would increase the variance of a rarely observed feature indefinitely.
-      const featureVariance = this.covariance[row][row] / forgettingFactor
-      this.covariance[row][row] = Math.min(initialVariance, featureVariance)
+      const share = gains[row] / variance
+      if (share === 0) continue
+      for (let column = 0; column < count; column++) this.covariance[row][column] -= share * gains[column]
     }
   }
 }
