Count the time of a suspended machine against the ownership

Cause: the age of the last renewal came from the monotonic clock, which does not count the time for which a machine is suspended. An owner that wakes after 8 s took its permission for 0.7 s old. While the store does not answer it, it went on to start tasks and to renew leases with its old epoch; workers that the successor reaches refuse that, others do not.

Ruled out: a clock that counts suspensions for all times. A step of the time of day would then end leases of workers too early in the owner's view.

Change: the age is that of the clock by which more time has passed. A forward step of the time of day pauses starts until the next renewal, 0.7 s later.

SimulatedProcess can suspend a process. The shard owner of src/tasks (the scheduler program) still uses the monotonic clock alone.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -157,7 +157,7 @@
       assignmentsStoredSince,
       earlierLeasesEndAt: now + earlierRenewalsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       createWorkerClient: options.createWorkerClient,
-      getRenewedAt: () => this.election.getRenewedAt(),
+      getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
     })
     this.site.startFollowingWorkers()
@@ -181,8 +181,8 @@
     return {
       probe: () => {
         if (this.election.isAcquiring()) return { isOwner: true, renewalAge: 0 }
-        const renewalAge = this.options.clock.monotonicMilliseconds() - this.election.getRenewedAt()
-        return { isOwner: this.election.isOwner(), renewalAge: Math.round(Math.min(1e9, renewalAge)) }
+        const renewalAge = Math.round(Math.min(1e9, this.election.getRenewalAge()))
+        return { isOwner: this.election.isOwner(), renewalAge }
       },
       storeSubmission: submission => this.gateway.storeSubmission(submission),
       storeCancellation: jobId => this.gateway.storeCancellation(jobId),
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -114,9 +114,9 @@
     return this.lease.getState() === 'acquiring'
   }
 
-  /** Returns the monotonic time of the last successful renewal. */
-  getRenewedAt (): number {
-    return this.lease.getRenewedAt()
+  /** Returns the milliseconds since the last successful renewal, Infinity when this process is not the owner. */
+  getRenewalAge (): number {
+    return this.lease.getRenewalAge()
   }
 
   /** Takes part in the election until it is stopped. */
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -44,8 +44,8 @@
   /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
   assignmentsStoredSince: number | null
   createWorkerClient (entry: WorkerEntry): WorkerClient
-  /** Returns the monotonic time of the last successful renewal of the ownership. */
-  getRenewedAt (): number
+  /** Returns the milliseconds since the last successful renewal of the ownership. */
+  getRenewalAge (): number
   onDeposed (reason: string): void
 }
 
@@ -397,7 +397,7 @@
   }
 
   private getRenewalAge (): number {
-    return this.now() - this.options.getRenewedAt()
+    return this.options.getRenewalAge()
   }
 
   private now (): number {
--- a/src/instance/workerAddress.test.ts
+++ b/src/instance/workerAddress.test.ts
@@ -45,7 +45,7 @@
       },
       close: () => { closed.push(address) }
     }) as unknown as WorkerClient,
-    getRenewedAt: () => clock.monotonicMilliseconds(),
+    getRenewalAge: () => 0,
     onDeposed: () => {}
   })
   dispatcher.run()
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -94,6 +94,8 @@
   private state: ShardLeaseState = 'observing'
   private fence: Fence | null = null
   private renewedAt = -Infinity
+  /** The time of day of the last successful renewal. */
+  private renewedAtWallTime = -Infinity
   private beat = 0
   private observedShard: Row | null = null
   private observedHeartbeat: Row | null = null
@@ -169,6 +171,17 @@
     return this.renewedAt
   }
 
+  /**
+   * Returns the time since the last successful renewal. The monotonic clock stands still while the machine is
+   * suspended, so the time of day counts when it says that more time has passed; a step of it costs some starts.
+   * @returns Milliseconds, Infinity when this process does not hold the lease.
+   */
+  getRenewalAge (): number {
+    const { clock } = this.options
+    return Math.max(
+      clock.monotonicMilliseconds() - this.renewedAt, clock.wallMilliseconds() - this.renewedAtWallTime)
+  }
+
   /**
    * Returns whether this process held the epoch and has relinquished it. An earlier process at the same address
    * is not covered: its epochs are unknown here.
@@ -213,6 +226,7 @@
   async acquire (options: { ownerHasTerminated?: boolean } = {}): Promise<boolean> {
     const earliestTakeover = options.ownerHasTerminated === true ? this.observedSince : this.getEarliestTakeoverTime()
     const sentAt = this.options.clock.monotonicMilliseconds()
+    const sentAtWallTime = this.options.clock.wallMilliseconds()
     if (earliestTakeover === null || sentAt < earliestTakeover || !this.advance('acquire')) return false
     const { shardId, owner, address, region } = this.options
     const epoch = (this.getObservedOwner()?.epoch ?? 0) + 1
@@ -254,6 +268,7 @@
     this.assignmentsStoredSince = assignmentsStoredSince
     this.fence = { epoch, rowVersion }
     this.renewedAt = sentAt
+    this.renewedAtWallTime = sentAtWallTime
     this.beat = 0
     return true
   }
@@ -283,6 +298,7 @@
     if (this.fence !== null) this.relinquishedEpochs.add(this.fence.epoch)
     this.fence = null
     this.renewedAt = -Infinity
+    this.renewedAtWallTime = -Infinity
     this.observedSince = null
     this.advance(event)
   }
@@ -302,6 +318,7 @@
     if (fence === null) return 'deposed'
     const { shardId, owner } = this.options
     const sentAt = this.options.clock.monotonicMilliseconds()
+    const sentAtWallTime = this.options.clock.wallMilliseconds()
     const value: HeartbeatRow = { owner, epoch: fence.epoch, beat: ++this.beat, summary, released }
     const transaction: Transaction = {
       operations: [
@@ -319,7 +336,10 @@
     // While the write was in flight, this process may have been deposed and may have become owner again.
     if (this.fence !== fence) return 'deposed'
     if (outcome.kind === 'committed') {
-      this.renewedAt = Math.max(this.renewedAt, sentAt)
+      if (sentAt >= this.renewedAt) {
+        this.renewedAt = sentAt
+        this.renewedAtWallTime = sentAtWallTime
+      }
       return 'renewed'
     }
     if (outcome.kind !== 'conflict') return 'unsettled'
--- a/tools/simulation/SimulatedProcess.ts
+++ b/tools/simulation/SimulatedProcess.ts
@@ -46,6 +46,7 @@
   freezeBeforeWriteMilliseconds = 0
   private alive = true
   private frozenUntil = 0
+  private suspendedMilliseconds = 0
   private readonly deferredActions: Array<() => void> = []
 
   private constructor (private readonly options: SimulatedProcessOptions) {}
@@ -84,6 +85,12 @@
     })
   }
 
+  /** Freezes the process like a suspended machine: its monotonic clock does not count the time. */
+  suspend (durationMilliseconds: number): void {
+    this.freeze(durationMilliseconds)
+    this.suspendedMilliseconds += durationMilliseconds
+  }
+
   /** Runs an action at once, after the process wakes if it is frozen, or never if it was killed. */
   runWhenAwake (action: () => void): void {
     if (!this.alive) return
@@ -93,7 +100,7 @@
 
   /** The clock of the process; its timers do not fire while the process is frozen. */
   readonly clock: Clock = {
-    monotonicMilliseconds: () => this.options.clock.monotonicMilliseconds(),
+    monotonicMilliseconds: () => this.options.clock.monotonicMilliseconds() - this.suspendedMilliseconds,
     wallMilliseconds: () => this.options.clock.wallMilliseconds(),
     setTimer: (delay, callback): CancelTimer => {
       let cancelled = false
