Load a shard in spite of a malformed row of learned effects

Cause: the load imported what an earlier owner had learned without a check, so a malformed row made each load fail, and the shard had no owner that starts anything. Found while reading where a confined error would repeat for ever.

Change: the import is an activity of its own; the owner learns anew.

Result: the new test of unexpectedErrors.test.ts fails before the change (the job is not known to the successor) and passes after it.

--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -212,7 +212,10 @@
     const rows = await loadShardRows(this.options)
     if (rows === null || this.stopped) return false
     const { jobs, learned, unreachedReadAt } = rows
-    if (learned !== null) this.engine.advisor.import(learned.value as unknown as LearnedEffects)
+    if (learned !== null) {
+      this.options.errors.run('learned-row', () =>
+        this.engine.advisor.import(learned.value as unknown as LearnedEffects))
+    }
     const now = this.now()
     const progressByJobId = new Map(rows.progress.map(row => [row.key, row]))
     for (const [jobId, { value }] of progressByJobId) {
--- a/src/instance/unexpectedErrors.test.ts
+++ b/src/instance/unexpectedErrors.test.ts
@@ -6,6 +6,7 @@
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
+import { LEARNED_TABLE } from './jobRows.js'
 
 const JOB_COUNT = 20
 const TASKS_PER_JOB = 4
@@ -79,3 +80,24 @@
     assert.deepEqual([...new Set(states)], ['completed'])
   })
 }
+
+test('a malformed row of learned effects does not keep a successor from loading the shard', async () => {
+  const clock = VirtualClock.create()
+  const site = EmulatedSite.create({
+    clock, random: createRandom(7), instanceCount: 2, workerCount: 4, allowsUnexpectedErrors: true
+  })
+  await clock.advance(3000)
+  site.tables.apply({
+    operations: [
+      { kind: 'put', table: LEARNED_TABLE, key: 'site', value: { desk: { effects: 5 } }, condition: { kind: 'any' } }
+    ]
+  })
+  site.replaceInstance(site.getOwner()!, 500)
+  await clock.advance(4000)
+  const submitted = submitJobs(site)
+  await clock.advance(20_000)
+  await submitted
+  const state = site.getOwner()!.instance.ownerApi.getJobState('check0')
+  for (const worker of site.workers.values()) worker.shutDown()
+  assert.equal(state, 'completed')
+})
