Keep jobs as changed whose progress cannot be encoded

Cause: since errors of the progress writer are confined, jobs that were taken for a batch left the changed ones when the batch could not be created. The next batch then counted as complete, and the ended runs of these jobs were acknowledged without durable progress; a successor would start them again.

Change: they are marked as changed again before the error is confined.

Result: the new test of ProgressWriter.test.ts fails before the change (completion 1 counts as durable) and passes after it.

--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -4,9 +4,10 @@
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine } from '../dispatch/index.js'
+import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import type { TableService } from '../table/TableService.js'
+import type { TableService, Transaction } from '../table/TableService.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
 function createEngine () {
@@ -57,3 +58,43 @@
   await clock.advance(5000)
   assert.equal(worker.durableCompletion, 0)
 })
+
+test('an ended run is not acknowledged while the progress of its job cannot be encoded', async () => {
+  const clock = VirtualClock.create(1000)
+  const { engine, worker } = createEngine()
+  const activities: string[] = []
+  const writer = ProgressWriter.create({
+    shardId: 'site',
+    engine,
+    fence: { epoch: 1, rowVersion: 1 },
+    tableService: {
+      read: async () => ({ kind: 'ok', value: null }),
+      transact: async ({ operations }: Transaction) => ({ kind: 'committed', versions: operations.map(() => 1) })
+    } as unknown as TableService,
+    clock,
+    logger: silentLogger,
+    errors: ErrorBoundary.create({ clock, logger: silentLogger, onError: activity => activities.push(activity) }),
+    onDurable: () => {},
+    onDeposed: () => {}
+  })
+  const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
+  engine.applyReport(worker, report, 0, 1000)
+  engine.plan(1000, 1000, true)
+  const [order] = engine.takeOrders()
+  assert.ok(order.kind === 'start')
+  const { task, attempt } = order.run
+  engine.applyReport(worker, {
+    ...report, ended: [{ number: 1, taskName: task.name, attempt, end: 'done', checkpoint: '' }]
+  }, 1010, 1020)
+  const { job } = task.step.occurrence
+  const { occurrences } = job
+  job.occurrences = null as never
+  writer.run()
+  await clock.advance(500)
+  assert.equal(worker.durableCompletion, 0)
+  assert.deepEqual([...new Set(activities)], ['progress-write'])
+  job.occurrences = occurrences
+  await clock.advance(500)
+  writer.stop()
+  assert.equal(worker.durableCompletion, 1)
+})
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -237,8 +237,19 @@
   }
 
   private takeBatch (): Batch {
+    const { jobs } = this.options.engine
+    const changed = jobs.takeChanged(JOBS_PER_BATCH)
+    try {
+      return this.createBatch(changed)
+    } catch (error) {
+      // A job that left the changed jobs without being written would let its ended runs be acknowledged.
+      for (const job of changed) jobs.markChanged(job)
+      throw error
+    }
+  }
+
+  private createBatch (jobs: JobRecord[]): Batch {
     const { engine, shardId, fence, clock } = this.options
-    const jobs = engine.jobs.takeChanged(JOBS_PER_BATCH)
     const isComplete = engine.jobs.changedCount === 0
     const writeId = createIdentifier()
     const operations: Operation[] = [
