Apply a completion again after its application failed

Cause: since errors of a report are confined, a completion whose application throws counted as applied, and its run was removed. It would be acknowledged without its effect, and the task would start again although it had ended.

Change: the completion counts as applied afterwards, and its run is kept after an error, so that its task does not start before the worker repeats it.

--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -40,8 +40,8 @@
   let changed = false
   for (const ended of report.ended) {
     if (ended.number <= worker.appliedCompletion) continue
+    applyCompletionOrRestore(worker, ended, context)
     worker.appliedCompletion = ended.number
-    applyCompletion(worker, ended, context)
     changed = true
   }
   const listed = new Set<string>()
@@ -116,6 +116,20 @@
   return run
 }
 
+/**
+ * Applies a completion; after an unexpected error its run is kept, so that the task does not start again before the
+ * worker repeats the completion.
+ */
+function applyCompletionOrRestore (worker: WorkerRecord, ended: ListedCompletion, context: ReportContext): void {
+  const run = worker.runs.get(getRunKey(ended.taskName, ended.attempt))
+  try {
+    applyCompletion(worker, ended, context)
+  } catch (error) {
+    if (run !== undefined && !run.task.runs.includes(run)) addRun(worker, run)
+    throw error
+  }
+}
+
 function applyCompletion (worker: WorkerRecord, ended: ListedCompletion, context: ReportContext): void {
   const run = worker.runs.get(getRunKey(ended.taskName, ended.attempt))
   if (run !== undefined) removeRun(worker, run, context.now)
