--- a/src/dispatch/WorkerCosts.ts
+++ b/src/dispatch/WorkerCosts.ts
@@ -51,8 +51,9 @@
     const computed = costs.get(worker)
     const { changeCount } = worker
     const { revision } = advisor
-    if (computed !== undefined && computed.changeCount === changeCount && computed.revision === revision &&
-      computed.emptyWorkerCost === emptyWorkerCost) return computed.cost
+    const isCurrent = computed !== undefined && computed.changeCount === changeCount &&
+      computed.revision === revision && computed.emptyWorkerCost === emptyWorkerCost
+    if (isCurrent) return computed.cost
     this.computations++
     const cost = getWorkerCost(worker, task, emptyWorkerCost, advisor)
     if (computed === undefined) costs.set(worker, { cost, changeCount, emptyWorkerCost, revision })
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -75,8 +75,9 @@
   let starts = largeJobStarts
   for (const job of ranked) {
     if (plan.isFull) break
-    const placed = plan.placeWithin(Infinity, () => placeJob(job, context))
-    if (!hasLongRunningStep(job)) starts += placed
+    const countBefore = plan.startCount
+    placeJob(job, context)
+    if (!hasLongRunningStep(job)) starts += plan.startCount - countBefore
   }
   share.recordStarts(starts, largeJobStarts)
 }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -2,10 +2,9 @@
   DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry
 } from '../dispatch/index.js'
 import { decodeProgress } from '../jobs/index.js'
-import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
+import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
-import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
@@ -13,9 +12,10 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelledJobId, isFinishedJob, JOB_TABLE, LEARNED_TABLE
+  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelledJobId, isFinishedJob, JOB_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { LearnedEffectsWriter } from './LearnedEffectsWriter.js'
 import { loadShardRows } from './loadShardRows.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { OrderSender } from './OrderSender.js'
@@ -68,13 +68,12 @@
 const LIVENESS_CHECK_MILLISECONDS = 400
 /** After this time a check of the living workers counts as lost, and the next one begins. */
 const LONGEST_LIVENESS_CHECK_MILLISECONDS = 5000
-/** Interval at which learned interference is stored: a new owner loses at most this much of it. */
-const LEARNED_STORE_MILLISECONDS = 4000
 
 /** Runs one shard as its owner: loads its jobs, renews worker leases, sends orders, and stores progress. */
 export class ShardDispatcher {
   readonly engine: DispatchEngine
   private readonly writer: ProgressWriter
+  private readonly learnedEffectsWriter: LearnedEffectsWriter
   private readonly cleaner: FinishedJobCleaner
   private readonly sender: OrderSender
   private readonly registry: WorkerRegistry
@@ -86,7 +85,6 @@
   private draining = false
   private planScheduled = false
   private nextLivenessCheckAt = 0
-  private nextLearnedStoreAt = 0
   private cancelTick: () => void = () => {}
   private loaded = false
 
@@ -96,6 +94,7 @@
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.cleaner = FinishedJobCleaner.create(options)
+    this.learnedEffectsWriter = LearnedEffectsWriter.create({ ...options, engine: this.engine })
     this.sender = OrderSender.create({
       ...options,
       engine: this.engine,
@@ -316,9 +315,7 @@
     if (now >= this.nextLivenessCheckAt) {
       errors.runAsync('liveness-check', async () => await this.checkUnresponsiveWorkers())
     }
-    if (now >= this.nextLearnedStoreAt) {
-      errors.runAsync('learned-write', async () => await this.storeLearnedEffects())
-    }
+    this.learnedEffectsWriter.storeIfDue(now)
   }
 
   private runPeriodicTasks (now: number): void {
@@ -329,27 +326,6 @@
     this.registry.unregister(removedWorkerIds)
   }
 
-  private async storeLearnedEffects (): Promise<void> {
-    this.nextLearnedStoreAt = this.now() + LEARNED_STORE_MILLISECONDS
-    const learned = this.engine.advisor.export()
-    if (Object.keys(learned).length === 0) return
-    const { shardId, fence, tableService, logger } = this.options
-    const outcome = await tableService.transact({
-      operations: [
-        {
-          kind: 'put',
-          table: LEARNED_TABLE,
-          key: shardId,
-          value: learned as unknown as JsonValue,
-          condition: { kind: 'any' }
-        },
-        { kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion } }
-      ]
-    })
-    // No retry is needed, because the next write replaces this one.
-    if (outcome.kind !== 'committed') logger.info('learned interference not stored', { outcome: outcome.kind })
-  }
-
   /** Asks the platform which worker processes are alive, if any that may run tasks do not respond. */
   private async checkUnresponsiveWorkers (): Promise<void> {
     const unresponsiveWorkers = this.engine.getUnresponsiveWorkers()
