--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -3,7 +3,7 @@
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
-import { DispatchEngine } from '../dispatch/index.js'
+import { DispatchEngine, type WorkerRecord } from '../dispatch/index.js'
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
@@ -22,6 +22,20 @@
   return { engine, worker }
 }
 
+/** Starts a task on the worker and applies the report that it is done. */
+function runTaskToItsEnd (engine: DispatchEngine, worker: WorkerRecord) {
+  const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
+  engine.applyReport(worker, report, 0, 1000)
+  engine.plan(1000, 1000, true)
+  const [order] = engine.takeOrders()
+  assert.ok(order.kind === 'start')
+  const { task, attempt } = order.run
+  engine.applyReport(worker, {
+    ...report, ended: [{ number: 1, taskName: task.name, attempt, end: 'done', checkpoint: '' }]
+  }, 1010, 1020)
+  return task
+}
+
 /** A store that serves reads and is unavailable for all writes. */
 const refusingStore = {
   read: async () => ({ kind: 'ok', value: null }),
@@ -42,15 +56,7 @@
     onDurable: () => {},
     onDeposed: () => {}
   })
-  const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
-  engine.applyReport(worker, report, 0, 1000)
-  engine.plan(1000, 1000, true)
-  const [order] = engine.takeOrders()
-  assert.ok(order.kind === 'start')
-  const { run } = order
-  engine.applyReport(worker, {
-    ...report, ended: [{ number: 1, taskName: run.task.name, attempt: run.attempt, end: 'done', checkpoint: '' }]
-  }, 1010, 1020)
+  runTaskToItsEnd(engine, worker)
   writer.run()
   await clock.advance(500)
   assert.equal(worker.durableCompletion, 0)
@@ -77,15 +83,7 @@
     onDurable: () => {},
     onDeposed: () => {}
   })
-  const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
-  engine.applyReport(worker, report, 0, 1000)
-  engine.plan(1000, 1000, true)
-  const [order] = engine.takeOrders()
-  assert.ok(order.kind === 'start')
-  const { task, attempt } = order.run
-  engine.applyReport(worker, {
-    ...report, ended: [{ number: 1, taskName: task.name, attempt, end: 'done', checkpoint: '' }]
-  }, 1010, 1020)
+  const task = runTaskToItsEnd(engine, worker)
   const { job } = task.step.occurrence
   const { occurrences } = job
   job.occurrences = null as never
