Take ports for the review scripts from below those of outgoing connections

Cause: five scripts that began at the same moment took the same free port, and one of them ended with 2.

--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -38,12 +38,21 @@
   })
 }
 
-/** Returns free ports, all different. */
+/** The ports that are tried; systems take those of outgoing connections from above. */
+const FIRST_PORT = 11_000
+const LAST_PORT = 31_000
+
+/** Returns free ports, all different, that no outgoing connection takes before they are used. */
 export async function findPorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise((resolve, reject) => {
+  const servers = []
+  while (servers.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT))
     const server = createServer()
-    server.once('error', reject).listen(0, '127.0.0.1', () => resolve(server))
-  })))
+    const isFree = await new Promise(resolve => {
+      server.once('error', () => resolve(false)).listen(port, '127.0.0.1', () => resolve(true))
+    })
+    if (isFree) servers.push(server)
+  }
   const ports = servers.map(server => server.address().port)
   await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
   return ports
