--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -9,9 +9,12 @@
 const capacity = { cpu: 32_000, memMb: 128_000, gpu: 0 }
 const runners = Array.from({ length: 12 }, (_, index) => ({ capacity, labels: ['a', `r1-${index % 3}`] }))
 
+/** With `TROUBLE=0` the case is played without its disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
+
 await runCase(dirname(fileURLToPath(import.meta.url)), {
   instances: [{}, {}, {}], runners
-}, async (site, isTroubled) => {
+}, async site => {
   const step = { memMb: 10, estimateMs: 6000 }
   const count = isTroubled ? WIDE_TASKS : USUAL_TASKS
   const large = { taskSpec: 'ms=9000 saves', steps: [{ ...step, count, cpu: 100, checkpointing: true }] }
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -16,9 +16,12 @@
 const MACHINES = 2
 const runners = Array.from({ length: 10 }, () => ({}))
 
+/** With `TROUBLE=0` the case is played without its disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
+
 await runCase(dirname(fileURLToPath(import.meta.url)), {
   instances: [{}, {}, {}, {}], runners, restartMs: RESTART_MS
-}, async (site, isTroubled) => {
+}, async site => {
   const waves = [...WAVES_MS]
   const begin = performance.now()
   const hasFault = () => site.instances.filter(({ ownEnds }) => ownEnds >= ENDS).length >= MACHINES
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -281,7 +281,7 @@
 
 /**
  * Runs a case and ends with its status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
- * @param play Plays the case; `isTroubled` is false with `TROUBLE=0`. It returns nothing, or `cannot run` and why.
+ * @param play Plays the case. It returns nothing, or why the case cannot run.
  */
 export async function runCase (folder, options, play) {
   let site = null
@@ -304,7 +304,7 @@
         const answers = await Promise.all(site.instances.map(({ ready }) => call(ready, 'GET', '/v1/ready', { timeoutMs: 500 })))
         return answers.every(answer => answer?.status === 200)
       })
-    const failure = isReady ? await play(site, process.env.TROUBLE !== '0') : 'the processes did not become ready'
+    const failure = isReady ? await play(site) : 'the processes did not become ready'
     clearTimeout(limit)
     const { violations } = site.log
     site.log.write(failure !== undefined ? `cannot run: ${failure}` : violations.length > 0 ? `broken: ${violations.length}` : 'held')
