--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -23,7 +23,7 @@
     engine.applyReport(worker, EMPTY_REPORT, 0, 1)
   }
   const submission: JobSubmission = createSubmission(steps, { attemptLimit })
-  engine.jobs.add({ submission, progress: null, recovered: false }, 0)
+  engine.jobs.add({ submission, progress: [], recovered: false }, 0)
   return engine
 }
 
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -328,7 +328,7 @@
     task.nextAttempt = attempt + 1
     if (task.step.specification.longRunning) {
       task.assignedWorkerId = worker.entry.workerId
-      this.jobs.markChanged(task.step.occurrence.job)
+      this.jobs.markTaskChanged(task)
     }
     addRun(worker, run)
     this.orders.start(worker, run)
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,8 +1,8 @@
 import {
-  decodeProgress, findTask, getOccurrence, getOccurrenceCount, hasLongRunningStep, restoreProgress, type FinalJobState,
-  type JobRecord, type JobState, type JobSubmission, type TaskRecord
+  createJobRecord, findTask, getOccurrence, getOccurrenceCount, getOccurrenceSegment, getProgressSegment,
+  getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord, type JobState,
+  type JobSubmission, type ProgressSegment, type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
-import type { JsonValue } from '../shared/JsonValue.js'
 import { WaitingRestarts } from './WaitingRestarts.js'
 
 /** How long a durable final state can be queried before it is removed. */
@@ -14,8 +14,8 @@
 /** A job to add that was loaded from the store or newly accepted. */
 export interface NewJob {
   submission: JobSubmission
-  /** The stored progress row; null for none. */
-  progress: JsonValue | null
+  /** The stored rows of the job's progress. */
+  progress: readonly StoredProgressRow[]
   /** Whether an earlier owner accepted the job. */
   recovered: boolean
   /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
@@ -27,7 +27,8 @@
   readonly waitingRestarts = WaitingRestarts.create()
   private readonly jobs = new Map<string, JobRecord>()
   private readonly finalStates = new Map<string, { state: FinalJobState, since: number }>()
-  private readonly changed = new Set<JobRecord>()
+  /** The segments with progress that is not durable yet, those first that changed first. */
+  private changed = new Set<ProgressSegment>()
 
   private constructor (private readonly epoch: number) {}
 
@@ -53,19 +54,11 @@
   add (added: NewJob, now: number): void {
     const { submission } = added
     if (this.jobs.has(submission.jobId) || this.finalStates.has(submission.jobId)) return
-    const job: JobRecord = {
-      submission,
-      occurrences: new Map(),
-      finishedOccurrences: new Set(),
-      hasStarted: false,
-      recovered: added.recovered,
-      hasStoredAssignments: !added.recovered || added.hasStoredAssignments === true,
-      finalState: null,
-      addedAt: now
-    }
-    if (added.progress !== null) restoreProgress(job, decodeProgress(added.progress), this.firstAttempt, now)
+    const job = createJobRecord({ ...added, now })
+    const moved = restoreProgress(job, added.progress, this.firstAttempt, now)
     if (job.finalState !== null) return this.setFinalState(submission.jobId, job.finalState, now)
     this.jobs.set(submission.jobId, job)
+    for (const segment of moved) this.markChanged(segment)
     this.waitingRestarts.addJob(job)
   }
 
@@ -94,11 +87,11 @@
     for (const job of this.jobs.values()) {
       if (!job.recovered) continue
       job.recovered = false
-      if (!job.hasStoredAssignments && hasLongRunningStep(job)) this.markChanged(job)
-      job.hasStoredAssignments = true
       for (const { steps } of job.occurrences.values()) {
         for (const step of steps) for (const task of step.tasks) task.earlierRuns = 'none'
       }
+      if (!job.hasStoredAssignments && hasLongRunningStep(job)) this.markAssignmentsChanged(job)
+      job.hasStoredAssignments = true
     }
   }
 
@@ -162,55 +155,82 @@
     task.done = true
     step.doneCount++
     occurrence.doneCount++
-    this.markChanged(job)
+    this.markChanged(getTaskSegment(task))
     if (occurrence.steps.some(other => other.doneCount < other.tasks.length)) return
     job.occurrences.delete(occurrence.number)
     job.finishedOccurrences.add(occurrence.number)
-    if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) job.finalState = 'completed'
+    this.markChanged(getOccurrenceSegment(job, occurrence.number))
+    if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) this.finish(job, 'completed')
   }
 
   /** Sets the final state of a job, which is reported to the submitter once it is durable. */
   finish (job: JobRecord, state: FinalJobState): void {
     if (job.finalState !== null) return
     job.finalState = state
-    this.markChanged(job)
+    for (const segment of job.progressSegments.values()) this.changed.delete(segment)
+    this.markChanged(getProgressSegment(job, 0))
+  }
+
+  /** Marks the segment of a task as having progress that is not durable yet. */
+  markTaskChanged (task: TaskRecord): void {
+    this.markChanged(getTaskSegment(task))
   }
 
-  /** Marks a job as having progress that is not durable yet. */
-  markChanged (job: JobRecord): void {
-    this.changed.add(job)
+  /**
+   * Marks a segment as having progress that is not durable yet. The first segment is stored with any other one, because
+   * its row tells callers that the job has started.
+   */
+  markChanged (segment: ProgressSegment): void {
+    const first = getProgressSegment(segment.job, 0)
+    this.changed.add(getChangedSegment(segment))
+    if (!first.isStored) this.changed.add(first)
   }
 
   /**
-   * Takes jobs whose progress must be made durable.
-   * @param limit The maximum number of jobs.
-   * @returns The jobs, which are no longer marked as changed.
+   * Marks segments again that were taken and not written; they precede those that have changed since.
+   * @param segments The segments, in the order in which they were taken.
    */
-  takeChanged (limit: number): JobRecord[] {
-    const taken: JobRecord[] = []
-    for (const job of this.changed) {
+  returnChanged (segments: readonly ProgressSegment[]): void {
+    this.changed = new Set([...segments.map(getChangedSegment), ...this.changed])
+  }
+
+  /**
+   * Takes segments whose progress must be made durable.
+   * @param limit The maximum number of segments.
+   * @returns The segments, which are no longer marked as changed.
+   */
+  takeChanged (limit: number): ProgressSegment[] {
+    const taken: ProgressSegment[] = []
+    for (const segment of this.changed) {
       if (taken.length === limit) break
-      taken.push(job)
-      this.changed.delete(job)
+      taken.push(segment)
+      this.changed.delete(segment)
     }
     return taken
   }
 
-  /** The number of jobs with progress that is not durable yet. */
+  /** The number of segments with progress that is not durable yet. */
   get changedCount (): number {
     return this.changed.size
   }
 
+  /** Counts the jobs with progress that is not durable yet. */
+  countChangedJobs (): number {
+    return new Set([...this.changed].map(({ job }) => job)).size
+  }
+
   /**
-   * Records that the encoded progress of jobs is durable.
-   * @param written The jobs and the final states that were written.
+   * Records that the encoded progress of segments is durable.
+   * @param written The segments and the final states that were written.
    * @param now The monotonic time.
    */
-  confirmDurable (written: Array<{ job: JobRecord, state: FinalJobState | null }>, now: number): void {
-    for (const { job, state } of written) {
+  confirmDurable (written: Array<{ segment: ProgressSegment, state: FinalJobState | null }>, now: number): void {
+    for (const { segment, state } of written) {
+      segment.isStored = true
+      const { job } = segment
       if (state === null) continue
       this.jobs.delete(job.submission.jobId)
-      this.changed.delete(job)
+      this.changed.delete(getProgressSegment(job, 0))
       this.setFinalState(job.submission.jobId, state, now)
     }
   }
@@ -229,4 +249,23 @@
     }
     return expired
   }
+
+  /** Marks all segments of a job that hold assignments, or hold in the store that these are unknown. */
+  private markAssignmentsChanged (job: JobRecord): void {
+    for (const { steps } of job.occurrences.values()) {
+      for (const step of steps) {
+        for (const task of step.tasks) if (task.assignedWorkerId !== null) getTaskSegment(task)
+      }
+    }
+    // The rows of the other segments are stored first, because the first one tells that the assignments are known.
+    const first = getProgressSegment(job, 0)
+    this.changed.delete(first)
+    for (const segment of job.progressSegments.values()) if (segment !== first) this.changed.add(segment)
+    this.changed.add(first)
+  }
+}
+
+/** Returns the segment to store for a change: that of the final state once the job has ended. */
+function getChangedSegment (segment: ProgressSegment): ProgressSegment {
+  return segment.job.finalState === null ? segment : getProgressSegment(segment.job, 0)
 }
--- a/src/dispatch/UnreachedWorkers.test.ts
+++ b/src/dispatch/UnreachedWorkers.test.ts
@@ -10,7 +10,7 @@
 /** Creates the engine of a second owner whose only worker has not been reached. */
 function createOwner () {
   const engine = DispatchEngine.create({ epoch: 2 })
-  engine.jobs.add({ submission: createSubmission([{}]), progress: null, recovered: true }, 0)
+  engine.jobs.add({ submission: createSubmission([{}]), progress: [], recovered: true }, 0)
   const worker = engine.setWorker(createWorkerEntry())
   worker.registered = true
   engine.unreconciled.add('worker-0', CERTAIN_END_MILLISECONDS)
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -91,8 +91,7 @@
 function recordAssignment (worker: WorkerRecord, task: TaskRecord, context: ReportContext): void {
   if (!task.step.specification.longRunning || task.assignedWorkerId === worker.entry.workerId) return
   task.assignedWorkerId = worker.entry.workerId
-  const { job } = task.step.occurrence
-  if (job.hasStoredAssignments) context.jobs.markChanged(job)
+  if (task.step.occurrence.job.hasStoredAssignments) context.jobs.markTaskChanged(task)
 }
 
 function isOverTarget (run: RunRecord): boolean {
@@ -150,7 +149,7 @@
   }
   if (ended.checkpoint !== '') {
     task.checkpoint = ended.checkpoint
-    if (isLive) context.jobs.markChanged(job)
+    if (isLive) context.jobs.markTaskChanged(task)
   }
   if (ended.end === 'failed') applyFailure(worker, task, ended.attempt, isLive, context)
 }
@@ -185,9 +184,11 @@
   if (!isLive || task.step.specification.longRunning) return
   // The members of a gang fail together, with the same attempt number.
   const members = task.step.specification.gang ? task.step.tasks : [task]
-  for (const member of members) member.failedAttempts.add(attempt)
+  for (const member of members) {
+    member.failedAttempts.add(attempt)
+    context.jobs.markTaskChanged(member)
+  }
   const { job } = task.step.occurrence
-  context.jobs.markChanged(job)
   if (task.failedAttempts.size >= job.submission.attemptLimit) context.failJob(job)
 }
 
--- a/src/dispatch/earlierRuns.test.ts
+++ b/src/dispatch/earlierRuns.test.ts
@@ -20,7 +20,7 @@
   const engine = DispatchEngine.create({ epoch: 2 })
   engine.jobs.add({
     submission: createSubmission(steps),
-    progress: (progress ?? null) as JsonValue,
+    progress: progress === undefined ? [] : [{ key: 'job', version: 1, value: progress as JsonValue }],
     recovered: true,
     hasStoredAssignments
   }, 0)
@@ -96,12 +96,12 @@
 
 test('the assignment of a long-running task is part of the progress that is stored before its start', () => {
   const engine = DispatchEngine.create({ epoch: 1 })
-  engine.jobs.add({ submission: createSubmission([{ longRunning: true }]), progress: null, recovered: false }, 0)
+  engine.jobs.add({ submission: createSubmission([{ longRunning: true }]), progress: [], recovered: false }, 0)
   engine.setWorker(createWorkerEntry()).registered = true
   report(engine, 'worker-0')
   assert.deepEqual(planTasks(engine), ['job.0.0.0'])
-  const [job] = engine.jobs.takeChanged(1)
-  assert.deepEqual(encodeProgress(job, 0), { assigned: { '0.0.0': 'worker-0' } })
+  const [segment] = engine.jobs.takeChanged(1)
+  assert.deepEqual(encodeProgress(segment, 0), { assigned: { '0.0.0': 'worker-0' } })
 })
 
 test('the assignments of an owner that stored none are stored once all its workers are reconciled', () => {
@@ -109,6 +109,6 @@
   report(engine, 'worker-1', [createRow('job.0.0.0')])
   assert.equal(engine.jobs.changedCount, 0)
   report(engine, 'worker-0')
-  const [job] = engine.jobs.takeChanged(1)
-  assert.deepEqual(encodeProgress(job, 0), { assigned: { '0.0.0': 'worker-1' } })
+  const [segment] = engine.jobs.takeChanged(1)
+  assert.deepEqual(encodeProgress(segment, 0), { assigned: { '0.0.0': 'worker-1' } })
 })
--- a/src/dispatch/interruptedReports.test.ts
+++ b/src/dispatch/interruptedReports.test.ts
@@ -8,7 +8,7 @@
 
 test('a completion whose application fails with an unexpected error is applied when the worker repeats it', () => {
   const engine = DispatchEngine.create({ epoch: 1 })
-  engine.jobs.add({ submission: createSubmission([{}]), progress: null, recovered: false }, 0)
+  engine.jobs.add({ submission: createSubmission([{}]), progress: [], recovered: false }, 0)
   const [worker] = ['worker-0', 'worker-1'].map(workerId => {
     const added = engine.setWorker(createWorkerEntry({ workerId }))
     added.registered = true
@@ -38,6 +38,6 @@
   engine.jobs.markDone = markDone
   engine.applyReport(owner, report, 40, 42)
   assert.deepEqual([owner.appliedCompletion, owner.runs.size, worker.runs.size], [1, 0, 0])
-  assert.deepEqual(engine.jobs.takeChanged(10).map(job => job.finalState), ['completed'])
+  assert.deepEqual(engine.jobs.takeChanged(10).map(({ job }) => job.finalState), ['completed'])
   assert.deepEqual(takeStarts(50), [])
 })
--- a/src/dispatch/largeJobs.test.ts
+++ b/src/dispatch/largeJobs.test.ts
@@ -56,7 +56,7 @@
           [{ taskCount: width, memoryMegabytes: 100, estimateMilliseconds: TASK_MILLISECONDS }],
           { jobId, acceptedAtMilliseconds: now, targetLatencyMilliseconds: 1000 }
         ),
-        progress: null,
+        progress: [],
         recovered: false
       }, now)
     }
@@ -83,10 +83,11 @@
       unsentStarts--
       engine.applyStartOutcome(order.worker, order.run, { kind: 'accepted', workerMilliseconds: now }, now)
     }
-    for (const job of engine.jobs.takeChanged(1000)) {
+    for (const segment of engine.jobs.takeChanged(1000)) {
+      const { job } = segment
       if (job.finalState !== 'completed') continue
       played.get(job.submission.jobId)!.completedAt = now
-      engine.jobs.confirmDurable([{ job, state: job.finalState }], now)
+      engine.jobs.confirmDurable([{ segment, state: job.finalState }], now)
     }
   }
   return [...played.values()]
--- a/src/dispatch/lostRuns.test.ts
+++ b/src/dispatch/lostRuns.test.ts
@@ -18,7 +18,7 @@
   }
   engine.jobs.add({
     submission: createSubmission([step]),
-    progress: null,
+    progress: [],
     recovered
   }, 0)
   return engine
--- a/src/dispatch/manyUnreachableWorkers.test.ts
+++ b/src/dispatch/manyUnreachableWorkers.test.ts
@@ -10,7 +10,7 @@
 
 test('a takeover does not restart the wait for any of many unreachable workers', () => {
   const engine = DispatchEngine.create({ epoch: 2 })
-  engine.jobs.add({ submission: createSubmission([{}]), progress: null, recovered: true }, 0)
+  engine.jobs.add({ submission: createSubmission([{}]), progress: [], recovered: true }, 0)
   for (let index = 0; index < UNREACHABLE_COUNT; index++) {
     const workerId = `worker-${index}`
     const worker = engine.setWorker(createWorkerEntry({ workerId }))
--- a/src/dispatch/rankJobs.test.ts
+++ b/src/dispatch/rankJobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createStep } from '../../stand-ins/platform/createStep.js'
-import { createOccurrence, type JobRecord, type StepSpecification } from '../jobs/index.js'
+import { createJobRecord, createOccurrence, type JobRecord, type StepSpecification } from '../jobs/index.js'
 import { getUrgency, rankJobs } from './rankJobs.js'
 
 interface TestJob {
@@ -12,7 +12,8 @@
 }
 
 function createJob ({ jobId, acceptedAtMilliseconds, steps, priority = 2 }: TestJob): JobRecord {
-  const job: JobRecord = {
+  const job = createJobRecord({
+    now: 0,
     submission: {
       jobId,
       queueName: 'queue',
@@ -25,15 +26,8 @@
       specification: {
         taskDescription: '', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
       }
-    },
-    occurrences: new Map(),
-    finishedOccurrences: new Set(),
-    hasStarted: false,
-    recovered: false,
-    hasStoredAssignments: false,
-    finalState: null,
-    addedAt: 0
-  }
+    }
+  })
   job.occurrences.set(0, createOccurrence(job, 0, 1, 0))
   return job
 }
--- a/src/dispatch/restarts.test.ts
+++ b/src/dispatch/restarts.test.ts
@@ -22,7 +22,7 @@
   engine: DispatchEngine, jobId: string, step: Partial<StepSpecification>, submission: Partial<JobSubmission> = {}
 ): void {
   const job = createSubmission([step], { jobId, ...submission })
-  engine.jobs.add({ submission: job, progress: null, recovered: false }, 0)
+  engine.jobs.add({ submission: job, progress: [], recovered: false }, 0)
   engine.markDirty()
 }
 
--- a/src/dispatch/storedOccurrences.test.ts
+++ b/src/dispatch/storedOccurrences.test.ts
@@ -2,19 +2,20 @@
 import { test } from 'node:test'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
-import { encodeProgress } from '../jobs/index.js'
+import { encodeProgress, getProgressSegment } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import { DispatchEngine, type WorkerReport } from './index.js'
 
 const CERTAIN_END_MILLISECONDS = 6300
 const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
-function createOwner (epoch: number, progress: JsonValue, hasStoredAssignments: boolean): DispatchEngine {
+function createOwner (epoch: number, progress: JsonValue | null, hasStoredAssignments: boolean): DispatchEngine {
   const engine = DispatchEngine.create({ epoch })
   const submission = createSubmission([{ longRunning: true }])
   submission.specification.repeatCount = 2
   submission.specification.intervalMilliseconds = 1
-  engine.jobs.add({ submission, progress, recovered: true, hasStoredAssignments }, 0)
+  const stored = progress === null ? [] : [{ key: submission.jobId, version: 1, value: progress }]
+  engine.jobs.add({ submission, progress: stored, recovered: true, hasStoredAssignments }, 0)
   for (const workerId of ['worker-0', 'worker-1']) {
     engine.setWorker(createWorkerEntry({ workerId })).registered = true
     engine.unreconciled.add(workerId, CERTAIN_END_MILLISECONDS)
@@ -28,7 +29,7 @@
   const running = [{ taskName: 'job.0.0.0', attempt: 1, checkpoint: '', percent: 0, usageFigure: 0 }]
   upgraded.applyReport(upgraded.workers.get('worker-1')!, { ...EMPTY_REPORT, running }, 10, 20)
   const job = upgraded.jobs.getJob('job')!
-  const successor = createOwner(3, encodeProgress(job, 0) as unknown as JsonValue, true)
+  const successor = createOwner(3, encodeProgress(getProgressSegment(job, 0), 0) as unknown as JsonValue, true)
   successor.applyReport(successor.workers.get('worker-1')!, { ...EMPTY_REPORT, running }, 10, 20)
   successor.plan(30, 30, true)
   assert.equal(successor.unreconciled.getExpiries().has('worker-0'), true)
--- a/src/dispatch/unacknowledgedEnds.test.ts
+++ b/src/dispatch/unacknowledgedEnds.test.ts
@@ -19,7 +19,7 @@
 function createOwner (epoch: number): DispatchEngine {
   const engine = DispatchEngine.create({ epoch })
   const submission = createSubmission([{}, { afterSteps: [0] }])
-  engine.jobs.add({ submission, progress: null, recovered: epoch > 1 }, 0)
+  engine.jobs.add({ submission, progress: [], recovered: epoch > 1 }, 0)
   for (const workerId of ['worker-0', 'worker-1', 'worker-2', 'worker-3']) {
     engine.setWorker(createWorkerEntry({ workerId })).registered = true
     if (epoch > 1) engine.unreconciled.add(workerId, CERTAIN_END_MILLISECONDS)
--- a/src/dispatch/waitingRestarts.test.ts
+++ b/src/dispatch/waitingRestarts.test.ts
@@ -28,7 +28,7 @@
     watch: [{ taskCount: 5, longRunning: true }],
     gang: [{ taskCount: 2, longRunning: true, gang: true }],
     short: [{ taskCount: 6 }]
-  })) engine.jobs.add({ submission: createSubmission(steps, { jobId }), progress: null, recovered: false }, 0)
+  })) engine.jobs.add({ submission: createSubmission(steps, { jobId }), progress: [], recovered: false }, 0)
   return engine
 }
 
--- a/src/instance/FinishedJobCleaner.ts
+++ b/src/instance/FinishedJobCleaner.ts
@@ -2,7 +2,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { Operation, TableService } from '../table/TableService.js'
-import { FINISHED_JOB_VALUE, getCancelKey, getPartition, JOB_TABLE } from './jobRows.js'
+import { FINISHED_JOB_VALUE, getCancelKey, getPartition, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 
 /** Options of a cleaner. */
 export interface FinishedJobCleanerOptions {
@@ -16,14 +16,18 @@
 const CLEANUP_INTERVAL_MILLISECONDS = 2000
 /** A transaction holds 100 entries; a job takes two. */
 const JOBS_PER_WRITE = 45
+/** The progress rows that are deleted in one transaction. */
+const PROGRESS_ROWS_PER_WRITE = 90
 
 /**
- * Empties the rows of jobs whose final state is durable, so that a new owner does not read their submissions.
+ * Empties the rows of jobs whose final state is durable, so that a new owner does not read their submissions, and
+ * deletes the rows of their progress beside the one with the final state.
  *
  * The empty row stays, so that a copy of the submission that arrives later does not start the job again.
  */
 export class FinishedJobCleaner {
   private readonly jobsByPartition = new Map<string, Map<string, boolean>>()
+  private readonly progressKeys = new Set<string>()
   private cancelTimer: () => void = () => {}
   private stopped = false
 
@@ -46,11 +50,16 @@
     this.jobsByPartition.set(partition, partitionJobs)
   }
 
+  /** Queues the progress rows of jobs whose final state is durable, without the rows that hold it. */
+  addProgressRows (keys: Iterable<string>): void {
+    for (const key of keys) this.progressKeys.add(key)
+  }
+
   /** Starts emptying queued rows at intervals. */
   start (): void {
     if (this.stopped) return
     this.cancelTimer = this.options.clock.setTimer(CLEANUP_INTERVAL_MILLISECONDS, () => {
-      this.options.errors.runAsync('job-cleanup', async () => await this.emptyRows()).then(() => this.start())
+      this.options.errors.runAsync('job-cleanup', async () => await this.cleanUp()).then(() => this.start())
     })
   }
 
@@ -60,6 +69,25 @@
     this.cancelTimer()
   }
 
+  private async cleanUp (): Promise<void> {
+    await this.emptyRows()
+    await this.deleteProgressRows()
+  }
+
+  private async deleteProgressRows (): Promise<void> {
+    while (!this.stopped && this.progressKeys.size > 0) {
+      const batch = [...this.progressKeys].slice(0, PROGRESS_ROWS_PER_WRITE)
+      const operations = batch.map((key): Operation =>
+        ({ kind: 'delete', table: PROGRESS_TABLE, key, condition: { kind: 'any' } }))
+      const outcome = await this.options.tableService.transact({ operations })
+      if (outcome.kind !== 'committed') {
+        this.options.logger.info('cleanup of progress rows postponed', { outcome: outcome.kind })
+        return
+      }
+      for (const key of batch) this.progressKeys.delete(key)
+    }
+  }
+
   private async emptyRows (): Promise<void> {
     for (const [partition, jobs] of [...this.jobsByPartition]) {
       if (this.stopped) return
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -4,6 +4,7 @@
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableFeed } from '../table/TableFeed.js'
+import type { TableLimits } from '../table/TableLimits.js'
 import type { TableService } from '../table/TableService.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
@@ -22,6 +23,7 @@
   ownerTable: TableService
   /** Client for the calls of callers and peers. */
   callerTable: TableService
+  tableLimits: TableLimits
   feed: TableFeed
   platform: PlatformTables
   peer: OwnerPeer
@@ -146,6 +148,7 @@
       shardId: SHARD_ID,
       fence,
       tableService: options.ownerTable,
+      tableLimits: options.tableLimits,
       feed: options.feed,
       site: this.site,
       clock: options.clock,
--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -7,6 +7,7 @@
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
+import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import type { TableService, Transaction } from '../table/TableService.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
@@ -16,7 +17,7 @@
   worker.registered = true
   engine.jobs.add({
     submission: createSubmission([{ taskCount: 2 }]),
-    progress: null,
+    progress: [],
     recovered: false
   }, 0)
   return { engine, worker }
@@ -49,6 +50,7 @@
     shardId: 'site',
     engine,
     fence: { epoch: 1, rowVersion: 1 },
+    tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: refusingStore,
     clock,
     logger: silentLogger,
@@ -73,6 +75,7 @@
     shardId: 'site',
     engine,
     fence: { epoch: 1, rowVersion: 1 },
+    tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: {
       read: async () => ({ kind: 'ok', value: null }),
       transact: async ({ operations }: Transaction) => ({ kind: 'committed', versions: operations.map(() => 1) })
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -1,14 +1,18 @@
 import type { DispatchEngine, UnreachedRecord } from '../dispatch/index.js'
-import { encodeProgress, type FinalJobState, type JobRecord } from '../jobs/index.js'
+import {
+  getTaskSegment, type FinalJobState, type JobRecord, type ProgressSegment, type TaskRecord
+} from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import { createIdentifier } from '../shared/identifiers.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
-import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
+import { packOperations } from '../table/packOperations.js'
 import { SettledWriter } from '../table/SettledWriter.js'
+import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
-import { PROGRESS_HEAD_TABLE, PROGRESS_TABLE, UNREACHED_TABLE } from './jobRows.js'
+import { createSegmentOperations } from './createProgressOperations.js'
+import { PROGRESS_HEAD_TABLE, UNREACHED_TABLE } from './jobRows.js'
 
 /** Options of a writer. */
 export interface ProgressWriterOptions {
@@ -16,6 +20,7 @@
   engine: DispatchEngine
   fence: Fence
   tableService: TableService
+  tableLimits: TableLimits
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
@@ -25,8 +30,14 @@
 
 /** Runs that end within this time are written together, because each call to the store is billed. */
 const BATCH_INTERVAL_MILLISECONDS = 60
-/** A transaction holds 100 entries; a job takes one. */
-const JOBS_PER_BATCH = 90
+/** The segments that are encoded at once. */
+const SEGMENTS_PER_BATCH = 90
+/** The head row and the check of the owner, which each transaction has. */
+const HEAD_OPERATION_COUNT = 2
+/** Larger transactions would take too long on a weak link. */
+const TRANSACTION_BYTES = 200_000
+/** A row that the store has rejected is sent again after this time, and earlier if its job ends. */
+const REJECTED_ROW_RETRY_MILLISECONDS = 5000
 /** Time to determine the outcome of a write before the transaction is sent again. */
 const SETTLE_LIMIT_MILLISECONDS = 1500
 const RETRY_MILLISECONDS = 200
@@ -39,27 +50,36 @@
 
 type WriterState = 'writing' | 'flushing' | 'stopped'
 
-type WriteResult = 'durable' | 'unsettled' | 'deposed'
+type WriteResult = 'durable' | 'unsettled' | 'deposed' | 'rejected'
 
 interface Batch {
-  transaction: Transaction
-  writeId: string
-  written: Array<{ job: JobRecord, state: FinalJobState | null }>
-  /** Whether the batch holds all changed jobs. */
+  /** The operations of the transactions that are not durable yet, in the order in which they are sent. */
+  remaining: Operation[][]
+  segmentsByOperation: Map<Operation, ProgressSegment>
+  /** The segments, and the final states of jobs that have ended. */
+  written: Array<{ segment: ProgressSegment, state: FinalJobState | null }>
+  /** Whether the batch holds all changed segments. */
   isComplete: boolean
   /** The last ended run of each worker that is durable once this batch is written. */
   lastEndedRuns: Map<string, { number: number, bornAtMilliseconds: number }>
   /** Called once the batch is durable. */
-  jobWaiters: Array<() => void>
+  waiters: DurabilityWaiter[]
   /** The workers that the owner does not reach; null when the stored record stays as it is. */
   unreached: UnreachedRecord | null
 }
 
+/** Waits until the present progress of a segment is durable. */
+interface DurabilityWaiter {
+  segment: ProgressSegment
+  notify (isDurable: boolean): void
+}
+
 /**
  * Makes the progress of jobs durable in batches, one write after another.
  *
  * Each batch replaces the head row on condition of its version, so that a write that takes effect after its call
- * timed out cannot overwrite a newer one. The next batch is taken only when the outcome of the last one is known.
+ * timed out cannot overwrite a newer one. The next batch is taken only when the outcome of the last one is known. A row
+ * that the store rejects delays no other row: it is left out, and its segment counts as changed again later.
  */
 export class ProgressWriter {
   private state: WriterState = 'writing'
@@ -70,7 +90,9 @@
   private headVersion: number | null = null
   private readonly writer: SettledWriter
   private waiters: Array<() => void> = []
-  private readonly jobWaiters = new Map<JobRecord, Array<() => void>>()
+  private readonly segmentWaiters = new Map<ProgressSegment, DurabilityWaiter[]>()
+  /** The segments with a rejected row, and the monotonic time at which they are sent again. */
+  private readonly rejectedSegments = new Map<ProgressSegment, number>()
   private currentWrite: Promise<boolean> = Promise.resolve(true)
 
   private constructor (private readonly options: ProgressWriterOptions) {
@@ -116,7 +138,7 @@
     if (isComplete) return
     this.markPendingJobsChanged()
     logger.warn('progress not written before release of the shard', {
-      jobs: engine.jobs.changedCount, reason: this.lastFailure
+      jobs: engine.jobs.countChangedJobs(), reason: this.lastFailure
     })
   }
 
@@ -140,18 +162,22 @@
   }
 
   /**
-   * Waits until the present progress of a changed job is durable.
-   * @param job The job.
-   * @returns Whether it is durable; false after a time limit.
+   * Waits until the present progress of a changed task is durable.
+   * @param task The task.
+   * @returns Whether it is durable; false after a time limit, or when the store has rejected it.
    */
-  waitForJob (job: JobRecord): Promise<boolean> {
+  waitForTask (task: TaskRecord): Promise<boolean> {
     return new Promise(resolve => {
       const cancel = this.options.clock.setTimer(ASSIGNMENT_WAIT_MILLISECONDS, () => resolve(false))
-      const waiters = this.jobWaiters.get(job) ?? []
-      this.jobWaiters.set(job, waiters)
-      waiters.push(() => {
-        cancel()
-        resolve(true)
+      const segment = getTaskSegment(task)
+      const waiters = this.segmentWaiters.get(segment) ?? []
+      this.segmentWaiters.set(segment, waiters)
+      waiters.push({
+        segment,
+        notify: isDurable => {
+          cancel()
+          resolve(isDurable)
+        }
       })
     })
   }
@@ -177,42 +203,73 @@
       return true
     }
     this.pendingBatch = batch
-    const result = await this.settle(batch)
+    const result = await this.writeBatch(batch)
     if (result !== 'durable') this.markPendingJobsChanged()
     this.pendingBatch = null
     return result === 'durable' && batch.isComplete
   }
 
-  /** Sends the transaction until its outcome is known, since one without a response may still take effect. */
-  private async settle (batch: Batch): Promise<WriteResult> {
+  /** Writes the transactions of a batch one after another, and leaves out the rows that the store rejects. */
+  private async writeBatch (batch: Batch): Promise<WriteResult> {
+    for (let operations = batch.remaining[0]; operations !== undefined; operations = batch.remaining[0]) {
+      const result = await this.settle(operations)
+      if (result !== 'durable' && result !== 'rejected') return result
+      batch.remaining.shift()
+      if (result === 'durable') continue
+      const middle = Math.ceil(operations.length / 2)
+      if (operations.length > 1) batch.remaining.unshift(operations.slice(0, middle), operations.slice(middle))
+      else this.leaveOut(operations[0], batch)
+    }
+    this.confirmBatch(batch)
+    return 'durable'
+  }
+
+  /** Leaves out a row that the store rejects by itself. */
+  private leaveOut (operation: Operation, batch: Batch): void {
+    const { clock, logger } = this.options
+    const { table, key } = operation
+    logger.error('row rejected by the store', { table, key, reason: this.lastFailure })
+    const segment = batch.segmentsByOperation.get(operation)
+    if (segment === undefined) return
+    this.rejectedSegments.set(segment, clock.monotonicMilliseconds() + REJECTED_ROW_RETRY_MILLISECONDS)
+    batch.written = batch.written.filter(written => written.segment !== segment)
+    for (const waiter of batch.waiters) if (waiter.segment === segment) waiter.notify(false)
+  }
+
+  /** Sends a transaction until its outcome is known, since one without a response may still take effect. */
+  private async settle (operations: Operation[]): Promise<WriteResult> {
+    while (this.headVersion === null && !await this.readHead()) {
+      await this.pause(RETRY_MILLISECONDS)
+      if (this.isStopped()) return 'unsettled'
+    }
+    const writeId = createIdentifier()
+    const transaction = this.createTransaction(writeId, operations)
     for (;;) {
-      const result = await this.write(batch)
+      const result = await this.write(transaction, writeId)
       if (result !== 'unsettled' || this.isStopped()) return result
       await this.pause(RETRY_MILLISECONDS)
       if (this.isStopped()) return result
     }
   }
 
-  private async write (batch: Batch): Promise<WriteResult> {
+  private async write (transaction: Transaction, writeId: string): Promise<WriteResult> {
     const { shardId, clock } = this.options
-    const marker = { table: PROGRESS_HEAD_TABLE, key: shardId, writeId: batch.writeId }
+    const marker = { table: PROGRESS_HEAD_TABLE, key: shardId, writeId }
     const deadlineMilliseconds = Math.min(SETTLE_LIMIT_MILLISECONDS, this.flushEndsAt - clock.monotonicMilliseconds())
-    const outcome = await this.writer.transactAndSettle(batch.transaction, marker, { deadlineMilliseconds })
+    const outcome = await this.writer.transactAndSettle(transaction, marker, { deadlineMilliseconds })
     if (outcome.kind === 'committed') {
       this.headVersion = outcome.versions[0] ?? null
-      this.confirmBatch(batch)
       return 'durable'
     }
     if (outcome.kind !== 'conflict') {
       this.lastFailure = outcome.reason
-      return 'unsettled'
+      return outcome.kind === 'unavailable' && outcome.isPermanent === true ? 'rejected' : 'unsettled'
     }
     // As long as this process is the owner, only this writer changes the head: any other conflict is a takeover.
     const isOwnLateWrite = outcome.row.table === PROGRESS_HEAD_TABLE &&
-      (outcome.current?.value as { writeId?: string } | null)?.writeId === batch.writeId
+      (outcome.current?.value as { writeId?: string } | null)?.writeId === writeId
     if (isOwnLateWrite) {
       this.headVersion = outcome.current!.version
-      this.confirmBatch(batch)
       return 'durable'
     }
     this.lastFailure = 'another process owns the shard'
@@ -231,47 +288,47 @@
     this.headVersion = null
   }
 
-  /** Marks the jobs of the pending batch as changed, because it was not written. */
+  /** Marks the segments of the pending batch as changed, because not all of them were written. */
   private markPendingJobsChanged (): void {
-    for (const { job } of this.pendingBatch?.written ?? []) this.options.engine.jobs.markChanged(job)
+    this.options.engine.jobs.returnChanged(this.pendingBatch?.written.map(({ segment }) => segment) ?? [])
   }
 
   private takeBatch (): Batch {
-    const { jobs } = this.options.engine
-    const changed = jobs.takeChanged(JOBS_PER_BATCH)
+    const { engine: { jobs }, clock } = this.options
+    for (const [segment, retryAt] of this.rejectedSegments) {
+      if (retryAt > clock.monotonicMilliseconds()) continue
+      this.rejectedSegments.delete(segment)
+      if (jobs.getJob(segment.job.submission.jobId) === segment.job) jobs.markChanged(segment)
+    }
+    const changed = jobs.takeChanged(SEGMENTS_PER_BATCH)
     try {
       return this.createBatch(changed)
     } catch (error) {
-      // A job that left the changed jobs without being written would let its ended runs be acknowledged.
-      for (const job of changed) jobs.markChanged(job)
+      // A segment that is not marked as changed without being written would let its ended runs be acknowledged.
+      jobs.returnChanged(changed)
       throw error
     }
   }
 
-  private createBatch (jobs: JobRecord[]): Batch {
-    const { engine, shardId, fence, clock } = this.options
+  private createBatch (segments: ProgressSegment[]): Batch {
+    const { engine, clock, logger, tableLimits } = this.options
     const isComplete = engine.jobs.changedCount === 0
-    const writeId = createIdentifier()
-    const operations: Operation[] = [
-      {
-        kind: 'put',
-        table: PROGRESS_HEAD_TABLE,
-        key: shardId,
-        value: { writeId },
-        condition: this.headVersion === 0 ? { kind: 'absent' } : { kind: 'version', version: this.headVersion! }
-      },
-      { kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion } }
-    ]
-    const written = jobs.map(job => ({ job, state: job.finalState }))
-    for (const { job } of written) {
-      const key = job.submission.jobId
-      const value = encodeProgress(job, clock.wallMilliseconds()) as unknown as JsonValue
-      operations.push({ kind: 'put', table: PROGRESS_TABLE, key, value, condition: { kind: 'any' } })
+    const written = segments.map(segment => ({ segment, state: segment.job.finalState }))
+    const segmentsByOperation = new Map<Operation, ProgressSegment>()
+    const groups: Operation[][] = []
+    const wallMilliseconds = clock.wallMilliseconds()
+    for (const segment of segments) {
+      for (const operation of createSegmentOperations(segment, { limits: tableLimits, wallMilliseconds, logger })) {
+        segmentsByOperation.set(operation, segment)
+        groups.push([operation])
+      }
     }
     const unreached = this.createUnreachedRecord()
-    if (unreached !== null) {
-      operations.push({ kind: 'put', table: UNREACHED_TABLE, key: shardId, value: unreached, condition: { kind: 'any' } })
-    }
+    if (unreached !== null) groups.push(this.createUnreachedOperations(unreached))
+    const remaining = packOperations(groups, {
+      operationCount: tableLimits.operationCount - HEAD_OPERATION_COUNT,
+      bytes: Math.min(TRANSACTION_BYTES, tableLimits.transactionBytes)
+    })
     const lastEndedRuns = new Map<string, { number: number, bornAtMilliseconds: number }>()
     if (isComplete) {
       for (const worker of engine.workers.values()) {
@@ -279,9 +336,37 @@
         lastEndedRuns.set(workerId, { number: worker.appliedCompletion, bornAtMilliseconds })
       }
     }
-    const jobWaiters = jobs.flatMap(job => this.jobWaiters.get(job) ?? [])
-    for (const job of jobs) this.jobWaiters.delete(job)
-    return { transaction: { operations }, writeId, written, isComplete, lastEndedRuns, jobWaiters, unreached }
+    const waiters = segments.flatMap(segment => this.takeWaiters(segment))
+    return { remaining, segmentsByOperation, written, isComplete, lastEndedRuns, waiters, unreached }
+  }
+
+  /** Takes the waiters of a segment; the final state of a job stands for its other segments too. */
+  private takeWaiters (segment: ProgressSegment): DurabilityWaiter[] {
+    const { job } = segment
+    const segments = job.finalState === null ? [segment] : [...job.progressSegments.values()]
+    const waiters = segments.flatMap(other => this.segmentWaiters.get(other) ?? [])
+    for (const other of segments) this.segmentWaiters.delete(other)
+    return waiters
+  }
+
+  private createTransaction (writeId: string, operations: Operation[]): Transaction {
+    const { shardId, fence } = this.options
+    const head: Operation = {
+      kind: 'put',
+      table: PROGRESS_HEAD_TABLE,
+      key: shardId,
+      value: { writeId },
+      condition: this.headVersion === 0 ? { kind: 'absent' } : { kind: 'version', version: this.headVersion! }
+    }
+    const check: Operation = {
+      kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
+    }
+    return { operations: [head, check, ...operations] }
+  }
+
+  private createUnreachedOperations (record: UnreachedRecord): Operation[] {
+    const { shardId: key } = this.options
+    return [{ kind: 'put', table: UNREACHED_TABLE, key, value: record, condition: { kind: 'any' } }]
   }
 
   private createUnreachedRecord (): UnreachedRecord | null {
@@ -294,7 +379,7 @@
   private confirmBatch (batch: Batch): void {
     const { engine, clock } = this.options
     if (batch.unreached !== null) engine.unreached.confirmDurable(batch.unreached)
-    for (const notify of batch.jobWaiters) notify()
+    for (const waiter of batch.waiters) waiter.notify(true)
     for (const [workerId, { number, bornAtMilliseconds }] of batch.lastEndedRuns) {
       const worker = engine.workers.get(workerId)
       // A new incarnation of a worker numbers its ended runs from 1.
@@ -303,7 +388,7 @@
     }
     if (batch.written.length > 0) {
       engine.jobs.confirmDurable(batch.written, clock.monotonicMilliseconds())
-      this.options.onDurable(batch.written.filter(row => row.state !== null).map(row => row.job))
+      this.options.onDurable(batch.written.filter(row => row.state !== null).map(row => row.segment.job))
     }
     if (batch.lastEndedRuns.size === 0) return
     const { waiters } = this
--- a/src/instance/RecoveryMonitor.test.ts
+++ b/src/instance/RecoveryMonitor.test.ts
@@ -11,7 +11,7 @@
   const clock = VirtualClock.create()
   const engine = DispatchEngine.create({ epoch: 2 })
   const submission = createSubmission([{ longRunning: true }])
-  engine.jobs.add({ submission, progress: null, recovered: true }, clock.monotonicMilliseconds())
+  engine.jobs.add({ submission, progress: [], recovered: true }, clock.monotonicMilliseconds())
   engine.jobs.createDueOccurrences(engine.jobs.getJob('job')!, 0, clock.monotonicMilliseconds())
   const worker = engine.setWorker(createWorkerEntry())
   engine.unreconciled.add('worker-0', clock.monotonicMilliseconds() + 6300)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,13 +1,14 @@
 import {
   DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry
 } from '../dispatch/index.js'
-import { decodeProgress } from '../jobs/index.js'
+import { decodeProgress, decodeProgressKey } from '../jobs/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
+import type { TableLimits } from '../table/TableLimits.js'
 import type { Row, TableService } from '../table/TableService.js'
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
@@ -30,6 +31,7 @@
   shardId: string
   fence: Fence
   tableService: TableService
+  tableLimits: TableLimits
   feed: TableFeed
   site: SiteWatch
   clock: Clock
@@ -99,7 +101,7 @@
       ...options,
       engine: this.engine,
       mayStart: () => this.mayStart(),
-      storeAssignment: run => this.writer.waitForJob(run.task.step.occurrence.job),
+      storeAssignment: run => this.writer.waitForTask(run.task),
       onChange: () => this.schedulePlan()
     })
     this.registry = WorkerRegistry.create({
@@ -127,6 +129,7 @@
         for (const job of finished) {
           options.metrics.finishedJobs.inc({ state: job.finalState ?? 'unknown' })
           this.cleaner.add(job.submission.jobId, job.finalState === 'cancelled')
+          this.cleaner.addProgressRows(job.furtherProgressKeys)
           options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
         }
       },
@@ -216,12 +219,14 @@
         this.engine.advisor.import(learned.value as unknown as LearnedEffects))
     }
     const now = this.now()
-    const progressByJobId = new Map(rows.progress.map(row => [row.key, row]))
-    for (const [jobId, { value }] of progressByJobId) {
-      const { state } = decodeProgress(value)
-      if (state !== undefined) this.engine.jobs.setFinalState(jobId, state, now)
+    const progressByJobId = groupProgressRows(rows.progress)
+    for (const [jobId, progress] of progressByJobId) {
+      const state = progress.map(({ value }) => decodeProgress(value).state).find(other => other !== undefined)
+      if (state === undefined) continue
+      this.engine.jobs.setFinalState(jobId, state, now)
+      this.cleaner.addProgressRows(progress.map(({ key }) => key).filter(key => key !== jobId))
     }
-    this.addJobs(jobs.rows, key => progressByJobId.get(key) ?? null, true)
+    this.addJobs(jobs.rows, key => progressByJobId.get(key) ?? [], true)
     this.queueFinishedJobsForCleanup(jobs.rows)
     const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
     for (const row of rows.holding) {
@@ -269,17 +274,17 @@
       logger,
       errors,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
-      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => null, false),
+      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => [], false),
       onChanges: changes => this.applyJobChanges(changes)
     })
     this.jobFollower.run()
   }
 
   private applyJobChanges (changes: RowChange[]): void {
-    this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]), () => null, false)
+    this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]), () => [], false)
   }
 
-  private addJobs (rows: Row[], getProgress: (jobId: string) => Row | null, recovered: boolean): void {
+  private addJobs (rows: Row[], getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
     for (const row of rows) {
       if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
       this.options.errors.run('job-row', () => this.addJob(row, getProgress(row.key), recovered))
@@ -292,13 +297,13 @@
     this.schedulePlan()
   }
 
-  private addJob (row: Row, progress: Row | null, recovered: boolean): void {
+  private addJob (row: Row, progress: readonly Row[], recovered: boolean): void {
     const { assignmentsStoredSince, logger } = this.options
     const submission = decodeSubmission(row.value)
     if (submission === null) return logger.warn('invalid row in the job table ignored', { key: row.key })
     const hasStoredAssignments = assignmentsStoredSince !== null &&
-      Math.max(row.version, progress?.version ?? 0) > assignmentsStoredSince
-    this.engine.jobs.add({ submission, progress: progress?.value ?? null, recovered, hasStoredAssignments }, this.now())
+      [row, ...progress].some(({ version }) => version > assignmentsStoredSince)
+    this.engine.jobs.add({ submission, progress, recovered, hasStoredAssignments }, this.now())
   }
 
   private tick (): void {
@@ -387,3 +392,15 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
+
+/** Groups the rows of the progress table by job. */
+function groupProgressRows (rows: readonly Row[]): Map<string, Row[]> {
+  const groups = new Map<string, Row[]>()
+  for (const row of rows) {
+    const { jobId } = decodeProgressKey(row.key)
+    const group = groups.get(jobId)
+    if (group === undefined) groups.set(jobId, [row])
+    else group.push(row)
+  }
+  return groups
+}
--- a/src/instance/durableEndedRuns.test.ts
+++ b/src/instance/durableEndedRuns.test.ts
@@ -12,6 +12,7 @@
 import type { LogFields } from '../shared/Logger.js'
 import { getTestSeed } from '../shared/testSeed.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
+import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import type { RowKey, TableService, Transaction } from '../table/TableService.js'
 import { PROGRESS_TABLE } from './jobRows.js'
 import { ProgressWriter } from './ProgressWriter.js'
@@ -51,6 +52,7 @@
       shardId: 'site',
       engine: this.engine,
       fence: { epoch: 1, rowVersion: this.tables.get(SHARD_ROW)!.version },
+      tableLimits: DEFAULT_TABLE_LIMITS,
       tableService: {
         transact: (transaction: Transaction) => this.isRefused() ? REFUSAL : this.client.transact(transaction),
         read: (row: RowKey) => this.isRefused() ? REFUSAL : this.client.read(row)
@@ -130,7 +132,7 @@
   private addJob (jobId: string): void {
     this.engine.jobs.add({
       submission: createSubmission([{ taskCount: TASKS_PER_JOB }], { jobId }),
-      progress: null,
+      progress: [],
       recovered: false
     }, 0)
   }
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -79,7 +79,7 @@
   }
   engine.jobs.add({
     submission: createSubmission(steps),
-    progress: null,
+    progress: [],
     recovered
   }, clock.monotonicMilliseconds())
   if (recovered) {
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -32,7 +32,7 @@
   engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 990, 1000)
   engine.jobs.add({
     submission: createSubmission([{ taskCount: 3, processorsMilli: 1000 }]),
-    progress: null,
+    progress: [],
     recovered: false
   }, 1000)
   const stops = { count: 0, send: (order: DispatchOrder) => sender.send(order, client) }
@@ -133,7 +133,7 @@
   worker.registered = true
   engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 990, 1000)
   engine.jobs.add({
-    submission: createSubmission([{ taskCount: 2, longRunning: true }]), progress: null, recovered: false
+    submission: createSubmission([{ taskCount: 2, longRunning: true }]), progress: [], recovered: false
   }, 1000)
   const starts = createPendingStarts()
   const client = { start: starts.start } as unknown as WorkerClient
--- a/src/instance/wideProgressRows.test.ts
+++ b/src/instance/wideProgressRows.test.ts
@@ -3,57 +3,202 @@
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
-import { DispatchEngine } from '../dispatch/index.js'
+import { DispatchEngine, type DispatchOrder, type ListedCompletion } from '../dispatch/index.js'
+import { decodeProgressKey, type StepSpecification, type StoredProgressRow } from '../jobs/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import type { TableService, Transaction } from '../table/TableService.js'
+import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
+import type { Row, TableService, Transaction } from '../table/TableService.js'
+import { PROGRESS_TABLE } from './jobRows.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
 /** The largest value of a row in base64, as in the settings of the platform. */
 const ROW_BYTES = 65_536
-const WIDE_TASK_COUNT = 2000
+/** The largest body of a transaction, and the most entries. */
+const TRANSACTION_BYTES = 1_000_000
+const ENTRY_LIMIT = 100
+const WIDE_TASK_COUNT = 2400
+const EMPTY_REPORT = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
-/** A store that answers 400 to each transaction with a value that is larger than a row may be. */
-function createStore (): TableService {
-  return {
+/** A store that rejects what exceeds the limits of its page, and rows with other keys by choice. */
+class LimitedStore {
+  readonly rows = new Map<string, Row>()
+  private version = 0
+
+  private constructor (private readonly isRejected: (key: string) => boolean) {}
+
+  static create (isRejected: (key: string) => boolean = () => false): LimitedStore {
+    return new LimitedStore(isRejected)
+  }
+
+  readonly client = {
     read: async () => ({ kind: 'ok', value: null }),
     transact: async ({ operations }: Transaction) => {
-      const isTooLarge = operations.some(operation => operation.kind === 'put' &&
-        Buffer.from(JSON.stringify(operation.value)).toString('base64').length > ROW_BYTES)
-      if (isTooLarge) return { kind: 'unavailable', reason: 'store answered 400' }
+      const values = operations.map(operation => operation.kind === 'put'
+        ? Buffer.from(JSON.stringify(operation.value)).toString('base64')
+        : '')
+      const isTooLarge = values.some(value => value.length > ROW_BYTES) || operations.length > ENTRY_LIMIT ||
+        values.join('').length > TRANSACTION_BYTES
+      if (isTooLarge || operations.some(({ key }) => this.isRejected(key))) {
+        return { kind: 'unavailable', reason: 'store answered 400', isPermanent: true }
+      }
+      this.version++
+      for (const operation of operations) {
+        if (operation.kind !== 'put') continue
+        const { table, key } = operation
+        this.rows.set(`${table}/${key}`, { table, key, version: this.version, value: structuredClone(operation.value) })
+      }
       return { kind: 'committed', versions: operations.map(() => 1) }
     }
   } as unknown as TableService
+
+  getProgress (jobId: string): StoredProgressRow[] {
+    return [...this.rows.values()].filter(({ table, key }) =>
+      table === PROGRESS_TABLE && decodeProgressKey(key).jobId === jobId)
+  }
 }
 
-test('a job with many long-running tasks does not delay the starts and ends of all other jobs', async () => {
-  const clock = VirtualClock.create(1000)
-  const engine = DispatchEngine.create({ epoch: 1 })
+function createEngine (epoch = 1) {
+  const engine = DispatchEngine.create({ epoch })
   const capacity = { processorsMilli: 4_000_000, memoryMegabytes: 4_000_000, accelerators: 0 }
   const worker = engine.setWorker(createWorkerEntry({ workerId: 'desk-north-a-117', capacity }))
   worker.registered = true
-  const steps = { wide: { taskCount: WIDE_TASK_COUNT, longRunning: true }, small: { longRunning: true } }
-  for (const [jobId, step] of Object.entries(steps)) {
-    engine.jobs.add({ submission: createSubmission([step], { jobId }), progress: null, recovered: false }, 1000)
-  }
-  const writer = ProgressWriter.create({
+  engine.applyReport(worker, EMPTY_REPORT, 0, 1000)
+  return { engine, worker }
+}
+
+function addJob (engine: DispatchEngine, jobId: string, step: Partial<StepSpecification>, store?: LimitedStore): void {
+  const progress = store?.getProgress(jobId) ?? []
+  engine.jobs.add({ submission: createSubmission([step], { jobId }), progress, recovered: false }, 1000)
+}
+
+function createWriter (engine: DispatchEngine, store: LimitedStore, clock: VirtualClock): ProgressWriter {
+  return ProgressWriter.create({
     shardId: 'site',
     engine,
     fence: { epoch: 1, rowVersion: 1 },
-    tableService: createStore(),
+    tableLimits: DEFAULT_TABLE_LIMITS,
+    tableService: store.client,
     clock,
     logger: silentLogger,
     errors: createTestErrors(clock),
     onDurable: () => {},
     onDeposed: () => {}
   })
-  engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 0, 1000)
+}
+
+function takeStarts (engine: DispatchEngine): Array<DispatchOrder & { kind: 'start' }> {
+  engine.markDirty()
   engine.plan(1000, 1000, true)
-  assert.equal(engine.takeOrders().length, WIDE_TASK_COUNT + 1)
-  const isSmallJobStored = writer.waitForJob(engine.jobs.getJob('small')!)
+  return engine.takeOrders().flatMap(order => order.kind === 'start' ? [order] : [])
+}
+
+/** Runs all tasks; a third of those of `wide` ends as done, fails and stops with a checkpoint, the others are done. */
+function endRuns (engine: DispatchEngine, getCheckpoint: (index: number) => string): void {
+  const ends = ['done', 'failed', 'stopped'] as const
+  const [worker] = engine.workers.values()
+  const ended = takeStarts(engine).map(({ run }, index): ListedCompletion => {
+    const end = run.task.name.startsWith('wide') ? ends[run.task.index % ends.length] : 'done'
+    return {
+      number: index + 1,
+      taskName: run.task.name,
+      attempt: run.attempt,
+      end,
+      checkpoint: end === 'stopped' ? getCheckpoint(index) : ''
+    }
+  })
+  for (const number of ended.keys()) {
+    engine.applyReport(worker, { ...EMPTY_REPORT, ended: [ended[number]] }, 1010, 1020)
+  }
+}
+
+function describeTasks (engine: DispatchEngine, jobId: string): string[] {
+  return engine.jobs.getJob(jobId)!.occurrences.get(0)!.steps[0].tasks.map(task =>
+    `${task.name} ${task.done ? 'done' : ''} ${[...task.failedAttempts].join()} ${task.done ? '' : task.checkpoint}`)
+}
+
+/** Writes the progress of an engine for a while, and returns whether all of it is durable. */
+async function writeProgress (engine: DispatchEngine, store: LimitedStore): Promise<boolean> {
+  const clock = VirtualClock.create(1000)
+  const writer = createWriter(engine, store, clock)
+  writer.run()
+  await clock.advance(10_000)
+  writer.stop()
+  await clock.advance(1000)
+  return engine.jobs.changedCount === 0
+}
+
+test('a job with many long-running tasks does not delay the starts and ends of all other jobs', async () => {
+  const clock = VirtualClock.create(1000)
+  const { engine } = createEngine()
+  const store = LimitedStore.create()
+  addJob(engine, 'wide', { taskCount: WIDE_TASK_COUNT, longRunning: true })
+  addJob(engine, 'small', { longRunning: true })
+  const writer = createWriter(engine, store, clock)
+  const starts = takeStarts(engine)
+  assert.equal(starts.length, WIDE_TASK_COUNT + 1)
+  const areStored = starts.map(({ run }) => writer.waitForTask(run.task))
   writer.run()
   await clock.advance(10_000)
   writer.stop()
   await clock.advance(1000)
-  assert.equal(await isSmallJobStored, true)
+  assert.deepEqual(new Set(await Promise.all(areStored)), new Set([true]))
+  const successor = createEngine(2).engine
+  addJob(successor, 'wide', { taskCount: WIDE_TASK_COUNT, longRunning: true }, store)
+  const { tasks } = successor.jobs.getJob('wide')!.occurrences.get(0)!.steps[0]
+  assert.equal(tasks.filter(task => task.assignedWorkerId === 'desk-north-a-117').length, WIDE_TASK_COUNT)
+})
+
+// The progress of all tasks was one row, which the store rejected again and again with those of all other jobs.
+test('progress that exceeds a row of the store is stored in several rows, beside that of other jobs', async () => {
+  const { engine } = createEngine()
+  const store = LimitedStore.create()
+  const step = { taskCount: 2 * WIDE_TASK_COUNT, checkpointing: true }
+  addJob(engine, 'wide', step)
+  addJob(engine, 'small', {})
+  endRuns(engine, index => `${String(index).padStart(6, '0')}0000abc000`)
+  assert.equal(await writeProgress(engine, store), true)
+  const successor = createEngine(2).engine
+  addJob(successor, 'wide', step, store)
+  assert.deepEqual(describeTasks(successor, 'wide'), describeTasks(engine, 'wide'))
+  assert.deepEqual(store.getProgress('small').map(({ value }) => (value as { state: string }).state), ['completed'])
+})
+
+test('checkpoints that exceed the row of a segment are stored in further rows', async () => {
+  const { engine } = createEngine()
+  const store = LimitedStore.create()
+  const step = { taskCount: 300, checkpointing: true }
+  addJob(engine, 'wide', step)
+  endRuns(engine, index => String(index).padStart(9000, '0'))
+  assert.equal(await writeProgress(engine, store), true)
+  const successor = createEngine(2).engine
+  addJob(successor, 'wide', step, store)
+  assert.deepEqual(describeTasks(successor, 'wide'), describeTasks(engine, 'wide'))
+})
+
+test('a row that the store rejects for another reason delays no row of another job', async () => {
+  const { engine } = createEngine()
+  const store = LimitedStore.create(key => key === 'odd')
+  for (const jobId of ['odd', 'first', 'second']) addJob(engine, jobId, { taskCount: 2 })
+  endRuns(engine, () => '')
+  await writeProgress(engine, store)
+  assert.deepEqual(['odd', 'first', 'second'].map(jobId => store.getProgress(jobId).length), [0, 1, 1])
+})
+
+test('the progress of a wide job from an earlier version moves to its segments before the first row is replaced', async () => {
+  const step = { taskCount: 300 }
+  const done = { '0.0': Array.from({ length: 299 }, (_, index) => index) }
+  const { engine } = createEngine(2)
+  const store = LimitedStore.create()
+  engine.jobs.add({
+    submission: createSubmission([step], { jobId: 'wide' }),
+    progress: [{ key: 'wide', version: 1, value: { done } }],
+    recovered: false
+  }, 1000)
+  assert.deepEqual(engine.jobs.takeChanged(1).map(({ index }) => index), [1])
+  engine.jobs.returnChanged([...engine.jobs.getJob('wide')!.progressSegments.values()])
+  assert.equal(await writeProgress(engine, store), true)
+  const successor = createEngine(3).engine
+  addJob(successor, 'wide', step, store)
+  assert.deepEqual(describeTasks(successor, 'wide'), describeTasks(engine, 'wide'))
 })
--- a/src/instance/workerAddress.test.ts
+++ b/src/instance/workerAddress.test.ts
@@ -8,6 +8,7 @@
 import type { HoldOutcome, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
+import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import { ShardDispatcher } from './ShardDispatcher.js'
 import type { SiteWatch } from './SiteWatch.js'
 
@@ -24,6 +25,7 @@
   const dispatcher = ShardDispatcher.create({
     shardId: 'site',
     fence: { epoch: 1, rowVersion: 1 },
+    tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: tables,
     feed: tables,
     site: {
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -1,4 +1,5 @@
 import type { FinalJobState, JobSubmission, StepSpecification } from './JobSpecification.js'
+import { getOccurrenceTaskCount, type ProgressSegment } from './ProgressSegment.js'
 
 /** The states of one run. A run that is over has no state: it is removed from the runs of its task. */
 export type RunState = 'starting' | 'running' | 'stopping'
@@ -68,6 +69,8 @@
   occurrence: OccurrenceRecord
   index: number
   specification: StepSpecification
+  /** The number of the step's first task among all tasks of the job, see `ProgressSegment`. */
+  firstTaskNumber: number
   tasks: TaskRecord[]
   /** The number of tasks that are done. */
   doneCount: number
@@ -87,6 +90,10 @@
   submission: JobSubmission
   occurrences: Map<number, OccurrenceRecord>
   finishedOccurrences: Set<number>
+  /** The segments of the progress that have changed or are stored, by index. */
+  progressSegments: Map<number, ProgressSegment>
+  /** The keys of the stored rows of the progress beside the job's first one, which are deleted after its end. */
+  furtherProgressKeys: Set<string>
   /** Whether a worker has executed a start of one of its tasks. */
   hasStarted: boolean
   /** Whether an earlier owner accepted the job and some of its workers are not reconciled yet. */
@@ -98,6 +105,38 @@
   addedAt: number
 }
 
+/** Options of a job record. */
+export interface JobRecordOptions {
+  submission: JobSubmission
+  /** Whether an earlier owner accepted the job. */
+  recovered?: boolean
+  /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
+  hasStoredAssignments?: boolean
+  /** The monotonic time. */
+  now: number
+}
+
+/**
+ * Creates the record of a job that has made no progress.
+ * @param options The submission and what earlier owners have stored.
+ * @returns The record, without occurrences.
+ */
+export function createJobRecord (options: JobRecordOptions): JobRecord {
+  const { submission, recovered = false, hasStoredAssignments = false, now } = options
+  return {
+    submission,
+    occurrences: new Map(),
+    finishedOccurrences: new Set(),
+    progressSegments: new Map(),
+    furtherProgressKeys: new Set(),
+    hasStarted: false,
+    recovered,
+    hasStoredAssignments: !recovered || hasStoredAssignments,
+    finalState: null,
+    addedAt: now
+  }
+}
+
 /**
  * Returns the name that identifies a task to workers.
  * @param jobId The job.
@@ -131,8 +170,10 @@
   job: JobRecord, number: number, firstAttempt: number, now: number
 ): OccurrenceRecord {
   const occurrence: OccurrenceRecord = { job, number, steps: [], doneCount: 0 }
+  let firstTaskNumber = number * getOccurrenceTaskCount(job)
   occurrence.steps = job.submission.specification.steps.map((specification, index) => {
-    const step: StepRecord = { occurrence, index, specification, tasks: [], doneCount: 0 }
+    const step: StepRecord = { occurrence, index, specification, firstTaskNumber, tasks: [], doneCount: 0 }
+    firstTaskNumber += specification.taskCount
     for (let taskIndex = 0; taskIndex < specification.taskCount; taskIndex++) {
       step.tasks.push({
         step,
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -1,3 +1,4 @@
 export * from './JobRecord.js'
 export * from './JobSpecification.js'
+export * from './ProgressSegment.js'
 export * from './jobProgress.js'
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,13 +1,17 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import {
-  createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord
+  createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord, type TaskRecord
 } from './JobRecord.js'
 import type { FinalJobState } from './JobSpecification.js'
+import {
+  getOccurrenceSegment, getOccurrenceTaskCount, getProgressSegment, getTaskSegment, TASKS_PER_SEGMENT,
+  type ProgressSegment
+} from './ProgressSegment.js'
 
-/** 90 rows with this many assignments fit into one transaction of the store, of at most 1 MB. */
-const STORED_ASSIGNMENT_LIMIT = 200
-
-/** The durable progress of a job, stored beside its submission. Names are short because writes are billed by byte. */
+/**
+ * The durable progress of a segment of a job, stored beside its submission. Names are short because writes are billed
+ * by byte. A segment that exceeds a row of the store has several of these, each with a part of the entries.
+ */
 export interface JobProgressRow {
   /** The final state; absent while the job is live. */
   state?: FinalJobState
@@ -28,46 +32,153 @@
   assigned?: Record<string, string> | 'unknown'
 }
 
+/** A row of the progress of a job as it is stored. */
+export interface StoredProgressRow {
+  /** The key, see `getProgressKey`. */
+  key: string
+  version: number
+  value: JsonValue
+}
+
 /**
- * Encodes the progress of a job.
- * @param job The job.
+ * Returns the key of a row of the progress of a job.
+ * @param jobId The job.
+ * @param segmentIndex The index of the segment.
+ * @param part The index of the row among those of the segment.
+ * @returns The key, which is the identifier of the job for the first row of the first segment.
+ */
+export function getProgressKey (jobId: string, segmentIndex: number, part: number): string {
+  if (part > 0) return `${jobId}.${segmentIndex}.${part}`
+  return segmentIndex > 0 ? `${jobId}.${segmentIndex}` : jobId
+}
+
+/**
+ * Decodes the key of a row of the progress of a job.
+ * @param key The key.
+ * @returns The job and the index of the segment, which is NaN for a malformed key.
+ */
+export function decodeProgressKey (key: string): { jobId: string, segmentIndex: number } {
+  const [jobId, segmentIndex = '0'] = key.split('.')
+  return { jobId, segmentIndex: Number(segmentIndex) }
+}
+
+/**
+ * Encodes the progress of a segment of a job.
+ * @param segment The segment.
  * @param wallMilliseconds The time of day, stored with a final state.
- * @returns The row.
+ * @returns The row, which `splitProgressRow` divides when it is too large.
  */
-export function encodeProgress (job: JobRecord, wallMilliseconds: number): JobProgressRow {
+export function encodeProgress (segment: ProgressSegment, wallMilliseconds: number): JobProgressRow {
+  const { job } = segment
   if (job.finalState !== null) return { state: job.finalState, at: Math.round(wallMilliseconds) }
-  const row: JobProgressRow = {}
-  const assigned = encodeAssignments(job)
-  if (assigned !== null) row.assigned = assigned
-  if (job.finishedOccurrences.size > 0) row.finished = [...job.finishedOccurrences]
-  for (const occurrence of job.occurrences.values()) {
-    for (const step of occurrence.steps) {
-      const prefix = `${occurrence.number}.${step.index}`
-      if (step.doneCount > 0) {
-        row.done = { ...row.done, [prefix]: step.tasks.filter(task => task.done).map(task => task.index) }
+  const done: Record<string, number[]> = {}
+  const failures: Record<string, number[]> = {}
+  const checkpoints: Record<string, string> = {}
+  const assigned: Record<string, string> = {}
+  for (const task of getSegmentTasks(segment)) {
+    const prefix = `${task.step.occurrence.number}.${task.step.index}`
+    const suffix = `${prefix}.${task.index}`
+    if (task.assignedWorkerId !== null) assigned[suffix] = task.assignedWorkerId
+    if (task.done) {
+      done[prefix] ??= []
+      done[prefix].push(task.index)
+      continue
+    }
+    if (task.failedAttempts.size > 0) failures[suffix] = [...task.failedAttempts]
+    if (task.checkpoint !== '') checkpoints[suffix] = task.checkpoint
+  }
+  const isUnknown = hasLongRunningStep(job) && job.recovered && !job.hasStoredAssignments
+  const finished = getFinishedOccurrences(segment)
+  return {
+    ...isUnknown ? { assigned: 'unknown' } : hasEntries(assigned) && { assigned },
+    ...finished.length > 0 && { finished },
+    ...hasEntries(done) && { done },
+    ...hasEntries(failures) && { failures },
+    ...hasEntries(checkpoints) && { checkpoints }
+  }
+}
+
+function hasEntries (record: object): boolean {
+  return Object.keys(record).length > 0
+}
+
+/** Returns the tasks of a segment whose occurrences are created and not done. */
+function * getSegmentTasks ({ job, index }: ProgressSegment): Generator<TaskRecord> {
+  const start = index * TASKS_PER_SEGMENT
+  const end = start + TASKS_PER_SEGMENT
+  const occurrenceTaskCount = getOccurrenceTaskCount(job)
+  const lastOccurrence = Math.floor((end - 1) / occurrenceTaskCount)
+  for (let number = Math.floor(start / occurrenceTaskCount); number <= lastOccurrence; number++) {
+    for (const { firstTaskNumber, tasks } of job.occurrences.get(number)?.steps ?? []) {
+      const last = Math.min(tasks.length, end - firstTaskNumber)
+      for (let taskIndex = Math.max(0, start - firstTaskNumber); taskIndex < last; taskIndex++) yield tasks[taskIndex]
+    }
+  }
+}
+
+/** Returns the done occurrences whose first task is in a segment. */
+function getFinishedOccurrences ({ job, index }: ProgressSegment): number[] {
+  if (job.finishedOccurrences.size === 0) return []
+  const occurrenceTaskCount = getOccurrenceTaskCount(job)
+  const finished: number[] = []
+  const first = Math.ceil(index * TASKS_PER_SEGMENT / occurrenceTaskCount)
+  for (let number = first; number * occurrenceTaskCount < (index + 1) * TASKS_PER_SEGMENT; number++) {
+    if (job.finishedOccurrences.has(number)) finished.push(number)
+  }
+  return finished
+}
+
+/** The fields of a row that hold entries by task, which may be in different rows. */
+const DIVISIBLE_FIELDS = ['assigned', 'done', 'failures', 'checkpoints'] as const
+/** The bytes of a field and of an entry in JSON beside the key and the value of the entry. */
+const FIELD_BYTES = 24
+const ENTRY_BYTES = 4
+
+/**
+ * Divides the progress of a segment into rows that the store accepts.
+ * @param row The progress.
+ * @param byteLimit The maximum number of bytes of a row in JSON.
+ * @returns At least one row, and the keys of the entries that exceed a row by themselves, which are in no row.
+ */
+export function splitProgressRow (
+  row: JobProgressRow, byteLimit: number
+): { rows: JobProgressRow[], omitted: string[] } {
+  if (getJsonBytes(row) <= byteLimit) return { rows: [row], omitted: [] }
+  const omitted: string[] = []
+  let current: Record<string, JsonValue> = {}
+  const rows: Array<Record<string, JsonValue>> = [current]
+  const fieldBytes = FIELD_BYTES * DIVISIBLE_FIELDS.length
+  let currentBytes = fieldBytes
+  for (const [name, value] of Object.entries(row)) {
+    if (DIVISIBLE_FIELDS.some(field => field === name) && typeof value === 'object') continue
+    current[name] = value
+    currentBytes += getJsonBytes(value) + FIELD_BYTES
+  }
+  for (const field of DIVISIBLE_FIELDS) {
+    const entries = row[field]
+    if (typeof entries !== 'object') continue
+    for (const [key, value] of Object.entries(entries)) {
+      const bytes = getJsonBytes(key) + getJsonBytes(value) + ENTRY_BYTES
+      if (bytes + fieldBytes > byteLimit) {
+        omitted.push(`${field}.${key}`)
+        continue
       }
-      for (const task of step.tasks) {
-        if (task.done) continue
-        if (task.failedAttempts.size > 0) {
-          row.failures = { ...row.failures, [`${prefix}.${task.index}`]: [...task.failedAttempts] }
-        }
-        if (task.checkpoint !== '') {
-          row.checkpoints = { ...row.checkpoints, [`${prefix}.${task.index}`]: task.checkpoint }
-        }
+      if (currentBytes + bytes > byteLimit) {
+        current = {}
+        currentBytes = fieldBytes
+        rows.push(current)
       }
+      current[field] ??= {}
+      const target = current[field] as Record<string, JsonValue>
+      target[key] = value
+      currentBytes += bytes
     }
   }
-  return row
+  return { rows, omitted }
 }
 
-function encodeAssignments (job: JobRecord): Record<string, string> | 'unknown' | null {
-  if (!hasLongRunningStep(job)) return null
-  if (job.recovered && !job.hasStoredAssignments) return 'unknown'
-  const assigned = [...job.occurrences.values()].flatMap(({ number, steps }) => steps.flatMap(step =>
-    step.tasks.flatMap(({ index, assignedWorkerId }) =>
-      assignedWorkerId === null ? [] : [[`${number}.${step.index}.${index}`, assignedWorkerId]])))
-  if (assigned.length > STORED_ASSIGNMENT_LIMIT) return 'unknown'
-  return assigned.length === 0 ? null : Object.fromEntries(assigned)
+function getJsonBytes (value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value))
 }
 
 /**
@@ -80,31 +191,76 @@
 }
 
 /**
- * Applies stored progress to a job that was just loaded.
+ * Applies stored progress to a job that was just loaded. A later row replaces the checkpoints and assignments of an
+ * earlier one, which remains in the store when a segment no longer needs as many rows.
  * @param job The job, without occurrences.
- * @param row The stored progress.
+ * @param stored The stored rows.
  * @param firstAttempt The number of the first attempt of each task under this owner.
  * @param now The monotonic time.
+ * @returns The segments that must be stored before the first one, because another row holds their progress.
  */
-export function restoreProgress (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): void {
-  if (row.state !== undefined) {
-    job.finalState = row.state
-    return
+export function restoreProgress (
+  job: JobRecord, stored: readonly StoredProgressRow[], firstAttempt: number, now: number
+): Set<ProgressSegment> {
+  const rows = [...stored].sort((left, right) => left.version - right.version).map(({ key, value }) =>
+    ({ key, segmentIndex: decodeProgressKey(key).segmentIndex, row: decodeProgress(value) }))
+  const moved = new Set<ProgressSegment>()
+  for (const { key, segmentIndex, row } of rows) {
+    if (key !== job.submission.jobId) job.furtherProgressKeys.add(key)
+    if (row.state !== undefined) job.finalState = row.state
+    if (row.assigned === 'unknown') job.hasStoredAssignments = false
+    const segment = getProgressSegment(job, segmentIndex)
+    segment.isStored = true
+    for (const number of row.finished ?? []) {
+      job.finishedOccurrences.add(number)
+      if (getOccurrenceSegment(job, number) !== segment) moved.add(getOccurrenceSegment(job, number))
+    }
+  }
+  if (job.finalState !== null) return new Set()
+  for (const { segmentIndex, row } of rows) {
+    const segment = getProgressSegment(job, segmentIndex)
+    for (const task of restoreRow(job, row, firstAttempt, now)) {
+      const taskSegment = getTaskSegment(task)
+      if (taskSegment !== segment) moved.add(taskSegment)
+    }
+  }
+  return moved
+}
+
+/** Applies one row to the tasks of a job and returns these tasks. */
+function restoreRow (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): Set<TaskRecord> {
+  const restored = new Set<TaskRecord>()
+  const find = (suffix: string) => {
+    const task = findTask(job, suffix, firstAttempt, now)
+    if (task !== undefined) restored.add(task)
+    return task
   }
-  if (row.assigned === 'unknown') job.hasStoredAssignments = false
-  for (const number of row.finished ?? []) job.finishedOccurrences.add(number)
   for (const [prefix, indexes] of Object.entries(row.done ?? {})) {
-    for (const index of indexes) markDone(job, `${prefix}.${index}`, firstAttempt, now)
+    for (const index of indexes) markDone(find(`${prefix}.${index}`))
   }
   for (const [suffix, attempts] of Object.entries(row.failures ?? {})) {
-    const task = findTask(job, suffix, firstAttempt, now)
+    const task = find(suffix)
     for (const attempt of attempts) task?.failedAttempts.add(attempt)
   }
   for (const [suffix, checkpoint] of Object.entries(row.checkpoints ?? {})) {
-    const task = findTask(job, suffix, firstAttempt, now)
+    const task = find(suffix)
     if (task !== undefined) task.checkpoint = checkpoint
   }
-  if (job.hasStoredAssignments) restoreAssignments(job, row.assigned, firstAttempt, now)
+  if (!job.hasStoredAssignments || row.assigned === undefined || row.assigned === 'unknown') return restored
+  for (const [suffix, workerId] of Object.entries(row.assigned)) {
+    const task = find(suffix)
+    if (task === undefined) continue
+    task.assignedWorkerId = workerId
+    task.hasRun = true
+  }
+  return restored
+}
+
+function markDone (task: TaskRecord | undefined): void {
+  if (task === undefined || task.done) return
+  task.done = true
+  task.step.doneCount++
+  task.step.occurrence.doneCount++
 }
 
 /**
@@ -139,23 +295,3 @@
   const [occurrence, step, index] = suffix.split('.').map(Number)
   return getOccurrence(job, occurrence, firstAttempt, now)?.steps[step]?.tasks[index]
 }
-
-function restoreAssignments (
-  job: JobRecord, assigned: JobProgressRow['assigned'], firstAttempt: number, now: number
-): void {
-  if (assigned === undefined || assigned === 'unknown') return
-  for (const [suffix, workerId] of Object.entries(assigned)) {
-    const task = findTask(job, suffix, firstAttempt, now)
-    if (task === undefined) continue
-    task.assignedWorkerId = workerId
-    task.hasRun = true
-  }
-}
-
-function markDone (job: JobRecord, suffix: string, firstAttempt: number, now: number): void {
-  const task = findTask(job, suffix, firstAttempt, now)
-  if (task === undefined || task.done) return
-  task.done = true
-  task.step.doneCount++
-  task.step.occurrence.doneCount++
-}
--- a/src/table/SettledWriter.ts
+++ b/src/table/SettledWriter.ts
@@ -57,6 +57,7 @@
     for (;;) {
       const outcome = await this.tableService.transact(transaction)
       if (outcome.kind === 'committed') return outcome
+      if (outcome.kind === 'unavailable' && outcome.isPermanent === true) return outcome
       if (outcome.kind === 'conflict') return await this.settleConflict(outcome, marker, mayHaveTakenEffect, endAt)
       mayHaveTakenEffect ||= outcome.kind === 'unknown'
       if (outcome.kind === 'unknown') {
--- a/src/table/TableService.ts
+++ b/src/table/TableService.ts
@@ -38,7 +38,12 @@
   /** A condition did not hold, so nothing was applied; `current` is the stored state of that row. */
   | { kind: 'conflict', row: RowKey, current: Row | null }
   /** The transaction certainly had no effect, for example because the service rejected it. */
-  | { kind: 'unavailable', reason: string }
+  | {
+    kind: 'unavailable'
+    reason: string
+    /** Whether the service will never accept this transaction, for example because of its size. */
+    isPermanent?: boolean
+  }
   /** The transaction may have taken effect, or may still take effect a little later. */
   | { kind: 'unknown', reason: string }
 
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -8,6 +8,7 @@
 import { silentLogger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
+import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
 import type { TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
@@ -157,6 +158,7 @@
       peerAddress: address,
       ownerTable: gatedTables,
       callerTable: gatedTables,
+      tableLimits: DEFAULT_TABLE_LIMITS,
       feed: gatedTables,
       platform: {
         feed: gatedTables,
--- a/stand-ins/platform/simulatePlans.ts
+++ b/stand-ins/platform/simulatePlans.ts
@@ -51,7 +51,7 @@
       return `start ${order.run.task.name}#${order.run.attempt} on ${worker.entry.workerId}`
     }).join(', '))
     const changed = engine.jobs.takeChanged(1000)
-    engine.jobs.confirmDurable(changed.map(job => ({ job, state: job.finalState })), now)
+    engine.jobs.confirmDurable(changed.map(segment => ({ segment, state: segment.job.finalState })), now)
   }
   return plans
 }
@@ -117,7 +117,7 @@
         repeatCount: isRepeated ? 3 : 0
       }
     },
-    progress: null,
+    progress: [],
     recovered: false
   }, now)
   engine.markDirty()
