Create the records of tasks at their first start

Cause: each task had a record as soon as its occurrence was due, also when no worker could take it. Ruled out: the submissions (150 bytes each) and the log. A lower limit of tasks was not considered a fix, as it refuses what callers may send.

Change: StepTasks creates a record when a task starts or has stored progress, drops it when the task is done, and keeps done tasks as ranges of indexes. The members of a gang get records when all of them fit. A job with many due occurrences creates a few at a time.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -355,7 +355,7 @@
 
   private stopJob (job: JobRecord): void {
     for (const { steps } of job.occurrences.values()) {
-      for (const step of steps) for (const task of step.tasks) this.stopRuns(task)
+      for (const step of steps) for (const task of step.tasks.getAllCreated()) this.stopRuns(task)
     }
   }
 
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,13 +1,17 @@
 import {
   createJobRecord, findTask, getOccurrence, getOccurrenceCount, getOccurrenceSegment, getProgressSegment,
   getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord, type JobState,
-  type JobSubmission, type ProgressSegment, type StoredProgressRow, type TaskRecord
+  type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
+import { isNextOccurrenceDue } from './hasWaitingTask.js'
 import { WaitingRestarts } from './WaitingRestarts.js'
 
 /** How long a durable final state can be queried before it is removed. */
 const FINAL_STATE_RETENTION_MILLISECONDS = 180_000
 
+/** The steps of occurrences without a started task that exist at once for a job with many due occurrences. */
+const UNSTARTED_STEP_LIMIT = 256
+
 /** Each epoch has its own range of attempt numbers, so that no number is used twice for a task. */
 const ATTEMPTS_PER_EPOCH = 1000
 
@@ -88,7 +92,7 @@
       if (!job.recovered) continue
       job.recovered = false
       for (const { steps } of job.occurrences.values()) {
-        for (const step of steps) for (const task of step.tasks) task.earlierRuns = 'none'
+        for (const step of steps) for (const task of step.tasks.getAllCreated()) task.earlierRuns = 'none'
       }
       if (!job.hasStoredAssignments && hasLongRunningStep(job)) this.markAssignmentsChanged(job)
       job.hasStoredAssignments = true
@@ -129,17 +133,21 @@
   }
 
   /**
-   * Creates the tasks of the occurrences that are due.
+   * Creates occurrences that are due. All occurrences of a job have steps of the same sizes, so while some find no
+   * worker for any task, later ones find none either and are not created yet.
    * @param job The job.
    * @param wallMilliseconds The time of day.
    * @param now The monotonic time.
    */
   createDueOccurrences (job: JobRecord, wallMilliseconds: number, now: number): void {
-    const { specification } = job.submission
-    for (let number = 0; number < getOccurrenceCount(job.submission); number++) {
-      const dueAt = specification.startAtMilliseconds + number * specification.intervalMilliseconds
-      if (specification.repeatCount > 0 && dueAt > wallMilliseconds) return
-      getOccurrence(job, number, this.firstAttempt, now)
+    if (!isNextOccurrenceDue(job, wallMilliseconds)) return
+    const stepCount = job.submission.specification.steps.length
+    const limit = Math.max(1, Math.floor(UNSTARTED_STEP_LIMIT / stepCount))
+    let unstarted = 0
+    for (const occurrence of job.occurrences.values()) if (!hasStarted(occurrence)) unstarted++
+    while (unstarted < limit && isNextOccurrenceDue(job, wallMilliseconds)) {
+      getOccurrence(job, job.nextOccurrenceNumber, this.firstAttempt, now)
+      unstarted++
     }
   }
 
@@ -152,11 +160,9 @@
     const { step } = task
     const { occurrence } = step
     const { job } = occurrence
-    task.done = true
-    step.doneCount++
-    occurrence.doneCount++
+    step.tasks.markDone(task.index)
     this.markChanged(getTaskSegment(task))
-    if (occurrence.steps.some(other => other.doneCount < other.tasks.length)) return
+    if (occurrence.steps.some(other => other.tasks.remainingCount > 0)) return
     job.occurrences.delete(occurrence.number)
     job.finishedOccurrences.add(occurrence.number)
     this.markChanged(getOccurrenceSegment(job, occurrence.number))
@@ -254,7 +260,7 @@
   private markAssignmentsChanged (job: JobRecord): void {
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps) {
-        for (const task of step.tasks) if (task.assignedWorkerId !== null) getTaskSegment(task)
+        for (const task of step.tasks.getAllCreated()) if (task.assignedWorkerId !== null) getTaskSegment(task)
       }
     }
     // The rows of the other segments are stored first, because the first one tells that the assignments are known.
@@ -269,3 +275,12 @@
 function getChangedSegment (segment: ProgressSegment): ProgressSegment {
   return segment.job.finalState === null ? segment : getProgressSegment(segment.job, 0)
 }
+
+/** Returns whether a task of an occurrence is done, runs, or has run. */
+function hasStarted ({ steps }: OccurrenceRecord): boolean {
+  return steps.some(({ tasks }) => {
+    if (tasks.remainingCount < tasks.count) return true
+    for (const task of tasks.getAllCreated()) if (task.runs.length > 0 || task.hasRun) return true
+    return false
+  })
+}
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -116,17 +116,19 @@
 
   /** Returns whether the members of the gang got workers. */
   private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
-    if (!step.tasks.every(this.options.mayStart) || this.mustWaitForStore(step)) return false
-    const attempt = Math.max(...step.tasks.map(task => task.nextAttempt))
-    const placement = selectGangPlacement(step, this.options.workers, conditions)
-    for (const { task, worker } of placement) this.start(task, worker, attempt)
-    return placement.length > 0
+    if (this.mustWaitForStore(step)) return false
+    const workers = selectGangPlacement(step, this.options.workers, conditions)
+    if (workers.length === 0) return false
+    const members = step.tasks.createAll()
+    if (!members.every(this.options.mayStart)) return false
+    const attempt = members.reduce((highest, { nextAttempt }) => Math.max(highest, nextAttempt), 0)
+    for (const [index, member] of members.entries()) this.start(member, workers[index], attempt)
+    return true
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
     if (this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) return
-    for (const task of step.tasks) {
-      if (task.done || task.runs.length > 0 || !this.options.mayStart(task)) continue
+    for (const task of step.tasks.getWaiting(this.options.mayStart)) {
       if (this.isFull || !this.placeTask(task, serviceName)) return
     }
     this.options.getConditions(serviceName).costs.forget(step)
--- a/src/dispatch/WaitingRestarts.ts
+++ b/src/dispatch/WaitingRestarts.ts
@@ -35,7 +35,7 @@
   /** Adds the tasks of a loaded job that have run under an earlier owner. */
   addJob (job: JobRecord): void {
     for (const occurrence of job.occurrences.values()) {
-      for (const step of occurrence.steps) for (const task of step.tasks) this.add(task)
+      for (const step of occurrence.steps) for (const task of step.tasks.getAllCreated()) this.add(task)
     }
   }
 
--- a/src/dispatch/WorkerCosts.test.ts
+++ b/src/dispatch/WorkerCosts.test.ts
@@ -39,7 +39,7 @@
 
 function createTasks (jobId: string, step: Partial<StepSpecification>): TaskRecord[] {
   const submission = { ...createSubmission([step]), jobId }
-  return createOccurrence({ submission, recovered: false } as JobRecord, 0, 1, 0).steps[0].tasks
+  return createOccurrence({ submission, recovered: false } as JobRecord, 0, 1, 0).steps[0].tasks.createAll()
 }
 
 function createTask (kind: 'best-effort' | 'serving' | 'reserved', number: number): TaskRecord {
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -62,7 +62,7 @@
   let run = worker.runs.get(key)
   if (run === undefined) {
     const task = context.jobs.findTask(row.taskName, now)
-    if (task === undefined || task.done) {
+    if (task === undefined) {
       const isKnown = worker.orphanedRuns.has(key)
       worker.orphanedRuns.set(key, { name: row.taskName, attempt: row.attempt })
       if (!isKnown) context.stopOrphaned(row.taskName, row.attempt)
@@ -138,7 +138,6 @@
   job.hasStarted = true
   task.hasRun = true
   context.jobs.waitingRestarts.add(task)
-  if (task.done && run === undefined) context.reportIgnoredCompletion(ended, 'task-done')
   const isLive = job.finalState === null && !task.done
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
   if (ended.end === 'done') {
@@ -156,12 +155,14 @@
 
 function getIgnoredReason (ended: ListedCompletion, context: ReportContext): IgnoredCompletionReason {
   const [jobId] = ended.taskName.split('.', 1)
+  const job = context.jobs.getJob(jobId)
+  if (job !== undefined && job.finalState === null) return 'task-done'
   return context.jobs.getState(jobId) === null ? 'unknown-job' : 'job-finished'
 }
 
 function finishTask (task: TaskRecord, context: ReportContext): void {
   // The members of a gang complete together, so the worker reports one completion for all of them.
-  const members = task.step.specification.gang ? task.step.tasks : [task]
+  const members = task.step.specification.gang ? task.step.tasks.createAll() : [task]
   if (task.step.specification.longRunning) return
   for (const member of members) {
     context.jobs.markDone(member)
@@ -183,7 +184,7 @@
   task.failedWorkerIds.add(worker.entry.workerId)
   if (!isLive || task.step.specification.longRunning) return
   // The members of a gang fail together, with the same attempt number.
-  const members = task.step.specification.gang ? task.step.tasks : [task]
+  const members = task.step.specification.gang ? task.step.tasks.createAll() : [task]
   for (const member of members) {
     member.failedAttempts.add(attempt)
     context.jobs.markTaskChanged(member)
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -34,7 +34,7 @@
   const step = createStep({ processorsMilli: 2000, ...specification })
   const job = { submission: { jobId: step.image, specification: { steps: [step] } } } as unknown as JobRecord
   return {
-    task: createOccurrence(job, 0, 1, 0).steps[0].tasks[0],
+    task: createOccurrence(job, 0, 1, 0).steps[0].tasks.get(0)!,
     attempt: 1,
     workerId: 'worker',
     state: 'running',
--- a/src/dispatch/hasWaitingTask.ts
+++ b/src/dispatch/hasWaitingTask.ts
@@ -14,19 +14,24 @@
 ): boolean {
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
-      const isWaiting = step.doneCount < step.tasks.length &&
-        step.tasks.some(task => !task.done && task.runs.length === 0 && mayStart(task))
-      if (isWaiting && isStepReady(step)) return true
+      if (step.tasks.remainingCount > 0 && isStepReady(step) && step.tasks.hasWaiting(mayStart)) return true
     }
   }
-  return hasUncreatedOccurrence(job, wallMilliseconds)
+  return isNextOccurrenceDue(job, wallMilliseconds)
 }
 
-function hasUncreatedOccurrence (job: JobRecord, wallMilliseconds: number): boolean {
+/**
+ * Returns whether an occurrence of a job is due and not created yet.
+ * @param job The job, whose next occurrence is updated.
+ * @param wallMilliseconds The time of day.
+ * @returns Whether the next occurrence is due.
+ */
+export function isNextOccurrenceDue (job: JobRecord, wallMilliseconds: number): boolean {
   const { startAtMilliseconds, intervalMilliseconds, repeatCount } = job.submission.specification
-  for (let number = 0; number < getOccurrenceCount(job.submission); number++) {
-    if (repeatCount > 0 && startAtMilliseconds + number * intervalMilliseconds > wallMilliseconds) return false
-    if (!job.occurrences.has(number) && !job.finishedOccurrences.has(number)) return true
+  while (job.occurrences.has(job.nextOccurrenceNumber) || job.finishedOccurrences.has(job.nextOccurrenceNumber)) {
+    job.nextOccurrenceNumber++
   }
-  return false
+  const number = job.nextOccurrenceNumber
+  if (number >= getOccurrenceCount(job.submission)) return false
+  return repeatCount === 0 || startAtMilliseconds + number * intervalMilliseconds <= wallMilliseconds
 }
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -94,7 +94,7 @@
   const serviceName = getServiceName(job)
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
-      if (step.doneCount === step.tasks.length || !isStepReady(step)) continue
+      if (step.tasks.remainingCount === 0 || !isStepReady(step)) continue
       plan.placeStep(step, serviceName)
       if (plan.isFull) return
     }
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -31,7 +31,7 @@
   let work = 0
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
-      work += (step.tasks.length - step.doneCount) * step.specification.processorsMilli * getDuration(step)
+      work += step.tasks.remainingCount * step.specification.processorsMilli * getDuration(step)
     }
   }
   return work
@@ -58,7 +58,7 @@
     for (const step of occurrence.steps) {
       const duration = getDuration(step) * SLOWEST_TASK_FACTOR
       chain += duration
-      if (step.doneCount < step.tasks.length) remaining += duration
+      if (step.tasks.remainingCount > 0) remaining += duration
     }
   }
   const objective = submission.stretch * chain + submission.targetLatencyMilliseconds
--- a/src/dispatch/selectGangPlacement.ts
+++ b/src/dispatch/selectGangPlacement.ts
@@ -1,13 +1,7 @@
-import type { StepRecord, TaskRecord } from '../jobs/index.js'
+import type { StepRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
 import type { WorkerCapacity, WorkerRecord } from './WorkerRecord.js'
 
-/** A member of a gang and the worker chosen for it. */
-export interface GangMemberPlacement {
-  task: TaskRecord
-  worker: WorkerRecord
-}
-
 /**
  * Places all members of a gang at once, on one rack when the gang prefers that and a rack has the capacity.
  *
@@ -16,12 +10,14 @@
  * @param step The step.
  * @param workers All workers.
  * @param conditions The conditions of the choice.
- * @returns A worker for each member, or an empty list when not all fit or a member is done or still runs.
+ * @returns The worker of each member in order, or an empty list when not all fit or a member is done or still runs.
  */
 export function selectGangPlacement (
   step: StepRecord, workers: Iterable<WorkerRecord>, conditions: ChoiceConditions
-): GangMemberPlacement[] {
-  if (step.tasks.some(task => task.done || task.runs.length > 0)) return []
+): WorkerRecord[] {
+  const { tasks } = step
+  if (tasks.remainingCount < tasks.count) return []
+  for (const task of tasks.getAllCreated()) if (task.runs.length > 0) return []
   const label = step.specification.requiredLabel
   const eligible = [...workers].filter(worker =>
     isEligible(worker, conditions) && (label === '' || worker.entry.labels.includes(label)))
@@ -30,10 +26,10 @@
   racks.sort((left, right) => Number(right.name === preferredRack) - Number(left.name === preferredRack))
   for (const rack of racks) {
     const placement = assignMembers(step, rack.workers)
-    if (placement.length === step.tasks.length) return placement
+    if (placement.length === tasks.count) return placement
   }
   const placement = assignMembers(step, eligible)
-  return placement.length === step.tasks.length ? placement : []
+  return placement.length === tasks.count ? placement : []
 }
 
 function getRacks (workers: WorkerRecord[]): Array<{ name: string, workers: WorkerRecord[] }> {
@@ -46,20 +42,19 @@
   return [...racks].map(([name, members]) => ({ name, workers: members }))
 }
 
-function assignMembers (step: StepRecord, workers: WorkerRecord[]): GangMemberPlacement[] {
-  const { specification } = step
-  const placement: GangMemberPlacement[] = []
-  const waiting = [...step.tasks]
+function assignMembers (step: StepRecord, workers: WorkerRecord[]): WorkerRecord[] {
+  const { specification, tasks } = step
+  const placement: WorkerRecord[] = []
   for (const worker of workers) {
     const free = getFreeCapacity(worker)
     const limit = specification.maximumPerWorker > 0 ? specification.maximumPerWorker : Infinity
-    for (let count = 0; count < limit && waiting.length > 0; count++) {
+    for (let count = 0; count < limit && placement.length < tasks.count; count++) {
       if (!specification.fills && free.processorsMilli < specification.processorsMilli) break
       if (free.memoryMegabytes < specification.memoryMegabytes || free.accelerators < specification.accelerators) break
       free.processorsMilli -= specification.fills ? 0 : specification.processorsMilli
       free.memoryMegabytes -= specification.memoryMegabytes
       free.accelerators -= specification.accelerators
-      placement.push({ task: waiting.shift()!, worker })
+      placement.push(worker)
     }
   }
   return placement
--- a/src/dispatch/waitingRestarts.test.ts
+++ b/src/dispatch/waitingRestarts.test.ts
@@ -52,7 +52,8 @@
 
 function getWaitingTasks (engine: DispatchEngine): string[] {
   return [...engine.jobs.getJobs()].filter(job => job.finalState === null)
-    .flatMap(job => [...job.occurrences.values()].flatMap(occurrence => occurrence.steps.flatMap(step => step.tasks)))
+    .flatMap(job => [...job.occurrences.values()]).flatMap(({ steps }) => steps)
+    .flatMap(step => [...step.tasks.getAllCreated()])
     .filter(task => isRestart(task) && task.runs.length === 0)
     .map(task => task.name).sort()
 }
--- a/src/instance/wideProgressRows.test.ts
+++ b/src/instance/wideProgressRows.test.ts
@@ -113,8 +113,11 @@
 }
 
 function describeTasks (engine: DispatchEngine, jobId: string): string[] {
-  return engine.jobs.getJob(jobId)!.occurrences.get(0)!.steps[0].tasks.map(task =>
-    `${task.name} ${task.done ? 'done' : ''} ${[...task.failedAttempts].join()} ${task.done ? '' : task.checkpoint}`)
+  const { tasks } = engine.jobs.getJob(jobId)!.occurrences.get(0)!.steps[0]
+  return Array.from({ length: tasks.count }, (_, index) => {
+    const task = tasks.get(index)
+    return task === undefined ? `${index} done` : `${index} ${[...task.failedAttempts].join()} ${task.checkpoint}`
+  })
 }
 
 /** Writes the progress of an engine for a while, and returns whether all of it is durable. */
@@ -146,7 +149,7 @@
   const successor = createEngine(2).engine
   addJob(successor, 'wide', { taskCount: WIDE_TASK_COUNT, longRunning: true }, store)
   const { tasks } = successor.jobs.getJob('wide')!.occurrences.get(0)!.steps[0]
-  assert.equal(tasks.filter(task => task.assignedWorkerId === 'desk-north-a-117').length, WIDE_TASK_COUNT)
+  assert.equal([...tasks.getAllCreated()].filter(task => task.assignedWorkerId === 'desk-north-a-117').length, WIDE_TASK_COUNT)
 })
 
 // The progress of all tasks was one row, which the store rejected again and again with those of all other jobs.
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -1,5 +1,6 @@
 import type { FinalJobState, JobSubmission, StepSpecification } from './JobSpecification.js'
 import { getOccurrenceTaskCount, type ProgressSegment } from './ProgressSegment.js'
+import { StepTasks } from './StepTasks.js'
 
 /** The states of one run. A run that is over has no state: it is removed from the runs of its task. */
 export type RunState = 'starting' | 'running' | 'stopping'
@@ -71,9 +72,7 @@
   specification: StepSpecification
   /** The number of the step's first task among all tasks of the job, see `ProgressSegment`. */
   firstTaskNumber: number
-  tasks: TaskRecord[]
-  /** The number of tasks that are done. */
-  doneCount: number
+  tasks: StepTasks
 }
 
 /** One execution of all steps of a job. */
@@ -81,14 +80,14 @@
   job: JobRecord
   number: number
   steps: StepRecord[]
-  /** The number of tasks of all steps that are done. */
-  doneCount: number
 }
 
 /** A job that has no final state yet, or whose final state is not durable yet. */
 export interface JobRecord {
   submission: JobSubmission
   occurrences: Map<number, OccurrenceRecord>
+  /** Each occurrence with a lower number is created or done. */
+  nextOccurrenceNumber: number
   finishedOccurrences: Set<number>
   /** The segments of the progress that have changed or are stored, by index. */
   progressSegments: Map<number, ProgressSegment>
@@ -126,6 +125,7 @@
   return {
     submission,
     occurrences: new Map(),
+    nextOccurrenceNumber: 0,
     finishedOccurrences: new Set(),
     progressSegments: new Map(),
     furtherProgressKeys: new Set(),
@@ -159,7 +159,7 @@
 }
 
 /**
- * Creates an occurrence whose tasks all wait to start.
+ * Creates an occurrence none of whose tasks has been started.
  * @param job The job.
  * @param number The number of the occurrence.
  * @param firstAttempt The number of the first attempt of each task.
@@ -169,33 +169,52 @@
 export function createOccurrence (
   job: JobRecord, number: number, firstAttempt: number, now: number
 ): OccurrenceRecord {
-  const occurrence: OccurrenceRecord = { job, number, steps: [], doneCount: 0 }
+  const occurrence: OccurrenceRecord = { job, number, steps: [] }
   let firstTaskNumber = number * getOccurrenceTaskCount(job)
   occurrence.steps = job.submission.specification.steps.map((specification, index) => {
-    const step: StepRecord = { occurrence, index, specification, firstTaskNumber, tasks: [], doneCount: 0 }
-    firstTaskNumber += specification.taskCount
-    for (let taskIndex = 0; taskIndex < specification.taskCount; taskIndex++) {
-      step.tasks.push({
-        step,
-        index: taskIndex,
-        name: getTaskName(job.submission.jobId, number, index, taskIndex),
-        done: false,
-        failedAttempts: new Set(),
-        nextAttempt: firstAttempt,
-        checkpoint: '',
-        assignedWorkerId: null,
-        earlierRuns: getInitialScope(job, specification),
-        runs: [],
-        hasRun: false,
-        failedWorkerIds: new Set(),
-        waitingSince: now
+    const step: StepRecord = {
+      occurrence,
+      index,
+      specification,
+      firstTaskNumber,
+      tasks: StepTasks.create({
+        count: specification.taskCount,
+        createTask: taskIndex => createTask(step, taskIndex, firstAttempt, now)
       })
     }
+    firstTaskNumber += specification.taskCount
     return step
   })
   return occurrence
 }
 
+/**
+ * Creates the record of a task that this owner has not started.
+ * @param step The step.
+ * @param index The index of the task in its step.
+ * @param firstAttempt The number of the first attempt.
+ * @param waitingSince Monotonic time since when the task waits.
+ * @returns The record.
+ */
+function createTask (step: StepRecord, index: number, firstAttempt: number, waitingSince: number): TaskRecord {
+  const { job, number } = step.occurrence
+  return {
+    step,
+    index,
+    name: getTaskName(job.submission.jobId, number, step.index, index),
+    done: false,
+    failedAttempts: new Set(),
+    nextAttempt: firstAttempt,
+    checkpoint: '',
+    assignedWorkerId: null,
+    earlierRuns: getInitialScope(job, step.specification),
+    runs: [],
+    hasRun: false,
+    failedWorkerIds: new Set(),
+    waitingSince
+  }
+}
+
 /**
  * Returns whether a job has long-running tasks.
  * @param job The job.
@@ -245,6 +264,6 @@
 export function isStepReady (step: StepRecord): boolean {
   return step.specification.afterSteps.every(index => {
     const earlier = step.occurrence.steps[index]
-    return earlier !== undefined && earlier.doneCount === earlier.tasks.length
+    return earlier?.tasks.remainingCount === 0
   })
 }
--- a/src/jobs/JobSpecification.ts
+++ b/src/jobs/JobSpecification.ts
@@ -35,10 +35,7 @@
   maximumAway: number
 }
 
-/**
- * The maximum number of tasks of a job over all its occurrences. The owner keeps a record of each task whose occurrence
- * is due, and the progress of more tasks does not fit in a row of the store.
- */
+/** The maximum number of tasks of a job over all its occurrences; a successor reads a row for each 128 of them. */
 const MAXIMUM_JOB_TASKS = 100_000
 
 /** The part of a job that its submitter specifies. */
--- /dev/null
+++ b/src/jobs/StepTasks.ts
@@ -0,0 +1,137 @@
+import { IndexRanges } from './IndexRanges.js'
+import type { TaskRecord } from './JobRecord.js'
+
+/** Options of the tasks of a step. */
+export interface StepTasksOptions {
+  /** The number of tasks. */
+  count: number
+  /** Creates the record of a task that has not been started. */
+  createTask (index: number): TaskRecord
+}
+
+/**
+ * The tasks of one step of an occurrence.
+ *
+ * A step may have far more tasks than the workers can run, and the owner holds the steps of all jobs. A task has a
+ * record only from its first start, or from stored progress, until it is done.
+ */
+export class StepTasks {
+  private records: Map<number, TaskRecord> | null = null
+  private done: IndexRanges | null = null
+  /** No task with a higher index was created by a search for waiting tasks. */
+  private nextIndex = 0
+  /** The record that the last search created. */
+  private lastCreated: TaskRecord | null = null
+
+  private constructor (private readonly options: StepTasksOptions) {}
+
+  /**
+   * Creates the tasks of a step, none of which has been started.
+   * @param options The number of tasks and how the record of one is created.
+   * @returns The tasks.
+   */
+  static create (options: StepTasksOptions): StepTasks {
+    return new StepTasks(options)
+  }
+
+  /** The number of tasks. */
+  get count (): number {
+    return this.options.count
+  }
+
+  /** The number of tasks that are not done. */
+  get remainingCount (): number {
+    return this.options.count - (this.done?.size ?? 0)
+  }
+
+  /**
+   * Returns the record of a task and creates it on first use.
+   * @param index The index of the task.
+   * @returns The record, or undefined when the step has no such task or the task is done.
+   */
+  get (index: number): TaskRecord | undefined {
+    const isPossible = Number.isInteger(index) && index >= 0 && index < this.options.count
+    return isPossible && !this.isDone(index) ? this.getOrCreate(index) : undefined
+  }
+
+  /** Returns the record of a task if it has one. */
+  getCreated (index: number): TaskRecord | undefined {
+    return this.records?.get(index)
+  }
+
+  /** Returns the tasks that have records; the other ones are done or have not been started. */
+  getAllCreated (): Iterable<TaskRecord> {
+    return this.records?.values() ?? []
+  }
+
+  /** Returns whether a task is done. */
+  isDone (index: number): boolean {
+    return this.done?.has(index) === true
+  }
+
+  /**
+   * Returns whether a task waits for a start; creates at most one record.
+   * @param mayStart Returns whether a task may start now, which is the same for all tasks without a record.
+   * @returns Whether a task may start and has no run.
+   */
+  hasWaiting (mayStart: (task: TaskRecord) => boolean): boolean {
+    for (const task of this.getAllCreated()) if (task.runs.length === 0 && mayStart(task)) return true
+    const next = this.createNext(mayStart)
+    return next !== null && mayStart(next)
+  }
+
+  /**
+   * Returns the tasks that wait for a start, and creates their records one by one.
+   * @param mayStart Returns whether a task may start now, which is the same for all tasks without a record.
+   * @returns The tasks that may start and have no run, those with records first.
+   */
+  * getWaiting (mayStart: (task: TaskRecord) => boolean): Generator<TaskRecord> {
+    for (const task of [...this.getAllCreated()]) if (task.runs.length === 0 && mayStart(task)) yield task
+    for (let next = this.createNext(mayStart); next !== null; next = this.createNext(mayStart)) {
+      if (!mayStart(next)) return
+      yield next
+    }
+  }
+
+  /** Returns all tasks that are not done, and creates their records. */
+  createAll (): TaskRecord[] {
+    const tasks: TaskRecord[] = []
+    for (let index = 0; index < this.options.count; index++) {
+      if (!this.isDone(index)) tasks.push(this.getOrCreate(index))
+    }
+    return tasks
+  }
+
+  /**
+   * Records that a task is done, and drops its record.
+   * @param index The index of the task.
+   */
+  markDone (index: number): void {
+    const task = this.records?.get(index)
+    if (task !== undefined) task.done = true
+    this.records?.delete(index)
+    if (task === this.lastCreated) this.lastCreated = null
+    this.done ??= IndexRanges.create()
+    this.done.add(index)
+  }
+
+  /** Creates the record of the next task; returns null when there is none, or when the last one may not start yet. */
+  private createNext (mayStart: (task: TaskRecord) => boolean): TaskRecord | null {
+    const { lastCreated } = this
+    const isUntouched = lastCreated !== null && !lastCreated.hasRun && lastCreated.runs.length === 0
+    if (isUntouched && !mayStart(lastCreated)) return null
+    while (this.records?.has(this.nextIndex) === true || this.isDone(this.nextIndex)) this.nextIndex++
+    if (this.nextIndex >= this.options.count) return null
+    this.lastCreated = this.getOrCreate(this.nextIndex)
+    return this.lastCreated
+  }
+
+  private getOrCreate (index: number): TaskRecord {
+    const existing = this.records?.get(index)
+    if (existing !== undefined) return existing
+    const task = this.options.createTask(index)
+    this.records ??= new Map()
+    this.records.set(index, task)
+    return task
+  }
+}
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from './JobRecord.js'
 export * from './JobSpecification.js'
 export * from './ProgressSegment.js'
+export * from './StepTasks.js'
 export * from './jobProgress.js'
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,10 +1,10 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import {
-  createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord, type TaskRecord
+  createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord, type StepRecord
 } from './JobRecord.js'
 import type { FinalJobState } from './JobSpecification.js'
 import {
-  getOccurrenceSegment, getOccurrenceTaskCount, getProgressSegment, getTaskSegment, TASKS_PER_SEGMENT,
+  getOccurrenceSegment, getOccurrenceTaskCount, getProgressSegment, getSegmentIndex, TASKS_PER_SEGMENT,
   type ProgressSegment
 } from './ProgressSegment.js'
 
@@ -75,15 +75,17 @@
   const failures: Record<string, number[]> = {}
   const checkpoints: Record<string, string> = {}
   const assigned: Record<string, string> = {}
-  for (const task of getSegmentTasks(segment)) {
-    const prefix = `${task.step.occurrence.number}.${task.step.index}`
-    const suffix = `${prefix}.${task.index}`
-    if (task.assignedWorkerId !== null) assigned[suffix] = task.assignedWorkerId
-    if (task.done) {
+  for (const { step, index } of getSegmentTasks(segment)) {
+    const prefix = `${step.occurrence.number}.${step.index}`
+    if (step.tasks.isDone(index)) {
       done[prefix] ??= []
-      done[prefix].push(task.index)
+      done[prefix].push(index)
       continue
     }
+    const task = step.tasks.getCreated(index)
+    if (task === undefined) continue
+    const suffix = `${prefix}.${index}`
+    if (task.assignedWorkerId !== null) assigned[suffix] = task.assignedWorkerId
     if (task.failedAttempts.size > 0) failures[suffix] = [...task.failedAttempts]
     if (task.checkpoint !== '') checkpoints[suffix] = task.checkpoint
   }
@@ -103,15 +105,17 @@
 }
 
 /** Returns the tasks of a segment whose occurrences are created and not done. */
-function * getSegmentTasks ({ job, index }: ProgressSegment): Generator<TaskRecord> {
+function * getSegmentTasks ({ job, index }: ProgressSegment): Generator<{ step: StepRecord, index: number }> {
   const start = index * TASKS_PER_SEGMENT
   const end = start + TASKS_PER_SEGMENT
   const occurrenceTaskCount = getOccurrenceTaskCount(job)
   const lastOccurrence = Math.floor((end - 1) / occurrenceTaskCount)
   for (let number = Math.floor(start / occurrenceTaskCount); number <= lastOccurrence; number++) {
-    for (const { firstTaskNumber, tasks } of job.occurrences.get(number)?.steps ?? []) {
-      const last = Math.min(tasks.length, end - firstTaskNumber)
-      for (let taskIndex = Math.max(0, start - firstTaskNumber); taskIndex < last; taskIndex++) yield tasks[taskIndex]
+    for (const step of job.occurrences.get(number)?.steps ?? []) {
+      const last = Math.min(step.tasks.count, end - step.firstTaskNumber)
+      for (let taskIndex = Math.max(0, start - step.firstTaskNumber); taskIndex < last; taskIndex++) {
+        yield { step, index: taskIndex }
+      }
     }
   }
 }
@@ -218,25 +222,30 @@
   }
   if (job.finalState !== null) return new Set()
   for (const { segmentIndex, row } of rows) {
-    const segment = getProgressSegment(job, segmentIndex)
-    for (const task of restoreRow(job, row, firstAttempt, now)) {
-      const taskSegment = getTaskSegment(task)
-      if (taskSegment !== segment) moved.add(taskSegment)
+    for (const index of restoreRow(job, row, firstAttempt, now)) {
+      if (index !== segmentIndex) moved.add(getProgressSegment(job, index))
     }
   }
   return moved
 }
 
-/** Applies one row to the tasks of a job and returns these tasks. */
-function restoreRow (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): Set<TaskRecord> {
-  const restored = new Set<TaskRecord>()
+/** Applies one row to the tasks of a job and returns the indexes of the segments of these tasks. */
+function restoreRow (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): Set<number> {
+  const segmentIndexes = new Set<number>()
   const find = (suffix: string) => {
     const task = findTask(job, suffix, firstAttempt, now)
-    if (task !== undefined) restored.add(task)
+    if (task !== undefined) segmentIndexes.add(getSegmentIndex(task.step, task.index))
     return task
   }
   for (const [prefix, indexes] of Object.entries(row.done ?? {})) {
-    for (const index of indexes) markDone(find(`${prefix}.${index}`))
+    const [number, stepIndex] = prefix.split('.').map(Number)
+    const step = getOccurrence(job, number, firstAttempt, now)?.steps[stepIndex]
+    if (step === undefined) continue
+    for (const index of indexes) {
+      if (index < 0 || index >= step.tasks.count) continue
+      step.tasks.markDone(index)
+      segmentIndexes.add(getSegmentIndex(step, index))
+    }
   }
   for (const [suffix, attempts] of Object.entries(row.failures ?? {})) {
     const task = find(suffix)
@@ -246,25 +255,18 @@
     const task = find(suffix)
     if (task !== undefined) task.checkpoint = checkpoint
   }
-  if (!job.hasStoredAssignments || row.assigned === undefined || row.assigned === 'unknown') return restored
+  if (!job.hasStoredAssignments || row.assigned === undefined || row.assigned === 'unknown') return segmentIndexes
   for (const [suffix, workerId] of Object.entries(row.assigned)) {
     const task = find(suffix)
     if (task === undefined) continue
     task.assignedWorkerId = workerId
     task.hasRun = true
   }
-  return restored
-}
-
-function markDone (task: TaskRecord | undefined): void {
-  if (task === undefined || task.done) return
-  task.done = true
-  task.step.doneCount++
-  task.step.occurrence.doneCount++
+  return segmentIndexes
 }
 
 /**
- * Returns an occurrence of a job and creates its tasks on first use.
+ * Returns an occurrence of a job and creates it on first use.
  * @param job The job.
  * @param number The number of the occurrence.
  * @param firstAttempt The number of the first attempt of each task.
@@ -289,9 +291,9 @@
  * @param suffix `occurrence.step.index`.
  * @param firstAttempt The number of the first attempt of each task.
  * @param now The monotonic time.
- * @returns The task, or undefined when the job has no such task.
+ * @returns The task, or undefined when the job has no such task or the task is done.
  */
 export function findTask (job: JobRecord, suffix: string, firstAttempt: number, now: number) {
   const [occurrence, step, index] = suffix.split('.').map(Number)
-  return getOccurrence(job, occurrence, firstAttempt, now)?.steps[step]?.tasks[index]
+  return getOccurrence(job, occurrence, firstAttempt, now)?.steps[step]?.tasks.get(index)
 }
