Store the record of unreached workers in as many rows as it needs

The record of up to 1,000 unreached workers was one row in the transaction of the progress. With long identifiers it exceeds rowBytes, and the store rejects each batch from then on.

Change: the record is divided into rows of one transaction. A successor reads the first row and those of the same version, so that rows of an earlier, larger record do not count, also when an earlier version of the program has written in between.

Not seen on a deployment: found by looking at every row that the owner writes.

--- a/src/dispatch/UnreachedWorkers.ts
+++ b/src/dispatch/UnreachedWorkers.ts
@@ -7,7 +7,7 @@
 const SHORTEST_FAILURE_MILLISECONDS = 1000
 /** A successor waits for at most this much longer than necessary, plus the time without an owner. */
 const RECORD_INTERVAL_MILLISECONDS = 1000
-/** A row of the store holds this many, a fifth of a site of 5,400; a successor waits longer for any others. */
+/** A transaction holds this many, a fifth of a site of 5,400; a successor waits longer for any others. */
 const RECORDED_WORKER_LIMIT = 1000
 
 /**
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../shared/Logger.js'
 import { packOperations } from '../table/packOperations.js'
 import { SettledWriter } from '../table/SettledWriter.js'
+import { getPartKey, splitRecord } from '../table/splitRecord.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
 import { createSegmentOperations } from './createProgressOperations.js'
@@ -365,8 +366,12 @@
   }
 
   private createUnreachedOperations (record: UnreachedRecord): Operation[] {
-    const { shardId: key } = this.options
-    return [{ kind: 'put', table: UNREACHED_TABLE, key, value: record, condition: { kind: 'any' } }]
+    const { shardId, tableLimits, logger } = this.options
+    const { parts, omitted } = splitRecord(record, tableLimits.rowBytes)
+    if (omitted.length > 0) logger.warn('unreached workers not stored', { workers: omitted })
+    return parts.map((value, part) => {
+      return { kind: 'put', table: UNREACHED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }
+    })
   }
 
   private createUnreachedRecord (): UnreachedRecord | null {
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -214,9 +214,8 @@
     const rows = await loadShardRows(this.options)
     if (rows === null || this.stopped) return false
     const { jobs, learned, unreachedReadAt } = rows
-    if (learned !== null) {
-      this.options.errors.run('learned-row', () =>
-        this.engine.advisor.import(learned.value as unknown as LearnedEffects))
+    for (const { value } of learned) {
+      this.options.errors.run('learned-row', () => this.engine.advisor.import(value as unknown as LearnedEffects))
     }
     const now = this.now()
     const progressByJobId = groupProgressRows(rows.progress)
@@ -244,13 +243,13 @@
   }
 
   /** Returns the milliseconds until the leases of workers that earlier owners did not reach have expired. */
-  private restoreUnreachedWorkers (row: Row | null): ReadonlyMap<string, number> {
-    if (row === null) return new Map()
-    const record = decodeUnreachedRecord(row.value)
+  private restoreUnreachedWorkers (rows: readonly Row[]): ReadonlyMap<string, number> {
+    if (rows.length === 0) return new Map()
+    const record = decodeUnreachedRecord(rows.map(row => row.value))
     this.engine.unreached.restore(record)
     // An owner that does not know the record may have renewed the leases of its workers.
     const { assignmentsStoredSince } = this.options
-    const isCurrent = assignmentsStoredSince !== null && row.version > assignmentsStoredSince
+    const isCurrent = assignmentsStoredSince !== null && rows[0].version > assignmentsStoredSince
     return new Map(isCurrent ? Object.entries(record) : [])
   }
 
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -120,13 +120,13 @@
 }
 
 /**
- * Decodes the row of unreached workers.
- * @param value The value of the row.
+ * Decodes the rows of unreached workers.
+ * @param values The values of the rows.
  * @returns The milliseconds until the leases have expired, by worker; entries that are no numbers are infinite.
  */
-export function decodeUnreachedRecord (value: JsonValue): UnreachedRecord {
+export function decodeUnreachedRecord (values: readonly JsonValue[]): UnreachedRecord {
   const record: UnreachedRecord = Object.create(null)
-  for (const [workerId, remaining] of Object.entries(getFields(value))) {
+  for (const [workerId, remaining] of values.flatMap(value => Object.entries(getFields(value)))) {
     record[workerId] = getNumber(remaining) ?? Infinity
   }
   return record
--- a/src/instance/wideProgressRows.test.ts
+++ b/src/instance/wideProgressRows.test.ts
@@ -3,61 +3,18 @@
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import { LimitedStore } from '../../stand-ins/platform/LimitedStore.js'
 import { DispatchEngine, type DispatchOrder, type ListedCompletion } from '../dispatch/index.js'
 import { decodeProgressKey, type StepSpecification, type StoredProgressRow } from '../jobs/index.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
-import type { Row, TableService, Transaction } from '../table/TableService.js'
 import { PROGRESS_TABLE } from './jobRows.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
-/** The largest value of a row in base64, as in the settings of the platform. */
-const ROW_BYTES = 65_536
-/** The largest body of a transaction, and the most entries. */
-const TRANSACTION_BYTES = 1_000_000
-const ENTRY_LIMIT = 100
 const WIDE_TASK_COUNT = 2400
 const EMPTY_REPORT = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
-/** A store that rejects what exceeds the limits of its page, and rows with other keys by choice. */
-class LimitedStore {
-  readonly rows = new Map<string, Row>()
-  private version = 0
-
-  private constructor (private readonly isRejected: (key: string) => boolean) {}
-
-  static create (isRejected: (key: string) => boolean = () => false): LimitedStore {
-    return new LimitedStore(isRejected)
-  }
-
-  readonly client = {
-    read: async () => ({ kind: 'ok', value: null }),
-    transact: async ({ operations }: Transaction) => {
-      const values = operations.map(operation => operation.kind === 'put'
-        ? Buffer.from(JSON.stringify(operation.value)).toString('base64')
-        : '')
-      const isTooLarge = values.some(value => value.length > ROW_BYTES) || operations.length > ENTRY_LIMIT ||
-        values.join('').length > TRANSACTION_BYTES
-      if (isTooLarge || operations.some(({ key }) => this.isRejected(key))) {
-        return { kind: 'unavailable', reason: 'store answered 400', isPermanent: true }
-      }
-      this.version++
-      for (const operation of operations) {
-        if (operation.kind !== 'put') continue
-        const { table, key } = operation
-        this.rows.set(`${table}/${key}`, { table, key, version: this.version, value: structuredClone(operation.value) })
-      }
-      return { kind: 'committed', versions: operations.map(() => 1) }
-    }
-  } as unknown as TableService
-
-  getProgress (jobId: string): StoredProgressRow[] {
-    return [...this.rows.values()].filter(({ table, key }) =>
-      table === PROGRESS_TABLE && decodeProgressKey(key).jobId === jobId)
-  }
-}
-
 function createEngine (epoch = 1) {
   const engine = DispatchEngine.create({ epoch })
   const capacity = { processorsMilli: 4_000_000, memoryMegabytes: 4_000_000, accelerators: 0 }
@@ -68,10 +25,14 @@
 }
 
 function addJob (engine: DispatchEngine, jobId: string, step: Partial<StepSpecification>, store?: LimitedStore): void {
-  const progress = store?.getProgress(jobId) ?? []
+  const progress = store === undefined ? [] : getProgress(store, jobId)
   engine.jobs.add({ submission: createSubmission([step], { jobId }), progress, recovered: false }, 1000)
 }
 
+function getProgress (store: LimitedStore, jobId: string): StoredProgressRow[] {
+  return store.getRows(PROGRESS_TABLE).filter(({ key }) => decodeProgressKey(key).jobId === jobId)
+}
+
 function createWriter (engine: DispatchEngine, store: LimitedStore, clock: VirtualClock): ProgressWriter {
   return ProgressWriter.create({
     shardId: 'site',
@@ -164,7 +125,7 @@
   const successor = createEngine(2).engine
   addJob(successor, 'wide', step, store)
   assert.deepEqual(describeTasks(successor, 'wide'), describeTasks(engine, 'wide'))
-  assert.deepEqual(store.getProgress('small').map(({ value }) => (value as { state: string }).state), ['completed'])
+  assert.deepEqual(getProgress(store, 'small').map(({ value }) => (value as { state: string }).state), ['completed'])
 })
 
 test('checkpoints that exceed the row of a segment are stored in further rows', async () => {
@@ -185,7 +146,7 @@
   for (const jobId of ['odd', 'first', 'second']) addJob(engine, jobId, { taskCount: 2 })
   endRuns(engine, () => '')
   await writeProgress(engine, store)
-  assert.deepEqual(['odd', 'first', 'second'].map(jobId => store.getProgress(jobId).length), [0, 1, 1])
+  assert.deepEqual(['odd', 'first', 'second'].map(jobId => getProgress(store, jobId).length), [0, 1, 1])
 })
 
 test('the progress of a wide job from an earlier version moves to its segments before the first row is replaced', async () => {
