Store learned interference in as many rows as it needs

What the owner has learned of interference was one row. With many images it exceeds rowBytes, and nothing learned reaches a successor any more; no other row is affected.

Not seen on a deployment.

--- a/src/instance/LearnedEffectsWriter.ts
+++ b/src/instance/LearnedEffectsWriter.ts
@@ -3,7 +3,10 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
-import type { TableService } from '../table/TableService.js'
+import { packOperations } from '../table/packOperations.js'
+import { getPartKey, splitRecord } from '../table/splitRecord.js'
+import type { TableLimits } from '../table/TableLimits.js'
+import type { Operation, TableService } from '../table/TableService.js'
 import { LEARNED_TABLE } from './jobRows.js'
 
 /** Options of a writer. */
@@ -12,6 +15,7 @@
   engine: DispatchEngine
   fence: Fence
   tableService: TableService
+  tableLimits: TableLimits
   logger: Logger
   errors: ErrorBoundary
 }
@@ -45,22 +49,21 @@
   }
 
   private async store (): Promise<void> {
-    const { engine, shardId, fence, tableService, logger } = this.options
+    const { engine, shardId, fence, tableService, tableLimits, logger } = this.options
     const learned = engine.advisor.export()
     if (Object.keys(learned).length === 0) return
-    const outcome = await tableService.transact({
-      operations: [
-        {
-          kind: 'put',
-          table: LEARNED_TABLE,
-          key: shardId,
-          value: learned as unknown as JsonValue,
-          condition: { kind: 'any' }
-        },
-        { kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion } }
-      ]
-    })
-    // No retry is needed, because the next write replaces this one.
-    if (outcome.kind !== 'committed') logger.info('learned interference not stored', { outcome: outcome.kind })
+    const { parts, omitted } = splitRecord(learned as unknown as Record<string, JsonValue>, tableLimits.rowBytes)
+    if (omitted.length > 0) logger.warn('learned interference larger than a row not stored', { images: omitted.length })
+    const groups = parts.map((value, part): Operation[] =>
+      [{ kind: 'put', table: LEARNED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }])
+    const check: Operation = {
+      kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
+    }
+    const limits = { operationCount: tableLimits.operationCount - 1, bytes: tableLimits.transactionBytes }
+    for (const operations of packOperations(groups, limits)) {
+      const outcome = await tableService.transact({ operations: [...operations, check] })
+      // No retry is needed, because the next write replaces this one.
+      if (outcome.kind !== 'committed') return logger.info('learned interference not stored', { outcome: outcome.kind })
+    }
   }
 }
