Store no earlier owners in the row of the shard

Cause: the row of the shard listed each owner that ended without a release, and nothing in the deployed program removed or read one.

Change: a lease takes a function that selects which earlier owners are stored. The election stores none: a successor waits until the leases that they have granted have expired. The other scheduler, which calls earlier owners, keeps all.

Measured: the new test, a takeover of a row with 1,200 such owners, fails with the earlier choice and passes now.

--- /dev/null
+++ b/src/instance/OwnerElection.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
+import { LimitedStore } from '../../stand-ins/platform/LimitedStore.js'
+import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, type HeartbeatRow, type ShardRow } from '../leases/ShardLease.js'
+import type { JsonValue } from '../shared/JsonValue.js'
+import { silentLogger } from '../shared/Logger.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+import { OwnerElection } from './OwnerElection.js'
+import type { OwnerPeer } from './OwnerPeer.js'
+
+/** The row of the shard held some 1,140 such owners before it exceeded a row of the store. */
+const UNRELEASED_OWNERS = 1200
+
+test('a shard that many owners have not released can be taken over, and its row does not grow', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  const epoch = UNRELEASED_OWNERS + 1
+  const shard: ShardRow = {
+    owner: 'a',
+    address: '10.0.0.1:1',
+    region: 'south',
+    epoch,
+    writeId: 'a',
+    earlier: Array.from({ length: UNRELEASED_OWNERS }, (_, index) => ({ epoch: index + 1, address: '10.0.0.1:17001' })),
+    assignmentsStoredSince: 1
+  }
+  const heartbeat: HeartbeatRow = { owner: 'a', epoch, beat: 0, summary: null, released: false }
+  for (const [table, value] of [[SHARD_TABLE, shard], [SHARD_HEARTBEAT_TABLE, heartbeat]] as const) {
+    store.put({ table, key: 'site', value: value as unknown as JsonValue })
+  }
+  const election = OwnerElection.create({
+    shardId: 'site',
+    instanceId: 'b',
+    address: '10.0.0.2:1',
+    region: 'south',
+    tableService: store.client,
+    peer: { probe: async () => ({ kind: 'refused' }) } as unknown as OwnerPeer,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    resources: { processors: 1, linkMegabitsPerSecond: 1000 },
+    random: () => 0,
+    onAcquired: () => {},
+    onDeposed: () => {}
+  })
+  election.run()
+  await clock.advance(10_000)
+  assert.equal(election.isOwner(), true)
+  const row = store.getRow({ table: SHARD_TABLE, key: 'site' })?.value as unknown as ShardRow
+  assert.deepEqual([row.owner, row.epoch, row.earlier], ['b', epoch + 1, []])
+  await election.stop()
+})
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -86,7 +86,9 @@
       region,
       tableService,
       clock,
-      rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS }
+      rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
+      // No owner calls earlier ones: it waits until the leases that they have granted have expired.
+      selectStoredOwners: () => []
     })
   }
 
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -82,6 +82,11 @@
   tableService: TableService
   clock: Clock
   rules?: Partial<ShardLeaseRules>
+  /**
+   * Returns which of the owners that did not release the shard are stored for a successor, the earliest first; all by
+   * default. The row grows with each one.
+   */
+  selectStoredOwners? (unreleased: readonly EarlierOwner[]): EarlierOwner[]
 }
 
 /**
@@ -307,7 +312,10 @@
     const observed = this.getObservedOwner()
     if (observed === null) return []
     const wasReleased = this.getObservedHeartbeat()?.released ?? false
-    return wasReleased ? observed.earlier : [...observed.earlier, { epoch: observed.epoch, address: observed.address }]
+    const unreleased = wasReleased
+      ? observed.earlier
+      : [...observed.earlier, { epoch: observed.epoch, address: observed.address }]
+    return this.options.selectStoredOwners?.(unreleased) ?? unreleased
   }
 
   private async writeHeartbeat (
--- a/stand-ins/platform/LimitedStore.ts
+++ b/stand-ins/platform/LimitedStore.ts
@@ -1,3 +1,4 @@
+import type { JsonValue } from '../../src/shared/JsonValue.js'
 import type { Row, RowKey, TableService, Transaction, TransactionOutcome } from '../../src/table/TableService.js'
 
 /** The largest value of a row in base64, as in the settings of the platform. */
@@ -24,10 +25,22 @@
 
   /** The client of the store; it is immediate and has no faults. */
   readonly client = {
-    read: async ({ table, key }: RowKey) => ({ kind: 'ok', value: this.rows.get(`${table}/${key}`) ?? null }),
+    read: async (row: RowKey) => ({ kind: 'ok', value: this.getRow(row) }),
+    readMany: async (rows: RowKey[]) => ({ kind: 'ok', value: rows.map(row => this.getRow(row)) }),
     transact: async (transaction: Transaction) => this.apply(transaction)
   } as unknown as TableService
 
+  /** Writes a row, whatever its size. */
+  put ({ table, key, value }: RowKey & { value: JsonValue }): void {
+    this.version++
+    this.rows.set(`${table}/${key}`, { table, key, version: this.version, value })
+  }
+
+  /** Returns a row, or null when it does not exist. */
+  getRow ({ table, key }: RowKey): Row | null {
+    return this.rows.get(`${table}/${key}`) ?? null
+  }
+
   /** Returns the rows of a table. */
   getRows (table: string): Row[] {
     return [...this.rows.values()].filter(row => row.table === table)
