Store a submission that exceeds a row in several rows

What callers saw: a job whose body exceeds some 40 KB is rejected with 503, now and at each retry, although the configuration allows bodies of 262,144 bytes.

Change: such a submission is compressed and divided into rows of one transaction, on condition that the job is absent. The owner joins them in any order, as a feed or a page may end between them, and deletes the further ones after the end of the job.

--- a/src/instance/FinishedJobCleaner.ts
+++ b/src/instance/FinishedJobCleaner.ts
@@ -2,7 +2,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { Operation, TableService } from '../table/TableService.js'
-import { FINISHED_JOB_VALUE, getCancelKey, getPartition, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { FINISHED_JOB_VALUE, getPartition, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 
 /** Options of a cleaner. */
 export interface FinishedJobCleanerOptions {
@@ -14,8 +14,8 @@
 
 /** Jobs that finish within this time share a write; a new owner needlessly reads the submissions of one interval. */
 const CLEANUP_INTERVAL_MILLISECONDS = 2000
-/** A transaction holds 100 entries; a job takes two. */
-const JOBS_PER_WRITE = 45
+/** The rows of jobs that are emptied or deleted in one transaction, more only for the many rows of one job. */
+const ROWS_PER_WRITE = 90
 /** The progress rows that are deleted in one transaction. */
 const PROGRESS_ROWS_PER_WRITE = 90
 
@@ -26,7 +26,8 @@
  * The empty row stays, so that a copy of the submission that arrives later does not start the job again.
  */
 export class FinishedJobCleaner {
-  private readonly jobsByPartition = new Map<string, Map<string, boolean>>()
+  /** The jobs and the keys of their rows to delete, by partition. */
+  private readonly jobsByPartition = new Map<string, Map<string, Set<string>>>()
   private readonly progressKeys = new Set<string>()
   private cancelTimer: () => void = () => {}
   private stopped = false
@@ -42,11 +43,15 @@
     return new FinishedJobCleaner(options)
   }
 
-  /** Queues the row of a job whose final state is durable. */
-  add (jobId: string, isCancelled: boolean): void {
+  /**
+   * Queues the rows of a job whose final state is durable.
+   * @param jobId The job, whose first row is emptied.
+   * @param keys The keys of the other rows of the job table that belong to it, which are deleted.
+   */
+  add (jobId: string, keys: readonly string[]): void {
     const partition = getPartition(JOB_TABLE, jobId)
-    const partitionJobs = this.jobsByPartition.get(partition) ?? new Map()
-    partitionJobs.set(jobId, isCancelled || partitionJobs.get(jobId) === true)
+    const partitionJobs = this.jobsByPartition.get(partition) ?? new Map<string, Set<string>>()
+    partitionJobs.set(jobId, new Set([...partitionJobs.get(jobId) ?? [], ...keys]))
     this.jobsByPartition.set(partition, partitionJobs)
   }
 
@@ -91,7 +96,7 @@
   private async emptyRows (): Promise<void> {
     for (const [partition, jobs] of [...this.jobsByPartition]) {
       if (this.stopped) return
-      const batch = [...jobs].slice(0, JOBS_PER_WRITE)
+      const batch = takeBatch(jobs)
       const outcome = await this.options.tableService.transact({ operations: batch.flatMap(createOperations) })
       if (outcome.kind !== 'committed') {
         this.options.logger.info('cleanup of finished jobs postponed', { partition, outcome: outcome.kind })
@@ -103,12 +108,21 @@
   }
 }
 
-function createOperations ([jobId, isCancelled]: [string, boolean]): Operation[] {
-  const operations: Operation[] = [
-    { kind: 'put', table: JOB_TABLE, key: jobId, value: FINISHED_JOB_VALUE, condition: { kind: 'any' } }
-  ]
-  if (isCancelled) {
-    operations.push({ kind: 'delete', table: JOB_TABLE, key: getCancelKey(jobId), condition: { kind: 'any' } })
+/** Returns the first jobs whose rows fit into one transaction, at least one. */
+function takeBatch (jobs: ReadonlyMap<string, ReadonlySet<string>>): Array<[string, ReadonlySet<string>]> {
+  const batch: Array<[string, ReadonlySet<string>]> = []
+  let rowCount = 0
+  for (const [jobId, keys] of jobs) {
+    rowCount += 1 + keys.size
+    if (batch.length > 0 && rowCount > ROWS_PER_WRITE) break
+    batch.push([jobId, keys])
   }
-  return operations
+  return batch
+}
+
+function createOperations ([jobId, keys]: [string, ReadonlySet<string>]): Operation[] {
+  return [
+    { kind: 'put', table: JOB_TABLE, key: jobId, value: FINISHED_JOB_VALUE, condition: { kind: 'any' } },
+    ...[...keys].map((key): Operation => ({ kind: 'delete', table: JOB_TABLE, key, condition: { kind: 'any' } }))
+  ]
 }
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -89,6 +89,7 @@
     this.ownerApi = this.createOwnerApi()
     this.gateway = JobGateway.create({
       tableService: callerTable,
+      tableLimits: options.tableLimits,
       peer,
       metrics: this.metrics,
       ownerApi: this.ownerApi,
--- a/src/instance/JobGateway.test.ts
+++ b/src/instance/JobGateway.test.ts
@@ -4,6 +4,7 @@
 import { EMULATED_QUEUE } from '../../stand-ins/platform/EmulatedSite.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
+import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { JobGateway, type CallerWait } from './JobGateway.js'
 
@@ -23,6 +24,7 @@
     return value
   }
   const gateway = JobGateway.create({
+    tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: {
       transact: () => respondAfter('write', STORE_MILLISECONDS, { kind: 'unknown' as const, reason: 'timeout' }),
       read: () => respondAfter('read', STORE_MILLISECONDS, { kind: 'ok' as const, value: null }),
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -2,11 +2,13 @@
 import { decodeProgress } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
+import type { TableLimits } from '../table/TableLimits.js'
 import type { TableService } from '../table/TableService.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
-import { encodeSubmission, getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import type { OwnerApi, OwnerJobState, OwnerPeer, StoreOutcome } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
+import { createSubmissionOperations } from './submissionRows.js'
 
 /** The outcome of a submission. */
 export type SubmitOutcome =
@@ -37,6 +39,7 @@
 /** Options of a gateway. */
 export interface JobGatewayOptions {
   tableService: TableService
+  tableLimits: TableLimits
   peer: OwnerPeer
   metrics: InstanceMetrics
   /** The owner's calls in this process, used while it is the owner. */
@@ -231,15 +234,8 @@
    * @returns The outcome, which is also `stored` when an earlier copy is stored.
    */
   async storeSubmission (submission: JobSubmission): Promise<StoreOutcome> {
-    const outcome = await this.options.tableService.transact({
-      operations: [{
-        kind: 'put',
-        table: JOB_TABLE,
-        key: submission.jobId,
-        value: encodeSubmission(submission),
-        condition: { kind: 'absent' }
-      }]
-    })
+    const { tableService, tableLimits } = this.options
+    const outcome = await tableService.transact({ operations: createSubmissionOperations(submission, tableLimits) })
     if (outcome.kind === 'committed' || outcome.kind === 'conflict') return 'stored'
     return outcome.kind === 'unavailable' ? 'not-stored' : 'unknown'
   }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -13,7 +13,8 @@
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import {
-  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelledJobId, isFinishedJob, JOB_TABLE
+  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelKey, getCancelledJobId, getSubmissionPartOf,
+  isFinishedJob, JOB_TABLE
 } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { LearnedEffectsWriter } from './LearnedEffectsWriter.js'
@@ -23,6 +24,7 @@
 import { ProgressWriter } from './ProgressWriter.js'
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import type { SiteWatch } from './SiteWatch.js'
+import { SubmissionAssembler } from './submissionRows.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -82,6 +84,9 @@
   private readonly eventLoopDelay: EventLoopDelayMonitor
   private readonly recoveryMonitor: RecoveryMonitor
   private readonly loops: WorkerLeaseLoops
+  private readonly assembler = SubmissionAssembler.create()
+  /** The keys of the further rows of submissions that exceed a row of the store, by job. */
+  private readonly submissionPartKeys = new Map<string, Set<string>>()
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -128,9 +133,12 @@
       onDurable: finished => {
         for (const job of finished) {
           options.metrics.finishedJobs.inc({ state: job.finalState ?? 'unknown' })
-          this.cleaner.add(job.submission.jobId, job.finalState === 'cancelled')
+          const { jobId } = job.submission
+          const cancelKeys = job.finalState === 'cancelled' ? [getCancelKey(jobId)] : []
+          this.cleaner.add(jobId, [...cancelKeys, ...this.submissionPartKeys.get(jobId) ?? []])
+          this.submissionPartKeys.delete(jobId)
           this.cleaner.addProgressRows(job.furtherProgressKeys)
-          options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
+          options.logger.info('job finished', { job: jobId, state: job.finalState })
         }
       },
       onDeposed: () => options.onDeposed('a progress write conflicted with another owner')
@@ -257,9 +265,11 @@
   private queueFinishedJobsForCleanup (rows: Row[]): void {
     for (const { key, value } of rows) {
       const cancelledJob = getCancelledJobId(key)
-      const jobId = cancelledJob ?? key
+      const partOf = getSubmissionPartOf(key)
+      const jobId = cancelledJob ?? partOf?.jobId ?? key
       const needsCleanup = !isFinishedJob(value) || cancelledJob !== null
-      if (needsCleanup && this.engine.jobs.getJob(jobId) === undefined) this.cleaner.add(jobId, cancelledJob !== null)
+      if (!needsCleanup || this.engine.jobs.getJob(jobId) !== undefined) continue
+      this.cleaner.add(jobId, cancelledJob === null && partOf === null ? [] : [key])
     }
   }
 
@@ -286,7 +296,11 @@
   private addJobs (rows: Row[], getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
     for (const row of rows) {
       if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
-      this.options.errors.run('job-row', () => this.addJob(row, getProgress(row.key), recovered))
+      this.rememberSubmissionPart(row)
+      this.options.errors.run('job-row', () => {
+        const whole = this.assembler.add(row)
+        if (whole !== null) this.addJob(whole, getProgress(whole.key), recovered)
+      })
     }
     for (const row of rows) {
       const jobId = getCancelledJobId(row.key)
@@ -296,6 +310,13 @@
     this.schedulePlan()
   }
 
+  private rememberSubmissionPart ({ key }: Row): void {
+    const partOf = getSubmissionPartOf(key)
+    if (partOf === null) return
+    const keys = this.submissionPartKeys.get(partOf.jobId) ?? new Set()
+    this.submissionPartKeys.set(partOf.jobId, keys.add(key))
+  }
+
   private addJob (row: Row, progress: readonly Row[], recovered: boolean): void {
     const { assignmentsStoredSince, logger } = this.options
     const submission = decodeSubmission(row.value)
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -17,6 +17,7 @@
 export const UNREACHED_TABLE = 'unreached'
 
 const CANCEL_SUFFIX = '.cancel'
+const PART_SUFFIX = '.part.'
 /**
  * The partitions of the job table, apart from the owner's: a slow store handles few transactions a second in one, and
  * submissions must not delay the owner's writes.
@@ -60,6 +61,27 @@
   return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : null
 }
 
+/**
+ * Returns the key of a row of a submission that exceeds a row of the store.
+ * @param jobId The job.
+ * @param part The index of the row.
+ * @returns The key, which is the identifier of the job for the first row.
+ */
+export function getSubmissionPartKey (jobId: string, part: number): string {
+  return part === 0 ? jobId : `${jobId}${PART_SUFFIX}${part}`
+}
+
+/**
+ * Returns the submission to which a further row of the job table belongs.
+ * @param key The key of the row.
+ * @returns The job and the index of the row, or null for the first row of a submission or another row.
+ */
+export function getSubmissionPartOf (key: string): { jobId: string, part: number } | null {
+  const position = key.indexOf(PART_SUFFIX)
+  if (position < 0) return null
+  return { jobId: key.slice(0, position), part: Number(key.slice(position + PART_SUFFIX.length)) }
+}
+
 /**
  * Returns whether a row of the job table belongs to a finished job.
  * @param value The value of the row.
--- a/src/instance/manyUnreachedWorkers.test.ts
+++ b/src/instance/manyUnreachedWorkers.test.ts
@@ -5,6 +5,7 @@
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { LimitedStore } from '../../stand-ins/platform/LimitedStore.js'
 import { DispatchEngine } from '../dispatch/index.js'
+import { SHARD_TABLE } from '../leases/ShardLease.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { getCurrentParts } from '../table/splitRecord.js'
@@ -31,7 +32,7 @@
   const writer = ProgressWriter.create({
     shardId: 'site',
     engine,
-    fence: { epoch: 2, rowVersion: 1 },
+    fence: { epoch: 2, rowVersion: store.put({ table: SHARD_TABLE, key: 'site', value: {} }) },
     tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: store.client,
     clock,
--- a/src/instance/wideProgressRows.test.ts
+++ b/src/instance/wideProgressRows.test.ts
@@ -6,6 +6,7 @@
 import { LimitedStore } from '../../stand-ins/platform/LimitedStore.js'
 import { DispatchEngine, type DispatchOrder, type ListedCompletion } from '../dispatch/index.js'
 import { decodeProgressKey, type StepSpecification, type StoredProgressRow } from '../jobs/index.js'
+import { SHARD_TABLE } from '../leases/ShardLease.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
@@ -37,7 +38,7 @@
   return ProgressWriter.create({
     shardId: 'site',
     engine,
-    fence: { epoch: 1, rowVersion: 1 },
+    fence: { epoch: 1, rowVersion: store.put({ table: SHARD_TABLE, key: 'site', value: {} }) },
     tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: store.client,
     clock,
--- a/stand-ins/platform/LimitedStore.ts
+++ b/stand-ins/platform/LimitedStore.ts
@@ -30,10 +30,11 @@
     transact: async (transaction: Transaction) => this.apply(transaction)
   } as unknown as TableService
 
-  /** Writes a row, whatever its size. */
-  put ({ table, key, value }: RowKey & { value: JsonValue }): void {
+  /** Writes a row, whatever its size, and returns its version. */
+  put ({ table, key, value }: RowKey & { value: JsonValue }): number {
     this.version++
     this.rows.set(`${table}/${key}`, { table, key, version: this.version, value })
+    return this.version
   }
 
   /** Returns a row, or null when it does not exist. */
@@ -55,6 +56,12 @@
     if (isTooLarge || operations.some(({ key }) => this.isRejected(key))) {
       return { kind: 'unavailable', reason: 'store answered 400', isPermanent: true }
     }
+    for (const { condition, ...row } of operations) {
+      const current = this.getRow(row)
+      const isMet = condition.kind === 'any' ||
+        (condition.kind === 'absent' ? current === null : current?.version === condition.version)
+      if (!isMet) return { kind: 'conflict', row, current }
+    }
     this.version++
     for (const operation of operations) {
       const { table, key } = operation
