Read partitions with the rows of very many ended jobs

Cause: readWholeTable passed the rows of a partition as the arguments of one call, which exceeds the stack from some 120,000 rows on, and the load was repeated without end.

--- a/src/table/readWholeTable.test.ts
+++ b/src/table/readWholeTable.test.ts
@@ -73,3 +73,20 @@
   assert.deepEqual(outcome, { kind: 'unavailable', reason: 'timeout' })
   assert.ok(pageSize.rowLimit < 100)
 })
+
+// The rows of a partition were the arguments of one call, which exceeded the stack after 120,000 ended jobs.
+test('reads a partition with the rows of very many ended jobs', async () => {
+  const pageRows = 500
+  const pageCount = 500
+  let page = 0
+  const outcome = await readWholeTable({
+    partitions: ['owner'],
+    pageSize: PageSize.create(1000),
+    readPage: async () => {
+      const rows = Array.from({ length: pageRows }, (_, index): Row =>
+        ({ table: 'progress', key: `${page}-${index}`, version: 1, value: null }))
+      return { kind: 'ok', value: { rows, version: 7, hasMore: ++page < pageCount } }
+    }
+  })
+  assert.equal(outcome.kind === 'ok' && outcome.value.rows.length, pageRows * pageCount)
+})
--- a/src/table/readWholeTable.ts
+++ b/src/table/readWholeTable.ts
@@ -42,7 +42,8 @@
         failure = read
         return
       }
-      rows.push(...read.value.rows)
+      // A spread argument list of a large partition would exceed the stack.
+      for (const row of read.value.rows) rows.push(row)
       version = Math.min(version, read.value.version)
     }
   }
