--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -61,6 +61,8 @@
   hasRun: boolean
   /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
+  /** The number of runs that were stopped because they made no visible progress. */
+  stallCount: number
   /** Monotonic time at which the last run ended, or at which the task was created. */
   waitingSince: number
 }
@@ -211,6 +213,7 @@
     runs: [],
     hasRun: false,
     failedWorkerIds: new Set(),
+    stallCount: 0,
     waitingSince
   }
 }
