Treat jobs read just after a takeover as possibly started

Cause: an owner may start tasks for 5 s after its last renewal, and a successor takes over after 2.2 s. The successor took jobs from the feed for jobs that no other owner has started, and did not wait for workers that it had not reached.

Change: until 5 s after the takeover such a job counts as recovered while a worker of earlier owners has not answered, unless the earlier owner has stopped.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -10,7 +10,7 @@
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
-import { LEASE_RENEWAL_LIMIT_MILLISECONDS, ShardDispatcher } from './ShardDispatcher.js'
+import { LEASE_RENEWAL_LIMIT_MILLISECONDS, ShardDispatcher, TASK_START_LIMIT_MILLISECONDS } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
 
 /** Options of an instance. */
@@ -160,6 +160,7 @@
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
       earlierLeasesEndAt: now + earlierRenewalsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierStartsEndAt: now + (earlierOwnerStopped ? 0 : TASK_START_LIMIT_MILLISECONDS),
       createWorkerClient: options.createWorkerClient,
       getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
--- a/src/instance/RecoveryMonitor.ts
+++ b/src/instance/RecoveryMonitor.ts
@@ -1,4 +1,7 @@
-import { findWaitingLongRunningTasks, type DispatchEngine, type WaitingReason } from '../dispatch/index.js'
+import {
+  findWaitingLongRunningTasks, getRemainingLease, type DispatchEngine, type WaitingReason, type WorkerRecord
+} from '../dispatch/index.js'
+import type { RunRecord } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 
@@ -18,13 +21,18 @@
 /** The most workers named in one log line, and the most tasks reported in one check. */
 const NAMED_LIMIT = 10
 
-/** Logs which workers delay tasks of earlier owners after a takeover, and which long-running tasks wait, and why. */
+/**
+ * Logs which workers delay tasks of earlier owners after a takeover, which long-running tasks wait, and why, and which
+ * of them have a run whose state the owner does not know.
+ */
 export class RecoveryMonitor {
   private nextCheckAt = -Infinity
   private nextWorkersLineAt = -Infinity
   private waitingForWorkersSince: number | null = null
   /** The reason that was logged last, by task name; tasks that no longer wait are removed. */
   private reportedReasons = new Map<string, WaitingReason>()
+  /** Monotonic time since when the run of a long-running task is starting or stopping; null once it is logged. */
+  private unsettledSince = new Map<RunRecord, number | null>()
 
   private constructor (private readonly options: RecoveryMonitorOptions) {}
 
@@ -44,6 +52,7 @@
     this.nextCheckAt = now + CHECK_MILLISECONDS
     this.reportWorkers(now)
     this.reportTasks(now)
+    this.reportUnsettledRuns(now)
   }
 
   private reportWorkers (now: number): void {
@@ -80,4 +89,33 @@
     }
     this.reportedReasons = reasons
   }
+
+  private reportUnsettledRuns (now: number): void {
+    const since = new Map<RunRecord, number | null>()
+    let reported = 0
+    for (const worker of this.options.engine.workers.values()) {
+      for (const run of worker.runs.values()) {
+        if (run.state === 'running' || !run.task.step.specification.longRunning) continue
+        const earlier = this.unsettledSince.get(run)
+        const isDue = earlier !== null && earlier !== undefined && now - earlier >= WAIT_THRESHOLD_MILLISECONDS
+        since.set(run, isDue && reported < NAMED_LIMIT ? null : earlier === undefined ? now : earlier)
+        if (isDue && reported++ < NAMED_LIMIT) this.reportUnsettledRun(run, worker, now)
+      }
+    }
+    this.unsettledSince = since
+  }
+
+  private reportUnsettledRun (run: RunRecord, worker: WorkerRecord, now: number): void {
+    this.options.logger.info('run of a long-running task not settled', {
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      runState: run.state,
+      isStartUncertain: run.startUncertain,
+      isConfirmed: run.confirmedAt !== null,
+      workerState: worker.syncState,
+      leaseEndsInMilliseconds: Math.round(getRemainingLease(worker, now)),
+      startedMillisecondsAgo: Math.round(now - run.startedAt)
+    })
+  }
 }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -45,6 +45,8 @@
   leaseMilliseconds: number
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
   earlierLeasesEndAt: number
+  /** Monotonic time until which an earlier owner may still start tasks on workers that this owner has not reached. */
+  earlierStartsEndAt: number
   /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
   assignmentsStoredSince: number | null
   createWorkerClient (entry: WorkerEntry): WorkerClient
@@ -56,7 +58,7 @@
 /** An owner that could not renew its ownership for this long stops renewing worker leases, so that they expire. */
 export const LEASE_RENEWAL_LIMIT_MILLISECONDS = 6000
 /** An owner that could not renew its ownership for this long starts no tasks: its configuration may be outdated. */
-const TASK_START_LIMIT_MILLISECONDS = 5000
+export const TASK_START_LIMIT_MILLISECONDS = 5000
 /** Changes that occur within this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
 /** No further starts are planned while this many orders are queued: about 0.2 s of them at 300 starts a second. */
@@ -283,14 +285,20 @@
       logger,
       errors,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
-      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => [], false),
+      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => [], this.mayBeStartedByEarlierOwner()),
       onChanges: changes => this.applyJobChanges(changes)
     })
     this.jobFollower.run()
   }
 
   private applyJobChanges (changes: RowChange[]): void {
-    this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]), () => [], false)
+    const rows = changes.flatMap(change => change.row === null ? [] : [change.row])
+    this.addJobs(rows, () => [], this.mayBeStartedByEarlierOwner())
+  }
+
+  /** Returns whether an earlier owner may have started, or may still start, tasks of a job that is read now. */
+  private mayBeStartedByEarlierOwner (): boolean {
+    return !this.engine.unreconciled.isEmpty && this.now() < this.options.earlierStartsEndAt
   }
 
   private addJobs (rows: Row[], getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
