Limit the time in which a connection to a worker opens

Cause, suspected: a worker has one connection for holds. When its first packet is lost, the connection stays occupied for a second, and the calls behind it expire in the queue; such a call renews no lease and is no evidence that one has ended. Half of the connections fail when three packets in ten are lost, so that a worker is away for several seconds and its lease lapses.

--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -2,6 +2,7 @@
 import { SystemClock, type Clock } from './Clock.js'
 import { HttpConnection, isValidAddress, openTcpConnection, type OpenConnection } from './HttpConnection.js'
 import { HttpExchange } from './HttpExchange.js'
+import { limitOpeningTime } from './limitOpeningTime.js'
 
 /** One call to an HTTP service. */
 export interface HttpCall {
@@ -45,6 +46,8 @@
   observer?: HttpCallerObserver
   /** Opens a connection; defaults to plain TCP. */
   openConnection?: OpenConnection
+  /** The time limit for opening a connection, shorter than that of `openConnection`. */
+  connectTimeoutMilliseconds?: number
 }
 
 /** The reason of a call to an address that is not a host with an optional port. */
@@ -128,10 +131,12 @@
   }
 
   private createConnection (address: string): HttpConnection {
-    const { observer, openConnection = openTcpConnection } = this.options
+    const { observer, openConnection = openTcpConnection, connectTimeoutMilliseconds: milliseconds } = this.options
     return HttpConnection.create({
       address,
-      openConnection,
+      openConnection: milliseconds === undefined
+        ? openConnection
+        : limitOpeningTime(openConnection, { clock: this.clock, milliseconds }),
       onOpen: () => observer?.connectionOpened(address),
       onClose: reason => observer?.connectionClosed(address, reason)
     })
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -1,8 +1,9 @@
 import type { Dispatcher } from 'undici'
 import type { CallQueue, QueuedCall } from './CallQueue.js'
-import type { CancelTimer, Clock } from './Clock.js'
+import type { Clock } from './Clock.js'
 import type { HttpResult, HttpCall, HttpCallEndReason } from './HttpCaller.js'
 import { getErrorReason, type HttpConnection } from './HttpConnection.js'
+import { runAfterPendingReads } from './runAfterPendingReads.js'
 import { TimeLimit } from './TimeLimit.js'
 
 /** The reason of a call that expired in the queue behind other calls, which says nothing about the service's health. */
@@ -113,12 +114,3 @@
     this.options.queue.release(connection)
   }
 }
-
-/**
- * Runs the callback after two turns of the event loop. Immediates run after all readable sockets have been read, and a
- * connection that a response has freed starts its next call one turn later.
- */
-function runAfterPendingReads (callback: () => void): CancelTimer {
-  let immediate = setImmediate(() => { immediate = setImmediate(callback) })
-  return () => clearImmediate(immediate)
-}
