Prefer workers that respond steadily

A start on a worker whose calls fail again and again may get no response; its task then waits until the worker confirms the stop or its lease has ended, up to 8 s.

Change: a worker that has stopped responding twice within 10 s gets new work only when no other one has the capacity.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -203,7 +203,9 @@
    */
   markUnreachable (worker: WorkerRecord, sentAt: number | null): void {
     worker.unansweredCallSentAt = sentAt ?? worker.unansweredCallSentAt
-    if (worker.syncState === 'synchronized') worker.syncState = 'unreachable'
+    if (worker.syncState !== 'synchronized') return
+    worker.syncState = 'unreachable'
+    if (sentAt !== null) worker.failureTimes = [worker.failureTimes[1], sentAt]
   }
 
   /**
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -61,6 +61,8 @@
    * that were not sent are no evidence about the worker and do not count.
    */
   unansweredCallSentAt: number | null
+  /** Monotonic times of the last two changes from responding to not responding, the earlier one first. */
+  failureTimes: [number, number]
   /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
   leaseDeadline: number
   /** The highest number of an applied completion. */
@@ -83,6 +85,8 @@
 
 /** Time after the lease deadline, on the worker's clock, by which the worker has stopped all its runs. */
 const EXPIRY_MARGIN_MILLISECONDS = 100
+/** A worker that has stopped responding twice within this time gets new work only when no other one has capacity. */
+const UNSTEADY_MILLISECONDS = 10_000
 /** The maximum share by which a worker's clock may run slow. */
 const CLOCK_DRIFT_SHARE = 0.02
 
@@ -106,6 +110,7 @@
     clockReading: null,
     reportedAt: -Infinity,
     unansweredCallSentAt: null,
+    failureTimes: [-Infinity, -Infinity],
     leaseDeadline: 0,
     appliedCompletion: 0,
     durableCompletion: 0,
@@ -214,6 +219,17 @@
   return Math.max(0, worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS - workerTime) / (1 - CLOCK_DRIFT_SHARE)
 }
 
+/**
+ * Returns whether calls to a worker have failed repeatedly of late although it responds now, as over a connection that
+ * loses packets. A start there may get no response, and its task then waits for the end of the worker's lease.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether another worker is a better choice.
+ */
+export function isUnsteady (worker: WorkerRecord, now: number): boolean {
+  return now - worker.failureTimes[0] < UNSTEADY_MILLISECONDS
+}
+
 /**
  * Pauses new work for a worker.
  * @param worker The worker.
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -3,7 +3,7 @@
 import { hasPersistentViolation } from './decidePace.js'
 import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
 import type { WorkerCosts } from './WorkerCosts.js'
-import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
+import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Chooses the worker on which a task starts.
@@ -16,6 +16,8 @@
 
 /** Ranks workers on which the task failed before last; outweighs all other differences of cost. */
 const FAILED_BEFORE_PENALTY = 10
+/** Ranks workers that respond unsteadily behind all others on which the task has not failed. */
+const UNSTEADY_PENALTY = 5
 /** The conditions of a choice other than the task and the workers. */
 export interface ChoiceConditions {
   /** The service whose workers may run the task. */
@@ -110,6 +112,7 @@
   for (const worker of eligible) {
     let cost = conditions.costs.getCost(worker, task, emptyWorkerCost, conditions.advisor)
     if (task.failedWorkerIds.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
+    if (isUnsteady(worker, conditions.now)) cost += UNSTEADY_PENALTY
     if (cost >= bestCost || !fits(worker, task)) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
     if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
