Send waiting stops with the next report of their worker

A stop that could not be sent while its worker did not respond was tried again after up to 1.2 s, while its task waited for it. It is now sent with the first report of the worker.

Measured: the new test fails without the call from the report.

--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -50,6 +50,8 @@
 /** Sends the engine's orders to workers, a limited number at a time, and retries those with an unknown outcome. */
 export class OrderSender {
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
+  /** Called with the next report of a worker. */
+  private readonly reportWaiters = new Map<WorkerRecord, Set<() => void>>()
   private stopped = false
   private storing = 0
   private readonly acceptedStarts: BatchedLog
@@ -84,6 +86,13 @@
     return this.storing
   }
 
+  /** Sends the stops again that could not be sent while a worker did not respond; called after each of its reports. */
+  handleReport (worker: WorkerRecord): void {
+    const waiting = this.reportWaiters.get(worker)
+    this.reportWaiters.delete(worker)
+    for (const resume of waiting ?? []) resume()
+  }
+
   /** Withdraws queued orders that are no longer needed, which frees their reserved capacity at once. */
   withdrawUnneeded (): void {
     this.gate.withdrawUnneeded()
@@ -233,7 +242,8 @@
         if (run !== null) engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
         return
       }
-      await this.pause(retryMilliseconds)
+      if (outcome.kind === 'withdrawn' || outcome.kind === 'not-sent') await this.pauseUntilReport(worker, retryMilliseconds)
+      else await this.pause(retryMilliseconds)
       retryMilliseconds = Math.min(LONGEST_STOP_RETRY_MILLISECONDS, retryMilliseconds * 2)
     }
   }
@@ -250,6 +260,21 @@
     }
   }
 
+  /** Pauses until the next report of a worker, or for a time limit. */
+  private async pauseUntilReport (worker: WorkerRecord, milliseconds: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const waiters = this.reportWaiters.get(worker) ?? new Set()
+      this.reportWaiters.set(worker, waiters)
+      const resume = () => {
+        cancelTimer()
+        waiters.delete(resume)
+        resolve()
+      }
+      const cancelTimer = this.options.clock.setTimer(milliseconds, resume)
+      waiters.add(resume)
+    })
+  }
+
   private now (): number {
     return this.options.clock.monotonicMilliseconds()
   }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -124,6 +124,7 @@
       mayRenewLeases: () => this.getRenewalAge() < LEASE_RENEWAL_LIMIT_MILLISECONDS,
       onReport: worker => {
         if (!worker.registered) this.registry.register(this.engine.workers)
+        this.sender.handleReport(worker)
         this.schedulePlan()
       },
       onFenced: () => options.onDeposed('a worker rejected a lease renewal with an old epoch'),
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -48,7 +48,7 @@
   }
   engine.plan(1000, 1000, true)
   const sent = engine.takeOrders().map(order => sender.send(order, client))
-  return { clock, engine, worker, sent, stops }
+  return { clock, engine, worker, sender, sent, stops }
 }
 
 /** Creates starts that stay in flight until the test accepts all of them. */
@@ -114,6 +114,23 @@
   assert.equal(stops.count, 3)
 })
 
+test('stops for a worker are sent with its first report after it did not respond', async () => {
+  const starts = createPendingStarts()
+  const { clock, engine, worker, stops, sender } = createOwner(starts.start)
+  await clock.advance(1)
+  starts.acceptAll()
+  await clock.advance(1)
+  starts.acceptAll()
+  engine.markUnreachable(worker, 1000)
+  engine.cancelJob('job')
+  for (const order of engine.takeOrders()) stops.send(order)
+  await clock.advance(5000)
+  worker.syncState = 'synchronized'
+  sender.handleReport(worker)
+  await clock.advance(1)
+  assert.equal(stops.count, 3)
+})
+
 test('a start of a long-running task is not sent before its assignment is stored', async () => {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
