Call workers that have failed of late at shorter intervals

Over a path that loses packets a lost hold was noticed after 2.1 s, and the last renewal before it was up to 1.5 s old, so that 2.4 to 3.9 s of a lease of 6 s remained to reach the worker again. For 10 s after a failure a hold waits for 0.3 s, which leaves more than 4.5 s; it costs more calls only in that time.

Measured: the new test.

--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -230,6 +230,16 @@
   return now - worker.failureTimes[0] < UNSTEADY_MILLISECONDS
 }
 
+/**
+ * Returns whether a call to a worker that had responded has failed of late.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether further calls are likely to fail.
+ */
+export function hasFailedRecently (worker: WorkerRecord, now: number): boolean {
+  return now - worker.failureTimes[1] < UNSTEADY_MILLISECONDS
+}
+
 /**
  * Pauses new work for a worker.
  * @param worker The worker.
--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -9,22 +9,10 @@
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 
-test('does not renew the lease of a worker that a stored record names as unreached', async () => {
-  const clock = VirtualClock.create(1000)
-  const engine = DispatchEngine.create({ epoch: 2 })
-  engine.unreached.restore({ 'worker-0': 0 })
-  const worker = engine.setWorker(createWorkerEntry())
-  const requests: HoldRequest[] = []
-  const client = {
-    hold: async (request: HoldRequest) => {
-      requests.push(request)
-      return {
-        kind: 'reported', report: { workerMilliseconds: 5000, bornAtMilliseconds: 1, running: [], ended: [] }
-      }
-    }
-  } as unknown as WorkerClient
-  const loop = WorkerLeaseLoop.create({
-    worker,
+/** Creates the loop of a worker that answers each call as the test decides. */
+function createLoop (engine: DispatchEngine, clock: VirtualClock, client: WorkerClient): WorkerLeaseLoop {
+  return WorkerLeaseLoop.create({
+    worker: engine.setWorker(createWorkerEntry()),
     engine,
     client,
     clock,
@@ -38,6 +26,23 @@
     onFenced: () => {},
     waitForDurability: async () => {}
   })
+}
+
+test('does not renew the lease of a worker that a stored record names as unreached', async () => {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 2 })
+  engine.unreached.restore({ 'worker-0': 0 })
+  engine.setWorker(createWorkerEntry())
+  const requests: HoldRequest[] = []
+  const client = {
+    hold: async (request: HoldRequest) => {
+      requests.push(request)
+      return {
+        kind: 'reported', report: { workerMilliseconds: 5000, bornAtMilliseconds: 1, running: [], ended: [] }
+      }
+    }
+  } as unknown as WorkerClient
+  const loop = createLoop(engine, clock, client)
   loop.run()
   await clock.advance(1000)
   assert.ok(requests.length > 2 && requests.length < 8 && requests.every(({ leaseDeadline }) => leaseDeadline === null))
@@ -46,3 +51,33 @@
   assert.notEqual(requests.at(-1)?.leaseDeadline, null)
   loop.stop()
 })
+
+test('calls to a worker wait less for ten seconds after one that failed, so that the next failure is noticed sooner', async () => {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 1 })
+  const waits: Array<{ at: number, milliseconds: number }> = []
+  let isFailing = false
+  const client = {
+    hold: async ({ waitMilliseconds }: HoldRequest) => {
+      const at = clock.monotonicMilliseconds()
+      waits.push({ at, milliseconds: waitMilliseconds })
+      await new Promise<void>(resolve => { clock.setTimer(waitMilliseconds + 5, resolve) })
+      if (isFailing) return { kind: 'unknown', reason: 'timeout' }
+      return { kind: 'reported', report: { workerMilliseconds: at, bornAtMilliseconds: 1, running: [], ended: [] } }
+    }
+  } as unknown as WorkerClient
+  const loop = createLoop(engine, clock, client)
+  loop.run()
+  await clock.advance(5000)
+  isFailing = true
+  await clock.advance(2000)
+  isFailing = false
+  const failedAt = clock.monotonicMilliseconds()
+  await clock.advance(20_000)
+  loop.stop()
+  const getWaits = (from: number, to: number) =>
+    [...new Set(waits.filter(({ at }) => at >= from && at < to).map(wait => wait.milliseconds))]
+  assert.deepEqual(getWaits(2000, 5000), [1500])
+  assert.deepEqual(getWaits(failedAt + 500, failedAt + 7000), [300])
+  assert.deepEqual(getWaits(failedAt + 12_000, failedAt + 20_000), [1500])
+})
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -1,5 +1,6 @@
 import {
-  getEarliestWorkerTime, type DispatchEngine, type HoldOutcome, type WorkerClient, type WorkerRecord, type WorkerReport
+  getEarliestWorkerTime, hasFailedRecently, type DispatchEngine, type HoldOutcome, type WorkerClient,
+  type WorkerRecord, type WorkerReport
 } from '../dispatch/index.js'
 import type { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
@@ -31,6 +32,11 @@
 const IDLE_WAIT_MILLISECONDS = 1500
 /** The wait while tasks that fill run beside serving tasks, whose usage figures each cover half a second. */
 const COLOCATION_WAIT_MILLISECONDS = 600
+/**
+ * The wait after a recent failure: a lost call is noticed sooner, and the last renewal before it is newer, so that more
+ * time remains to reach the worker before its lease has ended.
+ */
+const UNSTEADY_WAIT_MILLISECONDS = 300
 /** Pause between two calls, so that one call reports all runs that end within it, which costs less. */
 const CALL_PAUSE_MILLISECONDS = 30
 const RETRY_MILLISECONDS = 200
@@ -143,6 +149,7 @@
     const mustNotWait = leaseDeadline === null || this.lastCallFailed || worker.syncState !== 'synchronized' ||
       worker.appliedCompletion > worker.durableCompletion
     if (mustNotWait) return 0
+    if (hasFailedRecently(worker, this.options.clock.monotonicMilliseconds())) return UNSTEADY_WAIT_MILLISECONDS
     return worker.servingReserved > 0 && worker.bestEffortDemand > 0
       ? COLOCATION_WAIT_MILLISECONDS
       : IDLE_WAIT_MILLISECONDS
