--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -1,19 +1,15 @@
 import type { DispatchEngine, UnreachedRecord } from '../dispatch/index.js'
-import {
-  getTaskSegment, type FinalJobState, type JobRecord, type ProgressSegment, type TaskRecord
-} from '../jobs/index.js'
+import { getTaskSegment, type JobRecord, type ProgressSegment, type TaskRecord } from '../jobs/index.js'
 import { SHARD_TABLE, type Fence } from '../leases/ShardLease.js'
 import { createIdentifier } from '../shared/identifiers.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
-import { packOperations } from '../table/packOperations.js'
 import { SettledWriter } from '../table/SettledWriter.js'
-import { getPartKey, splitRecord } from '../table/splitRecord.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
-import { createSegmentOperations } from './createProgressOperations.js'
-import { PROGRESS_HEAD_TABLE, UNREACHED_TABLE } from './jobRows.js'
+import { createProgressBatch, type DurabilityWaiter, type ProgressBatch } from './createProgressBatch.js'
+import { PROGRESS_HEAD_TABLE } from './jobRows.js'
 
 /** Options of a writer. */
 export interface ProgressWriterOptions {
@@ -33,10 +29,6 @@
 const BATCH_INTERVAL_MILLISECONDS = 60
 /** The segments that are encoded at once. */
 const SEGMENTS_PER_BATCH = 90
-/** The head row and the check of the owner, which each transaction has. */
-const HEAD_OPERATION_COUNT = 2
-/** Larger transactions would take too long on a weak link. */
-const TRANSACTION_BYTES = 200_000
 /** A row that the store has rejected is sent again after this time, and earlier if its job ends. */
 const REJECTED_ROW_RETRY_MILLISECONDS = 5000
 /** Time to determine the outcome of a write before the transaction is sent again. */
@@ -53,28 +45,6 @@
 
 type WriteResult = 'durable' | 'unsettled' | 'deposed' | 'rejected'
 
-interface Batch {
-  /** The operations of the transactions that are not durable yet, in the order in which they are sent. */
-  remaining: Operation[][]
-  segmentsByOperation: Map<Operation, ProgressSegment>
-  /** The segments, and the final states of jobs that have ended. */
-  written: Array<{ segment: ProgressSegment, state: FinalJobState | null }>
-  /** Whether the batch holds all changed segments. */
-  isComplete: boolean
-  /** The last ended run of each worker that is durable once this batch is written. */
-  lastEndedRuns: Map<string, { number: number, bornAtMilliseconds: number }>
-  /** Called once the batch is durable. */
-  waiters: DurabilityWaiter[]
-  /** The workers that the owner does not reach; null when the stored record stays as it is. */
-  unreached: UnreachedRecord | null
-}
-
-/** Waits until the present progress of a segment is durable. */
-interface DurabilityWaiter {
-  segment: ProgressSegment
-  notify (isDurable: boolean): void
-}
-
 /**
  * Makes the progress of jobs durable in batches, one write after another.
  *
@@ -87,7 +57,7 @@
   private flushEndsAt = Infinity
   private lastFailure: string | null = null
   /** The batch that was sent and whose outcome is unknown. */
-  private pendingBatch: Batch | null = null
+  private pendingBatch: ProgressBatch | null = null
   private headVersion: number | null = null
   private readonly writer: SettledWriter
   private waiters: Array<() => void> = []
@@ -211,7 +181,7 @@
   }
 
   /** Writes the transactions of a batch one after another, and leaves out the rows that the store rejects. */
-  private async writeBatch (batch: Batch): Promise<WriteResult> {
+  private async writeBatch (batch: ProgressBatch): Promise<WriteResult> {
     for (let operations = batch.remaining[0]; operations !== undefined; operations = batch.remaining[0]) {
       const result = await this.settle(operations)
       if (result !== 'durable' && result !== 'rejected') return result
@@ -226,7 +196,7 @@
   }
 
   /** Leaves out a row that the store rejects by itself. */
-  private leaveOut (operation: Operation, batch: Batch): void {
+  private leaveOut (operation: Operation, batch: ProgressBatch): void {
     const { clock, logger } = this.options
     const { table, key } = operation
     logger.error('row rejected by the store', { table, key, reason: this.lastFailure })
@@ -294,7 +264,7 @@
     this.options.engine.jobs.returnChanged(this.pendingBatch?.written.map(({ segment }) => segment) ?? [])
   }
 
-  private takeBatch (): Batch {
+  private takeBatch (): ProgressBatch {
     const { engine: { jobs }, clock } = this.options
     for (const [segment, retryAt] of this.rejectedSegments) {
       if (retryAt > clock.monotonicMilliseconds()) continue
@@ -311,34 +281,18 @@
     }
   }
 
-  private createBatch (segments: ProgressSegment[]): Batch {
-    const { engine, clock, logger, tableLimits } = this.options
-    const isComplete = engine.jobs.changedCount === 0
-    const written = segments.map(segment => ({ segment, state: segment.job.finalState }))
-    const segmentsByOperation = new Map<Operation, ProgressSegment>()
-    const groups: Operation[][] = []
-    const wallMilliseconds = clock.wallMilliseconds()
-    for (const segment of segments) {
-      for (const operation of createSegmentOperations(segment, { limits: tableLimits, wallMilliseconds, logger })) {
-        segmentsByOperation.set(operation, segment)
-        groups.push([operation])
-      }
-    }
-    const unreached = this.createUnreachedRecord()
-    if (unreached !== null) groups.push(this.createUnreachedOperations(unreached))
-    const remaining = packOperations(groups, {
-      operationCount: tableLimits.operationCount - HEAD_OPERATION_COUNT,
-      bytes: Math.min(TRANSACTION_BYTES, tableLimits.transactionBytes)
+  private createBatch (segments: ProgressSegment[]): ProgressBatch {
+    const { engine, shardId, clock, logger, tableLimits } = this.options
+    return createProgressBatch({
+      shardId,
+      engine,
+      segments,
+      unreached: this.createUnreachedRecord(),
+      takeWaiters: segment => this.takeWaiters(segment),
+      limits: tableLimits,
+      wallMilliseconds: clock.wallMilliseconds(),
+      logger
     })
-    const lastEndedRuns = new Map<string, { number: number, bornAtMilliseconds: number }>()
-    if (isComplete) {
-      for (const worker of engine.workers.values()) {
-        const { workerId, bornAtMilliseconds } = worker.entry
-        lastEndedRuns.set(workerId, { number: worker.appliedCompletion, bornAtMilliseconds })
-      }
-    }
-    const waiters = segments.flatMap(segment => this.takeWaiters(segment))
-    return { remaining, segmentsByOperation, written, isComplete, lastEndedRuns, waiters, unreached }
   }
 
   /** Takes the waiters of a segment; the final state of a job stands for its other segments too. */
@@ -365,15 +319,6 @@
     return { operations: [head, check, ...operations] }
   }
 
-  private createUnreachedOperations (record: UnreachedRecord): Operation[] {
-    const { shardId, tableLimits, logger } = this.options
-    const { parts, omitted } = splitRecord(record, tableLimits.rowBytes)
-    if (omitted.length > 0) logger.warn('unreached workers not stored', { workers: omitted })
-    return parts.map((value, part) => {
-      return { kind: 'put', table: UNREACHED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }
-    })
-  }
-
   private createUnreachedRecord (): UnreachedRecord | null {
     const { engine, clock } = this.options
     const now = clock.monotonicMilliseconds()
@@ -381,7 +326,7 @@
     return engine.unreached.needsRecord(unreconciled, now) ? engine.unreached.createRecord(unreconciled, now) : null
   }
 
-  private confirmBatch (batch: Batch): void {
+  private confirmBatch (batch: ProgressBatch): void {
     const { engine, clock } = this.options
     if (batch.unreached !== null) engine.unreached.confirmDurable(batch.unreached)
     for (const waiter of batch.waiters) waiter.notify(true)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,22 +1,19 @@
 import {
   DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry
 } from '../dispatch/index.js'
-import { decodeProgress, decodeProgressKey } from '../jobs/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
-import type { RowChange, TableFeed } from '../table/TableFeed.js'
+import type { TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Row, TableService } from '../table/TableService.js'
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
-import {
-  decodeHeldWorker, decodeSubmission, decodeUnreachedRecord, getCancelKey, getCancelledJobId, getSubmissionPartOf,
-  isFinishedJob, JOB_TABLE
-} from './jobRows.js'
+import { decodeHeldWorker, decodeUnreachedRecord, JOB_TABLE } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { JobRowReader } from './JobRowReader.js'
 import { LearnedEffectsWriter } from './LearnedEffectsWriter.js'
 import { loadShardRows } from './loadShardRows.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
@@ -24,7 +21,6 @@
 import { ProgressWriter } from './ProgressWriter.js'
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import type { SiteWatch } from './SiteWatch.js'
-import { SubmissionAssembler } from './submissionRows.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -86,9 +82,7 @@
   private readonly eventLoopDelay: EventLoopDelayMonitor
   private readonly recoveryMonitor: RecoveryMonitor
   private readonly loops: WorkerLeaseLoops
-  private readonly assembler = SubmissionAssembler.create()
-  /** The keys of the further rows of submissions that exceed a row of the store, by job. */
-  private readonly submissionPartKeys = new Map<string, Set<string>>()
+  private readonly jobRows: JobRowReader
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -103,6 +97,12 @@
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.cleaner = FinishedJobCleaner.create(options)
+    this.jobRows = JobRowReader.create({
+      ...options,
+      jobs: this.engine.jobs,
+      cleaner: this.cleaner,
+      cancelJob: jobId => this.engine.cancelJob(jobId)
+    })
     this.learnedEffectsWriter = LearnedEffectsWriter.create({ ...options, engine: this.engine })
     this.sender = OrderSender.create({
       ...options,
@@ -136,12 +136,8 @@
       onDurable: finished => {
         for (const job of finished) {
           options.metrics.finishedJobs.inc({ state: job.finalState ?? 'unknown' })
-          const { jobId } = job.submission
-          const cancelKeys = job.finalState === 'cancelled' ? [getCancelKey(jobId)] : []
-          this.cleaner.add(jobId, [...cancelKeys, ...this.submissionPartKeys.get(jobId) ?? []])
-          this.submissionPartKeys.delete(jobId)
-          this.cleaner.addProgressRows(job.furtherProgressKeys)
-          options.logger.info('job finished', { job: jobId, state: job.finalState })
+          this.jobRows.removeRows(job)
+          options.logger.info('job finished', { job: job.submission.jobId, state: job.finalState })
         }
       },
       onDeposed: () => options.onDeposed('a progress write conflicted with another owner')
@@ -228,16 +224,7 @@
     for (const { value } of learned) {
       this.options.errors.run('learned-row', () => this.engine.advisor.import(value as unknown as LearnedEffects))
     }
-    const now = this.now()
-    const progressByJobId = groupProgressRows(rows.progress)
-    for (const [jobId, progress] of progressByJobId) {
-      const state = progress.map(({ value }) => decodeProgress(value).state).find(other => other !== undefined)
-      if (state === undefined) continue
-      this.engine.jobs.setFinalState(jobId, state, now)
-      this.cleaner.addProgressRows(progress.map(({ key }) => key).filter(key => key !== jobId))
-    }
-    this.addJobs(jobs.rows, key => progressByJobId.get(key) ?? [], true)
-    this.queueFinishedJobsForCleanup(jobs.rows)
+    this.jobRows.load(jobs.rows, rows.progress)
     const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
     for (const row of rows.holding) {
       const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
@@ -264,18 +251,6 @@
     return new Map(isCurrent ? Object.entries(record) : [])
   }
 
-  /** Queues the cleanup of jobs that ended under an earlier owner, which did not empty their rows. */
-  private queueFinishedJobsForCleanup (rows: Row[]): void {
-    for (const { key, value } of rows) {
-      const cancelledJob = getCancelledJobId(key)
-      const partOf = getSubmissionPartOf(key)
-      const jobId = cancelledJob ?? partOf?.jobId ?? key
-      const needsCleanup = !isFinishedJob(value) || cancelledJob !== null
-      if (!needsCleanup || this.engine.jobs.getJob(jobId) !== undefined) continue
-      this.cleaner.add(jobId, cancelledJob === null && partOf === null ? [] : [key])
-    }
-  }
-
   private followJobs (startVersion: number): void {
     const { feed, clock, logger, errors } = this.options
     this.jobFollower = TableFollower.create({
@@ -286,15 +261,16 @@
       logger,
       errors,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
-      onSnapshot: snapshot => this.addJobs(snapshot.rows, () => [], this.mayBeStartedByEarlierOwner()),
-      onChanges: changes => this.applyJobChanges(changes)
+      onSnapshot: snapshot => this.addJobs(snapshot.rows),
+      onChanges: changes => this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]))
     })
     this.jobFollower.run()
   }
 
-  private applyJobChanges (changes: RowChange[]): void {
-    const rows = changes.flatMap(change => change.row === null ? [] : [change.row])
-    this.addJobs(rows, () => [], this.mayBeStartedByEarlierOwner())
+  private addJobs (rows: Row[]): void {
+    this.jobRows.add(rows, this.mayBeStartedByEarlierOwner())
+    this.engine.markDirty()
+    this.schedulePlan()
   }
 
   /** Returns whether an earlier owner may have started, or may still start, tasks of a job that is read now. */
@@ -302,39 +278,6 @@
     return !this.engine.unreconciled.isEmpty && this.now() < this.options.earlierStartsEndAt
   }
 
-  private addJobs (rows: Row[], getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
-    for (const row of rows) {
-      if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
-      this.rememberSubmissionPart(row)
-      this.options.errors.run('job-row', () => {
-        const whole = this.assembler.add(row)
-        if (whole !== null) this.addJob(whole, getProgress(whole.key), recovered)
-      })
-    }
-    for (const row of rows) {
-      const jobId = getCancelledJobId(row.key)
-      if (jobId !== null) this.engine.cancelJob(jobId)
-    }
-    this.engine.markDirty()
-    this.schedulePlan()
-  }
-
-  private rememberSubmissionPart ({ key }: Row): void {
-    const partOf = getSubmissionPartOf(key)
-    if (partOf === null) return
-    const keys = this.submissionPartKeys.get(partOf.jobId) ?? new Set()
-    this.submissionPartKeys.set(partOf.jobId, keys.add(key))
-  }
-
-  private addJob (row: Row, progress: readonly Row[], recovered: boolean): void {
-    const { assignmentsStoredSince, logger } = this.options
-    const submission = decodeSubmission(row.value)
-    if (submission === null) return logger.warn('invalid row in the job table ignored', { key: row.key })
-    const hasStoredAssignments = assignmentsStoredSince !== null &&
-      [row, ...progress].some(({ version }) => version > assignmentsStoredSince)
-    this.engine.jobs.add({ submission, progress, recovered, hasStoredAssignments }, this.now())
-  }
-
   private tick (): void {
     if (this.stopped) return
     const now = this.options.clock.monotonicMilliseconds()
@@ -421,15 +364,3 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
-
-/** Groups the rows of the progress table by job. */
-function groupProgressRows (rows: readonly Row[]): Map<string, Row[]> {
-  const groups = new Map<string, Row[]>()
-  for (const row of rows) {
-    const { jobId } = decodeProgressKey(row.key)
-    const group = groups.get(jobId)
-    if (group === undefined) groups.set(jobId, [row])
-    else group.push(row)
-  }
-  return groups
-}
--- a/src/instance/createProgressOperations.ts
+++ b/src/instance/createProgressOperations.ts
@@ -1,9 +1,11 @@
+import type { UnreachedRecord } from '../dispatch/index.js'
 import { encodeProgress, getProgressKey, splitProgressRow, type ProgressSegment } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
+import { getPartKey, splitRecord } from '../table/splitRecord.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation } from '../table/TableService.js'
-import { PROGRESS_TABLE } from './jobRows.js'
+import { PROGRESS_TABLE, UNREACHED_TABLE } from './jobRows.js'
 
 /** What the rows of a segment depend on beside its tasks. */
 export interface SegmentRowOptions {
@@ -33,3 +35,19 @@
     return { kind: 'put', table: PROGRESS_TABLE, key, value, condition: { kind: 'any' } }
   })
 }
+
+/**
+ * Creates the operations that store the workers that the owner does not reach.
+ * @param shardId The shard.
+ * @param record The workers.
+ * @param options The limits of the store.
+ * @returns An operation for each row. All must be in one transaction, as a successor reads rows of one version.
+ */
+export function createUnreachedOperations (
+  shardId: string, record: UnreachedRecord, options: Pick<SegmentRowOptions, 'limits' | 'logger'>
+): Operation[] {
+  const { parts, omitted } = splitRecord(record, options.limits.rowBytes)
+  if (omitted.length > 0) options.logger.warn('unreached workers not stored', { workers: omitted })
+  return parts.map((value, part) =>
+    ({ kind: 'put', table: UNREACHED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }))
+}
