Write the progress of other jobs while that of one cannot be encoded

Cause: a segment whose encoding throws took its whole batch with it, again and again, so that one odd job delayed all others. Found by looking for other paths on which one job holds up all progress.

Change: the segment is left out and counts as changed again. No ended run is acknowledged meanwhile, as before. The test of that case now also demands that another job is written, and its activity in the log is named progress-encoding.

Measured: that test fails on the code before with the new demand, as the batch is never written; the other tests of the writer pass.

--- a/src/instance/ProgressWriter.test.ts
+++ b/src/instance/ProgressWriter.test.ts
@@ -9,6 +9,7 @@
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import type { TableService, Transaction } from '../table/TableService.js'
+import { PROGRESS_TABLE } from './jobRows.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
 function createEngine () {
@@ -67,10 +68,11 @@
   assert.equal(worker.durableCompletion, 0)
 })
 
-test('an ended run is not acknowledged while the progress of its job cannot be encoded', async () => {
+test('a job whose progress cannot be encoded delays no other one, and its ended runs are not acknowledged', async () => {
   const clock = VirtualClock.create(1000)
   const { engine, worker } = createEngine()
   const activities: string[] = []
+  const stored: string[] = []
   const writer = ProgressWriter.create({
     shardId: 'site',
     engine,
@@ -78,7 +80,10 @@
     tableLimits: DEFAULT_TABLE_LIMITS,
     tableService: {
       read: async () => ({ kind: 'ok', value: null }),
-      transact: async ({ operations }: Transaction) => ({ kind: 'committed', versions: operations.map(() => 1) })
+      transact: async ({ operations }: Transaction) => {
+        stored.push(...operations.filter(({ table }) => table === PROGRESS_TABLE).map(({ key }) => key))
+        return { kind: 'committed', versions: operations.map(() => 1) }
+      }
     } as unknown as TableService,
     clock,
     logger: silentLogger,
@@ -90,10 +95,13 @@
   const { job } = task.step.occurrence
   const { occurrences } = job
   job.occurrences = null as never
+  engine.jobs.add({ submission: createSubmission([{}], { jobId: 'other' }), progress: [], recovered: false }, 0)
+  engine.cancelJob('other')
   writer.run()
   await clock.advance(500)
   assert.equal(worker.durableCompletion, 0)
-  assert.deepEqual([...new Set(activities)], ['progress-write'])
+  assert.deepEqual([...new Set(activities)], ['progress-encoding'])
+  assert.deepEqual(stored, ['other'])
   job.occurrences = occurrences
   await clock.advance(500)
   writer.stop()
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -171,7 +171,7 @@
     const batch = this.takeBatch()
     if (batch.written.length === 0 && batch.unreached === null) {
       this.confirmBatch(batch)
-      return true
+      return batch.isComplete
     }
     this.pendingBatch = batch
     const result = await this.writeBatch(batch)
@@ -282,10 +282,11 @@
   }
 
   private createBatch (segments: ProgressSegment[]): ProgressBatch {
-    const { engine, shardId, clock, logger, tableLimits } = this.options
+    const { engine, shardId, clock, logger, errors, tableLimits } = this.options
     return createProgressBatch({
       shardId,
       engine,
+      errors,
       segments,
       unreached: this.createUnreachedRecord(),
       takeWaiters: segment => this.takeWaiters(segment),
--- a/src/instance/createProgressBatch.ts
+++ b/src/instance/createProgressBatch.ts
@@ -1,5 +1,6 @@
 import type { DispatchEngine, UnreachedRecord } from '../dispatch/index.js'
 import type { FinalJobState, ProgressSegment } from '../jobs/index.js'
+import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import { packOperations } from '../table/packOperations.js'
 import type { Operation } from '../table/TableService.js'
 import { createSegmentOperations, createUnreachedOperations, type SegmentRowOptions } from './createProgressOperations.js'
@@ -36,6 +37,7 @@
 export interface ProgressBatchOptions extends SegmentRowOptions {
   shardId: string
   engine: DispatchEngine
+  errors: ErrorBoundary
   /** The segments, which no longer count as changed. */
   segments: ProgressSegment[]
   /** The workers that the owner does not reach; null when the stored record stays as it is. */
@@ -45,22 +47,27 @@
 }
 
 /**
- * Creates a batch from the present progress.
+ * Creates a batch from the present progress. Segments that cannot be encoded count as changed again.
  * @param options The segments and the limits of the store.
  * @returns The batch.
  */
 export function createProgressBatch (options: ProgressBatchOptions): ProgressBatch {
   const { shardId, engine, segments, unreached, limits } = options
-  const isComplete = engine.jobs.changedCount === 0
-  const written = segments.map(segment => ({ segment, state: segment.job.finalState }))
+  const written: ProgressBatch['written'] = []
+  const failed: ProgressSegment[] = []
   const segmentsByOperation = new Map<Operation, ProgressSegment>()
   const groups: Operation[][] = []
   for (const segment of segments) {
-    for (const operation of createSegmentOperations(segment, options)) {
-      segmentsByOperation.set(operation, segment)
-      groups.push([operation])
-    }
+    const isEncoded = options.errors.run('progress-encoding', () => {
+      for (const operation of createSegmentOperations(segment, options)) {
+        segmentsByOperation.set(operation, segment)
+        groups.push([operation])
+      }
+    })
+    if (isEncoded) written.push({ segment, state: segment.job.finalState })
+    else failed.push(segment)
   }
+  const isComplete = failed.length === 0 && engine.jobs.changedCount === 0
   if (unreached !== null) groups.push(createUnreachedOperations(shardId, unreached, options))
   const remaining = packOperations(groups, {
     operationCount: limits.operationCount - HEAD_OPERATION_COUNT,
@@ -73,6 +80,7 @@
       lastEndedRuns.set(workerId, { number: worker.appliedCompletion, bornAtMilliseconds })
     }
   }
-  const waiters = segments.flatMap(segment => options.takeWaiters(segment))
+  const waiters = written.flatMap(({ segment }) => options.takeWaiters(segment))
+  for (const segment of failed) engine.jobs.markChanged(segment)
   return { remaining, segmentsByOperation, written, isComplete, lastEndedRuns, waiters, unreached }
 }
