Accept jobs of up to ten million tasks

The limit of 100,000 tasks had two reasons that no longer hold: the progress of more did not fit in a row, and each task had a record. Done occurrences are ranges of numbers now, and the rows of a very large job are deleted a few transactions at a time.

A gang keeps 100,000 members, as all of them get records when they start.

--- a/src/instance/FinishedJobCleaner.ts
+++ b/src/instance/FinishedJobCleaner.ts
@@ -18,6 +18,8 @@
 const ROWS_PER_WRITE = 90
 /** The progress rows that are deleted in one transaction. */
 const PROGRESS_ROWS_PER_WRITE = 90
+/** The transactions of one interval, so that the rows of a very large job do not delay the owner's other writes. */
+const PROGRESS_WRITES_PER_INTERVAL = 10
 
 /**
  * Empties the rows of jobs whose final state is durable, so that a new owner does not read their submissions, and
@@ -80,8 +82,8 @@
   }
 
   private async deleteProgressRows (): Promise<void> {
-    while (!this.stopped && this.progressKeys.size > 0) {
-      const batch = [...this.progressKeys].slice(0, PROGRESS_ROWS_PER_WRITE)
+    for (let count = 0; count < PROGRESS_WRITES_PER_INTERVAL && !this.stopped && this.progressKeys.size > 0; count++) {
+      const batch = takeFirst(this.progressKeys, PROGRESS_ROWS_PER_WRITE)
       const operations = batch.map((key): Operation =>
         ({ kind: 'delete', table: PROGRESS_TABLE, key, condition: { kind: 'any' } }))
       const outcome = await this.options.tableService.transact({ operations })
@@ -108,6 +110,13 @@
   }
 }
 
+/** Returns the first keys, without a copy of all others. */
+function takeFirst (keys: ReadonlySet<string>, count: number): string[] {
+  const first: string[] = []
+  for (const key of keys) if (first.push(key) === count) break
+  return first
+}
+
 /** Returns the first jobs whose rows fit into one transaction, at least one. */
 function takeBatch (jobs: ReadonlyMap<string, ReadonlySet<string>>): Array<[string, ReadonlySet<string>]> {
   const batch: Array<[string, ReadonlySet<string>]> = []
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -1,3 +1,4 @@
+import { IndexRanges } from './IndexRanges.js'
 import type { FinalJobState, JobSubmission, StepSpecification } from './JobSpecification.js'
 import { getOccurrenceTaskCount, type ProgressSegment } from './ProgressSegment.js'
 import { StepTasks } from './StepTasks.js'
@@ -90,7 +91,7 @@
   occurrences: Map<number, OccurrenceRecord>
   /** Each occurrence with a lower number is created or done. */
   nextOccurrenceNumber: number
-  finishedOccurrences: Set<number>
+  finishedOccurrences: IndexRanges
   /** The segments of the progress that have changed or are stored, by index. */
   progressSegments: Map<number, ProgressSegment>
   /** The keys of the stored rows of the progress beside the job's first one, which are deleted after its end. */
@@ -128,7 +129,7 @@
     submission,
     occurrences: new Map(),
     nextOccurrenceNumber: 0,
-    finishedOccurrences: new Set(),
+    finishedOccurrences: IndexRanges.create(),
     progressSegments: new Map(),
     furtherProgressKeys: new Set(),
     hasStarted: false,
--- a/src/jobs/JobSpecification.ts
+++ b/src/jobs/JobSpecification.ts
@@ -36,7 +36,9 @@
 }
 
 /** The maximum number of tasks of a job over all its occurrences; a successor reads a row for each 128 of them. */
-const MAXIMUM_JOB_TASKS = 100_000
+const MAXIMUM_JOB_TASKS = 10_000_000
+/** The maximum number of members of a gang, which are started at the same time. */
+const MAXIMUM_GANG_TASKS = 100_000
 
 /** The part of a job that its submitter specifies. */
 export interface JobSpecification {
@@ -84,5 +86,6 @@
   const counts = [repeatCount, ...steps.map(step => step.taskCount)]
   const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0)
   return counts.every(count => Number.isSafeInteger(count) && count >= 0) &&
-    Math.max(1, taskCount) * Math.max(1, repeatCount) <= MAXIMUM_JOB_TASKS
+    Math.max(1, taskCount) * Math.max(1, repeatCount) <= MAXIMUM_JOB_TASKS &&
+    steps.every(step => !step.gang || step.taskCount <= MAXIMUM_GANG_TASKS)
 }
