Prefer data centres whose workers respond steadily

Change: once a tenth of a data centre's workers, and at least two, have failed within 10 s, its other workers get new work only when those elsewhere have no capacity. A start without a response counts as a failure of its worker.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,6 +1,7 @@
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { isInService, type ChoiceConditions } from './chooseWorker.js'
 import { findRunsToDrain } from './findRunsToMove.js'
+import { findUnsteadyDataCentres } from './findUnsteadyDataCentres.js'
 import { findStalledRuns, pauseStalledWorker } from './findStalledRuns.js'
 import { ColocationAdvisor } from './ColocationAdvisor.js'
 import { applyPaceChange, decidePace } from './decidePace.js'
@@ -13,6 +14,7 @@
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
+import { RunStopper } from './RunStopper.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -22,7 +24,8 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, clearProcessState, createWorkerRecord, isLeaseExpired, removeRun, type WorkerEntry, type WorkerRecord
+  addRun, clearProcessState, createWorkerRecord, isLeaseExpired, recordFailure, removeRun, type WorkerEntry,
+  type WorkerRecord
 } from './WorkerRecord.js'
 
 /** Options of a dispatch engine. */
@@ -44,6 +47,7 @@
   readonly workers = new Map<string, WorkerRecord>()
   readonly advisor = ColocationAdvisor.create()
   private readonly orders = PendingOrders.create()
+  private readonly stopper = RunStopper.create({ workers: this.workers, orders: this.orders })
   private dataCentresOut: ReadonlySet<string> = new Set()
   /** The workers that may run tasks of earlier owners and have not reported to this owner yet. */
   readonly unreconciled = UnreconciledWorkers.create({
@@ -177,7 +181,7 @@
       stop: run => this.orders.stop(worker, run),
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
-      stopRuns: task => this.stopRuns(task),
+      stopRuns: task => this.stopper.stopTask(task),
       markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
@@ -205,7 +209,7 @@
     worker.unansweredCallSentAt = sentAt ?? worker.unansweredCallSentAt
     if (worker.syncState !== 'synchronized') return
     worker.syncState = 'unreachable'
-    if (sentAt !== null) worker.failureTimes = [worker.failureTimes[1], sentAt]
+    if (sentAt !== null) recordFailure(worker, sentAt)
   }
 
   /**
@@ -263,7 +267,7 @@
     const job = this.jobs.getJob(jobId)
     if (job === undefined || job.finalState !== null) return
     this.jobs.finish(job, 'cancelled')
-    this.stopJob(job)
+    this.stopper.stopJob(job)
   }
 
   /**
@@ -281,11 +285,14 @@
     if (!mayStart || !this.dirty || startLimit <= 0) return
     this.dirty = false
     const workers = [...this.workers.values()]
+    const unsteadyDataCentres = findUnsteadyDataCentres(workers, now)
+    const getConditions = (serviceName: string): ChoiceConditions =>
+      ({ ...this.getConditions(serviceName, now), unsteadyDataCentres })
     const plan = StartPlan.create({
       workers,
       startLimit,
       storedStartLimit,
-      getConditions: serviceName => this.getConditions(serviceName, now),
+      getConditions,
       mayStart: this.mayStart,
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
@@ -302,7 +309,6 @@
     if (outcome === 'plan-full') {
       this.dirty = true
     } else {
-      const getConditions = (serviceName: string) => this.getConditions(serviceName, now)
       this.slowedRunMover.moveRuns(workers, getConditions, (worker, run) => this.orders.stop(worker, run), now)
     }
   }
@@ -348,23 +354,10 @@
     if (this.unreconciled.isEmpty) this.jobs.confirmRecovered()
   }
 
-  private stopRuns (task: TaskRecord): void {
-    for (const run of [...task.runs]) {
-      const worker = this.workers.get(run.workerId)
-      if (worker !== undefined && run.state !== 'stopping') this.orders.stop(worker, run)
-    }
-  }
-
-  private stopJob (job: JobRecord): void {
-    for (const { steps } of job.occurrences.values()) {
-      for (const step of steps) for (const task of step.tasks.getAllCreated()) this.stopRuns(task)
-    }
-  }
-
   private failJob (job: JobRecord): void {
     if (job.finalState !== null) return
     this.jobs.finish(job, 'failed')
-    this.stopJob(job)
+    this.stopper.stopJob(job)
   }
 
   /**
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -61,7 +61,7 @@
    * that were not sent are no evidence about the worker and do not count.
    */
   unansweredCallSentAt: number | null
-  /** Monotonic times of the last two changes from responding to not responding, the earlier one first. */
+  /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
   /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
   leaseDeadline: number
@@ -219,6 +219,15 @@
   return Math.max(0, worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS - workerTime) / (1 - CLOCK_DRIFT_SHARE)
 }
 
+/**
+ * Records that a worker has stopped responding to its lease renewals, or did not respond to a start.
+ * @param worker The worker.
+ * @param at Monotonic time of the failure.
+ */
+export function recordFailure (worker: WorkerRecord, at: number): void {
+  worker.failureTimes = [worker.failureTimes[1], at]
+}
+
 /**
  * Returns whether calls to a worker have failed repeatedly of late although it responds now, as over a connection that
  * loses packets. A start there may get no response, and its task then waits for the end of the worker's lease.
--- a/src/dispatch/applyStartOutcome.ts
+++ b/src/dispatch/applyStartOutcome.ts
@@ -1,7 +1,7 @@
 import type { RunRecord } from '../jobs/index.js'
 import type { RunLossCause } from './DispatchObserver.js'
 import type { OrderOutcome } from './WorkerProtocol.js'
-import { pauseWorker, type WorkerRecord } from './WorkerRecord.js'
+import { pauseWorker, recordFailure, type WorkerRecord } from './WorkerRecord.js'
 
 /** How long a worker gets no new work after it rejected a start as unhealthy. */
 const UNHEALTHY_PAUSE_MILLISECONDS = 1500
@@ -38,6 +38,7 @@
   }
   if (outcome.kind === 'not-sent') pauseWorker(worker, now + UNSENT_PAUSE_MILLISECONDS)
   if (outcome.kind === 'unhealthy') pauseWorker(worker, now + UNHEALTHY_PAUSE_MILLISECONDS)
+  if (outcome.kind === 'unknown') recordFailure(worker, now)
   if (outcome.kind === 'unknown' || run.startUncertain) {
     run.startUncertain = true
     run.task.hasRun = true
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -18,6 +18,8 @@
 const FAILED_BEFORE_PENALTY = 10
 /** Ranks workers that respond unsteadily behind all others on which the task has not failed. */
 const UNSTEADY_PENALTY = 5
+/** Ranks workers of a data centre that responds unsteadily between these and all others. */
+const UNSTEADY_DATA_CENTRE_PENALTY = 3
 /** The conditions of a choice other than the task and the workers. */
 export interface ChoiceConditions {
   /** The service whose workers may run the task. */
@@ -25,6 +27,8 @@
   /** The data centres whose workers get no new work. */
   dataCentresOut: ReadonlySet<string>
   advisor: ColocationAdvisor
+  /** The data centres whose workers are likely not to respond, see `findUnsteadyDataCentres`; none by default. */
+  unsteadyDataCentres?: ReadonlySet<string>
   /** The costs of workers that earlier choices computed. */
   costs: WorkerCosts
   /** The monotonic time. */
@@ -112,7 +116,7 @@
   for (const worker of eligible) {
     let cost = conditions.costs.getCost(worker, task, emptyWorkerCost, conditions.advisor)
     if (task.failedWorkerIds.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
-    if (isUnsteady(worker, conditions.now)) cost += UNSTEADY_PENALTY
+    cost += getUnsteadinessCost(worker, conditions)
     if (cost >= bestCost || !fits(worker, task)) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
     if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
@@ -122,3 +126,8 @@
   }
   return best
 }
+
+function getUnsteadinessCost (worker: WorkerRecord, { now, unsteadyDataCentres }: ChoiceConditions): number {
+  if (isUnsteady(worker, now)) return UNSTEADY_PENALTY
+  return unsteadyDataCentres?.has(worker.entry.dataCentre) === true ? UNSTEADY_DATA_CENTRE_PENALTY : 0
+}
--- a/src/dispatch/unsteadyWorkers.test.ts
+++ b/src/dispatch/unsteadyWorkers.test.ts
@@ -45,3 +45,20 @@
     assert.deepEqual(new Set(placeTasks(engine, 2, now)), new Set(['worker-0', 'worker-1']))
   }
 })
+
+test('workers of a data centre in which several others have failed get work only when those elsewhere are full', () => {
+  const engine = DispatchEngine.create({ epoch: 1 })
+  const workers = Array.from({ length: 20 }, (_, index) => {
+    const dataCentre = index < 10 ? 'north-a' : 'south-a'
+    const worker = engine.setWorker({ ...createWorkerEntry({ workerId: `worker-${index}` }), dataCentre })
+    worker.registered = true
+    engine.applyReport(worker, REPORT, 0, 1)
+    return worker
+  })
+  for (const failing of workers.slice(0, 2)) {
+    engine.markUnreachable(failing, 1000)
+    engine.applyReport(failing, REPORT, 1010, 1020)
+  }
+  const placed = new Set(placeTasks(engine, 40, 2000))
+  assert.deepEqual(workers.slice(0, 10).filter(({ entry }) => placed.has(entry.workerId)), [])
+})
