Skip steps whose tasks all run when looking for waiting tasks

Since tasks have records from their first start on, each plan looked at the records of all running tasks one by one.

Change: a step counts its tasks with a run, so that one without an idle task costs no search.

--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -155,6 +155,7 @@
 export function addRun (worker: WorkerRecord, run: RunRecord): void {
   worker.runs.set(getRunKey(run.task.name, run.attempt), run)
   run.task.runs.push(run)
+  if (run.task.runs.length === 1) run.task.step.tasks.addBusy(run.task)
   reserve(worker, run.task.step, 1)
 }
 
@@ -167,6 +168,7 @@
 export function removeRun (worker: WorkerRecord, run: RunRecord, now: number): void {
   if (!worker.runs.delete(getRunKey(run.task.name, run.attempt))) return
   run.task.runs = run.task.runs.filter(other => other !== run)
+  if (run.task.runs.length === 0) run.task.step.tasks.removeBusy(run.task)
   run.task.waitingSince = now
   if (run.task.step.specification.fills) worker.bestEffortChangedAt = now
   reserve(worker, run.task.step, -1)
--- a/src/dispatch/hasWaitingTask.ts
+++ b/src/dispatch/hasWaitingTask.ts
@@ -14,7 +14,7 @@
 ): boolean {
   for (const occurrence of job.occurrences.values()) {
     for (const step of occurrence.steps) {
-      if (step.tasks.remainingCount > 0 && isStepReady(step) && step.tasks.hasWaiting(mayStart)) return true
+      if (step.tasks.hasIdle() && isStepReady(step) && step.tasks.hasWaiting(mayStart)) return true
     }
   }
   return isNextOccurrenceDue(job, wallMilliseconds)
--- a/src/jobs/StepTasks.test.ts
+++ b/src/jobs/StepTasks.test.ts
@@ -44,3 +44,22 @@
   assert.deepEqual(tasks.createAll().map(({ index }) => index), [1])
   assert.deepEqual([tasks.get(-1), tasks.get(3), tasks.get(0.5)], [undefined, undefined, undefined])
 })
+
+test('a step has an idle task until each of its tasks has a run or is done', () => {
+  const tasks = createTasks(2)
+  const [first, second] = tasks.getWaiting(() => true)
+  for (const task of [first, second]) {
+    assert.equal(tasks.hasIdle(), true)
+    task.runs.push(createRun(task, 'worker', 1, 0))
+    tasks.addBusy(task)
+  }
+  assert.deepEqual([tasks.hasIdle(), tasks.hasWaiting(() => true)], [false, false])
+  first.runs = []
+  tasks.removeBusy(first)
+  assert.deepEqual([tasks.hasIdle(), tasks.hasWaiting(() => true)], [true, true])
+  tasks.markDone(first.index)
+  tasks.markDone(second.index)
+  second.runs = []
+  tasks.removeBusy(second)
+  assert.equal(tasks.hasIdle(), false)
+})
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -18,6 +18,8 @@
 export class StepTasks {
   private records: Map<number, TaskRecord> | null = null
   private done: IndexRanges | null = null
+  /** The number of records whose task has a run. */
+  private busyCount = 0
   /** No task with a higher index was created by a search for waiting tasks. */
   private nextIndex = 0
   /** The record that the last search created. */
@@ -69,13 +71,30 @@
     return this.done?.has(index) === true
   }
 
+  /** Returns whether a task has no run and is not done, whether it may start or not. */
+  hasIdle (): boolean {
+    return this.nextIndex < this.options.count || this.busyCount < (this.records?.size ?? 0)
+  }
+
+  /** Records that a task that had no run has one now. */
+  addBusy (task: TaskRecord): void {
+    if (!task.done) this.busyCount++
+  }
+
+  /** Records that a task has no run any more. */
+  removeBusy (task: TaskRecord): void {
+    if (!task.done) this.busyCount--
+  }
+
   /**
    * Returns whether a task waits for a start; creates at most one record.
    * @param mayStart Returns whether a task may start now, which is the same for all tasks without a record.
    * @returns Whether a task may start and has no run.
    */
   hasWaiting (mayStart: (task: TaskRecord) => boolean): boolean {
-    for (const task of this.getAllCreated()) if (task.runs.length === 0 && mayStart(task)) return true
+    if (this.busyCount < (this.records?.size ?? 0)) {
+      for (const task of this.getAllCreated()) if (task.runs.length === 0 && mayStart(task)) return true
+    }
     const next = this.createNext(mayStart)
     return next !== null && mayStart(next)
   }
@@ -86,7 +105,9 @@
    * @returns The tasks that may start and have no run, those with records first.
    */
   * getWaiting (mayStart: (task: TaskRecord) => boolean): Generator<TaskRecord> {
-    for (const task of [...this.getAllCreated()]) if (task.runs.length === 0 && mayStart(task)) yield task
+    if (this.busyCount < (this.records?.size ?? 0)) {
+      for (const task of [...this.getAllCreated()]) if (task.runs.length === 0 && mayStart(task)) yield task
+    }
     for (let next = this.createNext(mayStart); next !== null; next = this.createNext(mayStart)) {
       if (!mayStart(next)) return
       yield next
@@ -108,7 +129,10 @@
    */
   markDone (index: number): void {
     const task = this.records?.get(index)
-    if (task !== undefined) task.done = true
+    if (task !== undefined) {
+      if (task.runs.length > 0) this.busyCount--
+      task.done = true
+    }
     this.records?.delete(index)
     if (task === this.lastCreated) this.lastCreated = null
     this.done ??= IndexRanges.create()
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -147,7 +147,8 @@
 export function splitProgressRow (
   row: JobProgressRow, byteLimit: number
 ): { rows: JobProgressRow[], omitted: string[] } {
-  if (getJsonBytes(row) <= byteLimit) return { rows: [row], omitted: [] }
+  // A character takes three bytes at most.
+  if (JSON.stringify(row).length * 3 <= byteLimit || getJsonBytes(row) <= byteLimit) return { rows: [row], omitted: [] }
   const omitted: string[] = []
   let current: Record<string, JsonValue> = {}
   const rows: Array<Record<string, JsonValue>> = [current]
