--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -146,7 +146,7 @@
     if (isUntouched && !mayStart(lastCreated)) return null
     while (this.records?.has(this.nextIndex) === true || this.isDone(this.nextIndex)) this.nextIndex++
     if (this.nextIndex >= this.options.count) return null
-    this.lastCreated = this.getOrCreate(this.nextIndex)
+    this.lastCreated = this.getOrCreate(this.nextIndex++)
     return this.lastCreated
   }
 
