Read the jobs once more before the first report of a worker

Cause: the first report of a worker may name a run of a job that the successor has not read from the feed. The run was stopped as one without a job, the job arrived, and its task started elsewhere before the stop had ended the run. An end of such a run was forgotten.

Change: the feed is read once more before the report is applied, for all workers together. From the report on, the earlier owner is fenced on that worker, so that the jobs it can have started there are known. After 1.5 s the report is applied in any case, so that the lease is renewed while the store is away.

--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,5 +1,5 @@
 import {
-  DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry
+  DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
 } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
@@ -65,6 +65,8 @@
 const TICK_MILLISECONDS = 200
 /** Bounds the detection of a dead connection, as a cancelled job must stop within 3 s. */
 const FEED_WAIT_MILLISECONDS = 1500
+/** The first report of a worker waits this long for the jobs, so that its lease is renewed while the store is away. */
+const REPORT_DELAY_LIMIT_MILLISECONDS = 1500
 const LOAD_RETRY_MILLISECONDS = 200
 /** Interval at which the platform is asked which worker processes are alive, while some do not respond. */
 const LIVENESS_CHECK_MILLISECONDS = 400
@@ -122,6 +124,7 @@
       ...options,
       engine: this.engine,
       mayRenewLeases: () => this.getRenewalAge() < LEASE_RENEWAL_LIMIT_MILLISECONDS,
+      prepareReport: async worker => await this.readJobsBeforeReport(worker),
       onReport: worker => {
         if (!worker.registered) this.registry.register(this.engine.workers)
         this.sender.handleReport(worker)
@@ -278,6 +281,24 @@
     return !this.engine.unreconciled.isEmpty && this.now() < this.options.earlierStartsEndAt
   }
 
+  /**
+   * Reads the job table again before the first report of a worker is applied. A report to this owner shows that an
+   * earlier one starts nothing there any more, but it may name runs of jobs that were stored after the load. They would
+   * be stopped as runs without a job, and their tasks would start elsewhere.
+   */
+  private async readJobsBeforeReport (worker: WorkerRecord): Promise<void> {
+    const { workerId } = worker.entry
+    if (!this.engine.unreconciled.has(workerId) || this.jobFollower === null) return
+    const { clock, logger } = this.options
+    let cancelTimer = () => {}
+    const timeout = new Promise<'timeout'>(resolve => {
+      cancelTimer = clock.setTimer(REPORT_DELAY_LIMIT_MILLISECONDS, () => resolve('timeout'))
+    })
+    const outcome = await Promise.race([this.jobFollower.catchUp(), timeout])
+    cancelTimer()
+    if (outcome === 'timeout') logger.warn('report applied without new jobs', { worker: workerId })
+  }
+
   private tick (): void {
     if (this.stopped) return
     const now = this.options.clock.monotonicMilliseconds()
--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -22,6 +22,7 @@
     errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
     mayRenewLeases: () => true,
+    prepareReport: async () => {},
     onReport: () => {},
     onFenced: () => {},
     waitForDurability: async () => {}
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -22,6 +22,8 @@
   errors: ErrorBoundary
   /** Returns whether this process may still renew leases. */
   mayRenewLeases (): boolean
+  /** Resolves when the jobs are known whose tasks an earlier owner may have started on a worker that has answered. */
+  prepareReport (worker: WorkerRecord): Promise<void>
   onReport (worker: WorkerRecord): void
   onFenced (): void
   /** Resolves when the ended runs applied so far are durable, or after a time limit. */
@@ -107,6 +109,8 @@
       await this.pause(RETRY_MILLISECONDS)
       return
     }
+    await this.options.prepareReport(worker)
+    if (this.stopped) return
     const lastAppliedBefore = worker.appliedCompletion
     engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
     this.logEndedRuns(outcome.report, lastAppliedBefore)
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -72,6 +72,7 @@
       client,
       leaseMilliseconds: LEASE_MILLISECONDS,
       mayRenewLeases: () => true,
+      prepareReport: async () => {},
       onReport: () => {},
       onFenced: () => {},
       waitForDurability: async () => { worker.durableCompletion = worker.appliedCompletion }
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -28,6 +28,9 @@
   private version: number | null
   private lastContactAt = -Infinity
   private isAvailable = true
+  /** The read of `catchUp` in flight, if any, and the one after it, which has not been sent yet. */
+  private currentCatchUp: Promise<void> | null = null
+  private followingCatchUp: Promise<void> | null = null
 
   private constructor (private readonly options: TableFollowerOptions) {
     this.version = options.startVersion ?? null
@@ -49,15 +52,18 @@
 
   /** Follows the table until `stop` is called. */
   async run (): Promise<void> {
-    while (!this.stopped) {
-      let hasContact = false
-      const isComplete = await this.options.errors.runAsync(`feed-of-${this.options.table}`, async () => {
-        hasContact = this.version === null ? await this.readSnapshot() : await this.awaitChanges(this.version)
-      })
-      // Changes that were not applied as a whole are contained in a new snapshot.
-      if (!isComplete) this.version = null
-      if (!hasContact && !this.stopped) await this.delayRetry()
-    }
+    while (!this.stopped) await this.readNext(this.options.waitMilliseconds)
+  }
+
+  /**
+   * Reads the changes that the table has now, without a wait; calls at the same time share reads. The loop may pass the
+   * same changes on again.
+   * @returns A promise that resolves after `onChanges` or `onSnapshot` has received all rows stored before the call, or
+   * when the follower is stopped. Failed reads are repeated.
+   */
+  catchUp (): Promise<void> {
+    this.followingCatchUp ??= this.startFollowingCatchUp()
+    return this.followingCatchUp
   }
 
   /** Ends the loop after the call in flight, whose result is ignored. */
@@ -65,6 +71,32 @@
     this.stopped = true
   }
 
+  private async startFollowingCatchUp (): Promise<void> {
+    await this.currentCatchUp
+    this.followingCatchUp = null
+    this.currentCatchUp = this.readUntilCurrent()
+    await this.currentCatchUp
+  }
+
+  private async readUntilCurrent (): Promise<void> {
+    while (!this.stopped && !await this.readNext(0)) { /* A failed read is repeated. */ }
+  }
+
+  /** Reads changes, or the whole table without a version, and returns whether all rows stored before are passed on. */
+  private async readNext (waitMilliseconds: number): Promise<boolean> {
+    const { errors, table } = this.options
+    let hasContact = false
+    const isComplete = await errors.runAsync(`feed-of-${table}`, async () => {
+      hasContact = this.version === null
+        ? await this.readSnapshot()
+        : await this.awaitChanges(this.version, waitMilliseconds)
+    })
+    // Changes that were not applied as a whole are contained in a new snapshot.
+    if (!isComplete) this.version = null
+    if (!hasContact && !this.stopped) await this.delayRetry()
+    return hasContact && this.version !== null
+  }
+
   private async readSnapshot (): Promise<boolean> {
     const { feed, table } = this.options
     const outcome = await feed.readTable(table)
@@ -76,8 +108,8 @@
     return true
   }
 
-  private async awaitChanges (version: number): Promise<boolean> {
-    const { feed, table, waitMilliseconds } = this.options
+  private async awaitChanges (version: number, waitMilliseconds: number): Promise<boolean> {
+    const { feed, table } = this.options
     const outcome = await feed.waitForChanges(table, version, waitMilliseconds)
     if (this.stopped) return true
     if (outcome.kind === 'unavailable') return this.recordFailure(outcome.reason)
@@ -87,7 +119,7 @@
       this.version = null
       return true
     }
-    this.version = Math.max(version, outcome.version)
+    this.version = Math.max(version, this.version ?? version, outcome.version)
     if (outcome.changes.length > 0) this.options.onChanges(outcome.changes)
     return true
   }
