Judge jobs read after a takeover by when they may have been stored

A job stored within 5 s of a takeover may have been started by the earlier owner. It was judged by when it was read, so that one delivered late, as by a slow or unavailable feed, counted as new and could run twice.

Change: a job counts as possibly started until the feed has been read 1 s after the end of the earlier owner's starts.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -160,7 +160,7 @@
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
       earlierLeasesEndAt: now + earlierRenewalsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
-      earlierStartsEndAt: now + (earlierOwnerStopped ? 0 : TASK_START_LIMIT_MILLISECONDS),
+      earlierStartsEndAt: earlierOwnerStopped ? null : now + TASK_START_LIMIT_MILLISECONDS,
       createWorkerClient: options.createWorkerClient,
       getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -10,6 +10,7 @@
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Row, TableService } from '../table/TableService.js'
 import { createDispatchObserver } from './createDispatchObserver.js'
+import { EarlierStarts } from './EarlierStarts.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import { decodeHeldWorker, decodeUnreachedRecord, JOB_TABLE } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
@@ -41,8 +42,11 @@
   leaseMilliseconds: number
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
   earlierLeasesEndAt: number
-  /** Monotonic time until which an earlier owner may still start tasks on workers that this owner has not reached. */
-  earlierStartsEndAt: number
+  /**
+   * Monotonic time until which an earlier owner may still start tasks on workers that this owner has not reached; null
+   * when it has stopped.
+   */
+  earlierStartsEndAt: number | null
   /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
   assignmentsStoredSince: number | null
   createWorkerClient (entry: WorkerEntry): WorkerClient
@@ -92,12 +96,14 @@
   private nextLivenessCheckAt = 0
   private cancelTick: () => void = () => {}
   private loaded = false
+  private readonly earlierStarts: EarlierStarts
 
   private constructor (private readonly options: ShardDispatcherOptions) {
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
+    this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.cleaner = FinishedJobCleaner.create(options)
     this.jobRows = JobRowReader.create({
       ...options,
@@ -271,16 +277,11 @@
   }
 
   private addJobs (rows: Row[]): void {
-    this.jobRows.add(rows, this.mayBeStartedByEarlierOwner())
+    this.jobRows.add(rows, !this.engine.unreconciled.isEmpty && !this.earlierStarts.areOver)
     this.engine.markDirty()
     this.schedulePlan()
   }
 
-  /** Returns whether an earlier owner may have started, or may still start, tasks of a job that is read now. */
-  private mayBeStartedByEarlierOwner (): boolean {
-    return !this.engine.unreconciled.isEmpty && this.now() < this.options.earlierStartsEndAt
-  }
-
   /**
    * Reads the job table again before the first report of a worker is applied. A report to this owner shows that an
    * earlier one starts nothing there any more, but it may name runs of jobs that were stored after the load. They would
@@ -309,6 +310,7 @@
     const { errors } = this.options
     this.engine.markDirty()
     this.plan()
+    this.earlierStarts.update(this.jobFollower?.getLastContactAt() ?? -Infinity)
     errors.run('tick', () => this.runPeriodicTasks(now))
     if (now >= this.nextLivenessCheckAt) {
       errors.runAsync('liveness-check', async () => await this.checkUnresponsiveWorkers())
