Emulate packet loss between a process and a worker

EmulatedConnections gives up opening a connection after 300 ms, as RunnerClient does. A call that reaches the worker after its client has given up is executed, unless the process of the worker has ended by then. Holds and orders have a path each, so that a test can lose packets of either. Without loss the timing is as before.

EmulatedSite can let a worker leave with a notice, and RunJudge counts the runs that end with a lease.

--- a/stand-ins/platform/EmulatedConnections.test.ts
+++ b/stand-ins/platform/EmulatedConnections.test.ts
@@ -2,8 +2,10 @@
 import { test } from 'node:test'
 import type { OrderOutcome, WorkerClient } from '../../src/dispatch/index.js'
 import { VirtualClock } from '../../src/shared/VirtualClock.js'
+import { createRandom } from '../shared/createRandom.js'
 import { EmulatedConnections, type ExpiredCalls } from './EmulatedConnections.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
+import { WorkerPaths } from './WorkerPaths.js'
 
 const LATENCY_MILLISECONDS = 100
 
@@ -19,12 +21,22 @@
       return { kind: 'accepted', workerMilliseconds: 0 }
     }
   } as unknown as WorkerClient
+  const paths = WorkerPaths.create({ clock, random: createRandom(1) })
+  const state: { incarnation: number | null } = { incarnation: 1 }
   const connections = EmulatedConnections.create({
-    worker, processor, clock, expiredCalls, counts, isAlive: () => true, countQueuedJobs: () => 0
+    worker,
+    paths,
+    getIncarnation: () => state.incarnation,
+    processor,
+    clock,
+    expiredCalls,
+    counts,
+    isAlive: () => true,
+    countQueuedJobs: () => 0
   })
   const sendStops = async (count: number) =>
     await Promise.all(Array.from({ length: count }, (_, index) => connections.stop(`task-${index}`, 1, 1)))
-  return { clock, counts, stopped, sendStops }
+  return { clock, counts, stopped, sendStops, paths, state }
 }
 
 function countKinds (outcomes: OrderOutcome[]): Record<string, number> {
@@ -65,3 +77,49 @@
     kinds: { accepted: 8, 'not-sent': 7 }, sentCount: 8, counts: { opened: 2, expiredUnsent: 7, expiredSent: 0 }
   })
 })
+
+test('a connection that does not open in time is given up, and its call is not sent', async () => {
+  const { clock, counts, stopped, sendStops, paths } = createConnections('leaves-queue')
+  paths.setLoss({ fromWorker: 1 })
+  const first = sendStops(1)
+  await clock.advance(310)
+  assert.deepEqual(await first, [{ kind: 'not-sent', reason: 'connect-timeout' }])
+  paths.setLoss({})
+  const second = sendStops(1)
+  await clock.advance(150)
+  assert.deepEqual(countKinds(await second), { accepted: 1 })
+  await clock.advance(5000)
+  assert.deepEqual(stopped, ['task-0'])
+  assert.equal(counts.opened, 2)
+})
+
+test('an order is executed after its client has given up, unless the worker process has ended', async () => {
+  for (const endsProcess of [false, true]) {
+    const { clock, counts, stopped, sendStops, paths, state } = createConnections('leaves-queue')
+    const first = sendStops(1)
+    await clock.advance(200)
+    assert.deepEqual(countKinds(await first), { accepted: 1 })
+    paths.setLoss({ toWorker: 1 })
+    const second = sendStops(1)
+    await clock.advance(500)
+    assert.deepEqual(await second, [{ kind: 'unknown', reason: 'timeout' }])
+    assert.deepEqual(stopped, ['task-0'])
+    paths.setLoss({})
+    if (endsProcess) state.incarnation = 2
+    await clock.advance(500)
+    assert.deepEqual(stopped, endsProcess ? ['task-0'] : ['task-0', 'task-0'])
+    assert.equal(counts.expiredSent, 1)
+  }
+})
+
+test('an order whose response is lost is executed once and has no known outcome', async () => {
+  const { clock, stopped, sendStops, paths } = createConnections('leaves-queue')
+  const first = sendStops(1)
+  await clock.advance(200)
+  await first
+  paths.setLoss({ fromWorker: 1 }, 'orders')
+  const second = sendStops(1)
+  await clock.advance(500)
+  assert.deepEqual(await second, [{ kind: 'unknown', reason: 'timeout' }])
+  assert.deepEqual(stopped, ['task-0', 'task-0'])
+})
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -1,6 +1,9 @@
 import type { HoldOutcome, HoldRequest, OrderOutcome, StartOrder, WorkerClient } from '../../src/dispatch/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
 import type { EmulatedProcessor } from './EmulatedProcessor.js'
+import type { LossyPath, PathDirection } from './LossyPath.js'
+import type { LossyStream } from './LossyStream.js'
+import type { WorkerPaths } from './WorkerPaths.js'
 
 /** Selects the worker client to emulate by its handling of calls that time out while queued for a connection. */
 export type ExpiredCalls =
@@ -25,6 +28,10 @@
 /** Options of the connections from one process to one worker. */
 export interface EmulatedConnectionsOptions {
   worker: WorkerClient
+  /** The network between the process and the worker. */
+  paths: WorkerPaths
+  /** Identifies the process of the worker, null while none runs; a packet that is sent again reaches no later one. */
+  getIncarnation: () => number | null
   processor: EmulatedProcessor
   /** The clock of the network, which advances while the processor is busy. */
   clock: Clock
@@ -44,20 +51,30 @@
 const ORDER_TIMEOUT_MILLISECONDS = 350
 /** Time that a hold may take in addition to its wait, as in `platform/RunnerClient.ts`. */
 const HOLD_MARGIN_MILLISECONDS = 600
+/** Time after which the opening of a connection is given up, as in `platform/RunnerClient.ts`. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300
 /** Opening a connection within a region takes as long as a call. */
 const ROUND_TRIP_MILLISECONDS = 2
 
 const TIMED_OUT = { kind: 'unknown', reason: 'timeout' } as const
 const NOT_SENT = { kind: 'not-sent', reason: 'queue-timeout' } as const
+/** The outcomes of holds and of orders without a connection, as in `platform/RunnerClient.ts`. */
+const HOLD_NOT_CONNECTED = { kind: 'unknown', reason: 'connect-timeout' } as const
+const ORDER_NOT_CONNECTED = { kind: 'not-sent', reason: 'connect-timeout' } as const
 
 interface Connection {
   state: 'closed' | 'opening' | 'open'
   call: QueuedCall | null
+  /** The stream since the connection was last opened. */
+  stream: LossyStream | null
 }
 
 /** Connections with a common limit, and the calls that are queued for them. */
 interface ConnectionPool {
   limit: number
+  path: LossyPath
+  /** The outcome of a call for which no connection was open in time. */
+  notConnected: unknown
   connections: Connection[]
   queue: QueuedCall[]
 }
@@ -82,8 +99,10 @@
 
   private constructor (private readonly options: EmulatedConnectionsOptions) {
     const isShared = options.expiredCalls === 'destroys-connection'
-    this.orderPool = createPool(isShared ? SHARED_CONNECTION_LIMIT : ORDER_CONNECTION_LIMIT)
-    this.holdPool = isShared ? this.orderPool : createPool(HOLD_CONNECTION_LIMIT)
+    const { orders, holds } = options.paths
+    const orderLimit = isShared ? SHARED_CONNECTION_LIMIT : ORDER_CONNECTION_LIMIT
+    this.orderPool = createPool(orderLimit, orders, ORDER_NOT_CONNECTED)
+    this.holdPool = isShared ? this.orderPool : createPool(HOLD_CONNECTION_LIMIT, holds, HOLD_NOT_CONNECTED)
   }
 
   /**
@@ -152,20 +171,51 @@
       const call = pool.queue.shift()!
       connection.call = call
       call.connection = connection
-      if (connection.state === 'closed') this.open(connection)
+      if (connection.state === 'closed') this.open(connection, pool)
       else if (connection.state === 'open') this.sendCall(connection)
     }
   }
 
-  private open (connection: Connection): void {
-    const { processor, clock, counts } = this.options
+  private open (connection: Connection, pool: ConnectionPool): void {
+    const { processor, clock, counts, expiredCalls } = this.options
     connection.state = 'opening'
     counts.opened++
     processor.charge('connection')
-    clock.setTimer(processor.getBusyMilliseconds() + ROUND_TRIP_MILLISECONDS, () => processor.handle('timer', () => {
-      connection.state = 'open'
-      if (connection.call !== null) this.sendCall(connection)
-    }))
+    let isEnded = false
+    let giveUp: CancelTimer = () => {}
+    let cancelLimit: CancelTimer = () => {}
+    const end = (isOpen: boolean) => processor.handle('timer', () => {
+      if (isEnded) return
+      isEnded = true
+      giveUp()
+      cancelLimit()
+      if (isOpen) this.handleOpen(connection, pool)
+      else this.handleOpeningTimeout(connection, pool)
+    })
+    clock.setTimer(processor.getBusyMilliseconds() + ROUND_TRIP_MILLISECONDS, () => {
+      if (!isEnded) giveUp = pool.path.open(() => end(true))
+    })
+    if (expiredCalls === 'destroys-connection') return
+    // A connection that was opened by the time-out is used, so the time-out is handled after it.
+    cancelLimit = processor.clock.setTimer(CONNECT_TIMEOUT_MILLISECONDS, () => end(false))
+  }
+
+  private handleOpen (connection: Connection, pool: ConnectionPool): void {
+    connection.state = 'open'
+    connection.stream = pool.path.createStream()
+    if (connection.call !== null) this.sendCall(connection)
+  }
+
+  private handleOpeningTimeout (connection: Connection, pool: ConnectionPool): void {
+    const { call } = connection
+    connection.state = 'closed'
+    connection.call = null
+    if (call !== null) {
+      call.cancelTimer()
+      call.isSettled = true
+      call.settle(pool.notConnected)
+    }
+    this.assignCalls(pool)
   }
 
   private sendCall (connection: Connection): void {
@@ -183,16 +233,29 @@
         processor.handle('timer', () => this.expire(call))
       })
     }
+    const stream = connection.stream!
     clock.setTimer(processor.getBusyMilliseconds(), () => {
       if (!isAlive()) return
-      call.perform().then(outcome => processor.handle('answer', () => {
-        // The connection of an expired call is already closed, so its response is discarded.
-        if (call.isExpired) return
-        call.cancelTimer()
-        call.isSettled = true
-        call.settle(outcome)
-        this.releaseConnection(call, 'open')
-      }))
+      this.sendSegment(stream, 'toWorker', () => {
+        call.perform().then(outcome => this.sendSegment(stream, 'fromWorker', () => this.receiveAnswer(call, outcome)))
+      })
+    })
+  }
+
+  /** Sends a segment, which is lost if the process of the worker ends before it arrives. */
+  private sendSegment (stream: LossyStream, direction: PathDirection, deliver: () => void): void {
+    const incarnation = this.options.getIncarnation()
+    stream.send(direction, () => { if (this.options.getIncarnation() === incarnation) deliver() })
+  }
+
+  private receiveAnswer (call: QueuedCall, outcome: unknown): void {
+    this.options.processor.handle('answer', () => {
+      // The connection of an expired call is already closed, so its response is discarded.
+      if (call.isExpired) return
+      call.cancelTimer()
+      call.isSettled = true
+      call.settle(outcome)
+      this.releaseConnection(call, 'open')
     })
   }
 
@@ -226,15 +289,15 @@
   }
 }
 
-function createPool (limit: number): ConnectionPool {
-  return { limit, connections: [], queue: [] }
+function createPool (limit: number, path: LossyPath, notConnected: unknown): ConnectionPool {
+  return { limit, path, notConnected, connections: [], queue: [] }
 }
 
 function findFreeConnection (pool: ConnectionPool): Connection | null {
   const free = pool.connections.filter(connection => connection.call === null)
   const found = free.find(connection => connection.state === 'open') ?? free[0]
   if (found !== undefined || pool.connections.length === pool.limit) return found ?? null
-  const added: Connection = { state: 'closed', call: null }
+  const added: Connection = { state: 'closed', call: null, stream: null }
   pool.connections.push(added)
   return added
 }
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -19,6 +19,7 @@
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
 import { RunJudge } from './RunJudge.js'
+import { WorkerPaths } from './WorkerPaths.js'
 
 /** Options of an emulated site. */
 export interface EmulatedSiteOptions {
@@ -87,6 +88,8 @@
   readonly connectionCounts: ConnectionCounts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
   readonly tables: EmulatedTables
   readonly workers = new Map<string, EmulatedWorker>()
+  /** The networks to the workers, which can lose packets if processor time is emulated. */
+  readonly paths = new Map<string, WorkerPaths>()
   readonly instances: EmulatedInstance[] = []
   /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
   readonly tasks = new Map<string, EmulatedTask>()
@@ -123,6 +126,7 @@
       getTask: taskName => this.tasks.get(taskName.split('.', 1)[0])!
     })
     this.workers.set(workerId, worker)
+    this.paths.set(workerId, WorkerPaths.create({ clock, random }))
     this.listWorker(workerId)
     return worker
   }
@@ -135,6 +139,19 @@
     })
   }
 
+  /**
+   * Announces that a worker leaves; its process ends after that time, and the platform removes it from its list.
+   * @param workerId The worker.
+   * @param remainingMilliseconds The time until then.
+   */
+  drainWorker (workerId: string, remainingMilliseconds: number): void {
+    this.listWorker(workerId, { state: 'draining', remainingMilliseconds })
+    this.options.clock.setTimer(remainingMilliseconds, () => {
+      this.workers.get(workerId)?.shutDown()
+      this.deleteRow(WORKER_TABLE, workerId)
+    })
+  }
+
   /** Restarts a worker process under the same worker ID and lists its new incarnation. */
   restartWorker (workerId: string): void {
     this.workers.get(workerId)?.restart()
@@ -243,7 +260,7 @@
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
 
-  private listWorker (workerId: string): void {
+  private listWorker (workerId: string, changes: Partial<WorkerEntry> = {}): void {
     const worker = this.workers.get(workerId)!
     const entry: WorkerEntry = {
       workerId,
@@ -254,7 +271,8 @@
       labels: ['a', 'r1'],
       capacity: WORKER_CAPACITY,
       bornAtMilliseconds: worker.bornAtMilliseconds,
-      remainingMilliseconds: null
+      remainingMilliseconds: null,
+      ...changes
     }
     this.putRow(WORKER_TABLE, workerId, entry as unknown as JsonValue)
   }
@@ -281,6 +299,8 @@
     if (processor === null || processorTime === undefined) return gateWorker(process, worker)
     return EmulatedConnections.create({
       worker,
+      paths: this.paths.get(workerId)!,
+      getIncarnation: () => worker.isAlive ? worker.bornAtMilliseconds : null,
       processor,
       clock,
       expiredCalls: processorTime.expiredCalls,
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -291,6 +291,7 @@
     this.removeRun(run)
     this.endedRunCount++
     if (outcome === 'done') this.options.judge.recordCompletion(run.taskName, run.attempt)
+    if (outcome === 'lapsed') this.options.judge.recordLapse(this.options.workerId)
     this.endedRuns.push({
       number: this.endedRunCount, taskName: run.taskName, attempt: run.attempt, end: outcome, checkpoint: run.checkpoint
     })
--- a/stand-ins/platform/RestartJudge.ts
+++ b/stand-ins/platform/RestartJudge.ts
@@ -134,7 +134,7 @@
     for (const [workerId, worker] of site.workers) {
       const { cutOff, lostAnswerShare, lateShare } = worker.faults
       const incarnation = `${workerId} ${worker.bornAtMilliseconds} ${worker.isAlive}`
-      const isFaulty = cutOff || lostAnswerShare > 0 || lateShare > 0
+      const isFaulty = cutOff || lostAnswerShare > 0 || lateShare > 0 || site.paths.get(workerId)!.isLossy
       if (this.isNewIncarnation(incarnation) || isFaulty) this.lastFaultAt = now
       const isKnown = !worker.isAlive || !cutOff
       const contact = this.contacts.get(workerId)
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -21,6 +21,8 @@
   readonly lastRunWorkerIds = new Map<string, string>()
   /** The worker to which the last start of each task was sent, whether or not it arrived. */
   readonly lastOrderWorkerIds = new Map<string, string>()
+  /** The worker ID of each run that ended because the lease of its worker had expired. */
+  readonly lapsedRunWorkerIds: string[] = []
   /** Number of failed runs of each task, over all workers. */
   readonly failureCounts = new Map<string, number>()
 
@@ -69,6 +71,11 @@
     this.running.get(taskName)?.delete(`${workerId}#${attempt}`)
   }
 
+  /** Records that a run has ended because the lease of its worker has expired. */
+  recordLapse (workerId: string): void {
+    this.lapsedRunWorkerIds.push(workerId)
+  }
+
   /** Records that a run has completed; its completion is not yet listed or acknowledged. */
   recordCompletion (taskName: string, attempt: number): void {
     if (!this.options.treatsListedAsAcknowledged) return
