--- a/stand-ins/platform/EmulatedConnections.test.ts
+++ b/stand-ins/platform/EmulatedConnections.test.ts
@@ -32,6 +32,7 @@
     expiredCalls,
     counts,
     isAlive: () => true,
+    onStart: () => {},
     countQueuedJobs: () => 0
   })
   const sendStops = async (count: number) =>
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -39,6 +39,8 @@
   counts: ConnectionCounts
   /** Returns whether the process still runs; queued calls of a dead process are not sent. */
   isAlive: () => boolean
+  /** Called with the name of each task whose start is ordered, whether or not the order arrives. */
+  onStart: (taskName: string) => void
   /** Returns the number of queued jobs, which the planning after each report ranks. */
   countQueuedJobs: () => number
 }
@@ -115,6 +117,7 @@
   }
 
   async start (order: StartOrder): Promise<OrderOutcome> {
+    this.options.onStart(order.taskName)
     return await this.order(() => this.options.worker.start(order))
   }
 
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -306,6 +306,7 @@
       expiredCalls: processorTime.expiredCalls,
       counts: this.connectionCounts,
       isAlive: () => process.isAlive(),
+      onStart: taskName => this.judge.recordOrder(taskName, workerId),
       countQueuedJobs: () => this.getOwner()?.instance.ownerApi.countWaiting(EMULATED_QUEUE.name) ?? 0
     })
   }
