--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -47,8 +47,6 @@
 export class WorkerLeaseLoop {
   private stopped = false
   private lastCallFailed = false
-  /** The deadline of the latest renewal, which the worker may have received or may still receive. */
-  private sentDeadline = 0
 
   private constructor (private readonly options: WorkerLeaseLoopOptions) {}
 
@@ -85,14 +83,13 @@
   }
 
   private async callWorker (): Promise<void> {
-    const { worker, engine, client, clock } = this.options
+    const { worker, engine, client, clock, leaseMilliseconds } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
-    const leaseDeadline = this.getLeaseDeadline(workerTime)
-    if (leaseDeadline !== null) {
-      this.sentDeadline = leaseDeadline
-      worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
-    }
+    // Calls may still reach an unresponsive worker: renewing its lease blindly would keep the lease from expiring.
+    const mayRenew = workerTime !== null && !this.lastCallFailed && !worker.isRecordedUnreached
+    const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
+    if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await client.hold({
       epoch: engine.epoch,
       // After a failed call a new incarnation of the worker may respond, which numbers its ended runs from 1.
@@ -116,7 +113,6 @@
     if (this.stopped) return
     const lastAppliedBefore = worker.appliedCompletion
     engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
-    this.keepSentDeadline(outcome.report)
     this.logEndedRuns(outcome.report, lastAppliedBefore)
     this.options.onReport(worker)
     if (worker.appliedCompletion > worker.durableCompletion) await this.options.waitForDurability()
@@ -124,30 +120,6 @@
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
-  /**
-   * Returns the lease deadline of the next call.
-   *
-   * A renewal without an answer is repeated unchanged: the worker may have received it, so the lease ends no later. A
-   * later deadline could reach an unresponsive worker and keep its lease from ending.
-   * @param workerTime The earliest time on the worker's clock, or null without a reading.
-   * @returns The deadline on the worker's clock, or null if the call renews no lease.
-   */
-  private getLeaseDeadline (workerTime: number | null): number | null {
-    const { worker, leaseMilliseconds } = this.options
-    if (workerTime === null || worker.isRecordedUnreached) return null
-    if (!this.lastCallFailed) return Math.floor(workerTime + leaseMilliseconds)
-    // The deadline of the record is less than the one sent if another incarnation has reported since.
-    const repeated = Math.min(this.sentDeadline, Math.floor(worker.leaseDeadline))
-    return repeated > workerTime ? repeated : null
-  }
-
-  /** Keeps the deadline that was sent as a bound of the lease if the report is that of another incarnation. */
-  private keepSentDeadline (report: WorkerReport): void {
-    const { worker, leaseMilliseconds } = this.options
-    const latest = Math.min(this.sentDeadline, report.workerMilliseconds + leaseMilliseconds)
-    worker.leaseDeadline = Math.max(worker.leaseDeadline, latest)
-  }
-
   /** Counts each failed call, and logs when the worker stops or resumes responding. */
   private recordOutcome (outcome: HoldOutcome, durationMilliseconds: number): void {
     const { worker, logger, metrics } = this.options
