Settle uncertain starts by a report after their deadline

Callers saw a long-running task away for 9 s and more (LOST): its start got no response, and the task waited for the response to the stop, or for the end of the worker's lease, while reports of the same worker arrived and did not list the run.

Cause: only a confirmed stop counted as evidence that the run does not exist. While calls fail, the stop fails as often as the start, and reports that arrive renew the lease.

Change: a worker rejects a start after its deadline, so a report that the worker has made after that and that does not list the run settles it. Not so for a start that a later incarnation may receive, whose clock differs.

Measured: uncertainStarts.test.ts, two of four tests fail before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -182,7 +182,7 @@
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
       stopRuns: task => this.stopper.stopTask(task),
-      markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
+      markRunLost: (run, cause) => this.markRunLost(worker, run, cause, now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
     const changed = applyReport(worker, report, context)
@@ -371,6 +371,7 @@
         this.markRunLost(worker, run, 'worker-restarted', now)
       } else {
         run.startUncertain = true
+        run.startDeadline = Infinity
         this.orders.stop(worker, run)
       }
     }
