Reserve a worker for a restart of a long-running task that fits nowhere

Cause: a restart that fits on no worker reserved nothing. Smaller tasks took each part of a worker that became free, so that the parts never added up to the room for a larger task. Best-effort runs of many seconds kept the memory in the same way.

Change: such a restart reserves the worker that is expected to have room for it first. The worker gives that room to no other task until the restart starts, there or elsewhere; the reservation also ends when the worker gets no new work, when another restart has used the room, and after 3 s. At most a quarter of the workers of a service are reserved, one restart on each; a gang reserves for all members or for none. A restart that has waited 2 s stops best-effort runs on its worker if the room would not be free soon and their stop frees it: checkpointing runs first, then those that lose the least work, never a long-running task or a member of a gang. Reservations are suspended while the restarts of a plan are placed, in the order of their wait. A search for a worker is made at most each 30 ms.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -13,6 +13,7 @@
 import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
+import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
@@ -58,6 +59,7 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
+  private readonly reservations = RestartReservations.create({ stop: (worker, run) => this.orders.stop(worker, run) })
   private readonly largeJobShares = new Map<number, LargeJobShare>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
@@ -300,6 +302,7 @@
       jobs: this.jobs,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
+      reservations: this.reservations,
       largeJobShares: this.largeJobShares,
       wallMilliseconds,
       now,
--- /dev/null
+++ b/src/dispatch/RestartReservations.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import { PlannedSite, type PlannedSiteOptions } from '../../stand-ins/platform/PlannedSite.js'
+import type { OrderOutcome } from './WorkerProtocol.js'
+import type { WorkerRecord } from './WorkerRecord.js'
+
+const CAPACITY = { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 }
+const WATCH = { processorsMilli: 3000, memoryMegabytes: 1000, longRunning: true }
+const SHORT = { processorsMilli: 1000, memoryMegabytes: 500, estimateMilliseconds: 1000 }
+
+function getReserved (site: PlannedSite): WorkerRecord[] {
+  return site.workers.filter(({ reservingTask }) => reservingTask !== null)
+}
+
+/** Creates a site whose remaining workers are full of short tasks while a restart waits. */
+function createFullSite (
+  estimateMilliseconds = SHORT.estimateMilliseconds, options: Partial<PlannedSiteOptions> = {}
+): PlannedSite {
+  const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY, ...options })
+  site.submit('watch', [WATCH])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  site.submit('short', [{ ...SHORT, estimateMilliseconds, taskCount: 1000 }])
+  site.advance(100)
+  site.removeWorker(watching)
+  return site
+}
+
+test('a restart that fits nowhere reserves one worker, and other work starts on the other ones', () => {
+  const site = createFullSite()
+  site.advance(20)
+  const [reserved, ...others] = getReserved(site)
+  assert.equal(others.length, 0)
+  const runs = new Set(reserved.runs.values())
+  site.advance(2000, () => {
+    if (reserved.reservingTask === null) return
+    for (const run of reserved.runs.values()) assert.ok(runs.has(run), `${run.task.name} was started`)
+  })
+  assert.equal([...reserved.runs.values()].filter(run => run.task.step.specification.longRunning).length, 1)
+  assert.deepEqual(getReserved(site), [])
+})
+
+test('a reservation moves to another worker when its worker drains, does not respond, or gets no room in time', () => {
+  const changes: Array<(site: PlannedSite, worker: WorkerRecord) => void> = [
+    (site, worker) => { site.engine.setWorker({ ...worker.entry, state: 'draining' }) },
+    (site, worker) => { site.removeWorker(worker) },
+    site => { site.advance(3000) }
+  ]
+  for (const change of changes) {
+    const site = createFullSite(10_000)
+    site.advance(20)
+    const [reserved] = getReserved(site)
+    change(site, reserved)
+    site.advance(100)
+    const [other] = getReserved(site)
+    assert.notEqual(other.entry.workerId, reserved.entry.workerId)
+    assert.deepEqual(reserved.reservedForRestart, { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 })
+  }
+})
+
+test('a reservation ends when the task starts on another worker or its job is cancelled', () => {
+  const placed = createFullSite(10_000)
+  placed.advance(20)
+  placed.engine.setWorker(createWorkerEntry({ workerId: 'new', capacity: { ...CAPACITY } })).registered = true
+  placed.advance(20)
+  assert.deepEqual(getReserved(placed), [])
+  assert.deepEqual(placed.getTasksAway('watch'), [])
+  const cancelled = createFullSite(10_000)
+  cancelled.advance(20)
+  assert.equal(getReserved(cancelled).length, 1)
+  cancelled.engine.cancelJob('watch-0')
+  cancelled.advance(20)
+  assert.deepEqual(getReserved(cancelled), [])
+})
+
+test('a restart whose start is withdrawn or refused keeps its place before other work', () => {
+  const outcomes: OrderOutcome[] = [
+    { kind: 'accepted', workerMilliseconds: null },
+    { kind: 'not-sent', reason: 'refused' },
+    { kind: 'rejected', reason: 'no free capacity' },
+    { kind: 'unhealthy' }
+  ]
+  const site = createFullSite(SHORT.estimateMilliseconds, {
+    getStartOutcome: ({ task }) => (task.step.specification.longRunning ? outcomes.shift() : undefined) ??
+      { kind: 'accepted', workerMilliseconds: null }
+  })
+  site.advance(6000)
+  assert.deepEqual(outcomes, [])
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
+test('at most a quarter of the workers are reserved while hundreds of restarts wait, and urgent work starts', () => {
+  const site = PlannedSite.create({ seed: 1, workerCount: 200, capacity: CAPACITY, startLimit: 32 })
+  site.submit('watch', [{ ...WATCH, taskCount: 100 }])
+  site.advance(1000)
+  const watching = site.workers.filter(({ runs }) => runs.size > 0)
+  site.submit('short', [{ ...SHORT, taskCount: 100_000 }])
+  site.advance(3000)
+  for (const worker of watching) site.removeWorker(worker)
+  const shortBefore = site.startCounts.get('short')!
+  const longestReserved = { count: 0 }
+  site.advance(1000, () => {
+    const reserved = getReserved(site)
+    longestReserved.count = Math.max(longestReserved.count, reserved.length)
+    for (const { reservingTask } of reserved) assert.deepEqual(reservingTask!.runs, [])
+  })
+  const shortCount = site.startCounts.get('short')! - shortBefore
+  assert.ok(longestReserved.count > 1 && longestReserved.count <= 25, `${longestReserved.count} workers are reserved`)
+  assert.ok(shortCount >= 100, `${shortCount} short tasks were started in 1 s`)
+  site.advance(5000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
+test('restarts that are larger than any worker reserve nothing and hold up no others', () => {
+  const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY })
+  const large = site.engine.setWorker(createWorkerEntry({
+    workerId: 'large', capacity: { ...CAPACITY, processorsMilli: 12_000 }
+  }))
+  large.registered = true
+  site.submit('huge', [{ ...WATCH, processorsMilli: 5000, taskCount: 2 }])
+  site.advance(100)
+  site.submit('watch', [{ ...WATCH, taskCount: 1 }])
+  site.advance(100)
+  site.submit('short', [{ ...SHORT, taskCount: 1000 }])
+  site.advance(100)
+  site.removeWorker(large)
+  for (const worker of site.workers) {
+    if ([...worker.runs.values()].some(run => run.task.step.specification.longRunning)) site.removeWorker(worker)
+  }
+  site.advance(5000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+  assert.equal(site.getTasksAway('huge').length, 2)
+  assert.deepEqual(getReserved(site), [])
+})
+
+test('a restart uses a worker that responds unsteadily when the steady ones have no room', () => {
+  const site = createFullSite(10_000)
+  const unsteady = site.engine.setWorker(createWorkerEntry({ workerId: 'unsteady', capacity: { ...CAPACITY } }))
+  unsteady.registered = true
+  unsteady.failureTimes = [site.now - 1000, site.now]
+  site.advance(20)
+  assert.equal([...unsteady.runs.values()][0].task.name, 'watch-0.0.0.0')
+})
--- /dev/null
+++ b/src/dispatch/RestartReservations.ts
@@ -0,0 +1,254 @@
+import type { RunRecord, TaskRecord } from '../jobs/index.js'
+import { isEligible, type ChoiceConditions } from './chooseWorker.js'
+import { estimateRemaining, estimateTimeUntilFit, mayStopForRestart, selectRunsToStop } from './estimateRoom.js'
+import { getSizeKey } from './getSizeKey.js'
+import { countRunsOfStep, isUnsteady, NO_CAPACITY, type WorkerRecord } from './WorkerRecord.js'
+
+/** The share of the workers of a service that may be reserved at a time, so that other work goes on. */
+const RESERVED_WORKER_SHARE = 0.25
+/** A reservation whose task has not started by then ends, and the task reserves another worker. */
+const RESERVATION_MILLISECONDS = 3000
+/** A task that has waited this long gets room by the stop of best-effort runs on the reserved worker. */
+const STOP_WAIT_MILLISECONDS = 2000
+/** The time in which a stop frees the room of a run; runs are not stopped if the room is free that soon anyway. */
+const STOP_MILLISECONDS = 500
+/** Interval at which the runs on a reserved worker are examined for a stop. */
+const STOP_CHECK_MILLISECONDS = 200
+/** A worker that responds unsteadily is reserved only when a steady one would have room this much later. */
+const UNSTEADY_DELAY_MILLISECONDS = 1500
+/** The interval between two searches, each of which looks at all runs of a service. */
+const SEARCH_INTERVAL_MILLISECONDS = 30
+/** The time after which a worker is searched for again when none can get enough room. */
+const RETRY_MILLISECONDS = 500
+
+/** Options of the reservations. */
+export interface RestartReservationsOptions {
+  /** Stops a run, so that its task starts elsewhere. */
+  stop (worker: WorkerRecord, run: RunRecord): void
+}
+
+interface Reservation {
+  worker: WorkerRecord
+  madeAt: number
+  /** Whether other tasks are kept from using the room. */
+  isApplied: boolean
+  nextStopCheckAt: number
+}
+
+/** The workers of one service during one plan. */
+interface ServiceWorkers {
+  eligible: WorkerRecord[]
+  /** The number of further workers that may be reserved. */
+  remaining: number
+  /** The workers that can get room, by the size of the task, the first to have it first. */
+  rankings: Map<string, WorkerRecord[]>
+}
+
+/**
+ * Reserves workers for restarts that fit nowhere.
+ *
+ * On a full service smaller tasks take each part of a worker that becomes free, so that a larger task never finds
+ * enough room on one. A reserved worker gives no room that the restart needs to other tasks until the restart starts.
+ * A worker has at most one reservation, and reservations are suspended while the restarts of a plan are placed, so that
+ * the restart that has waited longest uses the first room.
+ */
+export class RestartReservations {
+  private readonly reservations = new Map<TaskRecord, Reservation>()
+  /** Monotonic time before which no worker is searched for, by the size of the task. */
+  private readonly retryTimes = new Map<string, number>()
+  private services = new Map<string, ServiceWorkers>()
+  private nextSearchAt = -Infinity
+
+  private constructor (private readonly options: RestartReservationsOptions) {}
+
+  /**
+   * Creates an object without reservations.
+   * @param options The function that stops a run.
+   * @returns The object.
+   */
+  static create (options: RestartReservationsOptions): RestartReservations {
+    return new RestartReservations(options)
+  }
+
+  /**
+   * Returns the worker that is reserved for a task.
+   * @param task The task.
+   * @returns The worker, or null for none.
+   */
+  getWorker (task: TaskRecord): WorkerRecord | null {
+    return this.reservations.get(task)?.worker ?? null
+  }
+
+  /**
+   * Ends the reservation of a task.
+   * @param task The task, which was placed.
+   */
+  release (task: TaskRecord): void {
+    const reservation = this.reservations.get(task)
+    if (reservation === undefined) return
+    setApplied(reservation, null)
+    this.reservations.delete(task)
+  }
+
+  /**
+   * Begins a plan: the reserved room counts as free until each task reserves it again.
+   * @param now The monotonic time.
+   */
+  suspend (now: number): void {
+    this.services = new Map()
+    for (const [size, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(size)
+    for (const reservation of this.reservations.values()) setApplied(reservation, null)
+  }
+
+  /**
+   * Reserves a worker for a restart that fits nowhere, or keeps the worker that it has.
+   * @param task The task, which waits.
+   * @param workers All workers.
+   * @param conditions The conditions of the choice.
+   */
+  reserve (task: TaskRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions): void {
+    if (task.step.specification.gang && !isGangWaiting(task)) return
+    const { now } = conditions
+    const existing = this.reservations.get(task)
+    if (existing !== undefined && isUsable(existing, conditions)) {
+      setApplied(existing, task)
+      this.stopRuns(task, existing, now)
+      return
+    }
+    this.reservations.delete(task)
+    const service = this.getService(workers, conditions)
+    if (service.remaining < this.countMissing(task)) return
+    const worker = this.chooseWorker(task, service, conditions, existing?.worker ?? null)
+    if (worker === null) return
+    const reservation = { worker, madeAt: now, isApplied: false, nextStopCheckAt: now }
+    this.reservations.set(task, reservation)
+    setApplied(reservation, task)
+    service.remaining--
+  }
+
+  /**
+   * Ends the placement of restarts: the reservations of tasks that still wait apply again, all others end.
+   * @param getConditions Returns the conditions of a choice for a task.
+   */
+  resume (getConditions: (task: TaskRecord) => ChoiceConditions): void {
+    for (const [task, reservation] of this.reservations) {
+      if (reservation.isApplied) continue
+      const isWaiting = task.runs.length === 0 && !task.done && task.step.occurrence.job.finalState === null
+      if (isWaiting && isUsable(reservation, getConditions(task))) setApplied(reservation, task)
+      else this.reservations.delete(task)
+    }
+  }
+
+  /** Returns how many workers a task needs; a gang reserves workers for all members or for none. */
+  private countMissing ({ step }: TaskRecord): number {
+    if (!step.specification.gang) return 1
+    let count = step.tasks.count
+    for (const member of step.tasks.getAllCreated()) if (this.reservations.has(member)) count--
+    return count
+  }
+
+  private getService (workers: readonly WorkerRecord[], conditions: ChoiceConditions): ServiceWorkers {
+    const known = this.services.get(conditions.serviceName)
+    if (known !== undefined) return known
+    const eligible = workers.filter(worker => isEligible(worker, conditions))
+    let remaining = Math.ceil(eligible.length * RESERVED_WORKER_SHARE)
+    for (const { worker } of this.reservations.values()) {
+      if (worker.entry.serviceName === conditions.serviceName) remaining--
+    }
+    const service = { eligible, remaining, rankings: new Map<string, WorkerRecord[]>() }
+    this.services.set(conditions.serviceName, service)
+    return service
+  }
+
+  private chooseWorker (
+    task: TaskRecord, service: ServiceWorkers, conditions: ChoiceConditions, earlier: WorkerRecord | null
+  ): WorkerRecord | null {
+    const size = getSizeKey(task.step)
+    if (this.retryTimes.has(size)) return null
+    let ranking = service.rankings.get(size)
+    if (ranking === undefined) {
+      if (conditions.now < this.nextSearchAt) return null
+      this.nextSearchAt = conditions.now + SEARCH_INTERVAL_MILLISECONDS
+      ranking = rankWorkers(task, service.eligible, conditions)
+      service.rankings.set(size, ranking)
+    }
+    const reserved = new Set([...this.reservations.values()].map(({ worker }) => worker))
+    const [worker, other] = ranking.filter(candidate => !reserved.has(candidate))
+    if (worker === undefined) this.retryTimes.set(size, conditions.now + RETRY_MILLISECONDS)
+    return (worker === earlier ? other : null) ?? worker ?? null
+  }
+
+  private stopRuns (task: TaskRecord, reservation: Reservation, now: number): void {
+    const { worker } = reservation
+    if (now - task.waitingSince < STOP_WAIT_MILLISECONDS || now < reservation.nextStopCheckAt) return
+    reservation.nextStopCheckAt = now + STOP_CHECK_MILLISECONDS
+    // Without the reservation itself, whose room the task uses.
+    setApplied(reservation, null)
+    const remaining = estimateTimeUntilFit(worker, task, run => estimateRemaining(run, now))
+    if (remaining > STOP_MILLISECONDS) {
+      for (const run of selectRunsToStop(worker, task)) {
+        this.options.stop(worker, run)
+        reservation.madeAt = now
+      }
+    }
+    setApplied(reservation, task)
+  }
+}
+
+/** Makes a reservation keep room for its task, or leave the room to all. */
+function setApplied (reservation: Reservation, task: TaskRecord | null): void {
+  const { worker } = reservation
+  if (task === null && !reservation.isApplied) return
+  reservation.isApplied = task !== null
+  worker.reservingTask = task
+  worker.reservedForRestart = task === null
+    ? NO_CAPACITY
+    : {
+        processorsMilli: task.step.specification.fills ? 0 : task.step.specification.processorsMilli,
+        memoryMegabytes: task.step.specification.memoryMegabytes,
+        accelerators: task.step.specification.accelerators
+      }
+}
+
+function isUsable ({ worker, madeAt }: Reservation, conditions: ChoiceConditions): boolean {
+  if (conditions.now - madeAt >= RESERVATION_MILLISECONDS || !isEligible(worker, conditions)) return false
+  // Another restart may have used the room.
+  for (const { task, startedAt } of worker.runs.values()) {
+    if (startedAt >= madeAt && task.step.specification.longRunning) return false
+  }
+  return true
+}
+
+/** Returns whether all members of a gang wait; a gang with a running member is not started. */
+function isGangWaiting ({ step: { tasks } }: TaskRecord): boolean {
+  if (tasks.remainingCount < tasks.count) return false
+  for (const member of tasks.getAllCreated()) if (member.runs.length > 0) return false
+  return true
+}
+
+function isLikelyToFail (worker: WorkerRecord, { now, unsteadyDataCentres }: ChoiceConditions): boolean {
+  return isUnsteady(worker, now) || unsteadyDataCentres?.has(worker.entry.dataCentre) === true
+}
+
+/** Returns the workers that can get room for a task, the first to have it first. */
+function rankWorkers (
+  task: TaskRecord, eligible: readonly WorkerRecord[], conditions: ChoiceConditions
+): WorkerRecord[] {
+  const { now } = conditions
+  const { requiredLabel, maximumPerWorker } = task.step.specification
+  const stopTime = Math.max(0, STOP_WAIT_MILLISECONDS - (now - task.waitingSince)) + STOP_MILLISECONDS
+  const getRemaining = (run: RunRecord): number => {
+    const remaining = estimateRemaining(run, now)
+    return mayStopForRestart(run) ? Math.min(remaining, stopTime) : remaining
+  }
+  const ranked: Array<{ worker: WorkerRecord, delay: number }> = []
+  for (const worker of eligible) {
+    if (worker.reservingTask !== null) continue
+    if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
+    if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
+    const delay = estimateTimeUntilFit(worker, task, getRemaining)
+    if (delay === Infinity) continue
+    ranked.push({ worker, delay: delay + (isLikelyToFail(worker, conditions) ? UNSTEADY_DELAY_MILLISECONDS : 0) })
+  }
+  return ranked.sort((left, right) => left.delay - right.delay).map(({ worker }) => worker)
+}
--- a/src/dispatch/StartCandidates.ts
+++ b/src/dispatch/StartCandidates.ts
@@ -1,7 +1,7 @@
 import type { TaskRecord } from '../jobs/index.js'
 import { chooseEligibleWorker, isEligible, type ChoiceConditions } from './chooseWorker.js'
 import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { getFreeCapacity, type WorkerRecord } from './WorkerRecord.js'
 
 /** Tolerance for rounding in sums: a task that exceeds a free capacity by less is compared with each worker. */
 const ROUNDING_MARGIN = 1e-6
@@ -67,7 +67,7 @@
 function getMaximalCapacities (workers: readonly WorkerRecord[]): FreeCapacity[] {
   let maximal: FreeCapacity[] = []
   for (const worker of workers) {
-    const capacity = getFreeCapacity(worker)
+    const capacity = getFreeCapacities(worker)
     if (maximal.some(other => dominates(other, capacity))) continue
     maximal = maximal.filter(other => !dominates(capacity, other))
     maximal.push(capacity)
@@ -75,16 +75,17 @@
   return maximal
 }
 
-function getFreeCapacity (worker: WorkerRecord): FreeCapacity {
-  const { reserved, bestEffortDemand, entry: { capacity } } = worker
+function getFreeCapacities (worker: WorkerRecord): FreeCapacity {
+  const { processorsMilli, memoryMegabytes, accelerators } = getFreeCapacity(worker)
+  const { bestEffortDemand } = worker
   return {
-    processorsMilli: capacity.processorsMilli - reserved.processorsMilli + ROUNDING_MARGIN,
+    processorsMilli: processorsMilli + ROUNDING_MARGIN,
     // A worker without best-effort tasks takes one of any size.
     bestEffortMilli: bestEffortDemand === 0
       ? Infinity
       : getBestEffortProcessors(worker) - bestEffortDemand + ROUNDING_MARGIN,
-    memoryMegabytes: capacity.memoryMegabytes - reserved.memoryMegabytes + ROUNDING_MARGIN,
-    accelerators: capacity.accelerators - reserved.accelerators + ROUNDING_MARGIN
+    memoryMegabytes: memoryMegabytes + ROUNDING_MARGIN,
+    accelerators: accelerators + ROUNDING_MARGIN
   }
 }
 
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,5 +1,6 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
 import type { ChoiceConditions } from './chooseWorker.js'
+import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
 import type { WorkerRecord } from './WorkerRecord.js'
@@ -23,9 +24,6 @@
   start (task: TaskRecord, worker: WorkerRecord, attempt: number): void
 }
 
-/** Caches the size key of each step, which every plan needs while tasks of the step wait. */
-const sizeKeys = new WeakMap<StepRecord, string>()
-
 /**
  * Places the waiting tasks of steps, which are passed in order of urgency.
  *
@@ -55,6 +53,19 @@
     return new StartPlan(options)
   }
 
+  /** All workers. */
+  get workers (): readonly WorkerRecord[] {
+    return this.options.workers
+  }
+
+  /**
+   * Returns the conditions of a choice.
+   * @param serviceName The service whose workers may run the task.
+   */
+  getConditions (serviceName: string): ChoiceConditions {
+    return this.options.getConditions(serviceName)
+  }
+
   /** The number of starts that the plan has placed. */
   get startCount (): number {
     return this.placedCount
@@ -99,19 +110,19 @@
    * long and finds no other worker is placed on one that is paused after failures.
    * @param task The task, which must wait and be ready to start.
    * @param serviceName The service whose workers may run the task.
+   * @returns Whether it was placed; for the further members of a gang whether the gang was.
    */
-  placeRestart (task: TaskRecord, serviceName: string): void {
+  placeRestart (task: TaskRecord, serviceName: string): boolean {
     const { step } = task
     const conditions = this.options.getConditions(serviceName)
     const mayUsePaused = conditions.now - task.waitingSince >= PAUSED_WORKER_WAIT_MILLISECONDS
     if (!step.specification.gang) {
-      if (!this.placeTask(task, serviceName) && mayUsePaused) this.placeTask(task, serviceName, true)
-    } else if (!this.restartedGangs.has(step)) {
-      this.restartedGangs.add(step)
-      if (!this.placeGang(step, conditions) && mayUsePaused) {
-        this.placeGang(step, { ...conditions, includesPaused: true })
-      }
+      return this.placeTask(task, serviceName) || (mayUsePaused && this.placeTask(task, serviceName, true))
     }
+    if (this.restartedGangs.has(step)) return task.runs.length > 0
+    this.restartedGangs.add(step)
+    return this.placeGang(step, conditions) ||
+      (mayUsePaused && this.placeGang(step, { ...conditions, includesPaused: true }))
   }
 
   /** Returns whether the members of the gang got workers. */
@@ -166,17 +177,3 @@
     return candidates
   }
 }
-
-/** Returns a key that is equal only for steps whose tasks fit into the same workers, see `chooseEligibleWorker`. */
-function getSizeKey (step: StepRecord): string {
-  const cached = sizeKeys.get(step)
-  if (cached !== undefined) return cached
-  const { specification: s, occurrence } = step
-  const scope = s.maximumPerWorker > 0 ? `${occurrence.job.submission.jobId}.${occurrence.number}.${step.index}` : ''
-  // Interference excludes workers only for tasks that use unused processors.
-  const image = s.fills ? JSON.stringify(s.image) : ''
-  const size = `${s.fills} ${s.processorsMilli} ${s.memoryMegabytes} ${s.accelerators} ` +
-    `${JSON.stringify(s.requiredLabel)} ${scope} ${image}`
-  sizeKeys.set(step, size)
-  return size
-}
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -48,6 +48,10 @@
   orphanedRuns: Map<string, { name: string, attempt: number }>
   /** The resources reserved by runs. */
   reserved: WorkerCapacity
+  /** The waiting restart for which room is reserved, see `RestartReservations`; null for none. */
+  reservingTask: TaskRecord | null
+  /** The resources reserved for it, which may exceed the free capacity. */
+  reservedForRestart: Readonly<WorkerCapacity>
   /** Thousandths of a processor that best-effort tasks request without reserving them. */
   bestEffortDemand: number
   /** Thousandths of a processor that serving tasks reserve. */
@@ -83,6 +87,9 @@
   bestEffortChangedAt: number
 }
 
+/** No resources. */
+export const NO_CAPACITY: Readonly<WorkerCapacity> = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
+
 /** Time after the lease deadline, on the worker's clock, by which the worker has stopped all its runs. */
 const EXPIRY_MARGIN_MILLISECONDS = 100
 /** A worker that has stopped responding twice within this time gets new work only when no other one has capacity. */
@@ -104,7 +111,9 @@
     syncState: 'unknown',
     runs: new Map(),
     orphanedRuns: new Map(),
-    reserved: { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 },
+    reserved: { ...NO_CAPACITY },
+    reservingTask: null,
+    reservedForRestart: NO_CAPACITY,
     bestEffortDemand: 0,
     servingReserved: 0,
     clockReading: null,
@@ -137,6 +146,19 @@
   worker.failureStreak = 0
 }
 
+/**
+ * Returns the capacity of a worker that neither runs nor a waiting restart reserve.
+ * @param worker The worker.
+ * @returns The free capacity; less than 0 where a restart waits for more than is free.
+ */
+export function getFreeCapacity ({ entry: { capacity }, reserved, reservedForRestart }: WorkerRecord): WorkerCapacity {
+  return {
+    processorsMilli: capacity.processorsMilli - reserved.processorsMilli - reservedForRestart.processorsMilli,
+    memoryMegabytes: capacity.memoryMegabytes - reserved.memoryMegabytes - reservedForRestart.memoryMegabytes,
+    accelerators: capacity.accelerators - reserved.accelerators - reservedForRestart.accelerators
+  }
+}
+
 /**
  * Returns the key of a run in the maps of its worker.
  * @param name The name of the task.
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -67,21 +67,22 @@
 }
 
 /**
- * Returns whether a task fits into the free capacity of a worker.
+ * Returns whether a task fits into the free capacity of a worker, without the room reserved for a waiting restart.
  * @param worker The worker.
  * @param task The task.
  * @returns Whether it fits.
  */
 export function fits (worker: WorkerRecord, task: TaskRecord): boolean {
   const { specification } = task.step
-  const { capacity } = worker.entry
-  if (worker.reserved.memoryMegabytes + specification.memoryMegabytes > capacity.memoryMegabytes) return false
-  if (worker.reserved.accelerators + specification.accelerators > capacity.accelerators) return false
+  const { reserved, reservedForRestart: kept, entry: { capacity } } = worker
+  const { processorsMilli, memoryMegabytes, accelerators } = specification
+  if (reserved.memoryMegabytes + kept.memoryMegabytes + memoryMegabytes > capacity.memoryMegabytes) return false
+  if (reserved.accelerators + kept.accelerators + accelerators > capacity.accelerators) return false
   if (specification.fills) {
     return worker.bestEffortDemand === 0 ||
-      worker.bestEffortDemand + specification.processorsMilli <= getBestEffortProcessors(worker)
+      worker.bestEffortDemand + processorsMilli <= getBestEffortProcessors(worker)
   }
-  return worker.reserved.processorsMilli + specification.processorsMilli <= capacity.processorsMilli
+  return reserved.processorsMilli + kept.processorsMilli + processorsMilli <= capacity.processorsMilli
 }
 
 /**
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -3,6 +3,7 @@
 import type { JobTable } from './JobTable.js'
 import { LargeJobShare } from './LargeJobShare.js'
 import { rankJobs } from './rankJobs.js'
+import type { RestartReservations } from './RestartReservations.js'
 import type { StartPlan } from './StartPlan.js'
 
 /** The jobs of a plan and the conditions of their starts. */
@@ -11,6 +12,7 @@
   plan: StartPlan
   /** The number of restarts of long-running tasks that precede all other work. */
   restartLimit: number
+  reservations: RestartReservations
   /** The shares of the large jobs by priority, kept across plans. */
   largeJobShares: Map<number, LargeJobShare>
   /** The time of day. */
@@ -30,7 +32,9 @@
  */
 export function placeWaitingTasks (context: PlanContext): 'complete' | 'plan-full' {
   const { jobs, plan, wallMilliseconds, now, mayStart } = context
+  context.reservations.suspend(now)
   placeRestarts(context)
+  context.reservations.resume(task => plan.getConditions(context.getServiceName(task.step.occurrence.job)))
   const startable = [...jobs.getJobs()].filter(job =>
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
@@ -82,11 +86,15 @@
   share.recordStarts(starts, largeJobStarts)
 }
 
-function placeRestarts ({ jobs, plan, restartLimit, getServiceName, mayStart }: PlanContext): void {
+function placeRestarts (context: PlanContext): void {
+  const { jobs, plan, restartLimit, reservations, getServiceName, mayStart } = context
   for (const task of jobs.waitingRestarts.getWaiting()) {
     if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return
     const { job } = task.step.occurrence
-    if (job.finalState === null && mayStart(task)) plan.placeRestart(task, getServiceName(job))
+    if (job.finalState !== null || !mayStart(task)) continue
+    const serviceName = getServiceName(job)
+    if (plan.placeRestart(task, serviceName)) reservations.release(task)
+    else reservations.reserve(task, plan.workers, plan.getConditions(serviceName))
   }
 }
 
--- a/src/dispatch/selectGangPlacement.ts
+++ b/src/dispatch/selectGangPlacement.ts
@@ -1,6 +1,6 @@
 import type { StepRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
-import type { WorkerCapacity, WorkerRecord } from './WorkerRecord.js'
+import { getFreeCapacity, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Places all members of a gang at once, on one rack when the gang prefers that and a rack has the capacity.
@@ -59,12 +59,3 @@
   }
   return placement
 }
-
-function getFreeCapacity (worker: WorkerRecord): WorkerCapacity {
-  const { capacity } = worker.entry
-  return {
-    processorsMilli: capacity.processorsMilli - worker.reserved.processorsMilli,
-    memoryMegabytes: capacity.memoryMegabytes - worker.reserved.memoryMegabytes,
-    accelerators: capacity.accelerators - worker.reserved.accelerators
-  }
-}
