Log on how many workers the wait of a long-running task was decided

`long-running task waits` named only a reason. It could not be told from it whether few workers were in service, whether some were passed over although they had room, or whether one was reserved for the task.

No behaviour changes but the line; its test expects the new fields.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -9,7 +9,7 @@
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
-import { explainWaiting, type WaitingReason } from './explainWaiting.js'
+import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
 import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
@@ -149,15 +149,16 @@
   }
 
   /**
-   * Returns why a ready task has no run.
+   * Explains why a ready task has no run.
    * @param task The task.
    * @param now The monotonic time.
-   * @returns The reason.
+   * @returns The reason, and the workers that were considered.
    */
-  explainWaiting (task: TaskRecord, now: number): WaitingReason {
-    if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
+  explainWaiting (task: TaskRecord, now: number): WaitingExplanation {
     const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
-    return explainWaiting(task, this.workers.values(), conditions)
+    const explanation = explainWaiting(task, this.workers.values(), conditions)
+    const reason = this.unreconciled.mayRun(task) ? 'unreconciled-worker' : explanation.reason
+    return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
   /**
--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -1,6 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
-import { fits, isEligible, type ChoiceConditions } from './chooseWorker.js'
-import { countRunsOfStep, type WorkerRecord } from './WorkerRecord.js'
+import { fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
+import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Why a ready task has no run: a worker that may run it has not been reconciled, no worker may get new work, no such
@@ -10,23 +10,50 @@
 export type WaitingReason =
   'unreconciled-worker' | 'no-eligible-worker' | 'no-free-capacity' | 'limit-per-worker' | 'not-planned'
 
+/** Why a task waits, and on how many workers that was decided; all counts are of workers that have its label. */
+export interface WaitingExplanation {
+  reason: WaitingReason
+  /** The workers in service. */
+  workersInService: number
+  /** Those of them that have room for the task, without room reserved for restarts. */
+  workersWithRoom: number
+  /** Those in service that get no new work: they are paused after failures, or list runs without a job. */
+  workersPaused: number
+  /** Those in service that have stopped responding repeatedly of late, and are chosen last. */
+  workersUnsteady: number
+  /** The worker that is reserved for the task, or null. */
+  reservedWorker: string | null
+}
+
 /**
- * Returns why no worker has been chosen for a task whose start is allowed.
+ * Explains why no worker has been chosen for a task whose start is allowed.
  * @param task The task.
  * @param workers All workers.
  * @param conditions The conditions of the choice.
- * @returns The reason.
+ * @returns The explanation, for a task without a reserved worker.
  */
 export function explainWaiting (
   task: TaskRecord, workers: Iterable<WorkerRecord>, conditions: ChoiceConditions
-): WaitingReason {
+): WaitingExplanation {
   const { requiredLabel: label, maximumPerWorker: limit } = task.step.specification
-  const eligible = [...workers].filter(worker =>
-    isEligible(worker, conditions) && (label === '' || worker.entry.labels.includes(label)))
-  if (eligible.length === 0) return 'no-eligible-worker'
+  const inService = [...workers].filter(worker =>
+    isInService(worker, conditions.serviceName, conditions.dataCentresOut) &&
+    (label === '' || worker.entry.labels.includes(label)))
+  const eligible = inService.filter(worker => isEligible(worker, conditions))
   const fitting = eligible.filter(worker => fits(worker, task))
-  if (fitting.length === 0) return 'no-free-capacity'
-  return limit === 0 || fitting.some(worker => countRunsOfStep(worker, task.step) < limit)
-    ? 'not-planned'
-    : 'limit-per-worker'
+  const isBelowLimit = (worker: WorkerRecord): boolean => limit === 0 || countRunsOfStep(worker, task.step) < limit
+  return {
+    reason: getReason(eligible.length, fitting.length, fitting.some(isBelowLimit)),
+    workersInService: inService.length,
+    workersWithRoom: inService.filter(worker => fits(worker, task) && isBelowLimit(worker)).length,
+    workersPaused: inService.length - eligible.length,
+    workersUnsteady: inService.filter(worker => isUnsteady(worker, conditions.now)).length,
+    reservedWorker: null
+  }
+}
+
+function getReason (eligibleCount: number, fittingCount: number, hasWorker: boolean): WaitingReason {
+  if (eligibleCount === 0) return 'no-eligible-worker'
+  if (fittingCount === 0) return 'no-free-capacity'
+  return hasWorker ? 'not-planned' : 'limit-per-worker'
 }
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,7 +1,7 @@
 export * from './ColocationAdvisor.js'
 export * from './DispatchEngine.js'
 export * from './DispatchObserver.js'
-export type { WaitingReason } from './explainWaiting.js'
+export type { WaitingExplanation, WaitingReason } from './explainWaiting.js'
 export * from './findWaitingLongRunningTasks.js'
 export * from './JobTable.js'
 export * from './PendingOrders.js'
--- a/src/instance/RecoveryMonitor.test.ts
+++ b/src/instance/RecoveryMonitor.test.ts
@@ -31,9 +31,11 @@
     'waiting for workers of earlier owners ' +
       '{"workerCount":1,"workers":["worker-0"],"leasesEndInMilliseconds":6300,"recoveredJobs":1}',
     'long-running task waits ' +
-      '{"task":"job.0.0.0","reason":"unreconciled-worker","waitMilliseconds":3000,"nextAttempt":1001}',
+      '{"task":"job.0.0.0","reason":"unreconciled-worker","waitMilliseconds":3000,"nextAttempt":1001,' +
+      '"workersInService":0,"workersWithRoom":0,"workersPaused":0,"workersUnsteady":0,"reservedWorker":null}',
     'all workers reconciled {"afterMilliseconds":4000}',
     'long-running task waits ' +
-      '{"task":"job.0.0.0","reason":"no-eligible-worker","waitMilliseconds":4000,"nextAttempt":1001}'
+      '{"task":"job.0.0.0","reason":"no-eligible-worker","waitMilliseconds":4000,"nextAttempt":1001,' +
+      '"workersInService":0,"workersWithRoom":0,"workersPaused":0,"workersUnsteady":0,"reservedWorker":null}'
   ])
 })
--- a/src/instance/RecoveryMonitor.ts
+++ b/src/instance/RecoveryMonitor.ts
@@ -80,11 +80,15 @@
     const reasons = new Map<string, WaitingReason>()
     const waitingBefore = now - WAIT_THRESHOLD_MILLISECONDS
     for (const task of findWaitingLongRunningTasks(engine.jobs.getJobs(), waitingBefore, NAMED_LIMIT)) {
-      const reason = engine.explainWaiting(task, now)
+      const { reason, ...explanation } = engine.explainWaiting(task, now)
       reasons.set(task.name, reason)
       if (this.reportedReasons.get(task.name) === reason) continue
       logger.info('long-running task waits', {
-        task: task.name, reason, waitMilliseconds: Math.round(now - task.waitingSince), nextAttempt: task.nextAttempt
+        task: task.name,
+        reason,
+        waitMilliseconds: Math.round(now - task.waitingSince),
+        nextAttempt: task.nextAttempt,
+        ...explanation
       })
     }
     this.reportedReasons = reasons
