Log runs that are stopped so that a long-running task gets their room

A best-effort run that is stopped for a waiting restart loses progress, and nothing in the log said why it ended. The engine reports the stops to its observer.

The test of the reservations checks that each stop is reported and that none happens before the restart has waited 2 s.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -94,6 +94,7 @@
   const observer: DispatchObserver = {
     onRunLost: (worker, run, cause) => events.push(`${worker.entry.workerId} ${run.task.name}#${run.attempt} ${cause}`),
     onCompletionIgnored: (worker, ended, reason) => events.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`),
+    onRunStoppedForRestart: () => {},
     onReconciled: () => {}
   }
   const engine = createEngine(1, [{ taskCount: 2 }], 3, observer)
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -59,7 +59,7 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
-  private readonly reservations = RestartReservations.create({ stop: (worker, run) => this.orders.stop(worker, run) })
+  private readonly reservations = RestartReservations.create({ orders: this.orders, getObserver: () => this.observer })
   private readonly largeJobShares = new Map<number, LargeJobShare>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -1,4 +1,4 @@
-import type { RunRecord } from '../jobs/index.js'
+import type { RunRecord, TaskRecord } from '../jobs/index.js'
 import type { ListedCompletion } from './WorkerProtocol.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
@@ -18,6 +18,8 @@
   onRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void
   /** Is called when a reported completion has no effect. */
   onCompletionIgnored (worker: WorkerRecord, ended: ListedCompletion, reason: IgnoredCompletionReason): void
+  /** Is called when a best-effort run is stopped so that a long-running task, which has waited, gets its room. */
+  onRunStoppedForRestart (run: RunRecord, waiting: TaskRecord, now: number): void
   /** Is called when the runs of earlier owners on a worker are known or certainly over. */
   onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
 }
@@ -26,5 +28,6 @@
 export const silentDispatchObserver: DispatchObserver = {
   onRunLost: () => {},
   onCompletionIgnored: () => {},
+  onRunStoppedForRestart: () => {},
   onReconciled: () => {}
 }
--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { PlannedSite, type PlannedSiteOptions } from '../../stand-ins/platform/PlannedSite.js'
+import { silentDispatchObserver } from './DispatchObserver.js'
 import type { OrderOutcome } from './WorkerProtocol.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
@@ -142,3 +143,33 @@
   site.advance(20)
   assert.equal([...unsteady.runs.values()][0].task.name, 'watch-0.0.0.0')
 })
+
+test('reports each run that it stops for a restart, none before the restart has waited 2 s', () => {
+  const reported: Array<{ name: string, waiting: string, waitMilliseconds: number }> = []
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 5,
+    capacity: CAPACITY,
+    observer: {
+      ...silentDispatchObserver,
+      onRunStoppedForRestart: (run, waiting, now) => {
+        reported.push({ name: run.task.name, waiting: waiting.name, waitMilliseconds: now - waiting.waitingSince })
+      }
+    }
+  })
+  site.submit('watch', [{ ...WATCH, memoryMegabytes: 10_000 }])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  const memory = { memoryMegabytes: 4000, processorsMilli: 500 }
+  site.submit('best', [{ ...memory, fills: true, estimateMilliseconds: 60_000, taskCount: 1000 }])
+  site.advance(100)
+  site.removeWorker(watching)
+  site.advance(4000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+  assert.deepEqual(reported.map(({ name }) => name), site.stoppedNames)
+  assert.equal(reported.length, 3)
+  for (const { waiting, waitMilliseconds } of reported) {
+    assert.equal(waiting, 'watch-0.0.0.0')
+    assert.ok(waitMilliseconds >= 2000, `stopped after ${waitMilliseconds} ms`)
+  }
+})
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -1,7 +1,9 @@
 import type { RunRecord, TaskRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
+import type { DispatchObserver } from './DispatchObserver.js'
 import { estimateRemaining, estimateTimeUntilFit, mayStopForRestart, selectRunsToStop } from './estimateRoom.js'
 import { getSizeKey } from './getSizeKey.js'
+import type { PendingOrders } from './PendingOrders.js'
 import { countRunsOfStep, isUnsteady, NO_CAPACITY, type WorkerRecord } from './WorkerRecord.js'
 
 /** The share of the workers of a service that may be reserved at a time, so that other work goes on. */
@@ -23,8 +25,9 @@
 
 /** Options of the reservations. */
 export interface RestartReservationsOptions {
-  /** Stops a run, so that its task starts elsewhere. */
-  stop (worker: WorkerRecord, run: RunRecord): void
+  orders: PendingOrders
+  /** Returns the observer, which receives the stops. */
+  getObserver (): DispatchObserver
 }
 
 interface Reservation {
@@ -63,7 +66,7 @@
 
   /**
    * Creates an object without reservations.
-   * @param options The function that stops a run.
+   * @param options The orders and the observer.
    * @returns The object.
    */
   static create (options: RestartReservationsOptions): RestartReservations {
@@ -187,7 +190,8 @@
     const remaining = estimateTimeUntilFit(worker, task, run => estimateRemaining(run, now))
     if (remaining > STOP_MILLISECONDS) {
       for (const run of selectRunsToStop(worker, task)) {
-        this.options.stop(worker, run)
+        this.options.orders.stop(worker, run)
+        this.options.getObserver().onRunStoppedForRestart(run, task, now)
         reservation.madeAt = now
       }
     }
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -3,7 +3,7 @@
 import type { InstanceMetrics } from './InstanceMetrics.js'
 
 /**
- * Creates an observer that counts and logs lost runs and ignored ended runs.
+ * Creates an observer that counts and logs lost runs and ignored ended runs, and logs runs stopped for others.
  * @param logger The logger.
  * @param metrics The counters.
  * @returns The observer.
@@ -35,6 +35,14 @@
         reason
       })
     },
+    onRunStoppedForRestart: (run, waiting, now) => logger.info('run stopped for a long-running task', {
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      percent: run.percent,
+      waitingTask: waiting.name,
+      waitMilliseconds: Math.round(now - waiting.waitingSince)
+    }),
     onReconciled: (worker, cause) => {
       metrics.reconciledWorkers.inc({ cause })
       // Not logged, because nearly all workers report within a second of a takeover.
--- a/stand-ins/platform/PlannedSite.ts
+++ b/stand-ins/platform/PlannedSite.ts
@@ -1,5 +1,5 @@
 import {
-  DispatchEngine, type ListedCompletion, type OrderOutcome, type WorkerRecord
+  DispatchEngine, type DispatchObserver, type ListedCompletion, type OrderOutcome, type WorkerRecord
 } from '../../src/dispatch/index.js'
 import type { JobSubmission, RunRecord, StepSpecification } from '../../src/jobs/index.js'
 import { createRandom } from '../shared/createRandom.js'
@@ -17,6 +17,7 @@
   startLimit?: number
   /** Returns the outcome of a start; workers accept all by default. */
   getStartOutcome? (run: RunRecord): OrderOutcome
+  observer?: DispatchObserver
 }
 
 /** The interval between two plans, and between two reports of a worker. */
@@ -26,7 +27,7 @@
 
 /** A dispatch engine with workers that execute orders at once, without a network. */
 export class PlannedSite {
-  readonly engine = DispatchEngine.create({ epoch: 1 })
+  readonly engine: DispatchEngine
   /** The names of the tasks whose runs were stopped. */
   readonly stoppedNames: string[] = []
   /** The number of starts by job. */
@@ -40,6 +41,7 @@
 
   private constructor (private readonly options: PlannedSiteOptions) {
     this.random = createRandom(options.seed)
+    this.engine = DispatchEngine.create({ epoch: 1, observer: options.observer })
     for (let index = 0; index < options.workerCount; index++) {
       const labels = options.getLabels?.(index) ?? ['a']
       const entry = createWorkerEntry({ workerId: `worker-${index}`, labels, capacity: { ...options.capacity } })
