--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -9,10 +9,11 @@
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
-import { explainWaiting, type WaitingReason } from './explainWaiting.js'
+import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
 import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
+import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
@@ -58,6 +59,7 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
+  private readonly reservations = RestartReservations.create({ orders: this.orders, getObserver: () => this.observer })
   private readonly largeJobShares = new Map<number, LargeJobShare>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
@@ -147,15 +149,16 @@
   }
 
   /**
-   * Returns why a ready task has no run.
+   * Explains why a ready task has no run.
    * @param task The task.
    * @param now The monotonic time.
-   * @returns The reason.
+   * @returns The reason, and the workers that were considered.
    */
-  explainWaiting (task: TaskRecord, now: number): WaitingReason {
-    if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
+  explainWaiting (task: TaskRecord, now: number): WaitingExplanation {
     const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
-    return explainWaiting(task, this.workers.values(), conditions)
+    const explanation = explainWaiting(task, this.workers.values(), conditions)
+    const reason = this.unreconciled.mayRun(task) ? 'unreconciled-worker' : explanation.reason
+    return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
   /**
@@ -300,6 +303,7 @@
       jobs: this.jobs,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
+      reservations: this.reservations,
       largeJobShares: this.largeJobShares,
       wallMilliseconds,
       now,
