Print the outcomes of checks that are not served after an entry process is killed

The check is the same; it now names each such request with its outcome, status, reason and duration.

--- a/src/entry/processFailures.test.ts
+++ b/src/entry/processFailures.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { RequestLoad } from '../../tools/bench/deployments/RequestLoad.js'
+import { RequestLoad, type LoadResult } from '../../tools/bench/deployments/RequestLoad.js'
 import { RoutingProcesses } from '../../tools/bench/routing/RoutingProcesses.js'
 import { isKnownRed } from '../../tools/demo/isKnownRed.js'
 import { getTestSeed } from '../shared/testSeed.js'
@@ -33,7 +33,7 @@
     const checks = await Promise.all(Array.from({ length: 40 }, (_, number) => load.send({
       url: processes.entryUrls[1], kind: 'check', path: `/check/${number}`, deadlineMilliseconds: 5000
     })))
-    assert.ok(checks.every(({ outcome, isOwnResponse }) => outcome === 'answered' && isOwnResponse))
+    assert.deepEqual(describeUnserved(checks), [])
     const after = await processes.readCounters()
     assert.ok(after.every(({ run }, index) => run > before[index].run), 'both upstreams are in use')
     assert.equal(after.reduce((sum, { runsByKey }) => sum + (runsByKey.one ?? 0), 0), 1, 'the order ran once')
@@ -42,3 +42,11 @@
     await processes.stop()
   }
 })
+
+/** Describes the requests without an answer of their own, with their outcome, reason and duration. */
+function describeUnserved (results: LoadResult[]): string[] {
+  return results
+    .filter(({ outcome, isOwnResponse }) => outcome !== 'answered' || !isOwnResponse)
+    .map(({ request, outcome, statusCode, reason, milliseconds }) =>
+      `${request.path}: ${outcome} ${statusCode} ${reason} after ${Math.round(milliseconds)} ms`)
+}
