Share first starts among classes of job sizes instead of the smallest first

Now jobs that have begun and can end in time are completed first, as are late ones that need no more work than a late completion is worth. Within a class, jobs with half of their time to wait left go first, because jobs that start at the last moment complete late. Other jobs keep their order.

The test of ranks reads the job from the row that rankJobs returns now.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -10,11 +10,11 @@
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { explainWaiting, type WaitingReason } from './explainWaiting.js'
-import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
+import type { SizeClassShares } from './SizeClassShares.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -58,7 +58,7 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
-  private readonly largeJobShares = new Map<number, LargeJobShare>()
+  private readonly sizeClassShares = new Map<number, SizeClassShares>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
   private dirty = true
@@ -300,7 +300,7 @@
       jobs: this.jobs,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
-      largeJobShares: this.largeJobShares,
+      sizeClassShares: this.sizeClassShares,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,8 +1,9 @@
 import {
   createJobRecord, findTask, getOccurrence, getOccurrenceCount, getOccurrenceSegment, getProgressSegment,
   getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord, type JobState,
-  type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow, type TaskRecord
+  type JobSubmission, type ProgressSegment, type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
+import { hasStartedOccurrence } from './hasStartedTask.js'
 import { isNextOccurrenceDue } from './hasWaitingTask.js'
 import { WaitingRestarts } from './WaitingRestarts.js'
 
@@ -144,7 +145,7 @@
     const stepCount = job.submission.specification.steps.length
     const limit = Math.max(1, Math.floor(UNSTARTED_STEP_LIMIT / stepCount))
     let unstarted = 0
-    for (const occurrence of job.occurrences.values()) if (!hasStarted(occurrence)) unstarted++
+    for (const occurrence of job.occurrences.values()) if (!hasStartedOccurrence(occurrence)) unstarted++
     while (unstarted < limit && isNextOccurrenceDue(job, wallMilliseconds)) {
       getOccurrence(job, job.nextOccurrenceNumber, this.firstAttempt, now)
       unstarted++
@@ -275,12 +276,3 @@
 function getChangedSegment (segment: ProgressSegment): ProgressSegment {
   return segment.job.finalState === null ? segment : getProgressSegment(segment.job, 0)
 }
-
-/** Returns whether a task of an occurrence is done, runs, or has run. */
-function hasStarted ({ steps }: OccurrenceRecord): boolean {
-  return steps.some(({ tasks }) => {
-    if (tasks.remainingCount < tasks.count) return true
-    for (const task of tasks.getAllCreated()) if (task.runs.length > 0 || task.hasRun) return true
-    return false
-  })
-}
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,18 +1,22 @@
-import { hasLongRunningStep, isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
+import { isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
 import type { JobTable } from './JobTable.js'
-import { LargeJobShare } from './LargeJobShare.js'
-import { rankJobs } from './rankJobs.js'
+import { hasStartedTask } from './hasStartedTask.js'
+import { compareSlack, getTotalWork, rankJobs, type RankedJob } from './rankJobs.js'
+import { SizeClassShares } from './SizeClassShares.js'
 import type { StartPlan } from './StartPlan.js'
 
+/** The worth of a job that completes late, relative to one in time. */
+const LATE_WORTH_SHARE = 0.15
+
 /** The jobs of a plan and the conditions of their starts. */
 export interface PlanContext {
   jobs: JobTable
   plan: StartPlan
   /** The number of restarts of long-running tasks that precede all other work. */
   restartLimit: number
-  /** The shares of the large jobs by priority, kept across plans. */
-  largeJobShares: Map<number, LargeJobShare>
+  /** The shares of the classes of job sizes by priority, kept across plans. */
+  sizeClassShares: Map<number, SizeClassShares>
   /** The time of day. */
   wallMilliseconds: number
   /** The monotonic time. */
@@ -35,51 +39,69 @@
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
   for (const [priority, ranked] of groupByPriority(rankJobs(startable, wallMilliseconds))) {
-    placeJobs(ranked, getLargeJobShare(context, priority), context)
+    placeJobs(ranked, getSizeClassShares(context, priority), context)
     if (plan.isFull) return 'plan-full'
   }
   return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
 }
 
 /** Groups jobs that are sorted by priority. */
-function groupByPriority (ranked: readonly JobRecord[]): Map<number, JobRecord[]> {
-  const groups = new Map<number, JobRecord[]>()
-  for (const job of ranked) {
-    const { priority } = job.submission
-    const group = groups.get(priority)
-    if (group === undefined) groups.set(priority, [job])
-    else group.push(job)
+function groupByPriority (ranked: readonly RankedJob[]): Map<number, RankedJob[]> {
+  const groups = new Map<number, RankedJob[]>()
+  for (const row of ranked) {
+    const group = groups.get(row.priority)
+    if (group === undefined) groups.set(row.priority, [row])
+    else group.push(row)
   }
   return groups
 }
 
-function getLargeJobShare ({ largeJobShares }: PlanContext, priority: number): LargeJobShare {
-  const existing = largeJobShares.get(priority)
+function getSizeClassShares ({ sizeClassShares }: PlanContext, priority: number): SizeClassShares {
+  const existing = sizeClassShares.get(priority)
   if (existing !== undefined) return existing
-  const share = LargeJobShare.create()
-  largeJobShares.set(priority, share)
-  return share
+  const shares = SizeClassShares.create()
+  sizeClassShares.set(priority, shares)
+  return shares
 }
 
-/** Places the jobs of one priority: the largest ones within their share, then all in the order of their rank. */
-function placeJobs (ranked: readonly JobRecord[], share: LargeJobShare, context: PlanContext): void {
-  const { plan, wallMilliseconds } = context
-  let largeJobStarts = 0
-  if (share.allowance > 0 && ranked.length > 1) {
-    for (const job of share.selectJobs(ranked, wallMilliseconds)) {
-      const remaining = share.allowance - largeJobStarts
-      if (remaining <= 0 || plan.isFull) break
-      largeJobStarts += plan.placeWithin(remaining, () => placeJob(job, context))
-    }
+/**
+ * Places the jobs of one priority: those that have begun and can end in time, the others that can, in the order of the
+ * shares of their sizes, and all others in the order of their rank.
+ */
+function placeJobs (ranked: readonly RankedJob[], shares: SizeClassShares, context: PlanContext): void {
+  const { plan, now } = context
+  const begun: RankedJob[] = []
+  const unstarted: RankedJob[] = []
+  const others: RankedJob[] = []
+  for (const row of ranked) {
+    if (row.isLongRunning) others.push(row)
+    else if (shouldComplete(row)) begun.push(row)
+    else if (row.timeliness.urgency === 'in-time') unstarted.push(row)
+    else others.push(row)
+  }
+  unstarted.sort(compareSlack)
+  const waiting = unstarted.map(({ job, timeliness: { isStarved } }) => ({ job, isStarved }))
+  placeInOrder(begun.map(({ job }) => job), context)
+  for (const job of shares.selectJobs(waiting, now)) {
+    if (plan.isFull) return
+    const { startCount } = plan
+    placeJob(job, context)
+    if (plan.startCount > startCount) shares.recordStart(job)
   }
-  let starts = largeJobStarts
-  for (const job of ranked) {
-    if (plan.isFull) break
-    const countBefore = plan.startCount
+  placeInOrder(others.map(({ job }) => job), context)
+}
+
+function placeInOrder (jobs: readonly JobRecord[], context: PlanContext): void {
+  for (const job of jobs) {
+    if (context.plan.isFull) return
     placeJob(job, context)
-    if (!hasLongRunningStep(job)) starts += plan.startCount - countBefore
   }
-  share.recordStarts(starts, largeJobStarts)
+}
+
+/** Returns whether a job that has begun should be completed before others begin. */
+function shouldComplete ({ job, timeliness: { urgency }, remainingWork }: RankedJob): boolean {
+  if (urgency === 'useless' || !hasStartedTask(job)) return false
+  return urgency === 'in-time' || remainingWork <= LATE_WORTH_SHARE * getTotalWork(job)
 }
 
 function placeRestarts ({ jobs, plan, restartLimit, getServiceName, mayStart }: PlanContext): void {
--- a/src/dispatch/rankJobs.test.ts
+++ b/src/dispatch/rankJobs.test.ts
@@ -53,7 +53,7 @@
     createJob({ jobId: 'large', acceptedAtMilliseconds: NOW, steps: [{ ...STEP, taskCount: 30 }] }),
     createJob({ jobId: 'small', acceptedAtMilliseconds: NOW, steps: [STEP] })
   ]
-  assert.deepEqual(rankJobs(jobs, NOW).map(job => job.submission.jobId), ['small', 'large', 'late', 'useless'])
+  assert.deepEqual(rankJobs(jobs, NOW).map(({ job }) => job.submission.jobId), ['small', 'large', 'late', 'useless'])
 })
 
 test('ranks short urgent jobs before long-running jobs of the same priority', () => {
@@ -62,5 +62,5 @@
     createJob({ jobId: 'batch', acceptedAtMilliseconds: NOW, steps: [STEP] }),
     createJob({ jobId: 'urgent', acceptedAtMilliseconds: NOW, steps: [{ ...STEP, taskCount: 30 }], priority: 0 })
   ]
-  assert.deepEqual(rankJobs(jobs, NOW).map(job => job.submission.jobId), ['urgent', 'long-running', 'batch'])
+  assert.deepEqual(rankJobs(jobs, NOW).map(({ job }) => job.submission.jobId), ['urgent', 'long-running', 'batch'])
 })
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -6,8 +6,8 @@
  * Designed for bursts of large batch jobs beside urgent ones, with more work than the site can complete in time. Jobs
  * are ranked by priority first; within a priority, jobs with long-running steps come last, because they never complete
  * and short work should not wait for them. Jobs that can still meet their objective come next, then late ones, then
- * those too late to be useful. Within each group the job with the least remaining work comes first, because a job has
- * value only when it is complete and small jobs have more value per unit of work.
+ * those too late to be useful. Within each group the job with the least remaining work comes first, except that jobs
+ * that can meet their objective and have not begun are started in the order of `SizeClassShares`.
  */
 
 /** A job accepted this long ago is ranked as in time, so that a lasting overload does not starve it. */
@@ -21,6 +21,10 @@
 export type Urgency = 'in-time' | 'late' | 'useless'
 
 const URGENCY_RANK: Record<Urgency, number> = { 'in-time': 0, late: 1, useless: 2 }
+/** A job with this share of the time left in which it can wait, or more, precedes others of its size. */
+const AMPLE_SLACK_SHARE = 0.5
+/** Ranks jobs with long-running steps after all others. */
+const LONG_RUNNING_RANK = 3
 
 /**
  * Returns the estimated remaining work of a job.
@@ -41,6 +45,15 @@
   return Math.max(1, step.specification.estimateMilliseconds)
 }
 
+/** How much time a job has left. */
+export interface Timeliness {
+  urgency: Urgency
+  /** The part of the time that the job could wait from its submission on and still be in time that is left. */
+  slackShare: number
+  /** Whether the job counts as in time only because it has waited for long. */
+  isStarved: boolean
+}
+
 /**
  * Returns whether a job can still meet its objective, based on its submitter's estimates.
  * @param job The job.
@@ -48,10 +61,16 @@
  * @returns Its urgency.
  */
 export function getUrgency (job: JobRecord, wallMilliseconds: number): Urgency {
+  return getTimeliness(job, wallMilliseconds).urgency
+}
+
+function getTimeliness (job: JobRecord, wallMilliseconds: number): Timeliness {
   const { submission } = job
-  if (submission.specification.repeatCount > 0) return 'in-time'
+  if (submission.specification.repeatCount > 0) {
+    return { urgency: 'in-time', slackShare: AMPLE_SLACK_SHARE, isStarved: false }
+  }
   const age = Math.max(0, wallMilliseconds - submission.acceptedAtMilliseconds)
-  if (age > STARVATION_MILLISECONDS) return 'in-time'
+  if (age > STARVATION_MILLISECONDS) return { urgency: 'in-time', slackShare: 0, isStarved: true }
   let chain = 0
   let remaining = 0
   for (const occurrence of job.occurrences.values()) {
@@ -62,8 +81,10 @@
     }
   }
   const objective = submission.stretch * chain + submission.targetLatencyMilliseconds
-  if (age + remaining <= objective) return 'in-time'
-  return age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless'
+  const slackShare = (objective - age - remaining) / Math.max(1, objective - chain)
+  if (age + remaining <= objective) return { urgency: 'in-time', slackShare, isStarved: false }
+  const urgency = age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless'
+  return { urgency, slackShare, isStarved: false }
 }
 
 /**
@@ -77,35 +98,50 @@
     work + step.taskCount * step.processorsMilli * Math.max(1, step.estimateMilliseconds), 0)
 }
 
+/** A job with what its rank depends on. */
+export interface RankedJob {
+  job: JobRecord
+  priority: number
+  isLongRunning: boolean
+  timeliness: Timeliness
+  /** The estimated remaining work, see `getRemainingWork`. */
+  remainingWork: number
+  /** The rank of the urgency; jobs with long-running steps come last. */
+  group: number
+}
+
 /**
- * Selects the jobs that may use the share of large jobs.
+ * Sorts jobs into the order in which their tasks should start, regardless of the shares of sizes.
  * @param jobs The jobs.
  * @param wallMilliseconds The time of day.
- * @returns The jobs that complete by themselves and can still do so in time, the largest one first.
+ * @returns A new list, highest rank first.
  */
-export function selectLargeJobs (jobs: readonly JobRecord[], wallMilliseconds: number): JobRecord[] {
-  const rows = jobs
-    .filter(job => !hasLongRunningStep(job) && getUrgency(job, wallMilliseconds) === 'in-time')
-    .map(job => ({ job, work: getTotalWork(job) }))
-  rows.sort((left, right) => right.work - left.work)
-  return rows.map(row => row.job)
+export function rankJobs (jobs: Iterable<JobRecord>, wallMilliseconds: number): RankedJob[] {
+  const rows: RankedJob[] = []
+  for (const job of jobs) {
+    const isLongRunning = hasLongRunningStep(job)
+    const timeliness = getTimeliness(job, wallMilliseconds)
+    const group = URGENCY_RANK[timeliness.urgency] + (isLongRunning ? LONG_RUNNING_RANK : 0)
+    const { priority } = job.submission
+    rows.push({ job, priority, isLongRunning, timeliness, remainingWork: getRemainingWork(job), group })
+  }
+  return rows.sort((left, right) => left.priority - right.priority || left.group - right.group ||
+    left.remainingWork - right.remainingWork)
 }
 
 /**
- * Sorts jobs into the order in which their tasks should start.
- * @param jobs The jobs.
- * @param wallMilliseconds The time of day.
- * @returns A new list, highest rank first.
+ * Compares jobs none of which has begun and all of which can still meet their objective, for the order within a class
+ * of sizes. Those that have most of their time to wait left come first, beginning with the one that has the least of it.
+ * The others come after them, beginning with the one that has the most left: in an overload, a job that starts at the
+ * last moment often completes late, because its run time is an estimate.
+ * @param left A job.
+ * @param right Another job.
+ * @returns A negative number when the first one should start first, a positive one when the second one should.
  */
-export function rankJobs (jobs: Iterable<JobRecord>, wallMilliseconds: number): JobRecord[] {
-  const rows = [...jobs].map(job => ({
-    job,
-    priority: job.submission.priority,
-    longRunning: hasLongRunningStep(job) ? 1 : 0,
-    urgency: URGENCY_RANK[getUrgency(job, wallMilliseconds)],
-    work: getRemainingWork(job)
-  }))
-  rows.sort((left, right) => left.priority - right.priority || left.longRunning - right.longRunning ||
-    left.urgency - right.urgency || left.work - right.work)
-  return rows.map(row => row.job)
+export function compareSlack (left: RankedJob, right: RankedJob): number {
+  const [leftShare, rightShare] = [left.timeliness.slackShare, right.timeliness.slackShare]
+  const isLeftAmple = leftShare >= AMPLE_SLACK_SHARE
+  const isRightAmple = rightShare >= AMPLE_SLACK_SHARE
+  if (isLeftAmple !== isRightAmple) return isLeftAmple ? -1 : 1
+  return isLeftAmple ? leftShare - rightShare : rightShare - leftShare
 }
