Do not complete jobs first that are too large for the site

Callers of small jobs would have waited behind a job that had begun and was too wide to complete until its objective, because jobs that have begun go first since the shares of size classes. A job that needs more than half of all processors from now to its objective now comes after the others that can be in time. The new test in wideJobs.test.ts failed before: the freed worker got a further task of the wide job.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -39,12 +39,9 @@
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
-  private startLimit: number
   private storedCount = 0
 
-  private constructor (private readonly options: StartPlanOptions) {
-    this.startLimit = options.startLimit
-  }
+  private constructor (private readonly options: StartPlanOptions) {}
 
   /**
    * Creates a plan that has placed nothing.
@@ -62,7 +59,7 @@
 
   /** Whether the plan has reached its limit of starts. */
   get isFull (): boolean {
-    return this.placedCount >= this.startLimit
+    return this.placedCount >= this.options.startLimit
   }
 
   /** Whether the plan has reached its limit of starts of long-running tasks. */
@@ -70,18 +67,9 @@
     return this.storedCount >= this.options.storedStartLimit
   }
 
-  /**
-   * Places tasks with a lower limit of starts.
-   * @param count The number of starts.
-   * @param place Places the tasks.
-   * @returns The number of starts that were placed.
-   */
-  placeWithin (count: number, place: () => void): number {
-    const { startLimit, placedCount } = this
-    this.startLimit = Math.min(startLimit, placedCount + count)
-    place()
-    this.startLimit = startLimit
-    return this.placedCount - placedCount
+  /** The processors of all workers, in thousandths. */
+  get processorsMilli (): number {
+    return this.options.workers.reduce((sum, { entry }) => sum + entry.capacity.processorsMilli, 0)
   }
 
   /**
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -9,6 +9,9 @@
 /** The worth of a job that completes late, relative to one in time. */
 const LATE_WORTH_SHARE = 0.15
 
+/** A job that needs more of all processors than this until its objective is not expected to complete in time. */
+const LARGEST_SITE_SHARE = 0.5
+
 /** The jobs of a plan and the conditions of their starts. */
 export interface PlanContext {
   jobs: JobTable
@@ -67,14 +70,16 @@
 /**
  * Places the jobs of one priority: those that have begun and can end in time, the others that can, in the order of the
  * shares of their sizes, and all others in the order of their rank.
+ * A job that is too large for the site is among these, so that it delays no others by work that is wasted.
  */
 function placeJobs (ranked: readonly RankedJob[], shares: SizeClassShares, context: PlanContext): void {
   const { plan, now } = context
+  const { processorsMilli } = plan
   const begun: RankedJob[] = []
   const unstarted: RankedJob[] = []
   const others: RankedJob[] = []
   for (const row of ranked) {
-    if (row.isLongRunning) others.push(row)
+    if (row.isLongRunning || isTooLarge(row, processorsMilli)) others.push(row)
     else if (shouldComplete(row)) begun.push(row)
     else if (row.timeliness.urgency === 'in-time') unstarted.push(row)
     else others.push(row)
@@ -98,6 +103,12 @@
   }
 }
 
+/** Returns whether a job needs so much of the site that it can hardly complete in time. */
+function isTooLarge ({ remainingWork, timeliness }: RankedJob, processorsMilli: number): boolean {
+  return timeliness.urgency === 'in-time' &&
+    remainingWork > timeliness.remainingMilliseconds * processorsMilli * LARGEST_SITE_SHARE
+}
+
 /** Returns whether a job that has begun should be completed before others begin. */
 function shouldComplete ({ job, timeliness: { urgency }, remainingWork }: RankedJob): boolean {
   if (urgency === 'useless' || !hasStartedTask(job)) return false
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -50,6 +50,8 @@
   urgency: Urgency
   /** The part of the time that the job could wait from its submission on and still be in time that is left. */
   slackShare: number
+  /** The time until the objective; Infinity when that does not count. */
+  remainingMilliseconds: number
   /** Whether the job counts as in time only because it has waited for long. */
   isStarved: boolean
 }
@@ -67,10 +69,12 @@
 function getTimeliness (job: JobRecord, wallMilliseconds: number): Timeliness {
   const { submission } = job
   if (submission.specification.repeatCount > 0) {
-    return { urgency: 'in-time', slackShare: AMPLE_SLACK_SHARE, isStarved: false }
+    return { urgency: 'in-time', slackShare: AMPLE_SLACK_SHARE, remainingMilliseconds: Infinity, isStarved: false }
   }
   const age = Math.max(0, wallMilliseconds - submission.acceptedAtMilliseconds)
-  if (age > STARVATION_MILLISECONDS) return { urgency: 'in-time', slackShare: 0, isStarved: true }
+  if (age > STARVATION_MILLISECONDS) {
+    return { urgency: 'in-time', slackShare: 0, remainingMilliseconds: Infinity, isStarved: true }
+  }
   let chain = 0
   let remaining = 0
   for (const occurrence of job.occurrences.values()) {
@@ -82,9 +86,9 @@
   }
   const objective = submission.stretch * chain + submission.targetLatencyMilliseconds
   const slackShare = (objective - age - remaining) / Math.max(1, objective - chain)
-  if (age + remaining <= objective) return { urgency: 'in-time', slackShare, isStarved: false }
-  const urgency = age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless'
-  return { urgency, slackShare, isStarved: false }
+  const row = { slackShare, remainingMilliseconds: objective - age, isStarved: false }
+  if (age + remaining <= objective) return { ...row, urgency: 'in-time' }
+  return { ...row, urgency: age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless' }
 }
 
 /**
@@ -131,9 +135,9 @@
 
 /**
  * Compares jobs none of which has begun and all of which can still meet their objective, for the order within a class
- * of sizes. Those that have most of their time to wait left come first, beginning with the one that has the least of it.
- * The others come after them, beginning with the one that has the most left: in an overload, a job that starts at the
- * last moment often completes late, because its run time is an estimate.
+ * of sizes. Those that have most of their time to wait left come first, beginning with the one that has the least of
+ * it. The others come after them, beginning with the one that has the most left: in an overload, a job that starts at
+ * the last moment often completes late, because its run time is an estimate.
  * @param left A job.
  * @param right Another job.
  * @returns A negative number when the first one should start first, a positive one when the second one should.
--- a/src/dispatch/wideJobs.test.ts
+++ b/src/dispatch/wideJobs.test.ts
@@ -84,6 +84,23 @@
   assert.ok(countRecords(engine) < 200)
 })
 
+// A job that had begun preceded all others until its objective, however wide it was.
+test('a wide job that has begun and cannot complete in time delays no other job', () => {
+  const engine = createEngine()
+  addJob(engine, 'wide', { taskCount: WIDE_TASK_COUNT, processorsMilli: 4000, memoryMegabytes: 1 })
+  assert.equal(takeStarts(engine).length, WORKER_COUNT)
+  addJob(engine, 'small', {})
+  const [worker] = engine.workers.values()
+  const [run] = worker.runs.values()
+  engine.applyReport(worker, {
+    workerMilliseconds: 1000,
+    bornAtMilliseconds: 1,
+    running: [],
+    ended: [{ number: 1, taskName: run.task.name, attempt: run.attempt, end: 'done', checkpoint: '' }]
+  }, 20, 30)
+  assert.deepEqual(takeStarts(engine), ['small.0.0.0'])
+})
+
 test('all due occurrences of a job run although few of them exist at once', () => {
   const engine = createEngine()
   addJob(engine, 'repeated', { taskCount: 1, processorsMilli: 10, memoryMegabytes: 1 }, 1000)
