--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -11,12 +11,12 @@
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
-import type { LargeJobShare } from './LargeJobShare.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
+import type { SizeClassShares } from './SizeClassShares.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -61,7 +61,7 @@
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
   private readonly reservations = RestartReservations.create({ orders: this.orders, getObserver: () => this.observer })
-  private readonly largeJobShares = new Map<number, LargeJobShare>()
+  private readonly sizeClassShares = new Map<number, SizeClassShares>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
   private readonly acceptedStarts = AcceptedStarts.create()
@@ -308,7 +308,7 @@
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
       reservations: this.reservations,
-      largeJobShares: this.largeJobShares,
+      sizeClassShares: this.sizeClassShares,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
