Call a worker sooner again while its lease lasts

Each lapse ends all tasks of the worker.

After a failed call, the next one was made 200 ms later. Over such a path about half of the connections open within 300 ms, so that one answer in the four seconds that remain of a lease was not certain. While the lease lasts, the pause after a failed call is now 200 ms less the time that the call took, at least 50 ms. Calls that fail at once, as to a process that has exited, are not made more often, nor are calls to a worker whose lease has ended.

The new test failed before: a worker whose calls fail after 300 ms was called each 500 ms, not each 350 ms.

--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -82,3 +82,33 @@
   assert.deepEqual(getWaits(failedAt + 500, failedAt + 7000), [300])
   assert.deepEqual(getWaits(failedAt + 12_000, failedAt + 20_000), [1500])
 })
+
+test('a worker that is not reached is called more often while its lease lasts, unless its calls fail at once', async () => {
+  for (const { failureMilliseconds, leasedInterval } of [
+    { failureMilliseconds: 300, leasedInterval: 350 }, { failureMilliseconds: 5, leasedInterval: 200 }
+  ]) {
+    const clock = VirtualClock.create(1000)
+    const engine = DispatchEngine.create({ epoch: 1 })
+    const calledAt: number[] = []
+    const client = {
+      hold: async () => {
+        const at = clock.monotonicMilliseconds()
+        calledAt.push(at)
+        const isFailing = calledAt.length > 2
+        await new Promise<void>(resolve => { clock.setTimer(isFailing ? failureMilliseconds : 20, resolve) })
+        if (isFailing) return { kind: 'unknown', reason: 'connect-timeout' }
+        return { kind: 'reported', report: { workerMilliseconds: at, bornAtMilliseconds: 1, running: [], ended: [] } }
+      }
+    } as unknown as WorkerClient
+    const loop = createLoop(engine, clock, client)
+    loop.run()
+    await clock.advance(20_000)
+    loop.stop()
+    const getIntervals = (from: number, to: number) => {
+      const times = calledAt.filter(at => at >= from && at < to)
+      return [...new Set(times.slice(1).map((at, index) => at - times[index]))]
+    }
+    assert.deepEqual(getIntervals(1200, 6500), [leasedInterval])
+    assert.deepEqual(getIntervals(9000, 20_000), [failureMilliseconds + 200])
+  }
+})
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -42,6 +42,11 @@
 /** Pause between two calls, so that one call reports all runs that end within it, which costs less. */
 const CALL_PAUSE_MILLISECONDS = 30
 const RETRY_MILLISECONDS = 200
+/**
+ * The pause after a failed call that took longer than `RETRY_MILLISECONDS`, while the lease of its worker lasts: over a
+ * path that loses packets, few calls fit into that time. Calls that fail at once are not repeated more often.
+ */
+const SHORTEST_RETRY_MILLISECONDS = 50
 
 /** Renews the lease of one worker and reads its reports, as long as this process owns the shard. */
 export class WorkerLeaseLoop {
@@ -106,7 +111,7 @@
     }
     if (outcome.kind !== 'reported') {
       engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : sentAt)
-      await this.pause(RETRY_MILLISECONDS)
+      await this.pause(this.getRetryMilliseconds(sentAt))
       return
     }
     await this.options.prepareReport(worker)
@@ -159,6 +164,15 @@
       : IDLE_WAIT_MILLISECONDS
   }
 
+  /** Returns the pause after a failed call that was sent at the given monotonic time. */
+  private getRetryMilliseconds (sentAt: number): number {
+    const { worker, clock } = this.options
+    const now = clock.monotonicMilliseconds()
+    const workerTime = getEarliestWorkerTime(worker, now)
+    if (workerTime === null || workerTime >= worker.leaseDeadline) return RETRY_MILLISECONDS
+    return Math.max(SHORTEST_RETRY_MILLISECONDS, RETRY_MILLISECONDS - (now - sentAt))
+  }
+
   private pause (milliseconds: number): Promise<void> {
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
