Play lossy paths with the seeds that fail

A trial with seeds 1 to 16 found late starts with seeds 7 and 11 that seeds 1 and 3 do not show.

The seeds are now 2, 7 and 11.

--- a/src/instance/lossyPaths.test.ts
+++ b/src/instance/lossyPaths.test.ts
@@ -27,7 +27,7 @@
 const ROOM_MILLISECONDS = 3000
 /** Urgent work must start within this time. */
 const URGENT_START_MILLISECONDS = 8900
-const SEEDS = [1, 2, 3]
+const SEEDS = [2, 7, 11]
 
 interface LossCase {
   title: string
