Compare the shares of size classes only after a start

The time of a plan in which no task fits, with 378 workers, was 0.25 ms with 150 waiting jobs and 4.0 ms with 2000 before the shares of size classes, and 0.81 and 15.6 ms with them, because the classes were compared for each job. A job that does not fit leaves the shares as they are.

--- a/src/dispatch/SizeClassShares.ts
+++ b/src/dispatch/SizeClassShares.ts
@@ -104,14 +104,19 @@
     while (rows.length > 0) {
       let first = 0
       let lowest = Infinity
-      for (const [index, { sizeClass: { startedCount, arrivedCount }, advantage }] of rows.entries()) {
+      for (let index = 0; index < rows.length; index++) {
+        const { sizeClass: { startedCount, arrivedCount }, advantage } = rows[index]
         const share = ((startedCount + 0.5) / advantage + smoothing) / (arrivedCount + SMOOTHING_JOBS)
         if (share >= lowest) continue
         first = index
         lowest = share
       }
       const row = rows[first]
-      yield row.jobs[row.nextIndex++]
+      const { startedCount } = row.sizeClass
+      // Jobs that do not fit leave the shares as they are.
+      while (row.nextIndex < row.jobs.length && row.sizeClass.startedCount === startedCount) {
+        yield row.jobs[row.nextIndex++]
+      }
       if (row.nextIndex === row.jobs.length) rows.splice(first, 1)
     }
   }
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -86,9 +86,9 @@
   }
   const objective = submission.stretch * chain + submission.targetLatencyMilliseconds
   const slackShare = (objective - age - remaining) / Math.max(1, objective - chain)
-  const row = { slackShare, remainingMilliseconds: objective - age, isStarved: false }
-  if (age + remaining <= objective) return { ...row, urgency: 'in-time' }
-  return { ...row, urgency: age + remaining <= objective * USELESS_MULTIPLE ? 'late' : 'useless' }
+  const isUseful = age + remaining <= objective * USELESS_MULTIPLE
+  const urgency = age + remaining <= objective ? 'in-time' : isUseful ? 'late' : 'useless'
+  return { urgency, slackShare, remainingMilliseconds: objective - age, isStarved: false }
 }
 
 /**
