Encode progress rows once to measure them

What callers saw: nothing by itself; it is a part of the owner's time, of which short urgent work waits for each turn.

Cause: since the progress of a job is stored in segments, each row was encoded twice to measure it, for the limit of a row and for that of a transaction, before it was encoded to be sent. The tasks of a segment came from a generator that created an object, and its user a text, for each of them.

Change: the size of a row is kept with its operation, and the tasks of a step are visited as a range of indexes.

--- a/src/instance/LearnedEffectsWriter.ts
+++ b/src/instance/LearnedEffectsWriter.ts
@@ -3,7 +3,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
-import { packOperations } from '../table/packOperations.js'
+import { measureOperation, packOperations } from '../table/packOperations.js'
 import { getPartKey, splitRecord } from '../table/splitRecord.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation, TableService } from '../table/TableService.js'
@@ -54,8 +54,8 @@
     if (Object.keys(learned).length === 0) return
     const { parts, omitted } = splitRecord(learned as unknown as Record<string, JsonValue>, tableLimits.rowBytes)
     if (omitted.length > 0) logger.warn('learned interference larger than a row not stored', { images: omitted.length })
-    const groups = parts.map((value, part): Operation[] =>
-      [{ kind: 'put', table: LEARNED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }])
+    const groups = parts.map((value, part) => [measureOperation(
+      { kind: 'put', table: LEARNED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } })])
     const check: Operation = {
       kind: 'check', table: SHARD_TABLE, key: shardId, condition: { kind: 'version', version: fence.rowVersion }
     }
--- a/src/instance/createProgressBatch.ts
+++ b/src/instance/createProgressBatch.ts
@@ -1,7 +1,7 @@
 import type { DispatchEngine, UnreachedRecord } from '../dispatch/index.js'
 import type { FinalJobState, ProgressSegment } from '../jobs/index.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
-import { packOperations } from '../table/packOperations.js'
+import { packOperations, type SizedOperation } from '../table/packOperations.js'
 import type { Operation } from '../table/TableService.js'
 import { createSegmentOperations, createUnreachedOperations, type SegmentRowOptions } from './createProgressOperations.js'
 
@@ -56,12 +56,12 @@
   const written: ProgressBatch['written'] = []
   const failed: ProgressSegment[] = []
   const segmentsByOperation = new Map<Operation, ProgressSegment>()
-  const groups: Operation[][] = []
+  const groups: SizedOperation[][] = []
   for (const segment of segments) {
     const isEncoded = options.errors.run('progress-encoding', () => {
-      for (const operation of createSegmentOperations(segment, options)) {
-        segmentsByOperation.set(operation, segment)
-        groups.push([operation])
+      for (const sized of createSegmentOperations(segment, options)) {
+        segmentsByOperation.set(sized.operation, segment)
+        groups.push([sized])
       }
     })
     if (isEncoded) written.push({ segment, state: segment.job.finalState })
--- a/src/instance/createProgressOperations.ts
+++ b/src/instance/createProgressOperations.ts
@@ -2,9 +2,9 @@
 import { encodeProgress, getProgressKey, splitProgressRow, type ProgressSegment } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
+import { measureOperation, type SizedOperation } from '../table/packOperations.js'
 import { getPartKey, splitRecord } from '../table/splitRecord.js'
 import type { TableLimits } from '../table/TableLimits.js'
-import type { Operation } from '../table/TableService.js'
 import { PROGRESS_TABLE, UNREACHED_TABLE } from './jobRows.js'
 
 /** What the rows of a segment depend on beside its tasks. */
@@ -21,18 +21,18 @@
  * @param options The limits of the store and the time.
  * @returns An operation for each row, which need no common transaction.
  */
-export function createSegmentOperations (segment: ProgressSegment, options: SegmentRowOptions): Operation[] {
+export function createSegmentOperations (segment: ProgressSegment, options: SegmentRowOptions): SizedOperation[] {
   const { job, index } = segment
   const { jobId } = job.submission
   const { rows, omitted } = splitProgressRow(encodeProgress(segment, options.wallMilliseconds), options.limits.rowBytes)
   if (omitted.length > 0) {
     options.logger.warn('progress larger than a row not stored', { job: jobId, entries: omitted })
   }
-  return rows.map((row, part) => {
+  return rows.map(({ row, bytes }, part) => {
     const key = getProgressKey(jobId, index, part)
     if (key !== jobId) job.furtherProgressKeys.add(key)
     const value = row as unknown as JsonValue
-    return { kind: 'put', table: PROGRESS_TABLE, key, value, condition: { kind: 'any' } }
+    return measureOperation({ kind: 'put', table: PROGRESS_TABLE, key, value, condition: { kind: 'any' } }, bytes)
   })
 }
 
@@ -45,9 +45,9 @@
  */
 export function createUnreachedOperations (
   shardId: string, record: UnreachedRecord, options: Pick<SegmentRowOptions, 'limits' | 'logger'>
-): Operation[] {
+): SizedOperation[] {
   const { parts, omitted } = splitRecord(record, options.limits.rowBytes)
   if (omitted.length > 0) options.logger.warn('unreached workers not stored', { workers: omitted })
-  return parts.map((value, part) =>
-    ({ kind: 'put', table: UNREACHED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }))
+  return parts.map((value, part) => measureOperation(
+    { kind: 'put', table: UNREACHED_TABLE, key: getPartKey(shardId, part), value, condition: { kind: 'any' } }))
 }
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -75,19 +75,22 @@
   const failures: Record<string, number[]> = {}
   const checkpoints: Record<string, string> = {}
   const assigned: Record<string, string> = {}
-  for (const { step, index } of getSegmentTasks(segment)) {
+  for (const { step, start, end } of getSegmentSteps(segment)) {
     const prefix = `${step.occurrence.number}.${step.index}`
-    if (step.tasks.isDone(index)) {
-      done[prefix] ??= []
-      done[prefix].push(index)
-      continue
+    const doneIndexes: number[] = []
+    for (let index = start; index < end; index++) {
+      if (step.tasks.isDone(index)) {
+        doneIndexes.push(index)
+        continue
+      }
+      const task = step.tasks.getCreated(index)
+      if (task === undefined) continue
+      const suffix = `${prefix}.${index}`
+      if (task.assignedWorkerId !== null) assigned[suffix] = task.assignedWorkerId
+      if (task.failedAttempts.size > 0) failures[suffix] = [...task.failedAttempts]
+      if (task.checkpoint !== '') checkpoints[suffix] = task.checkpoint
     }
-    const task = step.tasks.getCreated(index)
-    if (task === undefined) continue
-    const suffix = `${prefix}.${index}`
-    if (task.assignedWorkerId !== null) assigned[suffix] = task.assignedWorkerId
-    if (task.failedAttempts.size > 0) failures[suffix] = [...task.failedAttempts]
-    if (task.checkpoint !== '') checkpoints[suffix] = task.checkpoint
+    if (doneIndexes.length > 0) done[prefix] = doneIndexes
   }
   const isUnknown = hasLongRunningStep(job) && job.recovered && !job.hasStoredAssignments
   const finished = getFinishedOccurrences(segment)
@@ -104,20 +107,30 @@
   return Object.keys(record).length > 0
 }
 
-/** Returns the tasks of a segment whose occurrences are created and not done. */
-function * getSegmentTasks ({ job, index }: ProgressSegment): Generator<{ step: StepRecord, index: number }> {
-  const start = index * TASKS_PER_SEGMENT
-  const end = start + TASKS_PER_SEGMENT
+/** The tasks of a step that are in a segment. */
+interface SegmentStep {
+  step: StepRecord
+  /** The index of the first task. */
+  start: number
+  /** The index after that of the last task. */
+  end: number
+}
+
+/** Returns the steps with tasks in a segment whose occurrences are created and not done. */
+function getSegmentSteps ({ job, index }: ProgressSegment): SegmentStep[] {
+  const segmentStart = index * TASKS_PER_SEGMENT
+  const segmentEnd = segmentStart + TASKS_PER_SEGMENT
   const occurrenceTaskCount = getOccurrenceTaskCount(job)
-  const lastOccurrence = Math.floor((end - 1) / occurrenceTaskCount)
-  for (let number = Math.floor(start / occurrenceTaskCount); number <= lastOccurrence; number++) {
+  const lastOccurrence = Math.floor((segmentEnd - 1) / occurrenceTaskCount)
+  const found: SegmentStep[] = []
+  for (let number = Math.floor(segmentStart / occurrenceTaskCount); number <= lastOccurrence; number++) {
     for (const step of job.occurrences.get(number)?.steps ?? []) {
-      const last = Math.min(step.tasks.count, end - step.firstTaskNumber)
-      for (let taskIndex = Math.max(0, start - step.firstTaskNumber); taskIndex < last; taskIndex++) {
-        yield { step, index: taskIndex }
-      }
+      const start = Math.max(0, segmentStart - step.firstTaskNumber)
+      const end = Math.min(step.tasks.count, segmentEnd - step.firstTaskNumber)
+      if (start < end) found.push({ step, start, end })
     }
   }
+  return found
 }
 
 /** Returns the done occurrences whose first task is in a segment. */
@@ -138,6 +151,13 @@
 const FIELD_BYTES = 24
 const ENTRY_BYTES = 4
 
+/** A row that the store accepts, with its size, so that it need not be encoded again to be measured. */
+export interface SizedProgressRow {
+  row: JobProgressRow
+  /** The bytes of the row in JSON. */
+  bytes: number
+}
+
 /**
  * Divides the progress of a segment into rows that the store accepts.
  * @param row The progress.
@@ -146,9 +166,9 @@
  */
 export function splitProgressRow (
   row: JobProgressRow, byteLimit: number
-): { rows: JobProgressRow[], omitted: string[] } {
-  // A character takes three bytes at most.
-  if (JSON.stringify(row).length * 3 <= byteLimit || getJsonBytes(row) <= byteLimit) return { rows: [row], omitted: [] }
+): { rows: SizedProgressRow[], omitted: string[] } {
+  const wholeBytes = getJsonBytes(row)
+  if (wholeBytes <= byteLimit) return { rows: [{ row, bytes: wholeBytes }], omitted: [] }
   const omitted: string[] = []
   let current: Record<string, JsonValue> = {}
   const rows: Array<Record<string, JsonValue>> = [current]
@@ -179,7 +199,7 @@
       currentBytes += bytes
     }
   }
-  return { rows, omitted }
+  return { rows: rows.map(part => ({ row: part, bytes: getJsonBytes(part) })), omitted }
 }
 
 function getJsonBytes (value: unknown): number {
