Keep equal step specifications of a job once

What callers saw: nothing at usual sizes. The owner holds the steps of all jobs, and a body of the largest size has 21,000 of them.

Cause: each step of a stored job had a specification of its own, although the steps of such a job are mostly alike, and each step an object and a closure that creates its tasks.

The steps of an occurrence share the function that creates tasks.

--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -1,5 +1,7 @@
 import type { UnreachedRecord, WorkerEntry } from '../dispatch/index.js'
-import { hasValidTaskCount, type JobSubmission, type StepSpecification } from '../jobs/index.js'
+import {
+  hasValidTaskCount, shareStepSpecifications, type JobSubmission, type StepSpecification
+} from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 
 /** The accepted jobs by identifier, and the requests to cancel them. */
@@ -106,7 +108,9 @@
   const submission = value as unknown as Partial<JobSubmission>
   const steps = submission.specification?.steps
   const isComplete = typeof submission.jobId === 'string' && Array.isArray(steps) && steps.every(isCompleteStep)
-  return isComplete && hasValidTaskCount(submission.specification!) ? submission as JobSubmission : null
+  if (!isComplete || !hasValidTaskCount(submission.specification!)) return null
+  submission.specification!.steps = shareStepSpecifications(steps)
+  return submission as JobSubmission
 }
 
 /** Returns whether a stored step has the structure that planning relies on. */
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -173,18 +173,11 @@
   job: JobRecord, number: number, firstAttempt: number, now: number
 ): OccurrenceRecord {
   const occurrence: OccurrenceRecord = { job, number, steps: [] }
+  const createWaitingTask = (step: StepRecord, index: number) => createTask(step, index, firstAttempt, now)
   let firstTaskNumber = number * getOccurrenceTaskCount(job)
   occurrence.steps = job.submission.specification.steps.map((specification, index) => {
-    const step: StepRecord = {
-      occurrence,
-      index,
-      specification,
-      firstTaskNumber,
-      tasks: StepTasks.create({
-        count: specification.taskCount,
-        createTask: taskIndex => createTask(step, taskIndex, firstAttempt, now)
-      })
-    }
+    const step = { occurrence, index, specification, firstTaskNumber } as StepRecord
+    step.tasks = StepTasks.create(step, createWaitingTask)
     firstTaskNumber += specification.taskCount
     return step
   })
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -1,13 +1,8 @@
 import { IndexRanges } from './IndexRanges.js'
-import type { TaskRecord } from './JobRecord.js'
+import type { StepRecord, TaskRecord } from './JobRecord.js'
 
-/** Options of the tasks of a step. */
-export interface StepTasksOptions {
-  /** The number of tasks. */
-  count: number
-  /** Creates the record of a task that has not been started. */
-  createTask (index: number): TaskRecord
-}
+/** Creates the record of a task that has not been started. */
+export type CreateTask = (step: StepRecord, index: number) => TaskRecord
 
 /**
  * The tasks of one step of an occurrence.
@@ -25,25 +20,26 @@
   /** The record that the last search created. */
   private lastCreated: TaskRecord | null = null
 
-  private constructor (private readonly options: StepTasksOptions) {}
+  private constructor (private readonly step: StepRecord, private readonly createTask: CreateTask) {}
 
   /**
    * Creates the tasks of a step, none of which has been started.
-   * @param options The number of tasks and how the record of one is created.
+   * @param step The step, which may have many thousand others beside it.
+   * @param createTask Creates the record of a task; common to all steps of an occurrence.
    * @returns The tasks.
    */
-  static create (options: StepTasksOptions): StepTasks {
-    return new StepTasks(options)
+  static create (step: StepRecord, createTask: CreateTask): StepTasks {
+    return new StepTasks(step, createTask)
   }
 
   /** The number of tasks. */
   get count (): number {
-    return this.options.count
+    return this.step.specification.taskCount
   }
 
   /** The number of tasks that are not done. */
   get remainingCount (): number {
-    return this.options.count - (this.done?.size ?? 0)
+    return this.count - (this.done?.size ?? 0)
   }
 
   /**
@@ -52,7 +48,7 @@
    * @returns The record, or undefined when the step has no such task or the task is done.
    */
   get (index: number): TaskRecord | undefined {
-    const isPossible = Number.isInteger(index) && index >= 0 && index < this.options.count
+    const isPossible = Number.isInteger(index) && index >= 0 && index < this.count
     return isPossible && !this.isDone(index) ? this.getOrCreate(index) : undefined
   }
 
@@ -73,7 +69,7 @@
 
   /** Returns whether a task has no run and is not done, whether it may start or not. */
   hasIdle (): boolean {
-    return this.nextIndex < this.options.count || this.busyCount < (this.records?.size ?? 0)
+    return this.nextIndex < this.count || this.busyCount < (this.records?.size ?? 0)
   }
 
   /** Records that a task that had no run has one now. */
@@ -117,7 +113,7 @@
   /** Returns all tasks that are not done, and creates their records. */
   createAll (): TaskRecord[] {
     const tasks: TaskRecord[] = []
-    for (let index = 0; index < this.options.count; index++) {
+    for (let index = 0; index < this.count; index++) {
       if (!this.isDone(index)) tasks.push(this.getOrCreate(index))
     }
     return tasks
@@ -145,7 +141,7 @@
     const isUntouched = lastCreated !== null && !lastCreated.hasRun && lastCreated.runs.length === 0
     if (isUntouched && !mayStart(lastCreated)) return null
     while (this.records?.has(this.nextIndex) === true || this.isDone(this.nextIndex)) this.nextIndex++
-    if (this.nextIndex >= this.options.count) return null
+    if (this.nextIndex >= this.count) return null
     this.lastCreated = this.getOrCreate(this.nextIndex++)
     return this.lastCreated
   }
@@ -153,7 +149,7 @@
   private getOrCreate (index: number): TaskRecord {
     const existing = this.records?.get(index)
     if (existing !== undefined) return existing
-    const task = this.options.createTask(index)
+    const task = this.createTask(this.step, index)
     this.records ??= new Map()
     this.records.set(index, task)
     return task
