--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -10,6 +10,7 @@
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
+import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
@@ -26,7 +27,7 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, clearProcessState, createWorkerRecord, isLeaseExpired, recordFailure, removeRun, type WorkerEntry,
+  addRun, createWorkerRecord, isLeaseExpired, recordFailure, removeRun, type WorkerEntry,
   type WorkerRecord
 } from './WorkerRecord.js'
 
@@ -368,22 +369,11 @@
     this.stopper.stopJob(job)
   }
 
-  /**
-   * Handles a new incarnation of a worker, which runs nothing of the earlier one. A start that was sent after the last
-   * report of the earlier incarnation, or got no response, may still reach the new one, so its run is stopped and is
-   * over only when a later report does not list it.
-   */
   private handleWorkerRestart (worker: WorkerRecord, now: number): void {
-    for (const run of [...worker.runs.values()]) {
-      if (run.sentAt <= worker.reportedAt && !run.startUncertain) {
-        this.markRunLost(worker, run, 'worker-restarted', now)
-      } else {
-        run.startUncertain = true
-        run.startDeadline = Infinity
-        this.orders.stop(worker, run)
-      }
-    }
-    clearProcessState(worker)
+    endEarlierIncarnation(worker, {
+      stop: run => this.orders.stop(worker, run),
+      markRunLost: run => this.markRunLost(worker, run, 'worker-restarted', now)
+    })
     this.dirty = true
   }
 
