--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -187,10 +187,9 @@
     if (workerTime === null) return { kind: 'not-sent', reason: 'worker clock unknown' }
     const { sentAt } = run
     run.sentAt = now
-    // A repeated start keeps its deadline, so that a report settles it no later.
-    const leaseDeadline = run.startDeadline ?? Math.floor(workerTime + START_WINDOW_MILLISECONDS)
+    const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
     worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
-    run.startDeadline = leaseDeadline
+    run.startDeadline = Math.max(run.startDeadline ?? -Infinity, leaseDeadline)
     const outcome = await client.start({
       taskName: run.task.name,
       attempt: run.attempt,
