Revert "Prefer another worker after a start without a response"

A task remembers the workers on which it failed for as long as it lives. One response that is lost would rank a steady worker behind unsteady ones for the life of a long-running task. Found in review.

--- a/src/dispatch/applyStartOutcome.ts
+++ b/src/dispatch/applyStartOutcome.ts
@@ -38,11 +38,7 @@
   }
   if (outcome.kind === 'not-sent') pauseWorker(worker, now + UNSENT_PAUSE_MILLISECONDS)
   if (outcome.kind === 'unhealthy') pauseWorker(worker, now + UNHEALTHY_PAUSE_MILLISECONDS)
-  if (outcome.kind === 'unknown') {
-    recordFailure(worker, now)
-    // The next attempt goes to another worker, as calls to this one may fail for a while.
-    run.task.failedWorkerIds.add(worker.entry.workerId)
-  }
+  if (outcome.kind === 'unknown') recordFailure(worker, now)
   if (outcome.kind === 'unknown' || run.startUncertain) {
     run.startUncertain = true
     run.task.hasRun = true
