Revert "Settle uncertain starts by a report after their deadline"

The change relied on a worker that checks the deadline of a start when it carries the start out, also seconds after it arrived.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -188,7 +188,7 @@
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
       stopRuns: task => this.stopper.stopTask(task),
-      markRunLost: (run, cause) => this.markRunLost(worker, run, cause, now),
+      markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
     const changed = applyReport(worker, report, context)
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -4,7 +4,7 @@
 
 /** The cause for which a run is considered over although its worker reported no completion. */
 export type RunLossCause =
-  'lease-expired' | 'not-listed' | 'worker-gone' | 'worker-restarted' | 'start-refused' | 'start-expired' | 'not-sent'
+  'lease-expired' | 'not-listed' | 'worker-gone' | 'worker-restarted' | 'start-refused' | 'not-sent'
 
 /** The reason for which a reported completion changes no task. */
 export type IgnoredCompletionReason = 'unknown-job' | 'job-finished' | 'task-done'
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -10,8 +10,6 @@
 const QUARANTINE_STREAK = 3
 const FIRST_QUARANTINE_MILLISECONDS = 3000
 const LONGEST_QUARANTINE_MILLISECONDS = 12_000
-/** The longest time that a worker takes between its check of the deadline of a start and the reading of its clock. */
-const START_EXPIRY_MARGIN_MILLISECONDS = 100
 
 /** The state and callbacks for applying a report. */
 export interface ReportContext {
@@ -26,8 +24,8 @@
   failJob (job: JobRecord): void
   /** Stops all runs of a task. */
   stopRuns (task: TaskRecord): void
-  /** Handles a run that is over although the worker reported no completion of it, or that never started. */
-  markRunLost (run: RunRecord, cause: 'not-listed' | 'start-expired'): void
+  /** Handles a run that is over although the worker reported no completion of it. */
+  markRunLost (run: RunRecord): void
   reportIgnoredCompletion (ended: ListedCompletion, reason: IgnoredCompletionReason): void
 }
 
@@ -54,9 +52,7 @@
   for (const key of worker.orphanedRuns.keys()) {
     if (!listed.has(key)) changed = worker.orphanedRuns.delete(key) || changed
   }
-  if (report.ended.length < MAXIMUM_LISTED_COMPLETIONS) {
-    changed = removeMissingRuns(worker, listed, report.workerMilliseconds, context) || changed
-  }
+  if (report.ended.length < MAXIMUM_LISTED_COMPLETIONS) changed = removeMissingRuns(worker, listed, context) || changed
   return changed
 }
 
@@ -197,21 +193,12 @@
   if (task.failedAttempts.size >= job.submission.attemptLimit) context.failJob(job)
 }
 
-/**
- * Marks the runs as lost that the report lists neither as running nor as ended: confirmed ones when the report is
- * newer, and uncertain starts when the worker has made the report after it rejects them.
- */
-function removeMissingRuns (
-  worker: WorkerRecord, listed: Set<string>, workerMilliseconds: number, context: ReportContext
-): boolean {
+/** Marks confirmed runs as lost that a later report lists neither as running nor as ended. */
+function removeMissingRuns (worker: WorkerRecord, listed: Set<string>, context: ReportContext): boolean {
   let changed = false
   for (const [key, run] of worker.runs) {
-    if (listed.has(key)) continue
-    const isMissing = run.confirmedAt !== null && run.confirmedAt < context.sentAt
-    const isExpired = run.confirmedAt === null && run.startUncertain && run.startDeadline !== null &&
-      workerMilliseconds > run.startDeadline + START_EXPIRY_MARGIN_MILLISECONDS
-    if (!isMissing && !isExpired) continue
-    context.markRunLost(run, isMissing ? 'not-listed' : 'start-expired')
+    if (listed.has(key) || run.confirmedAt === null || run.confirmedAt >= context.sentAt) continue
+    context.markRunLost(run)
     changed = true
   }
   return changed
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -41,7 +41,6 @@
     startedAt: -10_000,
     sentAt: -10_000,
     startUncertain: false,
-    startDeadline: null,
     confirmedAt: 0,
     percent: 100,
     progressedAt: 0,
--- a/src/dispatch/endEarlierIncarnation.ts
+++ b/src/dispatch/endEarlierIncarnation.ts
@@ -21,7 +21,6 @@
       context.markRunLost(run)
     } else {
       run.startUncertain = true
-      run.startDeadline = Infinity
       context.stop(run)
     }
   }
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -189,7 +189,6 @@
     run.sentAt = now
     const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
     worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
-    run.startDeadline = Math.max(run.startDeadline ?? -Infinity, leaseDeadline)
     const outcome = await client.start({
       taskName: run.task.name,
       attempt: run.attempt,
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -17,16 +17,8 @@
   startedAt: number
   /** Monotonic time at which the start order was last sent; -Infinity before it is sent for the first time. */
   sentAt: number
-  /**
-   * Whether the worker did not respond to the start, so that it may execute it at any time before `startDeadline` or a
-   * confirmed stop.
-   */
+  /** Whether the worker did not respond to the start, so that it may execute it at any time before a confirmed stop. */
   startUncertain: boolean
-  /**
-   * The time on the worker's clock after which it rejects all start orders of the run that were sent; null before the
-   * first one, and Infinity when a later incarnation of the worker may receive them, whose clock differs.
-   */
-  startDeadline: number | null
   /** Monotonic time at which the worker confirmed that it executed the start or the stop; null before that. */
   confirmedAt: number | null
   /** Progress in percent, as reported by the worker. A serving task is at 100 once it has started up. */
@@ -251,7 +243,6 @@
     startedAt: now,
     sentAt: -Infinity,
     startUncertain: false,
-    startDeadline: null,
     confirmedAt: null,
     percent: 0,
     progressedAt: now,
