Stop uncertain starts over the connection for reports

Callers saw a long-running task away for 9 s and more (LOST): its start got no response, and the task waited for the response to the stop, or for the end of the worker's lease, while reports of the same worker arrived and did not list the run.

Cause: the stop uses the connections for orders, which fail together, while each report, which arrives on a connection of its own, renews the lease.

Change: right after a report, runs whose start got no response are stopped over the connection on which the report arrived, at most four and none after one without a response, so that the renewal of the lease is delayed little. After an answer the next report is asked for at once. An answered stop rules the attempt out for good, whatever the worker does with a start that arrives late.

--- a/src/dispatch/WorkerProtocol.ts
+++ b/src/dispatch/WorkerProtocol.ts
@@ -80,10 +80,14 @@
   waitMilliseconds: number
 }
 
+/** The connections over which a stop is sent: those for orders, or the one over which the worker reports. */
+export type StopConnection = 'orders' | 'reports'
+
 /** Calls one worker. */
 export interface WorkerClient {
   start (order: StartOrder): Promise<OrderOutcome>
-  stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome>
+  /** Stops a run; by default over the connections for orders. */
+  stop (taskName: string, attempt: number, epoch: number, connection?: StopConnection): Promise<OrderOutcome>
   setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome>
   hold (request: HoldRequest): Promise<HoldOutcome>
   close (): void
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -8,6 +8,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { isStopAnswered } from './isStopAnswered.js'
 
 /** Options of a sender. */
 export interface OrderSenderOptions {
@@ -43,10 +44,6 @@
 /** The outcome of an order, or `withdrawn` when the order was no longer needed before it was sent. */
 type SendOutcome = OrderOutcome | { kind: 'withdrawn' }
 
-/** Outcomes of a stop after which the worker may still run the task. */
-const UNSETTLED_STOP_OUTCOMES: ReadonlySet<SendOutcome['kind']> =
-  new Set(['unknown', 'unhealthy', 'not-sent', 'withdrawn'] as const)
-
 /** Sends the engine's orders to workers, a limited number at a time, and retries those with an unknown outcome. */
 export class OrderSender {
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
@@ -237,8 +234,7 @@
         () => client.stop(taskName, attempt, engine.epoch))
       if (this.stopped) return
       if (outcome.kind === 'fenced') return onDeposed('a worker rejected a stop with an old epoch')
-      const isAnswered = !UNSETTLED_STOP_OUTCOMES.has(outcome.kind)
-      if (isAnswered) {
+      if (isStopAnswered(outcome)) {
         if (run !== null) engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
         return
       }
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -7,6 +7,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { stopUncertainStarts } from './stopUncertainStarts.js'
 
 /** Options of the lease loop of one worker. */
 export interface WorkerLeaseLoopOptions {
@@ -52,6 +53,8 @@
 export class WorkerLeaseLoop {
   private stopped = false
   private lastCallFailed = false
+  /** Whether the next report settles starts without a response, so that the call for it should not wait. */
+  private hasAnsweredStops = false
 
   private constructor (private readonly options: WorkerLeaseLoopOptions) {}
 
@@ -104,11 +107,7 @@
     })
     if (this.stopped) return
     this.recordOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
-    if (outcome.kind === 'fenced') {
-      this.stopped = true
-      this.options.onFenced()
-      return
-    }
+    if (outcome.kind === 'fenced') return this.handleFence()
     if (outcome.kind !== 'reported') {
       engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : sentAt)
       await this.pause(this.getRetryMilliseconds(sentAt))
@@ -120,11 +119,20 @@
     engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
     this.logEndedRuns(outcome.report, lastAppliedBefore)
     this.options.onReport(worker)
+    const stops = await stopUncertainStarts(this.options)
+    if (this.stopped) return
+    if (stops === 'fenced') return this.handleFence()
+    this.hasAnsweredStops = stops === 'answered'
     if (worker.appliedCompletion > worker.durableCompletion) await this.options.waitForDurability()
     else if (worker.isRecordedUnreached) await this.pause(RETRY_MILLISECONDS)
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
+  private handleFence (): void {
+    this.stopped = true
+    this.options.onFenced()
+  }
+
   /** Counts each failed call, and logs when the worker stops or resumes responding. */
   private recordOutcome (outcome: HoldOutcome, durationMilliseconds: number): void {
     const { worker, logger, metrics } = this.options
@@ -156,7 +164,7 @@
   private getWaitMilliseconds (leaseDeadline: number | null): number {
     const { worker } = this.options
     const mustNotWait = leaseDeadline === null || this.lastCallFailed || worker.syncState !== 'synchronized' ||
-      worker.appliedCompletion > worker.durableCompletion
+      worker.appliedCompletion > worker.durableCompletion || this.hasAnsweredStops
     if (mustNotWait) return 0
     if (hasFailedRecently(worker, this.options.clock.monotonicMilliseconds())) return UNSTEADY_WAIT_MILLISECONDS
     return worker.servingReserved > 0 && worker.bestEffortDemand > 0
--- /dev/null
+++ b/src/instance/stopUncertainStarts.ts
@@ -0,0 +1,41 @@
+import type { DispatchEngine, WorkerClient, WorkerRecord } from '../dispatch/index.js'
+import type { Clock } from '../shared/Clock.js'
+import { isStopAnswered } from './isStopAnswered.js'
+
+/** The most stops between two reports, so that they delay the renewal of the lease little. */
+const STOPS_PER_REPORT = 4
+
+/** The worker that has just reported, its client and the engine. */
+export interface UncertainStartsContext {
+  worker: WorkerRecord
+  engine: DispatchEngine
+  client: WorkerClient
+  clock: Clock
+}
+
+/** Whether stops were answered, so that the next report shows which runs are over, or a newer owner was found. */
+export type StopsOutcome = 'none-answered' | 'answered' | 'fenced'
+
+/**
+ * Stops the runs whose start got no response over the connection over which their worker has just reported.
+ *
+ * Answers packet loss: the connections for orders may fail for seconds while reports arrive, which renew the lease, so
+ * that neither the response to the stop nor the end of the lease would settle the start.
+ * @param context The worker, its client and the engine.
+ * @returns The outcome.
+ */
+export async function stopUncertainStarts (context: UncertainStartsContext): Promise<StopsOutcome> {
+  const { worker, engine, client, clock } = context
+  const uncertain = [...worker.runs.values()].filter(run =>
+    run.state === 'stopping' && run.startUncertain && run.confirmedAt === null)
+  let answeredCount = 0
+  for (const run of uncertain.slice(0, STOPS_PER_REPORT)) {
+    const outcome = await client.stop(run.task.name, run.attempt, engine.epoch, 'reports')
+    if (outcome.kind === 'fenced') return 'fenced'
+    // The connection is likely to fail for the other stops too.
+    if (!isStopAnswered(outcome)) break
+    engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, clock.monotonicMilliseconds())
+    answeredCount++
+  }
+  return answeredCount > 0 ? 'answered' : 'none-answered'
+}
--- /dev/null
+++ b/src/instance/uncertainStarts.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
+import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import {
+  DispatchEngine, type ListedRun, type OrderOutcome, type StopConnection, type WorkerClient
+} from '../dispatch/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
+import { silentLogger } from '../shared/Logger.js'
+import { VirtualClock } from '../shared/VirtualClock.js'
+import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
+
+interface PlayOptions {
+  taskCount?: number
+  /** The runs that the worker reports as running. */
+  running?: ListedRun[]
+  stop (): Promise<OrderOutcome>
+}
+
+/** Plays a worker for two seconds that has reported, and then has not responded to the starts of all tasks. */
+async function play ({ taskCount = 1, running = [], stop }: PlayOptions) {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 1 })
+  const calls: string[] = []
+  let isFenced = false
+  const worker = engine.setWorker(createWorkerEntry())
+  worker.registered = true
+  const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
+  engine.applyReport(worker, report, 990, 1000)
+  engine.jobs.add({
+    submission: createSubmission([{ taskCount, processorsMilli: 100 }]), progress: [], recovered: false
+  }, 1000)
+  engine.plan(1000, 1000, true)
+  for (const order of engine.takeOrders()) {
+    if (order.kind !== 'start') continue
+    order.run.sentAt = 1000
+    engine.applyStartOutcome(worker, order.run, { kind: 'unknown', reason: 'timeout' }, 1000)
+  }
+  const client = {
+    hold: async ({ waitMilliseconds }: { waitMilliseconds: number }) => {
+      calls.push('report')
+      await new Promise<void>(resolve => { clock.setTimer(20 + waitMilliseconds, resolve) })
+      return {
+        kind: 'reported', report: { ...report, workerMilliseconds: clock.monotonicMilliseconds(), running }
+      }
+    },
+    stop: async (taskName: string, attempt: number, _epoch: number, connection: StopConnection) => {
+      calls.push(`stop ${taskName}#${attempt} ${connection}`)
+      return await stop()
+    }
+  } as unknown as WorkerClient
+  const loop = WorkerLeaseLoop.create({
+    worker,
+    engine,
+    client,
+    clock,
+    leaseMilliseconds: 6000,
+    logger: silentLogger,
+    endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
+    errors: createTestErrors(clock),
+    metrics: createTestMetrics(true),
+    mayRenewLeases: () => true,
+    prepareReport: async () => {},
+    onReport: () => {},
+    onFenced: () => { isFenced = true },
+    waitForDurability: async () => {}
+  })
+  loop.run()
+  await clock.advance(2000)
+  loop.stop()
+  return { calls, runCount: worker.runs.size, isFenced }
+}
+
+test('a start without a response is settled over the connection for reports while orders get no response', async () => {
+  const { calls, runCount } = await play({ stop: async () => ({ kind: 'accepted', workerMilliseconds: null }) })
+  assert.deepEqual(calls.slice(0, 3), ['report', 'stop job.0.0.0#1 reports', 'report'])
+  assert.equal(calls.filter(call => call !== 'report').length, 1)
+  assert.equal(runCount, 0)
+})
+
+test('a run that is reported after a start without a response is not stopped over the connection for reports', async () => {
+  const listed = { taskName: 'job.0.0.0', attempt: 1, checkpoint: '', percent: 10, usageFigure: 100 }
+  const { calls, runCount } = await play({
+    running: [listed], stop: async () => ({ kind: 'accepted', workerMilliseconds: null })
+  })
+  assert.deepEqual(new Set(calls), new Set(['report']))
+  assert.equal(runCount, 1)
+})
+
+test('one stop without a response precedes the next report, and no run counts as over', async () => {
+  const { calls, runCount } = await play({ taskCount: 3, stop: async () => ({ kind: 'unknown', reason: 'timeout' }) })
+  assert.deepEqual(calls.slice(0, 4), ['report', 'stop job.0.0.0#1 reports', 'report', 'stop job.0.0.0#1 reports'])
+  assert.equal(runCount, 3)
+})
+
+test('a stop that a worker rejects with an old epoch deposes the owner', async () => {
+  const { calls, runCount, isFenced } = await play({ stop: async () => ({ kind: 'fenced' }) })
+  assert.deepEqual(calls, ['report', 'stop job.0.0.0#1 reports'])
+  assert.equal(isFenced, true)
+  assert.equal(runCount, 1)
+})
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -1,4 +1,6 @@
-import type { HoldOutcome, HoldRequest, OrderOutcome, StartOrder, WorkerClient } from '../../src/dispatch/index.js'
+import type {
+  HoldOutcome, HoldRequest, OrderOutcome, StartOrder, StopConnection, WorkerClient
+} from '../../src/dispatch/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
 import type { EmulatedProcessor } from './EmulatedProcessor.js'
 import type { LossyPath, PathDirection } from './LossyPath.js'
@@ -121,8 +123,11 @@
     return await this.order(() => this.options.worker.start(order))
   }
 
-  async stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome> {
-    return await this.order(() => this.options.worker.stop(taskName, attempt, epoch))
+  async stop (
+    taskName: string, attempt: number, epoch: number, connection: StopConnection = 'orders'
+  ): Promise<OrderOutcome> {
+    const pool = connection === 'orders' ? this.orderPool : this.holdPool
+    return await this.call(pool, () => this.options.worker.stop(taskName, attempt, epoch), ORDER_TIMEOUT_MILLISECONDS)
   }
 
   async setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome> {
