--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -1,32 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
-import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
+import { createLeaseLoop } from '../../stand-ins/platform/createLeaseLoop.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type HoldRequest, type WorkerClient } from '../dispatch/index.js'
-import { BatchedLog } from '../shared/BatchedLog.js'
-import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
+import type { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 
-/** Creates the loop of a worker that answers each call as the test decides. */
 function createLoop (engine: DispatchEngine, clock: VirtualClock, client: WorkerClient): WorkerLeaseLoop {
-  return WorkerLeaseLoop.create({
-    worker: engine.setWorker(createWorkerEntry()),
-    engine,
-    client,
-    clock,
-    leaseMilliseconds: 6000,
-    logger: silentLogger,
-    endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
-    errors: createTestErrors(clock),
-    metrics: createTestMetrics(true),
-    mayRenewLeases: () => true,
-    prepareReport: async () => {},
-    onReport: () => {},
-    onFenced: () => {},
-    waitForDurability: async () => {}
-  })
+  return createLeaseLoop({ worker: engine.setWorker(createWorkerEntry()), engine, client, clock })
 }
 
 test('does not renew the lease of a worker that a stored record names as unreached', async () => {
--- a/src/instance/uncertainStarts.test.ts
+++ b/src/instance/uncertainStarts.test.ts
@@ -1,16 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createLeaseLoop } from '../../stand-ins/platform/createLeaseLoop.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
-import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
-import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import {
   DispatchEngine, type ListedRun, type OrderOutcome, type StopConnection, type WorkerClient
 } from '../dispatch/index.js'
-import { BatchedLog } from '../shared/BatchedLog.js'
-import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 
 interface PlayOptions {
   taskCount?: number
@@ -51,22 +47,7 @@
       return await stop()
     }
   } as unknown as WorkerClient
-  const loop = WorkerLeaseLoop.create({
-    worker,
-    engine,
-    client,
-    clock,
-    leaseMilliseconds: 6000,
-    logger: silentLogger,
-    endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
-    errors: createTestErrors(clock),
-    metrics: createTestMetrics(true),
-    mayRenewLeases: () => true,
-    prepareReport: async () => {},
-    onReport: () => {},
-    onFenced: () => { isFenced = true },
-    waitForDurability: async () => {}
-  })
+  const loop = createLeaseLoop({ worker, engine, client, clock, onFenced: () => { isFenced = true } })
   loop.run()
   await clock.advance(2000)
   loop.stop()
