--- a/src/dispatch/StartCandidates.ts
+++ b/src/dispatch/StartCandidates.ts
@@ -1,5 +1,5 @@
 import type { TaskRecord } from '../jobs/index.js'
-import { chooseEligibleWorker, mayTakeTask, type ChoiceConditions } from './chooseWorker.js'
+import { chooseEligibleWorker, isEligible, type ChoiceConditions } from './chooseWorker.js'
 import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
 import { getFreeCapacity, type WorkerRecord } from './WorkerRecord.js'
 
@@ -47,7 +47,7 @@
    */
   choose (task: TaskRecord): WorkerRecord | null {
     const { conditions } = this
-    this.eligible ??= this.workers.filter(worker => mayTakeTask(worker, conditions))
+    this.eligible ??= this.workers.filter(worker => isEligible(worker, conditions))
     this.maximalCapacities ??= getMaximalCapacities(this.eligible)
     if (!this.maximalCapacities.some(capacity => mayFit(capacity, task))) return null
     const emptyWorkerCost = task.step.specification.targetMilliseconds > 0 ? getEmptyWorkerCost(this.workers) : 0
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -75,10 +75,8 @@
   durableCompletion: number
   /** The number of failed runs since the last successful one. */
   failureStreak: number
-  /** Monotonic time until which the worker gets no new work, but for probes. */
+  /** Monotonic time until which the worker gets no new work. */
   quarantinedUntil: number
-  /** Monotonic time from which a paused worker gets one task at a time, see `mayProbe`. */
-  probedFrom: number
   /** The duration of the latest quarantine for failed runs; 0 after a successful run. */
   quarantineMilliseconds: number
   /** Increases with each change of the runs or of their figures, so that computed costs are known to be outdated. */
@@ -127,7 +125,6 @@
     durableCompletion: 0,
     failureStreak: 0,
     quarantinedUntil: 0,
-    probedFrom: 0,
     quarantineMilliseconds: 0,
     changeCount: 0,
     paceChangedAt: -Infinity,
@@ -283,19 +280,6 @@
  */
 export function pauseWorker (worker: WorkerRecord, until: number): void {
   worker.quarantinedUntil = Math.max(worker.quarantinedUntil, until)
-  worker.probedFrom = Math.max(worker.probedFrom, until)
-}
-
-/**
- * Returns whether a worker that is paused after failed runs may get a task that shows whether it works again.
- * @param worker The worker.
- * @param now The monotonic time.
- * @returns Whether it has been paused for some time and has no such task.
- */
-export function mayProbe (worker: WorkerRecord, now: number): boolean {
-  if (now < worker.probedFrom) return false
-  for (const run of worker.runs.values()) if (run.startedAt >= worker.probedFrom) return false
-  return true
 }
 
 /**
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -178,7 +178,6 @@
     worker.quarantineMilliseconds =
       Math.min(LONGEST_QUARANTINE_MILLISECONDS, worker.quarantineMilliseconds * 2 || FIRST_QUARANTINE_MILLISECONDS)
     worker.quarantinedUntil = context.now + worker.quarantineMilliseconds
-    worker.probedFrom = context.now + FIRST_QUARANTINE_MILLISECONDS
     // The first task after the quarantine is a probe: if it fails, the quarantine starts again.
     worker.failureStreak = QUARANTINE_STREAK - 1
   }
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -3,7 +3,7 @@
 import { hasPersistentViolation } from './decidePace.js'
 import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
 import type { WorkerCosts } from './WorkerCosts.js'
-import { countRunsOfStep, isUnsteady, mayProbe, type WorkerRecord } from './WorkerRecord.js'
+import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Chooses the worker on which a task starts.
@@ -16,9 +16,7 @@
 
 /** Ranks workers on which the task failed before last; outweighs all other differences of cost. */
 const FAILED_BEFORE_PENALTY = 10
-/** Ranks paused workers behind all others on which the task has not failed. */
-const PAUSED_PENALTY = 8
-/** Ranks workers that respond unsteadily behind all others that are not paused. */
+/** Ranks workers that respond unsteadily behind all others on which the task has not failed. */
 const UNSTEADY_PENALTY = 5
 /** Ranks workers of a data centre that responds unsteadily between these and all others. */
 const UNSTEADY_DATA_CENTRE_PENALTY = 3
@@ -68,18 +66,6 @@
     (worker.quarantinedUntil <= conditions.now || conditions.includesPaused === true)
 }
 
-/**
- * Returns whether a worker may get a single task, regardless of its free capacity: it is eligible, or it is paused and
- * may get a probe. Otherwise tasks would wait for the end of the pauses when most workers of a service are paused.
- * @param worker The worker.
- * @param conditions The conditions of the choice.
- * @returns Whether a task may start on it.
- */
-export function mayTakeTask (worker: WorkerRecord, conditions: ChoiceConditions): boolean {
-  if (!isPaused(worker, conditions)) return isEligible(worker, conditions)
-  return mayProbe(worker, conditions.now) && isEligible(worker, { ...conditions, includesPaused: true })
-}
-
 /**
  * Returns whether a task fits into the free capacity of a worker, without the room reserved for a waiting restart.
  * @param worker The worker.
@@ -111,13 +97,13 @@
 ): WorkerRecord | null {
   const emptyWorkerCost = task.step.specification.targetMilliseconds > 0 ? getEmptyWorkerCost(workers) : 0
   return chooseEligibleWorker(
-    task, workers.filter(worker => mayTakeTask(worker, conditions)), emptyWorkerCost, conditions)
+    task, workers.filter(worker => isEligible(worker, conditions)), emptyWorkerCost, conditions)
 }
 
 /**
  * Chooses the worker with the lowest cost for a task among the eligible ones.
  * @param task The task.
- * @param eligible The workers for which `mayTakeTask` has held before the starts of the plan.
+ * @param eligible The workers for which `isEligible` holds.
  * @param emptyWorkerCost The cost of a worker without serving tasks for a serving task.
  * @param conditions The advisor, the computed costs and the time.
  * @returns The worker, or null when no worker can take the task.
@@ -132,9 +118,7 @@
     let cost = conditions.costs.getCost(worker, task, emptyWorkerCost, conditions.advisor)
     if (task.failedWorkerIds.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
     cost += getUnsteadinessCost(worker, conditions)
-    if (isPaused(worker, conditions)) cost += PAUSED_PENALTY
     if (cost >= bestCost || !fits(worker, task)) continue
-    if (isPaused(worker, conditions) && !mayProbe(worker, conditions.now)) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
     if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
     if (fills && hasPersistentViolation(worker, conditions.now)) continue
@@ -144,11 +128,6 @@
   return best
 }
 
-/** Returns whether a worker is paused after failures and gets only probes. */
-function isPaused (worker: WorkerRecord, { now, includesPaused }: ChoiceConditions): boolean {
-  return worker.quarantinedUntil > now && includesPaused !== true
-}
-
 function getUnsteadinessCost (worker: WorkerRecord, { now, unsteadyDataCentres }: ChoiceConditions): number {
   if (isUnsteady(worker, now)) return UNSTEADY_PENALTY
   return unsteadyDataCentres?.has(worker.entry.dataCentre) === true ? UNSTEADY_DATA_CENTRE_PENALTY : 0
--- a/src/dispatch/explainWaiting.test.ts
+++ b/src/dispatch/explainWaiting.test.ts
@@ -2,7 +2,6 @@
 import { test } from 'node:test'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { PlannedSite } from '../../stand-ins/platform/PlannedSite.js'
-import { pauseWorker } from './WorkerRecord.js'
 
 const CAPACITY = { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 }
 const WATCH = { processorsMilli: 3000, memoryMegabytes: 1000, longRunning: true, requiredLabel: 'a' }
@@ -20,7 +19,7 @@
     const entry = createWorkerEntry({ workerId, labels: [...labels], capacity: { ...CAPACITY } })
     const worker = site.engine.setWorker(entry)
     worker.registered = true
-    if (workerId === 'paused') pauseWorker(worker, Infinity)
+    worker.quarantinedUntil = workerId === 'paused' ? Infinity : 0
   }
   site.workers.find(worker => worker !== watching)!.failureTimes = [site.now, site.now]
   site.removeWorker(watching)
--- a/src/dispatch/restarts.test.ts
+++ b/src/dispatch/restarts.test.ts
@@ -4,7 +4,6 @@
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import type { JobSubmission, StepSpecification } from '../jobs/index.js'
 import { DispatchEngine, type WorkerReport } from './index.js'
-import { pauseWorker } from './WorkerRecord.js'
 
 const EMPTY_REPORT: WorkerReport = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 const LARGE_CAPACITY = { processorsMilli: 1_000_000, memoryMegabytes: 1_000_000, accelerators: 0 }
@@ -132,7 +131,7 @@
   planStarts(engine, 20)
   const [first, second] = engine.workers.values()
   engine.applyReport(first, EMPTY_REPORT, 100, 101)
-  pauseWorker(first, 12_000)
+  first.quarantinedUntil = 12_000
   assert.deepEqual(planStarts(engine, 200), [])
   assert.deepEqual(planStarts(engine, 3000), [])
   assert.deepEqual(planStarts(engine, 3200), ['watch.0.0.0'])
