--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -15,8 +15,11 @@
 /** What a process knows when it becomes owner. */
 export interface Takeover {
   fence: Fence
-  /** Whether the earlier owner has certainly stopped renewing the leases of workers. */
-  earlierOwnerStopped: boolean
+  /**
+   * Monotonic time before which the earlier owner sent the last successful renewal of its ownership; null when it has
+   * certainly stopped renewing the leases of workers.
+   */
+  earlierOwnerRenewedBefore: number | null
   /** The row version since which all owners have stored assignments, or null when some have not. */
   assignmentsStoredSince: number | null
 }
@@ -186,6 +189,8 @@
     if (this.stopped) return
     const earlierOwnerStopped = hasOwnerStopped || this.lease.getObservedHeartbeat() === null ||
       this.lease.getObservedHeartbeat()?.released === true
+    // The takeover succeeds only if the heartbeat is the observed one, so the owner has not renewed since.
+    const earlierOwnerRenewedBefore = earlierOwnerStopped ? null : this.lease.getObservedSince()
     if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped })) return
     this.consecutiveRefusals = 0
     this.ownerDeniesOwnership = false
@@ -193,7 +198,7 @@
     if (fence === null) return
     logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
-    this.options.onAcquired({ fence, earlierOwnerStopped, assignmentsStoredSince })
+    this.options.onAcquired({ fence, earlierOwnerRenewedBefore, assignmentsStoredSince })
   }
 
   private async isOwnerAlive (): Promise<boolean> {
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -152,6 +152,14 @@
     return this.observedHeartbeat === null ? null : this.observedHeartbeat.value as unknown as HeartbeatRow
   }
 
+  /**
+   * Returns since when the observed heartbeat is unchanged. Its owner sent its last successful renewal before.
+   * @returns The monotonic time of the first read of that heartbeat, or null when nothing was observed yet.
+   */
+  getObservedSince (): number | null {
+    return this.observedSince
+  }
+
   /**
    * Returns whether the lease is held and has not expired.
    * @param now The monotonic time.
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -55,6 +55,8 @@
   address: string
   /** Null if processor time is not emulated. */
   processor: EmulatedProcessor | null
+  /** While `cutOff` is set, the calls of other instances to this one get no response. */
+  peerFaults: { cutOff: boolean }
 }
 
 /** The only queue of an emulated site. */
@@ -200,7 +202,7 @@
       random
     })
     const existingIndex = this.instances.findIndex(other => other.address === address)
-    const added = { instance, process, tables, address, processor }
+    const added = { instance, process, tables, address, processor, peerFaults: { cutOff: false } }
     if (existingIndex >= 0) this.instances[existingIndex] = added
     else this.instances.push(added)
     instance.start()
@@ -317,7 +319,8 @@
       address: string, answer: (other: EmulatedInstance) => Value
     ): Promise<Value | null> => {
       const other = find(address)
-      const isUnresponsive = other === undefined || other.process.isFrozen() || !other.process.isAlive()
+      const isUnresponsive = other === undefined || other.process.isFrozen() || !other.process.isAlive() ||
+        other.peerFaults.cutOff
       if (isUnresponsive) {
         await new Promise<void>(resolve => { process.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, resolve) })
         return null
