Keep the end of the renewals of earlier owners across a short ownership

Callers could see two runs of a task: an owner that only one worker reaches renews the lease of that worker for 6 s after its last renewal of ownership. A successor waits for this, but when it soon stops, the third owner saw a released shard and waited for one lease from its own takeover on.

Cause: how long earlier owners may renew leases was known to their direct successor only.

The new test of OwnerElection.test.ts takes the shard over twice while the first owner's renewals go on; with the stored time ignored in the compiled file, the third owner's takeover says that none go on, and the test fails.

Change: the row of the shard carries the milliseconds that are left at the takeover, counted by the third owner from its first read of the row, with 5% for the clocks. The time limits of an owner move to a file of their own.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -10,7 +10,7 @@
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
-import { LEASE_RENEWAL_LIMIT_MILLISECONDS, ShardDispatcher, TASK_START_LIMIT_MILLISECONDS } from './ShardDispatcher.js'
+import { ShardDispatcher } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
 
 /** Options of an instance. */
@@ -44,8 +44,6 @@
 const READY_CONTACT_AGE_LIMIT_MILLISECONDS = 4000
 /** Worker clocks may be 2% slow; the remaining 3% covers the network delay of the last renewal. */
 const LEASE_MARGIN_SHARE = 0.05
-/** The greatest relative difference in rate between the clocks of two instances that time limits of owners tolerate. */
-const INSTANCE_CLOCK_MARGIN_SHARE = 0.05
 
 /** One process of the system, which serves callers and runs the shard while it is the elected owner. */
 export class Instance {
@@ -142,13 +140,9 @@
 
   private startDispatcher (takeover: Takeover): void {
     const { options } = this
-    const { fence, earlierOwnerRenewedBefore, assignmentsStoredSince } = takeover
+    const { fence, earlierRenewalsEndAt, earlierStartsEndAt, assignmentsStoredSince } = takeover
     const now = options.clock.monotonicMilliseconds()
-    /** Returns when an activity ends that an owner continues for a time limit after it last renewed its ownership. */
-    const getEarlierEnd = (limitMilliseconds: number): number | null => earlierOwnerRenewedBefore === null
-      ? null
-      : Math.max(now, earlierOwnerRenewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE))
-    const earlierRenewalsEndAt = getEarlierEnd(LEASE_RENEWAL_LIMIT_MILLISECONDS) ?? now
+    const renewalsEndAt = Math.max(now, earlierRenewalsEndAt ?? now)
     this.dispatcher?.stop()
     this.metrics.takeovers.inc()
     this.dispatcher = ShardDispatcher.create({
@@ -165,8 +159,8 @@
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
-      earlierLeasesEndAt: earlierRenewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
-      earlierStartsEndAt: getEarlierEnd(TASK_START_LIMIT_MILLISECONDS),
+      earlierLeasesEndAt: renewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
       getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -6,8 +6,9 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { OwnerElection } from './OwnerElection.js'
+import { OwnerElection, type Takeover } from './OwnerElection.js'
 import type { OwnerPeer } from './OwnerPeer.js'
+import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 
 /** The row of the shard held some 1,140 such owners before it exceeded a row of the store. */
 const UNRELEASED_OWNERS = 1200
@@ -51,3 +52,43 @@
   assert.deepEqual([row.owner, row.epoch, row.earlier], ['b', epoch + 1, []])
   await election.stop()
 })
+
+test('a third owner waits for the renewals of a first one that its short-lived predecessor could not reach', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  const shard: ShardRow = { owner: 'a', address: '10.0.0.1:1', region: 'south', epoch: 1, writeId: 'a', earlier: [] }
+  const heartbeat: HeartbeatRow = { owner: 'a', epoch: 1, beat: 0, summary: null, released: false }
+  for (const [table, value] of [[SHARD_TABLE, shard], [SHARD_HEARTBEAT_TABLE, heartbeat]] as const) {
+    store.put({ table, key: 'site', value: value as unknown as JsonValue })
+  }
+  const lastRenewalAt = clock.monotonicMilliseconds()
+  const takeovers: Takeover[] = []
+  const createElection = (instanceId: string, address: string) => OwnerElection.create({
+    shardId: 'site',
+    instanceId,
+    address,
+    region: 'south',
+    tableService: store.client,
+    peer: { probe: async () => ({ kind: 'silent', reason: 'timeout' }) } as unknown as OwnerPeer,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    resources: { processors: 1, linkMegabitsPerSecond: 1000 },
+    random: () => 0,
+    onAcquired: takeover => { takeovers.push(takeover) },
+    onDeposed: () => {}
+  })
+  const second = createElection('b', '10.0.0.2:1')
+  second.run()
+  while (!second.isOwner()) await clock.advance(100)
+  await second.stop()
+  const third = createElection('c', '10.0.0.3:1')
+  third.run()
+  while (!third.isOwner()) await clock.advance(100)
+  const { earlierRenewalsEndAt, earlierStartsEndAt } = takeovers[1]
+  const renewalsEndAt = lastRenewalAt + LEASE_RENEWAL_LIMIT_MILLISECONDS
+  assert.ok(renewalsEndAt > clock.monotonicMilliseconds())
+  assert.ok(earlierRenewalsEndAt !== null && earlierRenewalsEndAt >= renewalsEndAt)
+  assert.ok(earlierStartsEndAt !== null && earlierStartsEndAt >= lastRenewalAt + TASK_START_LIMIT_MILLISECONDS)
+  await third.stop()
+})
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -4,6 +4,9 @@
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
 import type { OwnerPeer } from './OwnerPeer.js'
+import {
+  INSTANCE_CLOCK_MARGIN_SHARE, LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS
+} from './ownerTimeLimits.js'
 
 /** The resources of a process. */
 export interface InstanceResources {
@@ -15,11 +18,10 @@
 /** What a process knows when it becomes owner. */
 export interface Takeover {
   fence: Fence
-  /**
-   * Monotonic time before which the earlier owner sent the last successful renewal of its ownership; null when it has
-   * certainly stopped renewing the leases of workers.
-   */
-  earlierOwnerRenewedBefore: number | null
+  /** Monotonic time until which earlier owners may renew the leases of workers; null when they have stopped. */
+  earlierRenewalsEndAt: number | null
+  /** Monotonic time until which earlier owners may start tasks; null when they have stopped. */
+  earlierStartsEndAt: number | null
   /** The row version since which all owners have stored assignments, or null when some have not. */
   assignmentsStoredSince: number | null
 }
@@ -189,16 +191,34 @@
     if (this.stopped) return
     const earlierOwnerStopped = hasOwnerStopped || this.lease.getObservedHeartbeat() === null ||
       this.lease.getObservedHeartbeat()?.released === true
-    // The takeover succeeds only if the heartbeat is the observed one, so the owner has not renewed since.
-    const earlierOwnerRenewedBefore = earlierOwnerStopped ? null : this.lease.getObservedSince()
-    if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped })) return
+    const earlierActivity = this.getEarlierActivity(earlierOwnerStopped)
+    const { earlierRenewalsEndAt } = earlierActivity
+    if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped, earlierRenewalsEndAt })) return
     this.consecutiveRefusals = 0
     this.ownerDeniesOwnership = false
     const fence = this.lease.getFence()
     if (fence === null) return
     logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
-    this.options.onAcquired({ fence, earlierOwnerRenewedBefore, assignmentsStoredSince })
+    this.options.onAcquired({ fence, ...earlierActivity, assignmentsStoredSince })
+  }
+
+  /** Returns until when the observed owner, if it has not stopped, and those before it may act. */
+  private getEarlierActivity (
+    earlierOwnerStopped: boolean
+  ): Pick<Takeover, 'earlierRenewalsEndAt' | 'earlierStartsEndAt'> {
+    const now = this.options.clock.monotonicMilliseconds()
+    // The takeover succeeds only if the heartbeat is the observed one, so the owner has not renewed since.
+    const renewedBefore = (earlierOwnerStopped ? null : this.lease.getObservedSince()) ?? -Infinity
+    const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
+    const getEnd = (limitMilliseconds: number): number | null => {
+      const end = Math.max(storedEnd, renewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE))
+      return end > now ? end : null
+    }
+    return {
+      earlierRenewalsEndAt: getEnd(LEASE_RENEWAL_LIMIT_MILLISECONDS),
+      earlierStartsEndAt: getEnd(TASK_START_LIMIT_MILLISECONDS)
+    }
   }
 
   private async isOwnerAlive (): Promise<boolean> {
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -14,6 +14,7 @@
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
 import { decodeHeldWorker, decodeUnreachedRecord, JOB_TABLE } from './jobRows.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 import { JobRowReader } from './JobRowReader.js'
 import { LearnedEffectsWriter } from './LearnedEffectsWriter.js'
 import { loadShardRows } from './loadShardRows.js'
@@ -55,10 +56,6 @@
   onDeposed (reason: string): void
 }
 
-/** An owner that could not renew its ownership for this long stops renewing worker leases, so that they expire. */
-export const LEASE_RENEWAL_LIMIT_MILLISECONDS = 6000
-/** An owner that could not renew its ownership for this long starts no tasks: its configuration may be outdated. */
-export const TASK_START_LIMIT_MILLISECONDS = 5000
 /** Changes that occur within this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
 /** No further starts are planned while this many orders are queued: about 0.2 s of them at 300 starts a second. */
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -48,6 +48,11 @@
    * the version of this row itself. Absent in the row of an owner that does not store them.
    */
   assignmentsStoredSince?: number
+  /**
+   * The milliseconds after this row was written in which earlier owners may still renew the leases of workers. Absent
+   * in the row of an owner that does not store them.
+   */
+  earlierRenewalsMilliseconds?: number
 }
 
 /** The value of the row `shard-heartbeats/<shard>`. */
@@ -105,6 +110,7 @@
   private observedShard: Row | null = null
   private observedHeartbeat: Row | null = null
   private observedSince: number | null = null
+  private observedShardSince = -Infinity
   private readonly relinquishedEpochs = new Set<number>()
   private earlierOwners: EarlierOwner[] = []
   private assignmentsStoredSince: number | null = null
@@ -160,6 +166,16 @@
     return this.observedSince
   }
 
+  /**
+   * Returns until when the owners before the observed one may renew the leases of workers.
+   * @param clockMarginShare The greatest relative difference in rate between the clocks of two instances.
+   * @returns The monotonic time.
+   */
+  getStoredEarlierRenewalsEnd (clockMarginShare: number): number {
+    return this.observedShardSince +
+      (this.getObservedOwner()?.earlierRenewalsMilliseconds ?? 0) * (1 + clockMarginShare)
+  }
+
   /**
    * Returns whether the lease is held and has not expired.
    * @param now The monotonic time.
@@ -214,6 +230,7 @@
   observe (shard: Row | null, heartbeat: Row | null, now: number): void {
     if ((heartbeat?.version ?? 0) < (this.observedHeartbeat?.version ?? 0)) return
     if (this.observedSince === null || heartbeat?.version !== this.observedHeartbeat?.version) this.observedSince = now
+    if (shard?.version !== this.observedShard?.version) this.observedShardSince = now
     this.observedShard = shard
     this.observedHeartbeat = heartbeat
     const owner = this.getObservedOwner()
@@ -234,9 +251,12 @@
   /**
    * Takes the shard over, provided that the observed rows are unchanged.
    * @param options `ownerHasTerminated` skips the wait: the caller knows that the owner's process has terminated.
+   * `earlierRenewalsEndAt` is the monotonic time until which earlier owners may renew the leases of workers.
    * @returns Whether this process now holds the lease.
    */
-  async acquire (options: { ownerHasTerminated?: boolean } = {}): Promise<boolean> {
+  async acquire (
+    options: { ownerHasTerminated?: boolean, earlierRenewalsEndAt?: number | null } = {}
+  ): Promise<boolean> {
     const earliestTakeover = options.ownerHasTerminated === true ? this.observedSince : this.getEarliestTakeoverTime()
     const sentAt = this.options.clock.monotonicMilliseconds()
     const sentAtWallTime = this.options.clock.wallMilliseconds()
@@ -252,7 +272,8 @@
       epoch,
       writeId,
       earlier: this.getEarlierOwners(),
-      assignmentsStoredSince: assignmentsStoredSince ?? 0
+      assignmentsStoredSince: assignmentsStoredSince ?? 0,
+      earlierRenewalsMilliseconds: Math.max(0, Math.ceil((options.earlierRenewalsEndAt ?? sentAt) - sentAt))
     }
     const heartbeat: HeartbeatRow = { owner, epoch, beat: 0, summary: null, released: false }
     const outcome = await this.writer.transactAndSettle({
