--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -10,7 +10,7 @@
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
-import { LEASE_RENEWAL_LIMIT_MILLISECONDS, ShardDispatcher, TASK_START_LIMIT_MILLISECONDS } from './ShardDispatcher.js'
+import { ShardDispatcher } from './ShardDispatcher.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
 
 /** Options of an instance. */
@@ -140,9 +140,9 @@
 
   private startDispatcher (takeover: Takeover): void {
     const { options } = this
-    const { fence, earlierOwnerStopped, assignmentsStoredSince } = takeover
+    const { fence, earlierRenewalsEndAt, earlierStartsEndAt, assignmentsStoredSince } = takeover
     const now = options.clock.monotonicMilliseconds()
-    const earlierRenewalsEndWithin = earlierOwnerStopped ? 0 : LEASE_RENEWAL_LIMIT_MILLISECONDS
+    const renewalsEndAt = Math.max(now, earlierRenewalsEndAt ?? now)
     this.dispatcher?.stop()
     this.metrics.takeovers.inc()
     this.dispatcher = ShardDispatcher.create({
@@ -159,8 +159,8 @@
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
-      earlierLeasesEndAt: now + earlierRenewalsEndWithin + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
-      earlierStartsEndAt: earlierOwnerStopped ? null : now + TASK_START_LIMIT_MILLISECONDS,
+      earlierLeasesEndAt: renewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
       getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
