Reserve the ports of the entry deployments

EntryDeployment.ts had a search of its own, with the same fault: it closed each port that it had found. RoutingProcesses, which starts separate processes with such ports, also left the port of a process that a test had killed to any other search. Both now use the search with reservations.

--- a/tools/bench/deployments/EntryDeployment.ts
+++ b/tools/bench/deployments/EntryDeployment.ts
@@ -1,5 +1,5 @@
-import { createServer } from 'node:net'
 import { createRandom } from '../../../stand-ins/shared/createRandom.js'
+import { findFreePorts } from '../../../stand-ins/shared/findFreePorts.js'
 import { MemoryTableService } from '../../../stand-ins/table-service/MemoryTableService.js'
 import { StandInUpstream } from '../../../stand-ins/upstreams/StandInUpstream.js'
 import { ConfigurationWriter, type ConfigurationChange } from '../../../src/configuration/index.js'
@@ -28,8 +28,6 @@
   region: string
 }
 
-const FIRST_PORT = 24_000
-const LAST_PORT = 25_999
 /** The service that all upstreams of a deployment provide. */
 export const SERVICE = 'permit-desk'
 
@@ -156,27 +154,3 @@
   }
   throw new Error(`the entry instance at ${url} did not become ready`)
 }
-
-let nextPort = FIRST_PORT + process.pid * 61 % (LAST_PORT - FIRST_PORT)
-
-/**
- * Finds free TCP ports on loopback.
- * @param count The number of ports.
- * @returns The ports.
- */
-export async function findFreePorts (count: number): Promise<number[]> {
-  const ports: number[] = []
-  for (let tries = 0; ports.length < count && tries < LAST_PORT - FIRST_PORT; tries++) {
-    nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1
-    if (await isFree(nextPort)) ports.push(nextPort)
-  }
-  return ports
-}
-
-function isFree (port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.once('error', () => resolve(false))
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
-  })
-}
--- a/tools/bench/routing/RoutingProcesses.ts
+++ b/tools/bench/routing/RoutingProcesses.ts
@@ -1,10 +1,11 @@
 import { request } from 'undici'
+import { findFreePorts } from '../../../stand-ins/shared/findFreePorts.js'
 import type { UpstreamCounters } from '../../../stand-ins/upstreams/StandInUpstream.js'
 import { SystemClock } from '../../../src/shared/index.js'
 import { ConfigurationWriter } from '../../../src/configuration/index.js'
 import { HttpTableService } from '../../../src/table/index.js'
 import { ProcessGroup } from '../../demo/ProcessGroup.js'
-import { findFreePorts, SERVICE, waitUntilReady, type Site } from '../deployments/EntryDeployment.js'
+import { SERVICE, waitUntilReady, type Site } from '../deployments/EntryDeployment.js'
 
 /** The options of a deployment in separate processes. */
 export interface RoutingProcessesOptions {
