Take a free port in the test of the entry instance

The test listened on port 24100, so two runs beside each other, or a deployment of another test that had found this port, failed with EADDRINUSE.

--- a/src/entry/EntryInstance.test.ts
+++ b/src/entry/EntryInstance.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { after, test } from 'node:test'
 import { request } from 'undici'
+import { findFreePorts } from '../../stand-ins/shared/findFreePorts.js'
 import { MemoryTableService } from '../../stand-ins/table-service/MemoryTableService.js'
 import { silentLogger } from '../shared/index.js'
 import { EntryInstance } from './EntryInstance.js'
@@ -36,6 +37,7 @@
       connections: 64
     }]))
   }))
+  const [listenPort] = await findFreePorts(1)
   const instance = EntryInstance.create({
     logger: silentLogger,
     tableService: MemoryTableService.create(),
@@ -44,8 +46,8 @@
       dataCentre: 'south-a',
       region: 'south',
       listenHost: '127.0.0.1',
-      listenPort: 24100,
-      tableServiceUrl: 'http://127.0.0.1:24101',
+      listenPort,
+      tableServiceUrl: '',
       instanceListUrl: `http://${list}`,
       callerKeys: new Map(),
       tlsKeyFile: '',
@@ -58,7 +60,7 @@
     }
   })
   await instance.start()
-  const base = 'http://127.0.0.1:24100'
+  const base = `http://127.0.0.1:${listenPort}`
   while ((await request(`${base}/readyz`)).statusCode !== 200) await new Promise(resolve => setTimeout(resolve, 5))
   const answered = await request(`${base}/services/permit-desk/limits?x=1`, { method: 'POST', body: 'hello' })
   assert.equal(await answered.body.text(), 'POST /limits?x=1')
