Send the rest of long responses during a planned stop

A planned stop of an entry instance cut off responses that their callers had received only in part: of a body of 12 MB, a caller that reads slowly got 3.9 MB and then a broken connection, although the upstream had run the request.

A request counted as in flight until its response was handed to the connection. The stop then closed the idle connections, and node counts a connection as idle once the whole response has been written to it, sent or not; the close method of an HTTP server does the same at the start of the stop.

The stop now stops listening without closing connections, waits for the requests in flight, and then up to five seconds until their responses have been sent.

--- a/src/entry/EntryServer.ts
+++ b/src/entry/EntryServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import polka, { type Request } from 'polka'
 import { createIdentifier, type Clock } from '../shared/index.js'
 import type { CompiledPolicy } from '../policy/index.js'
@@ -41,6 +41,8 @@
 const MAXIMUM_KEY_LENGTH = 256
 /** How often Node.js checks connections for the headers and request timeouts. */
 const CONNECTIONS_CHECK_MILLISECONDS = 1000
+/** The time that callers have, during a planned stop, to receive the rest of their responses. */
+const RESPONSE_TIMEOUT_MILLISECONDS = 5000
 /** Longer than the load balancer of the platform keeps idle connections, so that it closes them first. */
 const KEEP_ALIVE_MILLISECONDS = 65_000
 const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/
@@ -55,6 +57,8 @@
   private isDraining = false
   private inFlightCount = 0
   private notifyIdle: (() => void) | null = null
+  /** Responses that were handed to their connections and are not sent completely. */
+  private readonly unsentResponses = new Set<ServerResponse>()
 
   private constructor (private readonly options: EntryServerOptions) {
     const serverOptions = {
@@ -99,15 +103,28 @@
     this.isDraining = true
   }
 
-  /** Stops listening and waits until every request in flight has ended. */
+  /** Stops listening and waits until every request in flight has ended and its response has been sent. */
   async stop (): Promise<void> {
     this.isDraining = true
-    const closed = new Promise<void>(resolve => { this.server.close(() => resolve()) })
+    // The close method of an HTTP server would also cut connections whose response has been sent only in part.
+    const closed = new Promise<void>(resolve => { NetServer.prototype.close.call(this.server, () => resolve()) })
     if (this.inFlightCount > 0) await new Promise<void>(resolve => { this.notifyIdle = resolve })
-    this.server.closeIdleConnections()
+    await this.waitForUnsentResponses()
+    this.server.close()
     await closed
   }
 
+  private async waitForUnsentResponses (): Promise<void> {
+    const sent = [...this.unsentResponses].map(response => new Promise<void>(resolve => { response.once('close', resolve) }))
+    if (sent.length === 0) return
+    let cancelTimer = () => {}
+    const timeout = new Promise<void>(resolve => {
+      cancelTimer = this.options.clock.setTimer(RESPONSE_TIMEOUT_MILLISECONDS, resolve)
+    })
+    await Promise.race([Promise.all(sent), timeout])
+    cancelTimer()
+  }
+
   private addRoutes (): void {
     const { metrics, records, isReady, handlePeerRequest, findPeerRecord } = this.options
     const application = polka({ server: this.server })
@@ -161,12 +178,19 @@
       sendOutcome(response, requestId, outcome)
       if (!request.complete) request.resume()
     } finally {
+      this.trackUntilSent(response)
       this.inFlightCount--
       metrics.inFlight.set(this.inFlightCount)
       if (this.inFlightCount === 0) this.notifyIdle?.()
     }
   }
 
+  private trackUntilSent (response: ServerResponse): void {
+    if (response.closed || response.socket === null || response.socket.destroyed) return
+    this.unsentResponses.add(response)
+    response.once('close', () => this.unsentResponses.delete(response))
+  }
+
   private async parseRequest (
     request: Request,
     requestId: string,
