Return a holding that is smaller than a chunk once it is unused

What callers saw: part of a team's quota did not come back to the row `quotas/<team>` although no task of the team ran (9.046 of 10 processors). A task as large as the whole quota would then wait without end.

Cause: a shard returned idle capacity only when at least a chunk of the holding was free. A task may be charged less than a chunk (the size reserved for it, when that is below the declared one). While it runs the rest of the holding is returned; when it ends, less than a chunk remains, and was kept for ever.

Change: a holding of which the shard uses nothing is idle, whatever its size.

--- a/src/tasks/QuotaEscrow.ts
+++ b/src/tasks/QuotaEscrow.ts
@@ -7,7 +7,7 @@
 /** Number of chunks that a team's quota is divided into; a shard takes about one, so that 15 shards can share it. */
 const CHUNKS_PER_QUOTA = 16
 const SMALLEST_CHUNK: ResourceSize = { processors: 1, memoryMegabytes: 1024, accelerators: 1 }
-/** A shard returns part of a holding when at least a chunk of it has been unused for this long. */
+/** A shard returns part of a holding when at least a chunk of it, or all of it, has been unused for this long. */
 const IDLE_HOLDING_MILLISECONDS = 10_000
 /** Delay before a shard reads a team's quota row again when it could not be read or had too little left. */
 const RETRY_MILLISECONDS = 1000
@@ -57,9 +57,12 @@
   withholdIdleHoldings (used: ReadonlyMap<string, ResourceSize>, now: number, context: EscrowContext): void {
     for (const [team, holding] of context.holdings) {
       const chunk = getChunk(context.policy.getTeamQuota(team))
-      const free = subtract(holding, used.get(team) ?? NO_RESOURCES)
+      const usedByTeam = used.get(team) ?? NO_RESOURCES
+      const free = subtract(holding, usedByTeam)
+      // Less than a chunk remains when the last tasks were charged less than a chunk.
+      const isUnused = !hasAny(usedByTeam) && hasAny(holding)
       const isIdle = !this.requested.has(team) && !this.teamsInFlight.has(team) && !this.retainedHoldings.has(team) &&
-        (free.processors >= chunk.processors || free.memoryMegabytes >= chunk.memoryMegabytes)
+        (isUnused || free.processors >= chunk.processors || free.memoryMegabytes >= chunk.memoryMegabytes)
       if (!isIdle) {
         this.idleSince.delete(team)
       } else if (!this.idleSince.has(team)) {
@@ -160,6 +163,10 @@
   }
 }
 
+function hasAny ({ processors, memoryMegabytes, accelerators }: ResourceSize): boolean {
+  return processors > 0 || memoryMegabytes > 0 || accelerators > 0
+}
+
 function pickResources ({ processors, memoryMegabytes, accelerators }: ResourceSize): ResourceSize {
   return { processors, memoryMegabytes, accelerators }
 }
