Name the worker process that an acknowledgement is for

Cause: a worker numbers its events from 1 again after a restart, and an exchange acknowledged only a number. An exchange sent before the restart and delivered after it made the new process discard the end of a run that nobody had received. The owner asks for the running tasks only when it has a reason to, so it never found out.

Result: the new tests of the worker and of the owner fail before and pass after.

--- a/src/tasks/ShardOwner.test.ts
+++ b/src/tasks/ShardOwner.test.ts
@@ -205,3 +205,11 @@
   const starts = harness.records.filter(record => record.type === 'start').length
   assert.ok(starts >= 60 && starts <= 80, `${starts} starts in 3 s`)
 })
+
+test('an acknowledgement names the worker process that reported the events', () => {
+  const harness = new OwnerHarness(1)
+  harness.advance(10_000)
+  const [first, ...later] = harness.exchanges.map(({ exchange }) => exchange.acknowledgedIncarnation)
+  assert.equal(first, null)
+  assert.deepEqual([...new Set(later)], ['i'])
+})
--- a/src/tasks/exchangeWorkers.ts
+++ b/src/tasks/exchangeWorkers.ts
@@ -66,6 +66,7 @@
         stops,
         throttles,
         acknowledgedSequence: worker.acknowledgedSequence,
+        acknowledgedIncarnation: worker.incarnation,
         listTasks: !worker.isReconciled || now >= worker.reconcileAt
       }
     }
--- a/src/tasks/recoveredStarts.test.ts
+++ b/src/tasks/recoveredStarts.test.ts
@@ -60,6 +60,7 @@
       stops: [],
       throttles: [],
       acknowledgedSequence: 0,
+      acknowledgedIncarnation: null,
       listTasks: false
     })
     assert.equal(outcome.kind, 'answered')
--- a/src/workers/WorkerProtocol.ts
+++ b/src/workers/WorkerProtocol.ts
@@ -46,6 +46,8 @@
   throttles: ThrottleCommand[]
   /** The scheduler has stored the events up to this sequence number; the worker may discard them. */
   acknowledgedSequence: number
+  /** The `incarnation` that `acknowledgedSequence` refers to; a worker process with another one discards no events. */
+  acknowledgedIncarnation: string | null
   /** Asks for the list of running tasks, after a takeover or when the outcome of a start is unknown. */
   listTasks: boolean
 }
--- a/stand-ins/workers/StandInWorker.test.ts
+++ b/stand-ins/workers/StandInWorker.test.ts
@@ -37,6 +37,7 @@
     stops: [],
     throttles: [],
     acknowledgedSequence: 0,
+    acknowledgedIncarnation: null,
     listTasks: false,
     ...exchange
   }
@@ -98,7 +99,19 @@
   ]
   assert.deepEqual((await accept({})).events, events)
   assert.deepEqual((await accept({})).events, events)
-  assert.deepEqual((await accept({ acknowledgedSequence: 1 })).events, events.slice(1))
+  const { incarnation } = await accept({})
+  const acknowledged = await accept({ acknowledgedSequence: 1, acknowledgedIncarnation: incarnation })
+  assert.deepEqual(acknowledged.events, events.slice(1))
+})
+
+test('a delayed acknowledgement for an earlier process of the worker discards no event', async () => {
+  const { clock, accept, pool } = createSetUp()
+  const { incarnation } = await accept({})
+  pool.getWorker('w1')!.restart()
+  await accept({ starts: [createStart()] })
+  await clock.advance(10_000)
+  const { events } = await accept({ acknowledgedSequence: 1, acknowledgedIncarnation: incarnation })
+  assert.deepEqual(events.map(({ taskId, ending }) => ({ taskId, ending })), [{ taskId: 't', ending: 'completed' }])
 })
 
 test('ends the lease 30 s after the time of the proof, not after the renewal', async () => {
--- a/stand-ins/workers/StandInWorker.ts
+++ b/stand-ins/workers/StandInWorker.ts
@@ -96,7 +96,9 @@
     if (exchange.proof !== null && exchange.proof <= now) {
       this.leaseEnd = Math.max(this.leaseEnd, exchange.proof + WORKER_LEASE_MILLISECONDS)
     }
-    this.events = this.events.filter(event => event.sequence > exchange.acknowledgedSequence)
+    if (exchange.acknowledgedIncarnation === this.getIncarnation()) {
+      this.events = this.events.filter(event => event.sequence > exchange.acknowledgedSequence)
+    }
     const stops = exchange.stops.map(stop => this.stop(stop))
     const starts = exchange.starts.map(start => this.start(start, exchange.proof, now))
     const throttles = exchange.throttles.map(throttle => this.throttle(throttle, throttle.share))
@@ -106,7 +108,7 @@
     return {
       kind: 'accepted',
       workerTime: now,
-      incarnation: `${this.options.description.workerId}/${this.incarnationNumber}`,
+      incarnation: this.getIncarnation(),
       results,
       events: [...this.events],
       usage,
@@ -148,6 +150,10 @@
     return this.liveTasks.size
   }
 
+  private getIncarnation (): string {
+    return `${this.options.description.workerId}/${this.incarnationNumber}`
+  }
+
   private listTasks (): RunningTask[] {
     const unreported = [...this.endedTasks.values()].filter(task => !task.reported)
     return [...this.liveTasks.values(), ...unreported]
