Keep the restarts of one service from suspending the search of another

Callers saw a long-running task stay away although its service had workers that could have been reserved for it: while a restart of the same size waited in a service without any such worker, no worker was searched for in the other service either.

It is kept by service and size now.

--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -135,6 +135,28 @@
   assert.deepEqual(getReserved(site), [])
 })
 
+// Restarts of one service that could get no room kept those of the same size in other services from a reservation.
+test('a restart for which its service has no worker holds up no restart of another service', () => {
+  const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY })
+  for (const workerId of ['archive-0', 'archive-1']) {
+    const entry = createWorkerEntry({ workerId, serviceName: 'archive', capacity: { ...CAPACITY } })
+    site.engine.setWorker(entry).registered = true
+  }
+  site.submit('archived', [{ ...WATCH, taskCount: 2 }], { serviceName: 'archive' })
+  site.submit('watch', [WATCH])
+  site.advance(100)
+  site.submit('short', [{ ...SHORT, taskCount: 1000 }])
+  site.advance(100)
+  const getWorkerOf = (prefix: string) => site.workers.find(({ runs }) =>
+    [...runs.values()].some(({ task }) => task.name.startsWith(prefix)))!
+  site.removeWorker(getWorkerOf('archived'))
+  site.advance(100)
+  site.removeWorker(getWorkerOf('watch'))
+  site.advance(6000)
+  assert.equal(site.getTasksAway('archived').length, 1)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
 test('a restart uses a worker that responds unsteadily when the steady ones have no room', () => {
   const site = createFullSite(10_000)
   const unsteady = site.engine.setWorker(createWorkerEntry({ workerId: 'unsteady', capacity: { ...CAPACITY } }))
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -57,7 +57,7 @@
  */
 export class RestartReservations {
   private readonly reservations = new Map<TaskRecord, Reservation>()
-  /** Monotonic time before which no worker is searched for, by the size of the task. */
+  /** Monotonic time before which no worker is searched for, by the service and the size of the task. */
   private readonly retryTimes = new Map<string, number>()
   private services = new Map<string, ServiceWorkers>()
   private nextSearchAt = -Infinity
@@ -99,7 +99,7 @@
    */
   suspend (now: number): void {
     this.services = new Map()
-    for (const [size, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(size)
+    for (const [key, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(key)
     for (const reservation of this.reservations.values()) setApplied(reservation, null)
   }
 
@@ -167,7 +167,8 @@
     task: TaskRecord, service: ServiceWorkers, conditions: ChoiceConditions, earlier: WorkerRecord | null
   ): WorkerRecord | null {
     const size = getSizeKey(task.step)
-    if (this.retryTimes.has(size)) return null
+    const retryKey = `${JSON.stringify(conditions.serviceName)} ${size}`
+    if (this.retryTimes.has(retryKey)) return null
     let ranking = service.rankings.get(size)
     if (ranking === undefined) {
       if (conditions.now < this.nextSearchAt) return null
@@ -177,7 +178,7 @@
     }
     const reserved = new Set([...this.reservations.values()].map(({ worker }) => worker))
     const [worker, other] = ranking.filter(candidate => !reserved.has(candidate))
-    if (worker === undefined) this.retryTimes.set(size, conditions.now + RETRY_MILLISECONDS)
+    if (worker === undefined) this.retryTimes.set(retryKey, conditions.now + RETRY_MILLISECONDS)
     return (worker === earlier ? other : null) ?? worker ?? null
   }
 
