Count reserved workers by label too

Reservations were limited to a quarter of the workers of a service. Restarts that need a label, or find room only on workers with it, could reserve all workers with that label, so that no other work with the label started until the room was free. The share is applied to the workers with each label as well, rounded up as that of the service.

Measured: of four workers with a label, four were reserved on by four restarts, with and without the label, and one with the change; the restarts are back within 6 s in both cases.

--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -113,6 +113,31 @@
   assert.deepEqual(site.getTasksAway('watch'), [])
 })
 
+// Reservations were counted by service, so that all of the few workers with a label could be reserved.
+test('at most a quarter of the workers with a label are reserved, for restarts with and without the label', () => {
+  for (const requiredLabel of ['b', '']) {
+    const site = PlannedSite.create({
+      seed: 1, workerCount: 24, capacity: CAPACITY, getLabels: index => index < 8 ? ['b'] : ['a']
+    })
+    // The other workers have no room for the restarts.
+    site.submit('fixed', [{ ...WATCH, taskCount: 16, requiredLabel: 'a' }])
+    site.advance(1000)
+    site.submit('watch', [{ ...WATCH, processorsMilli: 2000, taskCount: 8, requiredLabel }])
+    site.advance(1000)
+    site.submit('short', [{ ...SHORT, taskCount: 100_000 }])
+    site.advance(3000)
+    const getLabelled = () => site.workers.filter(({ entry }) => entry.labels.includes('b'))
+    for (const worker of getLabelled().slice(0, 4)) site.removeWorker(worker)
+    let longestReserved = 0
+    site.advance(6000, () => {
+      const reservedCount = getLabelled().filter(({ reservingTask }) => reservingTask !== null).length
+      longestReserved = Math.max(longestReserved, reservedCount)
+    })
+    assert.equal(longestReserved, 1)
+    assert.deepEqual(site.getTasksAway('watch'), [])
+  }
+})
+
 test('restarts that are larger than any worker reserve nothing and hold up no others', () => {
   const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY })
   const large = site.engine.setWorker(createWorkerEntry({
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -6,7 +6,7 @@
 import type { PendingOrders } from './PendingOrders.js'
 import { countRunsOfStep, isUnsteady, NO_CAPACITY, type WorkerRecord } from './WorkerRecord.js'
 
-/** The share of the workers of a service that may be reserved at a time, so that other work goes on. */
+/** The share of the workers of a service, and of those with a label, that may be reserved, so other work goes on. */
 const RESERVED_WORKER_SHARE = 0.25
 /** A reservation whose task has not started by then ends, and the task reserves another worker. */
 const RESERVATION_MILLISECONDS = 3000
@@ -43,6 +43,8 @@
   eligible: WorkerRecord[]
   /** The number of further workers that may be reserved. */
   remaining: number
+  /** The same for the workers with each label. */
+  remainingByLabel: Map<string, number>
   /** The workers that can get room, by the size of the task, the first to have it first. */
   rankings: Map<string, WorkerRecord[]>
 }
@@ -120,13 +122,16 @@
     }
     this.reservations.delete(task)
     const service = this.getService(workers, conditions)
-    if (service.remaining < this.countMissing(task)) return
+    const { requiredLabel } = task.step.specification
+    const missingCount = this.countMissing(task)
+    if (service.remaining < missingCount) return
+    if (requiredLabel !== '' && (service.remainingByLabel.get(requiredLabel) ?? 0) < missingCount) return
     const worker = this.chooseWorker(task, service, conditions, existing?.worker ?? null)
     if (worker === null) return
     const reservation = { worker, madeAt: now, isApplied: false, nextStopCheckAt: now }
     this.reservations.set(task, reservation)
     setApplied(reservation, task)
-    service.remaining--
+    countReserved(service, worker)
   }
 
   /**
@@ -154,11 +159,16 @@
     const known = this.services.get(conditions.serviceName)
     if (known !== undefined) return known
     const eligible = workers.filter(worker => isEligible(worker, conditions))
-    let remaining = Math.ceil(eligible.length * RESERVED_WORKER_SHARE)
+    const service: ServiceWorkers = {
+      eligible,
+      remaining: getReservableCount(eligible.length),
+      remainingByLabel: new Map(),
+      rankings: new Map()
+    }
+    for (const [label, count] of countLabels(eligible)) service.remainingByLabel.set(label, getReservableCount(count))
     for (const { worker } of this.reservations.values()) {
-      if (worker.entry.serviceName === conditions.serviceName) remaining--
+      if (worker.entry.serviceName === conditions.serviceName) countReserved(service, worker)
     }
-    const service = { eligible, remaining, rankings: new Map<string, WorkerRecord[]>() }
     this.services.set(conditions.serviceName, service)
     return service
   }
@@ -177,7 +187,7 @@
       service.rankings.set(size, ranking)
     }
     const reserved = new Set([...this.reservations.values()].map(({ worker }) => worker))
-    const [worker, other] = ranking.filter(candidate => !reserved.has(candidate))
+    const [worker, other] = ranking.filter(candidate => !reserved.has(candidate) && mayReserve(service, candidate))
     if (worker === undefined) this.retryTimes.set(retryKey, conditions.now + RETRY_MILLISECONDS)
     return (worker === earlier ? other : null) ?? worker ?? null
   }
@@ -200,6 +210,31 @@
   }
 }
 
+function getReservableCount (workerCount: number): number {
+  return Math.ceil(workerCount * RESERVED_WORKER_SHARE)
+}
+
+/** Returns the number of workers with each label. */
+function countLabels (workers: readonly WorkerRecord[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { entry } of workers) {
+    for (const label of new Set(entry.labels)) counts.set(label, (counts.get(label) ?? 0) + 1)
+  }
+  return counts
+}
+
+function countReserved (service: ServiceWorkers, { entry }: WorkerRecord): void {
+  service.remaining--
+  for (const label of new Set(entry.labels)) {
+    service.remainingByLabel.set(label, (service.remainingByLabel.get(label) ?? 0) - 1)
+  }
+}
+
+/** Returns whether one more worker with each label of a worker may be reserved. */
+function mayReserve ({ remainingByLabel }: ServiceWorkers, { entry }: WorkerRecord): boolean {
+  return entry.labels.every(label => (remainingByLabel.get(label) ?? 0) > 0)
+}
+
 /** Makes a reservation keep room for its task, or leave the room to all. */
 function setApplied (reservation: Reservation, task: TaskRecord | null): void {
   const { worker } = reservation
