Reserve workers for all members of a gang or for none

A long-running gang whose members wait reserved what it could get when there were fewer workers that could get room than members. It could not start, but best-effort runs on the reserved workers were stopped for it after 2 s, again each time the reservations moved, for as long as it waited.

The first member reserves for all of them now, once a plan, and none when there are too few workers or when a reservation cannot be replaced. This also ends a search through all members for each member in each plan.

Measured: the test fails on (workers are reserved) and passes with the change.

--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -1,4 +1,4 @@
-import type { RunRecord, TaskRecord } from '../jobs/index.js'
+import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
 import type { DispatchObserver } from './DispatchObserver.js'
 import { estimateRemaining, estimateTimeUntilFit, mayStopForRestart, selectRunsToStop } from './estimateRoom.js'
@@ -40,6 +40,7 @@
 
 /** The workers of one service during one plan. */
 interface ServiceWorkers {
+  name: string
   eligible: WorkerRecord[]
   /** The number of further workers that may be reserved. */
   remaining: number
@@ -62,6 +63,8 @@
   /** Monotonic time before which no worker is searched for, by the service and the size of the task. */
   private readonly retryTimes = new Map<string, number>()
   private services = new Map<string, ServiceWorkers>()
+  /** The gangs whose reservations were decided in this plan. */
+  private gangs = new Set<StepRecord>()
   private nextSearchAt = -Infinity
 
   private constructor (private readonly options: RestartReservationsOptions) {}
@@ -101,37 +104,32 @@
    */
   suspend (now: number): void {
     this.services = new Map()
+    this.gangs = new Set()
     for (const [key, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(key)
     for (const reservation of this.reservations.values()) setApplied(reservation, null)
   }
 
   /**
-   * Reserves a worker for a restart that fits nowhere, or keeps the worker that it has.
+   * Reserves a worker for a restart that fits nowhere, or keeps the worker that it has. The first member of a gang does
+   * so for all of them, or for none when there are too few workers.
    * @param task The task, which waits.
    * @param workers All workers.
    * @param conditions The conditions of the choice.
    */
   reserve (task: TaskRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions): void {
-    if (task.step.specification.gang && !isGangWaiting(task)) return
-    const { now } = conditions
-    const existing = this.reservations.get(task)
-    if (existing !== undefined && isUsable(existing, conditions)) {
-      setApplied(existing, task)
-      this.stopRuns(task, existing, now)
-      return
-    }
-    this.reservations.delete(task)
+    const members = this.getMembers(task)
+    if (members.length === 0 || this.keep(members, conditions)) return
     const service = this.getService(workers, conditions)
+    const earlier = members.map(member => this.drop(member, service))
     const { requiredLabel } = task.step.specification
-    const missingCount = this.countMissing(task)
-    if (service.remaining < missingCount) return
-    if (requiredLabel !== '' && (service.remainingByLabel.get(requiredLabel) ?? 0) < missingCount) return
-    const worker = this.chooseWorker(task, service, conditions, existing?.worker ?? null)
-    if (worker === null) return
-    const reservation = { worker, madeAt: now, isApplied: false, nextStopCheckAt: now }
-    this.reservations.set(task, reservation)
-    setApplied(reservation, task)
-    countReserved(service, worker)
+    if (service.remaining < members.length) return
+    if (requiredLabel !== '' && (service.remainingByLabel.get(requiredLabel) ?? 0) < members.length) return
+    const chosen = this.chooseWorkers(members, service, conditions, new Set(earlier))
+    for (const [index, worker] of chosen.entries()) {
+      const reservation = { worker, madeAt: conditions.now, isApplied: false, nextStopCheckAt: conditions.now }
+      this.reservations.set(members[index], reservation)
+      setApplied(reservation, members[index])
+    }
   }
 
   /**
@@ -147,12 +145,34 @@
     }
   }
 
-  /** Returns how many workers a task needs; a gang reserves workers for all members or for none. */
-  private countMissing ({ step }: TaskRecord): number {
-    if (!step.specification.gang) return 1
-    let count = step.tasks.count
-    for (const member of step.tasks.getAllCreated()) if (this.reservations.has(member)) count--
-    return count
+  /** Returns the tasks that reserve together; none when the gang of the task has reserved or is not started. */
+  private getMembers (task: TaskRecord): TaskRecord[] {
+    const { step } = task
+    if (!step.specification.gang) return [task]
+    if (this.gangs.has(step) || !isGangWaiting(task)) return []
+    this.gangs.add(step)
+    return step.tasks.createAll()
+  }
+
+  /** Applies the reservations of tasks again; returns whether all of them have a usable one. */
+  private keep (members: readonly TaskRecord[], conditions: ChoiceConditions): boolean {
+    const existing = members.flatMap(member => this.reservations.get(member) ?? [])
+    const isUsableFor = (reservation: Reservation): boolean => isUsable(reservation, conditions)
+    if (existing.length < members.length || !existing.every(isUsableFor)) return false
+    for (const [index, reservation] of existing.entries()) {
+      setApplied(reservation, members[index])
+      this.stopRuns(members[index], reservation, conditions.now)
+    }
+    return true
+  }
+
+  /** Ends the reservation of a task that waits; returns its worker. */
+  private drop (task: TaskRecord, service: ServiceWorkers): WorkerRecord | null {
+    const reservation = this.reservations.get(task)
+    if (reservation === undefined) return null
+    this.reservations.delete(task)
+    if (reservation.worker.entry.serviceName === service.name) countReserved(service, reservation.worker, -1)
+    return reservation.worker
   }
 
   private getService (workers: readonly WorkerRecord[], conditions: ChoiceConditions): ServiceWorkers {
@@ -160,6 +180,7 @@
     if (known !== undefined) return known
     const eligible = workers.filter(worker => isEligible(worker, conditions))
     const service: ServiceWorkers = {
+      name: conditions.serviceName,
       eligible,
       remaining: getReservableCount(eligible.length),
       remainingByLabel: new Map(),
@@ -173,23 +194,36 @@
     return service
   }
 
-  private chooseWorker (
-    task: TaskRecord, service: ServiceWorkers, conditions: ChoiceConditions, earlier: WorkerRecord | null
-  ): WorkerRecord | null {
+  /** Chooses a worker for each of the tasks of one step, earlier ones last; returns none when there are too few. */
+  private chooseWorkers (
+    members: readonly TaskRecord[], service: ServiceWorkers, conditions: ChoiceConditions,
+    earlier: ReadonlySet<WorkerRecord | null>
+  ): WorkerRecord[] {
+    const [task] = members
     const size = getSizeKey(task.step)
-    const retryKey = `${JSON.stringify(conditions.serviceName)} ${size}`
-    if (this.retryTimes.has(retryKey)) return null
+    const retryKey = `${JSON.stringify(service.name)} ${size}`
+    if (this.retryTimes.has(retryKey)) return []
     let ranking = service.rankings.get(size)
     if (ranking === undefined) {
-      if (conditions.now < this.nextSearchAt) return null
+      if (conditions.now < this.nextSearchAt) return []
       this.nextSearchAt = conditions.now + SEARCH_INTERVAL_MILLISECONDS
       ranking = rankWorkers(task, service.eligible, conditions)
       service.rankings.set(size, ranking)
     }
     const reserved = new Set([...this.reservations.values()].map(({ worker }) => worker))
-    const [worker, other] = ranking.filter(candidate => !reserved.has(candidate) && mayReserve(service, candidate))
-    if (worker === undefined) this.retryTimes.set(retryKey, conditions.now + RETRY_MILLISECONDS)
-    return (worker === earlier ? other : null) ?? worker ?? null
+    const candidates = ranking.filter(candidate => !reserved.has(candidate))
+      .toSorted((left, right) => Number(earlier.has(left)) - Number(earlier.has(right)))
+    const chosen: WorkerRecord[] = []
+    for (const worker of candidates) {
+      if (chosen.length === members.length) break
+      if (!mayReserve(service, worker)) continue
+      countReserved(service, worker)
+      chosen.push(worker)
+    }
+    if (chosen.length === members.length) return chosen
+    for (const worker of chosen) countReserved(service, worker, -1)
+    this.retryTimes.set(retryKey, conditions.now + RETRY_MILLISECONDS)
+    return []
   }
 
   private stopRuns (task: TaskRecord, reservation: Reservation, now: number): void {
@@ -223,10 +257,11 @@
   return counts
 }
 
-function countReserved (service: ServiceWorkers, { entry }: WorkerRecord): void {
-  service.remaining--
+/** Counts a worker as reserved, or with the sign -1 as no longer reserved. */
+function countReserved (service: ServiceWorkers, { entry }: WorkerRecord, sign: 1 | -1 = 1): void {
+  service.remaining -= sign
   for (const label of new Set(entry.labels)) {
-    service.remainingByLabel.set(label, (service.remainingByLabel.get(label) ?? 0) - 1)
+    service.remainingByLabel.set(label, (service.remainingByLabel.get(label) ?? 0) - sign)
   }
 }
 
--- a/src/dispatch/crowdedRestarts.test.ts
+++ b/src/dispatch/crowdedRestarts.test.ts
@@ -96,3 +96,20 @@
     assert.ok(stoppedNames.length > 0 && stoppedNames.every(name => name.startsWith('other')), stoppedNames.join())
   }
 })
+
+// A gang reserved what it could get, and best-effort runs were stopped there again and again.
+test('a gang for which there are too few workers reserves none and stops no run', () => {
+  const site = PlannedSite.create({ ...SITE, seed: 1, workerCount: 15 })
+  site.submit('watch', [{ ...WATCH, processorsMilli: 9600, memoryMegabytes: 40_000, taskCount: 3, gang: true }])
+  site.submit('fixed', [{ ...WATCH, processorsMilli: 9600, memoryMegabytes: 60_000, taskCount: 10 }])
+  site.advance(1000)
+  const isMember = (name: string) => name.startsWith('watch')
+  const watching = site.workers.filter(({ runs }) => [...runs.values()].some(({ task }) => isMember(task.name)))
+  site.submit('other', [{ ...BEST_EFFORT, taskCount: 1000 }])
+  site.advance(1000)
+  for (const worker of watching) site.removeWorker(worker)
+  site.advance(20_000, () => {
+    for (const { reservingTask } of site.workers) assert.equal(reservingTask, null)
+  })
+  assert.deepEqual(site.stoppedNames, [])
+})
