Expect runs that exceed their estimates to go on

A run that had exceeded its estimate counted as about to end. Where estimates are far too low, the reservation of a restart alternated between the workers of two such runs, which became free much later, and never reached a worker whose runs did end.

The remaining time is the later one of what the estimate and the progress so far say; a run that exceeds both is expected to go on for as long as it has exceeded them.

Measured: beside two runs of 60 s that were estimated at 100 ms, the restart is away for the whole 6 s of the test on and back within them with the change. With an estimate of 1 s the test passed before, too: the progress, in whole percent, moved the expected end.

--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -60,6 +60,26 @@
   }
 })
 
+// Runs that exceeded their estimates counted as about to end, so that the reservation alternated between their workers.
+test('a restart does not wait for workers whose runs exceed their estimates by far', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 5,
+    capacity: CAPACITY,
+    getDurationMilliseconds: ({ task }) => task.name.startsWith('wrong') ? 60_000 : null
+  })
+  site.submit('watch', [WATCH])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  site.submit('wrong', [{ ...SHORT, processorsMilli: 4000, estimateMilliseconds: 100, taskCount: 2 }])
+  site.advance(100)
+  site.submit('short', [{ ...SHORT, taskCount: 1000 }])
+  site.advance(3000)
+  site.removeWorker(watching)
+  site.advance(6000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
 test('a reservation ends when the task starts on another worker or its job is cancelled', () => {
   const placed = createFullSite(10_000)
   placed.advance(20)
--- a/src/dispatch/estimateRoom.test.ts
+++ b/src/dispatch/estimateRoom.test.ts
@@ -81,3 +81,14 @@
   assert.equal(estimate(3000, 400), 2600)
   assert.equal(estimate(4000, 400), Infinity)
 })
+
+test('expects a run that exceeds its estimate to end by its progress, or to go on for as long as it has exceeded it', () => {
+  const { worker: { runs } } = createWorker([
+    { step: { estimateMilliseconds: 1000 } }, { step: { estimateMilliseconds: 1000 }, percent: 10 }
+  ], {})
+  const [unknown, slow] = [...runs.values()]
+  assert.equal(estimateRemaining(unknown, 3000), 2000)
+  slow.progressedAt = 3000
+  assert.equal(estimateRemaining(slow, 3000), 27_000)
+  assert.equal(estimateRemaining(slow, 13_000), 17_000)
+})
--- a/src/dispatch/estimateRoom.ts
+++ b/src/dispatch/estimateRoom.ts
@@ -5,19 +5,22 @@
 const FULL_PACE_PERCENT = 100
 
 /**
- * Estimates the time until a run ends by itself.
+ * Estimates the time until a run ends by itself, from the estimate of its submitter and its progress, of which the
+ * later end counts. A run that exceeds both is expected to go on for as long as it has exceeded them.
  * @param run The run.
  * @param now The monotonic time.
  * @returns Milliseconds, 0 for a run that is being stopped, and Infinity for one that does not end.
  */
 export function estimateRemaining (run: RunRecord, now: number): number {
   const { longRunning, estimateMilliseconds } = run.task.step.specification
+  const { percent, progressedAt, startedAt } = run
   if (run.state === 'stopping') return 0
   if (longRunning) return Infinity
   const pacePercent = run.pacePercent < 0 ? FULL_PACE_PERCENT : run.pacePercent
   if (pacePercent === 0) return Infinity
-  const remaining = estimateMilliseconds * (100 - run.percent) / pacePercent
-  return Math.max(0, remaining - (now - run.progressedAt))
+  const estimated = estimateMilliseconds * (100 - percent) / pacePercent
+  const observed = percent > 0 ? (progressedAt - startedAt) * (100 - percent) / percent : 0
+  return Math.abs(Math.max(estimated, observed) - (now - progressedAt))
 }
 
 /**
--- a/stand-ins/platform/PlannedSite.ts
+++ b/stand-ins/platform/PlannedSite.ts
@@ -15,6 +15,8 @@
   getLabels? (index: number): string[]
   /** The number of starts of each plan; no limit by default. */
   startLimit?: number
+  /** Returns the actual duration of a run, or null for one near its estimate, as is the default. */
+  getDurationMilliseconds? (run: RunRecord): number | null
   /** Returns the outcome of a start; workers accept all by default. */
   getStartOutcome? (run: RunRecord): OrderOutcome
   observer?: DispatchObserver
@@ -127,7 +129,8 @@
     const { specification, occurrence: { job } } = run.task.step
     const [prefix] = job.submission.jobId.split('-', 1)
     this.startCounts.set(prefix, (this.startCounts.get(prefix) ?? 0) + 1)
-    const duration = specification.estimateMilliseconds * (1 + DURATION_SPREAD * (2 * this.random() - 1))
+    const duration = this.options.getDurationMilliseconds?.(run) ??
+      specification.estimateMilliseconds * (1 + DURATION_SPREAD * (2 * this.random() - 1))
     this.endTimes.set(run, specification.longRunning ? Infinity : this.now + duration)
     const outcome = this.options.getStartOutcome?.(run) ?? { kind: 'accepted', workerMilliseconds: this.now }
     this.engine.applyStartOutcome(worker, run, outcome, this.now)
@@ -148,7 +151,8 @@
     this.endCounts.set(worker, number)
     const running = runs.filter(run => !isOver(run)).map(run => {
       const { estimateMilliseconds, processorsMilli } = run.task.step.specification
-      const percent = Math.min(99, Math.floor((now - run.startedAt) * 100 / estimateMilliseconds))
+      const duration = this.options.getDurationMilliseconds?.(run) ?? estimateMilliseconds
+      const percent = Math.min(99, Math.floor((now - run.startedAt) * 100 / duration))
       return { taskName: run.task.name, attempt: run.attempt, checkpoint: '', percent, usageFigure: processorsMilli }
     })
     this.engine.applyReport(worker, { workerMilliseconds: now, bornAtMilliseconds: 1, running, ended }, now - 1, now)
