Stop no best-effort run for a restart that ends at once by itself

The runs to stop for a restart were selected without regard to when they end. A run with checkpoints that ends within the time that a stop takes was stopped first, and one more run than needed was stopped beside runs that end at once.

--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -240,3 +240,24 @@
     assert.ok(waitMilliseconds >= 2000, `stopped after ${waitMilliseconds} ms`)
   }
 })
+
+// The selection of the runs to stop did not consider when they end by themselves.
+test('a restart whose room becomes free soon but for one run stops only that run', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 2,
+    capacity: CAPACITY,
+    getDurationMilliseconds: ({ task }) => task.step.specification.estimateMilliseconds
+  })
+  site.submit('watch', [{ ...WATCH, memoryMegabytes: 12_000 }])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  const bestEffort = { memoryMegabytes: 8000, processorsMilli: 500, fills: true }
+  site.submit('ending', [{ ...bestEffort, checkpointing: true, estimateMilliseconds: 2500 }])
+  site.submit('lasting', [{ ...bestEffort, estimateMilliseconds: 60_000 }])
+  site.advance(100)
+  site.removeWorker(watching)
+  site.advance(4000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+  assert.deepEqual(site.stoppedNames, ['lasting-2.0.0.0'])
+})
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -234,7 +234,8 @@
     setApplied(reservation, null)
     const remaining = estimateTimeUntilFit(worker, task, run => estimateRemaining(run, now))
     if (remaining > STOP_MILLISECONDS) {
-      for (const run of selectRunsToStop(worker, task)) {
+      const isEnding = (run: RunRecord): boolean => estimateRemaining(run, now) <= STOP_MILLISECONDS
+      for (const run of selectRunsToStop(worker, task, isEnding)) {
         this.options.orders.stop(worker, run)
         this.options.getObserver().onRunStoppedForRestart(run, task, now)
         reservation.madeAt = now
--- a/src/dispatch/estimateRoom.ts
+++ b/src/dispatch/estimateRoom.ts
@@ -60,12 +60,15 @@
  * Selects best-effort runs whose stop lets a task fit into a worker, those with the least progress to lose first.
  * @param worker The worker.
  * @param task The task.
+ * @param isEnding Returns whether a run ends as soon by itself; one that is being stopped does by default.
  * @returns The runs; none when the task does not fit after the stop of all that may be stopped.
  */
-export function selectRunsToStop (worker: WorkerRecord, task: TaskRecord): RunRecord[] {
+export function selectRunsToStop (
+  worker: WorkerRecord, task: TaskRecord, isEnding = (run: RunRecord): boolean => run.state === 'stopping'
+): RunRecord[] {
   const missing = getMissingCapacity(worker, task)
-  for (const run of worker.runs.values()) if (run.state === 'stopping') subtractRun(missing, run)
-  const candidates = [...worker.runs.values()].filter(mayStopForRestart)
+  for (const run of worker.runs.values()) if (isEnding(run)) subtractRun(missing, run)
+  const candidates = [...worker.runs.values()].filter(run => mayStopForRestart(run) && !isEnding(run))
     .sort((left, right) => getLostWork(left) - getLostWork(right))
   const selected: RunRecord[] = []
   for (const run of candidates) {
