Put only the begun occurrences of a scheduled job before other jobs

Other jobs of a queue or priority waited without end beside a scheduled job whose occurrences overlap: jobs that have begun precede the others, and a scheduled job counted as begun, with all of its due occurrences, while one of them ran. It never counts as late, so that this did not end.

Only the occurrences that have begun are completed first; the others start in the order of the shares of sizes, each counted by itself.

--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,7 +1,7 @@
-import { isStepReady, type JobRecord, type TaskRecord } from '../jobs/index.js'
+import { isStepReady, type JobRecord, type OccurrenceRecord, type TaskRecord } from '../jobs/index.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
 import type { JobTable } from './JobTable.js'
-import { hasStartedTask } from './hasStartedTask.js'
+import { hasStartedOccurrence, hasStartedTask } from './hasStartedTask.js'
 import { compareSlack, getTotalWork, rankJobs, type RankedJob } from './rankJobs.js'
 import type { RestartReservations } from './RestartReservations.js'
 import { SizeClassShares } from './SizeClassShares.js'
@@ -73,7 +73,8 @@
 
 /**
  * Places the jobs of one priority: those that have begun and can end in time, the others that can, in the order of the
- * shares of their sizes, and all others in the order of their rank.
+ * shares of their sizes, and all others in the order of their rank. Of a scheduled job, only the occurrences that have
+ * begun come first, or one whose occurrences overlap would leave nothing to others.
  * A job that is too large for the site is among these, so that it delays no others by work that is wasted.
  */
 function placeJobs (ranked: readonly RankedJob[], shares: SizeClassShares, context: PlanContext): void {
@@ -83,27 +84,35 @@
   const unstarted: RankedJob[] = []
   const others: RankedJob[] = []
   for (const row of ranked) {
-    if (row.isLongRunning || isTooLarge(row, processorsMilli)) others.push(row)
-    else if (shouldComplete(row)) begun.push(row)
-    else if (row.timeliness.urgency === 'in-time') unstarted.push(row)
+    if (row.isLongRunning || isTooLarge(row, processorsMilli)) {
+      others.push(row)
+      continue
+    }
+    const isBegun = shouldComplete(row)
+    if (isBegun) begun.push(row)
+    if (isBegun && row.job.submission.specification.repeatCount === 0) continue
+    if (row.timeliness.urgency === 'in-time') unstarted.push(row)
     else others.push(row)
   }
   unstarted.sort(compareSlack)
   const waiting = unstarted.map(({ job, timeliness: { isStarved } }) => ({ job, isStarved }))
-  placeInOrder(begun.map(({ job }) => job), context)
+  placeInOrder(begun.flatMap(({ job }) => [...job.occurrences.values()].filter(hasStartedOccurrence)), context)
   for (const job of shares.selectJobs(waiting, now)) {
-    if (plan.isFull) return
-    const { startCount } = plan
-    placeJob(job, context)
-    if (plan.startCount > startCount) shares.recordStart(job)
+    for (const occurrence of job.occurrences.values()) {
+      if (plan.isFull) return
+      if (hasStartedOccurrence(occurrence)) continue
+      const { startCount } = plan
+      placeOccurrence(occurrence, context)
+      if (plan.startCount > startCount) shares.recordStart(job)
+    }
   }
-  placeInOrder(others.map(({ job }) => job), context)
+  placeInOrder(others.flatMap(({ job }) => [...job.occurrences.values()]), context)
 }
 
-function placeInOrder (jobs: readonly JobRecord[], context: PlanContext): void {
-  for (const job of jobs) {
+function placeInOrder (occurrences: readonly OccurrenceRecord[], context: PlanContext): void {
+  for (const occurrence of occurrences) {
     if (context.plan.isFull) return
-    placeJob(job, context)
+    placeOccurrence(occurrence, context)
   }
 }
 
@@ -131,13 +140,11 @@
   }
 }
 
-function placeJob (job: JobRecord, { plan, getServiceName }: PlanContext): void {
+function placeOccurrence ({ job, steps }: OccurrenceRecord, { plan, getServiceName }: PlanContext): void {
   const serviceName = getServiceName(job)
-  for (const occurrence of job.occurrences.values()) {
-    for (const step of occurrence.steps) {
-      if (step.tasks.remainingCount === 0 || !isStepReady(step)) continue
-      plan.placeStep(step, serviceName)
-      if (plan.isFull) return
-    }
+  for (const step of steps) {
+    if (step.tasks.remainingCount === 0 || !isStepReady(step)) continue
+    plan.placeStep(step, serviceName)
+    if (plan.isFull) return
   }
 }
