Count the occurrences of a scheduled job as arrivals when they are due

An occurrence of a scheduled job but its first counted as an arrival when it started. All arrivals of its class had started, so the class had the highest share, and in a lasting overload the job got hardly any starts.

Each occurrence counts when it is due and first passed. A start that repeats a withdrawn or refused one still counts as a further arrival, now with its work.

--- a/src/dispatch/SizeClassShares.ts
+++ b/src/dispatch/SizeClassShares.ts
@@ -32,7 +32,16 @@
   work: number
 }
 
-/** A job without a started task. */
+/** What was counted of a job. */
+interface CountedJob {
+  sizeClass: SizeClass
+  /** The occurrences with lower numbers are counted. */
+  nextOccurrenceNumber: number
+  arrivedCount: number
+  startedCount: number
+}
+
+/** A job with an occurrence that has not begun. */
 export interface UnstartedJob {
   job: JobRecord
   /** Whether the job has waited for so long that it counts as in time again. */
@@ -51,8 +60,7 @@
 export class SizeClassShares {
   private readonly queues = new Map<string, QueueTotals>()
   private readonly classes = new Map<string, SizeClass>()
-  private readonly classesOfJobs = new WeakMap<JobRecord, SizeClass>()
-  private readonly startedJobs = new WeakSet<JobRecord>()
+  private readonly countedJobs = new WeakMap<JobRecord, CountedJob>()
   private updatedAt = -Infinity
 
   private constructor () {}
@@ -66,16 +74,16 @@
   }
 
   /**
-   * Records the first start of a job without a started task. A later one is that of a further occurrence, which counts
-   * as a further arrival.
+   * Records the first start of an occurrence of a job.
    * @param job The job.
    */
   recordStart (job: JobRecord): void {
-    const sizeClass = this.classesOfJobs.get(job)
-    if (sizeClass === undefined) return
-    if (this.startedJobs.has(job)) sizeClass.arrivedCount++
-    this.startedJobs.add(job)
-    sizeClass.startedCount++
+    const counted = this.countedJobs.get(job)
+    if (counted === undefined) return
+    counted.startedCount++
+    counted.sizeClass.startedCount++
+    // The first start was withdrawn, or an occurrence was due before an earlier owner ended.
+    if (counted.startedCount > counted.arrivedCount) countArrivals(counted, 1, getTotalWork(job))
   }
 
   /**
@@ -132,19 +140,20 @@
     return arrived > 0 ? started / arrived : 1
   }
 
+  /** Counts a job, and each further occurrence of a scheduled one, when it is passed for the first time. */
   private recordArrival (job: JobRecord, isStarved: boolean): SizeClass {
-    const existing = this.classesOfJobs.get(job)
-    if (existing !== undefined && existing.isStarved === isStarved) return existing
+    const existing = this.countedJobs.get(job)
+    const isKnown = existing !== undefined && existing.sizeClass.isStarved === isStarved
+    const { nextOccurrenceNumber } = job
+    const newCount = isKnown ? nextOccurrenceNumber - existing.nextOccurrenceNumber : 1
+    if (isKnown && newCount === 0) return existing.sizeClass
     const work = getTotalWork(job)
-    const sizeClass = this.getClass(job, work, isStarved)
-    this.classesOfJobs.set(job, sizeClass)
-    sizeClass.arrivedCount++
-    sizeClass.arrivedWork += work
-    if (!isStarved) {
-      sizeClass.queue.count++
-      sizeClass.queue.work += work
-    }
-    return sizeClass
+    const counted = isKnown ? existing : { arrivedCount: 0, startedCount: 0 }
+    // The class of a job whose last occurrence was long ago may be a new one.
+    const updated = { ...counted, nextOccurrenceNumber, sizeClass: this.getClass(job, work, isStarved) }
+    this.countedJobs.set(job, updated)
+    countArrivals(updated, newCount, work)
+    return updated.sizeClass
   }
 
   private getClass (job: JobRecord, work: number, isStarved: boolean): SizeClass {
@@ -177,6 +186,16 @@
   }
 }
 
+function countArrivals (counted: CountedJob, count: number, work: number): void {
+  const { sizeClass } = counted
+  counted.arrivedCount += count
+  sizeClass.arrivedCount += count
+  sizeClass.arrivedWork += count * work
+  if (sizeClass.isStarved) return
+  sizeClass.queue.count += count
+  sizeClass.queue.work += count * work
+}
+
 /** Returns the worth per unit of work of the jobs of a class, relative to a job of the mean size of its queue. */
 function getAdvantage ({ queue, arrivedCount, arrivedWork, isStarved }: SizeClass): number {
   if (isStarved) return STARVED_ADVANTAGE
--- a/src/dispatch/scheduledJobs.test.ts
+++ b/src/dispatch/scheduledJobs.test.ts
@@ -47,3 +47,10 @@
   assert.ok(singleShare > 0.25, `${singleShare} of the single jobs, ${scheduledShare} of the occurrences`)
   assert.ok(scheduledShare > 0.1, `${singleShare} of the single jobs, ${scheduledShare} of the occurrences`)
 })
+
+// An occurrence counted as arrived only when it started, so that the class of the job always had the highest share.
+test('occurrences of a scheduled job start beside other jobs in a lasting overload', () => {
+  const { singleShare, scheduledShare } = playSchedule({ ...SMALL }, 2000, () => 4)
+  assert.ok(singleShare > 0.25, `${singleShare} of the single jobs, ${scheduledShare} of the occurrences`)
+  assert.ok(scheduledShare > 0.2, `${singleShare} of the single jobs, ${scheduledShare} of the occurrences`)
+})
