--- a/src/dispatch/RestartReservations.test.ts
+++ b/src/dispatch/RestartReservations.test.ts
@@ -60,6 +60,26 @@
   }
 })
 
+// Runs that exceeded their estimates counted as about to end, so that the reservation alternated between their workers.
+test('a restart does not wait for workers whose runs exceed their estimates by far', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 5,
+    capacity: CAPACITY,
+    getDurationMilliseconds: ({ task }) => task.name.startsWith('wrong') ? 60_000 : null
+  })
+  site.submit('watch', [WATCH])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  site.submit('wrong', [{ ...SHORT, processorsMilli: 4000, estimateMilliseconds: 100, taskCount: 2 }])
+  site.advance(100)
+  site.submit('short', [{ ...SHORT, taskCount: 1000 }])
+  site.advance(3000)
+  site.removeWorker(watching)
+  site.advance(6000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
 test('a reservation ends when the task starts on another worker or its job is cancelled', () => {
   const placed = createFullSite(10_000)
   placed.advance(20)
@@ -113,6 +133,31 @@
   assert.deepEqual(site.getTasksAway('watch'), [])
 })
 
+// Reservations were counted by service, so that all of the few workers with a label could be reserved.
+test('at most a quarter of the workers with a label are reserved, for restarts with and without the label', () => {
+  for (const requiredLabel of ['b', '']) {
+    const site = PlannedSite.create({
+      seed: 1, workerCount: 24, capacity: CAPACITY, getLabels: index => index < 8 ? ['b'] : ['a']
+    })
+    // The other workers have no room for the restarts.
+    site.submit('fixed', [{ ...WATCH, taskCount: 16, requiredLabel: 'a' }])
+    site.advance(1000)
+    site.submit('watch', [{ ...WATCH, processorsMilli: 2000, taskCount: 8, requiredLabel }])
+    site.advance(1000)
+    site.submit('short', [{ ...SHORT, taskCount: 100_000 }])
+    site.advance(3000)
+    const getLabelled = () => site.workers.filter(({ entry }) => entry.labels.includes('b'))
+    for (const worker of getLabelled().slice(0, 4)) site.removeWorker(worker)
+    let longestReserved = 0
+    site.advance(6000, () => {
+      const reservedCount = getLabelled().filter(({ reservingTask }) => reservingTask !== null).length
+      longestReserved = Math.max(longestReserved, reservedCount)
+    })
+    assert.equal(longestReserved, 1)
+    assert.deepEqual(site.getTasksAway('watch'), [])
+  }
+})
+
 test('restarts that are larger than any worker reserve nothing and hold up no others', () => {
   const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY })
   const large = site.engine.setWorker(createWorkerEntry({
@@ -135,6 +180,28 @@
   assert.deepEqual(getReserved(site), [])
 })
 
+// Restarts of one service that could get no room kept those of the same size in other services from a reservation.
+test('a restart for which its service has no worker holds up no restart of another service', () => {
+  const site = PlannedSite.create({ seed: 1, workerCount: 5, capacity: CAPACITY })
+  for (const workerId of ['archive-0', 'archive-1']) {
+    const entry = createWorkerEntry({ workerId, serviceName: 'archive', capacity: { ...CAPACITY } })
+    site.engine.setWorker(entry).registered = true
+  }
+  site.submit('archived', [{ ...WATCH, taskCount: 2 }], { serviceName: 'archive' })
+  site.submit('watch', [WATCH])
+  site.advance(100)
+  site.submit('short', [{ ...SHORT, taskCount: 1000 }])
+  site.advance(100)
+  const getWorkerOf = (prefix: string) => site.workers.find(({ runs }) =>
+    [...runs.values()].some(({ task }) => task.name.startsWith(prefix)))!
+  site.removeWorker(getWorkerOf('archived'))
+  site.advance(100)
+  site.removeWorker(getWorkerOf('watch'))
+  site.advance(6000)
+  assert.equal(site.getTasksAway('archived').length, 1)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+})
+
 test('a restart uses a worker that responds unsteadily when the steady ones have no room', () => {
   const site = createFullSite(10_000)
   const unsteady = site.engine.setWorker(createWorkerEntry({ workerId: 'unsteady', capacity: { ...CAPACITY } }))
@@ -173,3 +240,24 @@
     assert.ok(waitMilliseconds >= 2000, `stopped after ${waitMilliseconds} ms`)
   }
 })
+
+// The selection of the runs to stop did not consider when they end by themselves.
+test('a restart whose room becomes free soon but for one run stops only that run', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 2,
+    capacity: CAPACITY,
+    getDurationMilliseconds: ({ task }) => task.step.specification.estimateMilliseconds
+  })
+  site.submit('watch', [{ ...WATCH, memoryMegabytes: 12_000 }])
+  site.advance(100)
+  const watching = site.workers.find(({ runs }) => runs.size === 1)!
+  const bestEffort = { memoryMegabytes: 8000, processorsMilli: 500, fills: true }
+  site.submit('ending', [{ ...bestEffort, checkpointing: true, estimateMilliseconds: 2500 }])
+  site.submit('lasting', [{ ...bestEffort, estimateMilliseconds: 60_000 }])
+  site.advance(100)
+  site.removeWorker(watching)
+  site.advance(4000)
+  assert.deepEqual(site.getTasksAway('watch'), [])
+  assert.deepEqual(site.stoppedNames, ['lasting-2.0.0.0'])
+})
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -1,4 +1,4 @@
-import type { RunRecord, TaskRecord } from '../jobs/index.js'
+import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
 import type { DispatchObserver } from './DispatchObserver.js'
 import { estimateRemaining, estimateTimeUntilFit, mayStopForRestart, selectRunsToStop } from './estimateRoom.js'
@@ -6,7 +6,7 @@
 import type { PendingOrders } from './PendingOrders.js'
 import { countRunsOfStep, isUnsteady, NO_CAPACITY, type WorkerRecord } from './WorkerRecord.js'
 
-/** The share of the workers of a service that may be reserved at a time, so that other work goes on. */
+/** The share of the workers of a service, and of those with a label, that may be reserved, so other work goes on. */
 const RESERVED_WORKER_SHARE = 0.25
 /** A reservation whose task has not started by then ends, and the task reserves another worker. */
 const RESERVATION_MILLISECONDS = 3000
@@ -40,9 +40,12 @@
 
 /** The workers of one service during one plan. */
 interface ServiceWorkers {
+  name: string
   eligible: WorkerRecord[]
   /** The number of further workers that may be reserved. */
   remaining: number
+  /** The same for the workers with each label. */
+  remainingByLabel: Map<string, number>
   /** The workers that can get room, by the size of the task, the first to have it first. */
   rankings: Map<string, WorkerRecord[]>
 }
@@ -57,9 +60,11 @@
  */
 export class RestartReservations {
   private readonly reservations = new Map<TaskRecord, Reservation>()
-  /** Monotonic time before which no worker is searched for, by the size of the task. */
+  /** Monotonic time before which no worker is searched for, by the service and the size of the task. */
   private readonly retryTimes = new Map<string, number>()
   private services = new Map<string, ServiceWorkers>()
+  /** The gangs whose reservations were decided in this plan. */
+  private gangs = new Set<StepRecord>()
   private nextSearchAt = -Infinity
 
   private constructor (private readonly options: RestartReservationsOptions) {}
@@ -99,34 +104,32 @@
    */
   suspend (now: number): void {
     this.services = new Map()
-    for (const [size, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(size)
+    this.gangs = new Set()
+    for (const [key, time] of this.retryTimes) if (now >= time) this.retryTimes.delete(key)
     for (const reservation of this.reservations.values()) setApplied(reservation, null)
   }
 
   /**
-   * Reserves a worker for a restart that fits nowhere, or keeps the worker that it has.
+   * Reserves a worker for a restart that fits nowhere, or keeps the worker that it has. The first member of a gang does
+   * so for all of them, or for none when there are too few workers.
    * @param task The task, which waits.
    * @param workers All workers.
    * @param conditions The conditions of the choice.
    */
   reserve (task: TaskRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions): void {
-    if (task.step.specification.gang && !isGangWaiting(task)) return
-    const { now } = conditions
-    const existing = this.reservations.get(task)
-    if (existing !== undefined && isUsable(existing, conditions)) {
-      setApplied(existing, task)
-      this.stopRuns(task, existing, now)
-      return
-    }
-    this.reservations.delete(task)
+    const members = this.getMembers(task)
+    if (members.length === 0 || this.keep(members, conditions)) return
     const service = this.getService(workers, conditions)
-    if (service.remaining < this.countMissing(task)) return
-    const worker = this.chooseWorker(task, service, conditions, existing?.worker ?? null)
-    if (worker === null) return
-    const reservation = { worker, madeAt: now, isApplied: false, nextStopCheckAt: now }
-    this.reservations.set(task, reservation)
-    setApplied(reservation, task)
-    service.remaining--
+    const earlier = members.map(member => this.drop(member, service))
+    const { requiredLabel } = task.step.specification
+    if (service.remaining < members.length) return
+    if (requiredLabel !== '' && (service.remainingByLabel.get(requiredLabel) ?? 0) < members.length) return
+    const chosen = this.chooseWorkers(members, service, conditions, new Set(earlier))
+    for (const [index, worker] of chosen.entries()) {
+      const reservation = { worker, madeAt: conditions.now, isApplied: false, nextStopCheckAt: conditions.now }
+      this.reservations.set(members[index], reservation)
+      setApplied(reservation, members[index])
+    }
   }
 
   /**
@@ -142,43 +145,85 @@
     }
   }
 
-  /** Returns how many workers a task needs; a gang reserves workers for all members or for none. */
-  private countMissing ({ step }: TaskRecord): number {
-    if (!step.specification.gang) return 1
-    let count = step.tasks.count
-    for (const member of step.tasks.getAllCreated()) if (this.reservations.has(member)) count--
-    return count
+  /** Returns the tasks that reserve together; none when the gang of the task has reserved or is not started. */
+  private getMembers (task: TaskRecord): TaskRecord[] {
+    const { step } = task
+    if (!step.specification.gang) return [task]
+    if (this.gangs.has(step) || !isGangWaiting(task)) return []
+    this.gangs.add(step)
+    return step.tasks.createAll()
+  }
+
+  /** Applies the reservations of tasks again; returns whether all of them have a usable one. */
+  private keep (members: readonly TaskRecord[], conditions: ChoiceConditions): boolean {
+    const existing = members.flatMap(member => this.reservations.get(member) ?? [])
+    const isUsableFor = (reservation: Reservation): boolean => isUsable(reservation, conditions)
+    if (existing.length < members.length || !existing.every(isUsableFor)) return false
+    for (const [index, reservation] of existing.entries()) {
+      setApplied(reservation, members[index])
+      this.stopRuns(members[index], reservation, conditions.now)
+    }
+    return true
+  }
+
+  /** Ends the reservation of a task that waits; returns its worker. */
+  private drop (task: TaskRecord, service: ServiceWorkers): WorkerRecord | null {
+    const reservation = this.reservations.get(task)
+    if (reservation === undefined) return null
+    this.reservations.delete(task)
+    if (reservation.worker.entry.serviceName === service.name) countReserved(service, reservation.worker, -1)
+    return reservation.worker
   }
 
   private getService (workers: readonly WorkerRecord[], conditions: ChoiceConditions): ServiceWorkers {
     const known = this.services.get(conditions.serviceName)
     if (known !== undefined) return known
     const eligible = workers.filter(worker => isEligible(worker, conditions))
-    let remaining = Math.ceil(eligible.length * RESERVED_WORKER_SHARE)
+    const service: ServiceWorkers = {
+      name: conditions.serviceName,
+      eligible,
+      remaining: getReservableCount(eligible.length),
+      remainingByLabel: new Map(),
+      rankings: new Map()
+    }
+    for (const [label, count] of countLabels(eligible)) service.remainingByLabel.set(label, getReservableCount(count))
     for (const { worker } of this.reservations.values()) {
-      if (worker.entry.serviceName === conditions.serviceName) remaining--
+      if (worker.entry.serviceName === conditions.serviceName) countReserved(service, worker)
     }
-    const service = { eligible, remaining, rankings: new Map<string, WorkerRecord[]>() }
     this.services.set(conditions.serviceName, service)
     return service
   }
 
-  private chooseWorker (
-    task: TaskRecord, service: ServiceWorkers, conditions: ChoiceConditions, earlier: WorkerRecord | null
-  ): WorkerRecord | null {
+  /** Chooses a worker for each of the tasks of one step, earlier ones last; returns none when there are too few. */
+  private chooseWorkers (
+    members: readonly TaskRecord[], service: ServiceWorkers, conditions: ChoiceConditions,
+    earlier: ReadonlySet<WorkerRecord | null>
+  ): WorkerRecord[] {
+    const [task] = members
     const size = getSizeKey(task.step)
-    if (this.retryTimes.has(size)) return null
+    const retryKey = `${JSON.stringify(service.name)} ${size}`
+    if (this.retryTimes.has(retryKey)) return []
     let ranking = service.rankings.get(size)
     if (ranking === undefined) {
-      if (conditions.now < this.nextSearchAt) return null
+      if (conditions.now < this.nextSearchAt) return []
       this.nextSearchAt = conditions.now + SEARCH_INTERVAL_MILLISECONDS
       ranking = rankWorkers(task, service.eligible, conditions)
       service.rankings.set(size, ranking)
     }
     const reserved = new Set([...this.reservations.values()].map(({ worker }) => worker))
-    const [worker, other] = ranking.filter(candidate => !reserved.has(candidate))
-    if (worker === undefined) this.retryTimes.set(size, conditions.now + RETRY_MILLISECONDS)
-    return (worker === earlier ? other : null) ?? worker ?? null
+    const candidates = ranking.filter(candidate => !reserved.has(candidate))
+      .toSorted((left, right) => Number(earlier.has(left)) - Number(earlier.has(right)))
+    const chosen: WorkerRecord[] = []
+    for (const worker of candidates) {
+      if (chosen.length === members.length) break
+      if (!mayReserve(service, worker)) continue
+      countReserved(service, worker)
+      chosen.push(worker)
+    }
+    if (chosen.length === members.length) return chosen
+    for (const worker of chosen) countReserved(service, worker, -1)
+    this.retryTimes.set(retryKey, conditions.now + RETRY_MILLISECONDS)
+    return []
   }
 
   private stopRuns (task: TaskRecord, reservation: Reservation, now: number): void {
@@ -189,7 +234,8 @@
     setApplied(reservation, null)
     const remaining = estimateTimeUntilFit(worker, task, run => estimateRemaining(run, now))
     if (remaining > STOP_MILLISECONDS) {
-      for (const run of selectRunsToStop(worker, task)) {
+      const isEnding = (run: RunRecord): boolean => estimateRemaining(run, now) <= STOP_MILLISECONDS
+      for (const run of selectRunsToStop(worker, task, isEnding)) {
         this.options.orders.stop(worker, run)
         this.options.getObserver().onRunStoppedForRestart(run, task, now)
         reservation.madeAt = now
@@ -199,6 +245,32 @@
   }
 }
 
+function getReservableCount (workerCount: number): number {
+  return Math.ceil(workerCount * RESERVED_WORKER_SHARE)
+}
+
+/** Returns the number of workers with each label. */
+function countLabels (workers: readonly WorkerRecord[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { entry } of workers) {
+    for (const label of new Set(entry.labels)) counts.set(label, (counts.get(label) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** Counts a worker as reserved, or with the sign -1 as no longer reserved. */
+function countReserved (service: ServiceWorkers, { entry }: WorkerRecord, sign: 1 | -1 = 1): void {
+  service.remaining -= sign
+  for (const label of new Set(entry.labels)) {
+    service.remainingByLabel.set(label, (service.remainingByLabel.get(label) ?? 0) - sign)
+  }
+}
+
+/** Returns whether one more worker with each label of a worker may be reserved. */
+function mayReserve ({ remainingByLabel }: ServiceWorkers, { entry }: WorkerRecord): boolean {
+  return entry.labels.every(label => (remainingByLabel.get(label) ?? 0) > 0)
+}
+
 /** Makes a reservation keep room for its task, or leave the room to all. */
 function setApplied (reservation: Reservation, task: TaskRecord | null): void {
   const { worker } = reservation
