--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -80,7 +80,7 @@
   /** Returns the changes of a table after a version, or `compacted` if the history no longer reaches back that far. */
   getChanges (table: string, after: number): FeedOutcome {
     if (after < this.compactedTo) return { kind: 'compacted' }
-    const changes = this.history.filter(change => change.table === table && change.version > after)
+    const changes = this.history.slice(this.findFirstChangeAfter(after)).filter(change => change.table === table)
     return { kind: 'changes', changes, version: this.version }
   }
 
@@ -102,6 +102,18 @@
     })
   }
 
+  /** Returns the position of the first change after a version in the history, which is sorted by version. */
+  private findFirstChangeAfter (version: number): number {
+    let low = 0
+    let high = this.history.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if (this.history[middle].version <= version) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+
   private applyOperation (operation: Operation): void {
     const { table, key } = operation
     const name = getRowName(operation)
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -10,6 +10,8 @@
   durationMilliseconds: number
   /** Number of runs of the task that fail before one succeeds. */
   failureCount: number
+  /** Time between two checkpoints of a run; by default, runs make none. */
+  checkpointMilliseconds?: number
 }
 
 /** Faults that a test injects; all may be changed at any time. */
@@ -150,7 +152,7 @@
         running: [...this.runs.values()].map(run => ({
           taskName: run.taskName,
           attempt: run.attempt,
-          checkpoint: run.checkpoint,
+          checkpoint: this.getCheckpoint(run),
           percent: this.getPercent(run),
           usageFigure: Math.round(run.task.processorsMilli * run.pacePercent / 100)
         })),
@@ -269,6 +271,13 @@
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
+  /** Returns the latest checkpoint of a run, which is that of an earlier run until it makes one. */
+  private getCheckpoint (run: Run): string {
+    const { checkpointMilliseconds = Infinity } = run.task
+    const count = Math.floor((this.now() - run.startedAt) / checkpointMilliseconds)
+    return count > 0 ? `${run.taskName}#${run.attempt} checkpoint ${count}` : run.checkpoint
+  }
+
   private getPercent (run: Run): number {
     const { durationMilliseconds } = run.task
     if (durationMilliseconds === Infinity) return 100
@@ -293,7 +302,11 @@
     if (outcome === 'done') this.options.judge.recordCompletion(run.taskName, run.attempt)
     if (outcome === 'lapsed') this.options.judge.recordLapse(this.options.workerId)
     this.endedRuns.push({
-      number: this.endedRunCount, taskName: run.taskName, attempt: run.attempt, end: outcome, checkpoint: run.checkpoint
+      number: this.endedRunCount,
+      taskName: run.taskName,
+      attempt: run.attempt,
+      end: outcome,
+      checkpoint: this.getCheckpoint(run)
     })
     this.notify()
   }
