Record what the process of an owner of a small site spends its time on

The bench `owner` also prints the processor time up to the first job, that of the first 12 s with work, and the anonymous memory.

--- a/tools/bench/benches/owner.ts
+++ b/tools/bench/benches/owner.ts
@@ -6,7 +6,7 @@
 import { createRandom } from '../../../stand-ins/shared/createRandom.js'
 import { findFreePorts } from '../../../stand-ins/shared/findFreePorts.js'
 import type { Figure } from '../Figure.js'
-import { OwnerProcess } from '../owner/OwnerProcess.js'
+import { OwnerProcess, type ProcessorTime } from '../owner/OwnerProcess.js'
 import { SiteCallers } from '../owner/SiteCallers.js'
 
 const HOST = '127.0.0.1'
@@ -46,6 +46,8 @@
   })
   try {
     await sleep(START_MILLISECONDS)
+    const idle = getSum(owner.readProcessorTime())
+    const idleMegabytes = owner.readAnonymousMegabytes()
     callers.start()
     await sleep(WARM_UP_MILLISECONDS)
     const before = { ...owner.readProcessorTime(), startCount: platform.judge.startCount, at: performance.now() }
@@ -59,12 +61,17 @@
     const main = after.mainThreadMilliseconds - before.mainThreadMilliseconds
     const other = after.otherThreadsMilliseconds - before.otherThreadsMilliseconds
     return [
+      createFigure('process_start', idle, 'ms'),
+      createFigure('process_start_memory', idleMegabytes, 'MB'),
+      createFigure('warm_up', getSum(before) - idle, 'ms'),
+      createFigure('warm_up_starts', before.startCount, 'count'),
       createFigure('main_thread', main / seconds, 'ms per second'),
       createFigure('other_threads', other / seconds, 'ms per second'),
       createFigure('processor_time_per_start', (main + other) / startCount, 'ms'),
       createFigure('starts', startCount / seconds, 'per second'),
       createFigure('urgent_start_median', getQuantile(0.5), 'ms'),
       createFigure('urgent_start_95th_percentile', getQuantile(0.95), 'ms'),
+      createFigure('memory', owner.readAnonymousMegabytes(), 'MB'),
       createFigure('violations', platform.judge.violations.length, 'count')
     ]
   } finally {
@@ -75,6 +82,10 @@
   }
 }
 
+function getSum ({ mainThreadMilliseconds, otherThreadsMilliseconds }: ProcessorTime): number {
+  return mainThreadMilliseconds + otherThreadsMilliseconds
+}
+
 function createFigure (figure: string, value: number, unit: string): Figure {
   return { figure, value, unit, naive: null, target: `no target; an owner of ${WORKER_COUNT} workers` }
 }
--- a/tools/bench/owner/OwnerProcess.ts
+++ b/tools/bench/owner/OwnerProcess.ts
@@ -74,6 +74,12 @@
     return { mainThreadMilliseconds: sum(true), otherThreadsMilliseconds: sum(false) }
   }
 
+  /** Returns the anonymous memory of the process in megabytes; Linux only. */
+  readAnonymousMegabytes (): number {
+    const [, kilobytes] = /^RssAnon:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.child.pid}/status`, 'utf8'))!
+    return Number(kilobytes) / 1000
+  }
+
   /** Ends the process, which then writes its profile. */
   async stop (): Promise<void> {
     if (this.child.exitCode !== null) return
