--- a/src/scheduler/brokenVariants.test.ts
+++ b/src/scheduler/brokenVariants.test.ts
@@ -13,6 +13,8 @@
   rules: SchedulerRules
   /** The invariants of which the first violation found must be one. */
   caughtBy: Violation['kind'][]
+  /** Consequences of the same fault; a schedule that shows only these does not end the search. */
+  otherConsequences?: Violation['kind'][]
   schedules: fastCheck.Arbitrary<FaultSchedule>
 }
 
@@ -28,13 +30,28 @@
     name: 'a write without a response counts as committed',
     rules: { journal: { readBack: false } },
     caughtBy: ['two-places', 'run-repeated', 'task-lost'],
+    // A run that was never journalled may end before a successor starts the task again.
+    otherConsequences: ['completed-twice'],
     schedules: createSchedules({ submit: 4, 'store-lossy': 2, restart: 2 })
   },
   {
     name: 'journal batches do not check the data centre',
     rules: { journal: { checkDataCentre: false } },
     caughtBy: ['start-after-take-out'],
-    schedules: createSchedules({ submit: 5, 'take-out': 2, 'cut-reads': 3 })
+    // Tasks wait in the shard when its owner loses its reads, and start as others end after the take-out.
+    schedules: createOrderedSchedules([
+      { kind: 'submit', count: 4, processors: 3 },
+      { kind: 'submit', count: 4, processors: 3 },
+      { kind: 'submit', count: 4, processors: 3 },
+      { kind: 'cut-reads', target: 0, milliseconds: 45_000 },
+      { kind: 'cut-reads', target: 1, milliseconds: 45_000 },
+      { kind: 'cut-reads', target: 2, milliseconds: 45_000 },
+      { kind: 'take-out', milliseconds: 45_000 },
+      { kind: 'submit' },
+      { kind: 'submit' },
+      { kind: 'submit' },
+      { kind: 'submit' }
+    ])
   },
   {
     name: 'a takeover does not check the heartbeat',
@@ -58,21 +75,27 @@
     name: 'a start without a response counts as not run',
     rules: { owner: { reconcileStarts: false } },
     caughtBy: ['two-places', 'over-capacity'],
+    // The run that counts as not run may end before the next attempt starts.
+    otherConsequences: ['completed-twice'],
     schedules: createSchedules({ submit: 5, 'messages-lossy': 2 })
   },
   {
     name: 'a journalled start is sent regardless of its age',
     rules: { owner: { limitStartProof: false } },
     caughtBy: ['start-after-take-out'],
+    // Workers refuse connections from before the start is journalled until some seconds after the take-out.
     schedules: createOrderedSchedules([
+      { kind: 'worker-refuses', target: 0, milliseconds: 15_000 },
+      { kind: 'worker-refuses', target: 1, milliseconds: 15_000 },
+      { kind: 'submit' },
+      { kind: 'submit' },
       { kind: 'cut-reads', target: 0, milliseconds: 45_000 },
       { kind: 'cut-reads', target: 1, milliseconds: 45_000 },
       { kind: 'cut-reads', target: 2, milliseconds: 45_000 },
-      { kind: 'worker-refuses', target: 0 },
-      { kind: 'worker-refuses', target: 1 },
-      { kind: 'submit' },
       { kind: 'take-out', target: 0, milliseconds: 45_000 },
-      { kind: 'freeze', target: 0, milliseconds: 1000 },
+      { kind: 'submit' },
+      { kind: 'submit' },
+      { kind: 'submit' },
       { kind: 'submit' }
     ])
   },
@@ -84,13 +107,13 @@
   }
 ]
 
-for (const { name, rules, caughtBy, schedules } of VARIANTS) {
+for (const { name, rules, caughtBy, otherConsequences = [], schedules } of VARIANTS) {
   test(`invariant violation detected: ${name}`, async context => {
     const found: Violation[] = []
     const property = fastCheck.asyncProperty(schedules, async schedule => {
       const violations = await runSchedule(schedule, rules)
-      found.push(...violations)
-      return violations.length === 0
+      found.push(...violations.filter(({ kind }) => !otherConsequences.includes(kind)))
+      return found.length === 0
     })
     // The first failing schedule is sufficient proof, so the test does not shrink it.
     const details = await fastCheck.check(property, { seed: getTestSeed(), numRuns: 200, endOnFailure: true })
