Let classes of sizes with few jobs have their part of the starts

Shares are compared with half a start more. In a heavy overload a class with about one job in the time over which arrivals count always had a higher share than the others by that, so that a kind with few jobs got few starts or none beside a frequent kind of its priority.

The part of a start varies evenly between 0 and 1 with each arrival. Over many arrivals it is a half, as before.

--- a/src/dispatch/SizeClassShares.ts
+++ b/src/dispatch/SizeClassShares.ts
@@ -13,6 +13,8 @@
 const MINIMUM_ADVANTAGE = 0.9
 /** The advantage of jobs that have waited for too long to be of use. */
 const STARVED_ADVANTAGE = 0.1
+/** The distance between two offsets of a sequence that fills the range from 0 to 1 evenly. */
+const OFFSET_STEP = 0.618034
 /** A class with fewer arrivals than this has had none for minutes. */
 const LEAST_COUNT = 1e-6
 
@@ -23,6 +25,8 @@
   arrivedWork: number
   /** The number of jobs whose first task has started. */
   startedCount: number
+  /** The part of a start that is added to them when shares are compared; each arrival sets another one. */
+  startOffset: number
   isStarved: boolean
 }
 
@@ -62,6 +66,7 @@
   private readonly classes = new Map<string, SizeClass>()
   private readonly countedJobs = new WeakMap<JobRecord, CountedJob>()
   private updatedAt = -Infinity
+  private startOffset = 0.5
 
   private constructor () {}
 
@@ -83,7 +88,7 @@
     counted.startedCount++
     counted.sizeClass.startedCount++
     // The first start was withdrawn, or an occurrence was due before an earlier owner ended.
-    if (counted.startedCount > counted.arrivedCount) countArrivals(counted, 1, getTotalWork(job))
+    if (counted.startedCount > counted.arrivedCount) this.countArrivals(counted, 1, getTotalWork(job))
   }
 
   /**
@@ -104,7 +109,10 @@
     return this.readByShare(waiting)
   }
 
-  /** Reads jobs of the class next whose share would be the lowest, with half a start more. */
+  /**
+   * Reads jobs of the class next whose share would be the lowest, with a part of a start more. That part varies, so
+   * that a class with a single job in a while gets the same part of its jobs started as others, neither none nor all.
+   */
   private * readByShare (waiting: ReadonlyMap<SizeClass, readonly JobRecord[]>): Generator<JobRecord, void> {
     const rows = [...waiting].map(([sizeClass, jobs]) =>
       ({ sizeClass, jobs, nextIndex: 0, advantage: getAdvantage(sizeClass) }))
@@ -113,8 +121,8 @@
       let first = 0
       let lowest = Infinity
       for (let index = 0; index < rows.length; index++) {
-        const { sizeClass: { startedCount, arrivedCount }, advantage } = rows[index]
-        const share = ((startedCount + 0.5) / advantage + smoothing) / (arrivedCount + SMOOTHING_JOBS)
+        const { sizeClass: { startedCount, arrivedCount, startOffset }, advantage } = rows[index]
+        const share = ((startedCount + startOffset) / advantage + smoothing) / (arrivedCount + SMOOTHING_JOBS)
         if (share >= lowest) continue
         first = index
         lowest = share
@@ -152,10 +160,22 @@
     // The class of a job whose last occurrence was long ago may be a new one.
     const updated = { ...counted, nextOccurrenceNumber, sizeClass: this.getClass(job, work, isStarved) }
     this.countedJobs.set(job, updated)
-    countArrivals(updated, newCount, work)
+    this.countArrivals(updated, newCount, work)
     return updated.sizeClass
   }
 
+  private countArrivals (counted: CountedJob, count: number, work: number): void {
+    const { sizeClass } = counted
+    this.startOffset = (this.startOffset + OFFSET_STEP) % 1
+    sizeClass.startOffset = this.startOffset
+    counted.arrivedCount += count
+    sizeClass.arrivedCount += count
+    sizeClass.arrivedWork += count * work
+    if (sizeClass.isStarved) return
+    sizeClass.queue.count += count
+    sizeClass.queue.work += count * work
+  }
+
   private getClass (job: JobRecord, work: number, isStarved: boolean): SizeClass {
     const { queueName, specification } = job.submission
     const fills = specification.steps.some(step => step.fills)
@@ -164,7 +184,7 @@
     if (existing !== undefined) return existing
     const queue = this.queues.get(queueName) ?? { count: 0, work: 0 }
     this.queues.set(queueName, queue)
-    const sizeClass = { queue, arrivedCount: 0, arrivedWork: 0, startedCount: 0, isStarved }
+    const sizeClass = { queue, arrivedCount: 0, arrivedWork: 0, startedCount: 0, startOffset: 0, isStarved }
     this.classes.set(key, sizeClass)
     return sizeClass
   }
@@ -186,16 +206,6 @@
   }
 }
 
-function countArrivals (counted: CountedJob, count: number, work: number): void {
-  const { sizeClass } = counted
-  counted.arrivedCount += count
-  sizeClass.arrivedCount += count
-  sizeClass.arrivedWork += count * work
-  if (sizeClass.isStarved) return
-  sizeClass.queue.count += count
-  sizeClass.queue.work += count * work
-}
-
 /** Returns the worth per unit of work of the jobs of a class, relative to a job of the mean size of its queue. */
 function getAdvantage ({ queue, arrivedCount, arrivedWork, isStarved }: SizeClass): number {
   if (isStarved) return STARVED_ADVANTAGE
