Look for begun occurrences of scheduled jobs only among the unstarted ones

The check whether an occurrence has begun, which goes through the tasks of its steps, was repeated in each plan for each job that waits for its first start. A job without a schedule among these has no occurrence that has begun.

--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -98,9 +98,10 @@
   const waiting = unstarted.map(({ job, timeliness: { isStarved } }) => ({ job, isStarved }))
   placeInOrder(begun.flatMap(({ job }) => [...job.occurrences.values()].filter(hasStartedOccurrence)), context)
   for (const job of shares.selectJobs(waiting, now)) {
+    const isScheduled = job.submission.specification.repeatCount > 0
     for (const occurrence of job.occurrences.values()) {
       if (plan.isFull) return
-      if (hasStartedOccurrence(occurrence)) continue
+      if (isScheduled && hasStartedOccurrence(occurrence)) continue
       const { startCount } = plan
       placeOccurrence(occurrence, context)
       if (plan.startCount > startCount) shares.recordStart(job)
