--- a/stand-ins/upstreams/StandInUpstream.test.ts
+++ b/stand-ins/upstreams/StandInUpstream.test.ts
@@ -53,6 +53,17 @@
   })
 })
 
+test('a request whose caller is gone frees its slot when its work is done', async () => {
+  await runWithUpstream(async (upstream, url) => {
+    const abandoned = request(`${url}/work/0?milliseconds=150`, { signal: AbortSignal.timeout(50) })
+    await assert.rejects(abandoned)
+    await new Promise(resolve => setTimeout(resolve, 200))
+    const answers = await Promise.all(Array.from({ length: 8 }, (_, index) => call(url, `/later/${index}?milliseconds=100`)))
+    assert.deepEqual(answers.map(answer => answer.status), Array(8).fill(200))
+    assert.equal(upstream.counters.refusedOverSlots, 0)
+  })
+})
+
 test('refuses new requests while leaving, closes their connections and finishes the requests in flight', async () => {
   await runWithUpstream(async (upstream, url) => {
     const inFlight = call(url, '/long?milliseconds=300')
--- a/stand-ins/upstreams/StandInUpstream.ts
+++ b/stand-ins/upstreams/StandInUpstream.ts
@@ -205,6 +205,7 @@
   }
 
   private async send (response: ServerResponse, requestId: string, body: string): Promise<void> {
+    if (response.closed) return
     const { random } = this.options
     const other = this.previousResponse
     this.previousResponse = { requestId, body }
