Limit the silence and the size of a response instead of only its whole time

Callers of HttpCaller could limit only the whole time of a response, so one that was longer than its link could carry in that time was given up while its parts kept arriving, and all of it was requested again.

Cause: HttpExchange had one time limit, from the request to the end of the response, and no limit of size.

Change: with `silenceTimeoutMilliseconds`, `timeoutMilliseconds` limits the time until the response begins, and each part that arrives then starts the limit of silence anew. Calls without these options behave as before.

--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -14,6 +14,13 @@
   body?: string | Buffer
   /** How long the response may take after the call is sent; on a timeout the connection is closed and not reused. */
   timeoutMilliseconds: number
+  /**
+   * How long a response that has begun may pause: each received part starts this limit anew. `timeoutMilliseconds` then
+   * limits the time until the response begins.
+   */
+  silenceTimeoutMilliseconds?: number
+  /** The longest body that is received; a longer one ends the call at once, and its connection is closed. */
+  maximumBodyBytes?: number
   /** How long the call may wait before it is sent; defaults to `timeoutMilliseconds`. */
   queueTimeoutMilliseconds?: number
 }
@@ -25,12 +32,15 @@
   | { kind: 'not-sent', reason: string }
   /** The service may have received the call. */
   | { kind: 'lost', reason: string }
+  /** The service responded with a body of more than `maximumBodyBytes`, which was not received as a whole. */
+  | { kind: 'too-large', reason: string }
 
 /**
  * How a call ended: `refused` when no connection could be opened, `broken` when the connection failed during the call,
- * `closed` when `closeAddress` or `close` ended the call.
+ * `too-large` when the body exceeded the limit of the call, `closed` when `closeAddress` or `close` ended the call.
  */
-export type HttpCallEndReason = 'answered' | 'expired-waiting' | 'expired-in-flight' | 'refused' | 'broken' | 'closed'
+export type HttpCallEndReason =
+  | 'answered' | 'expired-waiting' | 'expired-in-flight' | 'refused' | 'broken' | 'too-large' | 'closed'
 
 /** Observes the connections and calls of an `HttpCaller`. */
 export interface HttpCallerObserver {
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 import type { CallQueue, QueuedCall } from './CallQueue.js'
 import type { Clock } from './Clock.js'
@@ -12,6 +13,9 @@
 /** The reason of a call that was sent and got no whole response in time. */
 export const TIMEOUT_REASON = 'timeout'
 
+/** The reason of a call whose response has a longer body than the call accepts. */
+export const TOO_LARGE_REASON = 'too-large'
+
 /** Options of an HTTP exchange. */
 export interface HttpExchangeOptions {
   call: HttpCall
@@ -28,6 +32,7 @@
   private controller: Dispatcher.DispatchController | null = null
   private statusCode = 0
   private readonly chunks: Buffer[] = []
+  private receivedBytes = 0
   private isSettled = false
   private readonly timeLimit: TimeLimit
 
@@ -65,12 +70,19 @@
     this.timeLimit.start(this.options.call.timeoutMilliseconds)
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
+  onResponseStart (
+    _controller: Dispatcher.DispatchController, statusCode: number, headers: IncomingHttpHeaders
+  ): void {
     this.statusCode = statusCode
+    this.limitSilence()
+    this.limitBody(Number(headers['content-length'] ?? 0))
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.receivedBytes += chunk.length
     this.chunks.push(chunk)
+    this.limitSilence()
+    this.limitBody(this.receivedBytes)
   }
 
   onResponseEnd (): void {
@@ -100,6 +112,19 @@
     }
   }
 
+  private limitSilence (): void {
+    const { silenceTimeoutMilliseconds } = this.options.call
+    if (silenceTimeoutMilliseconds !== undefined && !this.isSettled) this.timeLimit.start(silenceTimeoutMilliseconds)
+  }
+
+  /** Ends the call when its body exceeds the limit. Closing the connection stops the rest of the body. */
+  private limitBody (bodyBytes: number): void {
+    const { maximumBodyBytes = Infinity } = this.options.call
+    if (bodyBytes <= maximumBodyBytes) return
+    this.settle({ kind: 'too-large', reason: TOO_LARGE_REASON }, 'too-large')
+    this.controller?.abort(new Error(TOO_LARGE_REASON))
+  }
+
   private settle (result: HttpResult, end: HttpCallEndReason): void {
     if (this.isSettled) return
     this.isSettled = true
