--- a/src/instance/jobsDuringLoad.test.ts
+++ b/src/instance/jobsDuringLoad.test.ts
@@ -49,6 +49,7 @@
   const client = tables.createClient(createRandom(1))
   const feed = {
     readTable: async (table: string) => await client.readTable(table),
+    readTableWithin: async (table: string, bytes: number) => await client.readTableWithin(table, bytes),
     waitForChanges: async (table: string, after: number, wait: number) => {
       if (wait > 0) await new Promise<void>(resolve => { clock.setTimer(wait, resolve) })
       if (client.faults.cutOff) return { kind: 'unavailable' as const, reason: 'no answer' }
--- a/src/table/TableFeed.ts
+++ b/src/table/TableFeed.ts
@@ -13,9 +13,15 @@
   version: number
 }
 
+/** The rows exceed the bytes that the caller accepts; they were not received. */
+export interface TooLarge {
+  kind: 'too-large'
+}
+
 /** The outcome of waiting for changes. */
 export type FeedOutcome =
   | { kind: 'changes', changes: RowChange[], version: number }
+  | TooLarge
   /** The service no longer has the changes since the requested version; the whole table must be read again. */
   | { kind: 'compacted' }
   | { kind: 'unavailable', reason: string }
@@ -24,6 +30,13 @@
 export interface TableFeed {
   /** Reads all rows of a table; changes after the returned version must be read with `waitForChanges`. */
   readTable (table: string): Promise<ReadOutcome<TableSnapshot>>
-  /** Waits until a table has changes after a version, or until the given time has passed. */
-  waitForChanges (table: string, afterVersion: number, waitMilliseconds: number): Promise<FeedOutcome>
+  /** Reads a table like `readTable`, and ends as `too-large` as soon as the responses exceed the given bytes. */
+  readTableWithin (table: string, maximumBytes: number): Promise<ReadOutcome<TableSnapshot> | TooLarge>
+  /**
+   * Waits until a table has changes after a version, or until the given time has passed; ends as `too-large` as soon as
+   * the response exceeds the given bytes, if any.
+   */
+  waitForChanges (
+    table: string, afterVersion: number, waitMilliseconds: number, maximumBytes?: number
+  ): Promise<FeedOutcome>
 }
--- a/src/table/TableFollower.test.ts
+++ b/src/table/TableFollower.test.ts
@@ -21,6 +21,7 @@
     startVersion: 0,
     feed: {
       readTable: async table => await client.readTable(table),
+      readTableWithin: async (table, maximumBytes) => await client.readTableWithin(table, maximumBytes),
       waitForChanges: async (table, after, wait) => {
         if (wait === 0) immediateReads++
         else await new Promise<void>(resolve => { clock.setTimer(wait, resolve) })
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -113,6 +113,7 @@
     const outcome = await feed.waitForChanges(table, version, waitMilliseconds)
     if (this.stopped) return true
     if (outcome.kind === 'unavailable') return this.recordFailure(outcome.reason)
+    if (outcome.kind === 'too-large') return this.recordFailure(outcome.kind)
     this.recordContact()
     if (outcome.kind === 'compacted') {
       this.options.logger.info('table history was compacted; reading the whole table again', { table, version })
--- a/src/table/readWholeTable.ts
+++ b/src/table/readWholeTable.ts
@@ -1,5 +1,5 @@
 import type { PageSize } from './PageSize.js'
-import type { TableSnapshot } from './TableFeed.js'
+import type { TableSnapshot, TooLarge } from './TableFeed.js'
 import type { ReadOutcome, Row } from './TableService.js'
 
 /** One page of a partition of a table. */
@@ -8,7 +8,7 @@
 }
 
 /** The outcome of reading a page; `timed-out` when the service may have sent one that did not arrive in time. */
-export type TablePageOutcome = ReadOutcome<TablePage> | { kind: 'timed-out', reason: string }
+export type TablePageOutcome = ReadOutcome<TablePage> | TooLarge | { kind: 'timed-out', reason: string }
 
 /** Options of reading a whole table. */
 export interface ReadWholeTableOptions {
@@ -26,13 +26,16 @@
 /**
  * Reads all rows of a table page by page.
  * @param options The partitions and how a page is read.
- * @returns The rows, with the version of the earliest page, so that the feed repeats the changes made during the read.
+ * @returns The rows, with the version of the earliest page, so that the feed repeats the changes made during the read;
+ * `too-large` when a page is.
  */
-export async function readWholeTable (options: ReadWholeTableOptions): Promise<ReadOutcome<TableSnapshot>> {
+export async function readWholeTable (
+  options: ReadWholeTableOptions
+): Promise<ReadOutcome<TableSnapshot> | TooLarge> {
   const rows: Row[] = []
   const remaining = [...options.partitions]
   let version = Infinity
-  let failure: ReadOutcome<TableSnapshot> | null = null
+  let failure: ReadOutcome<TableSnapshot> | TooLarge | null = null
   const readPartitions = async () => {
     while (failure === null) {
       const partition = remaining.shift()
@@ -53,7 +56,7 @@
 
 async function readPartition (
   partition: string, options: ReadWholeTableOptions
-): Promise<ReadOutcome<TableSnapshot>> {
+): Promise<ReadOutcome<TableSnapshot> | TooLarge> {
   const rows: Row[] = []
   let version: number | null = null
   let from = ''
@@ -71,7 +74,7 @@
 
 async function readPage (
   partition: string, from: string, { readPage, pageSize }: ReadWholeTableOptions
-): Promise<ReadOutcome<TablePage>> {
+): Promise<ReadOutcome<TablePage> | TooLarge> {
   for (let attempt = 1; ; attempt++) {
     const page = await readPage(partition, from, pageSize.rowLimit)
     if (page.kind !== 'timed-out') return page
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -352,10 +352,8 @@
 
 function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
-  return {
-    kind: 'configuration',
-    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
-  }
+  const configuration = { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
+  return { kind: 'configuration', configuration }
 }
 
 /**
@@ -377,7 +375,8 @@
     readMany: rows => forward(() => tables.readMany(rows)),
     scan: (table, options) => forward(() => tables.scan(table, options)),
     readTable: table => forward(() => tables.readTable(table)),
-    waitForChanges: (table, after, wait) => forward(() => tables.waitForChanges(table, after, wait))
+    readTableWithin: (...options) => forward(() => tables.readTableWithin(...options)),
+    waitForChanges: (...options) => forward(() => tables.waitForChanges(...options))
   }
 }
 
--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../src/shared/Clock.js'
-import type { FeedOutcome, RowChange, TableFeed, TableSnapshot } from '../../src/table/TableFeed.js'
+import type { FeedOutcome, RowChange, TableFeed, TableSnapshot, TooLarge } from '../../src/table/TableFeed.js'
 import type {
   Condition, Operation, ReadOutcome, Row, RowKey, ScanOptions, TableService, Transaction, TransactionOutcome
 } from '../../src/table/TableService.js'
@@ -180,7 +180,19 @@
     return await this.waitForRoundTrip() ? { kind: 'ok', value: this.tables.getTable(table) } : unavailable()
   }
 
-  async waitForChanges (table: string, afterVersion: number, waitMilliseconds: number): Promise<FeedOutcome> {
+  async readTableWithin (table: string, maximumBytes: number): Promise<ReadOutcome<TableSnapshot> | TooLarge> {
+    const read = await this.readTable(table)
+    return read.kind === 'ok' && getBytes(read.value) > maximumBytes ? { kind: 'too-large' } : read
+  }
+
+  async waitForChanges (
+    table: string, afterVersion: number, waitMilliseconds: number, maximumBytes?: number
+  ): Promise<FeedOutcome> {
+    const outcome = await this.awaitChanges(table, afterVersion, waitMilliseconds)
+    return maximumBytes !== undefined && getBytes(outcome) > maximumBytes ? { kind: 'too-large' } : outcome
+  }
+
+  private async awaitChanges (table: string, afterVersion: number, waitMilliseconds: number): Promise<FeedOutcome> {
     const waitDeadline = this.clock.monotonicMilliseconds() + waitMilliseconds
     for (;;) {
       if (!await this.waitForRoundTrip()) return unavailable()
@@ -205,6 +217,10 @@
   }
 }
 
+function getBytes (response: object): number {
+  return Buffer.byteLength(JSON.stringify(response))
+}
+
 function getRowName (row: RowKey): string {
   return `${row.table}/${row.key}`
 }
