Let the time limit of a write grow with the size of its body

Cause: limits of the whole time of calls whose bodies may have 1 MB.

The time that a call may be queued is as before.

--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -1,4 +1,5 @@
 import type { JobState, JobSubmission } from '../jobs/index.js'
+import { getTransferMilliseconds } from '../shared/getTransferMilliseconds.js'
 import type { HttpCaller } from '../shared/HttpCaller.js'
 
 /** The outcome of probing the owner. */
@@ -29,8 +30,13 @@
 const PROBE_TIMEOUT_MILLISECONDS = 600
 /** The owner responds from memory; when it takes longer than this, the store is read instead. */
 const STATE_TIMEOUT_MILLISECONDS = 400
-/** Covers the owner's single attempt to store the row, which takes up to one timeout of a store call. */
+/**
+ * Covers the owner's single attempt to store the row, which takes up to one timeout of a store call. The time to send
+ * the body to the owner, and from there to the store, is added to that.
+ */
 const STORE_TIMEOUT_MILLISECONDS = 1300
+/** The bytes that are sent for each byte of a body: one to the owner, and at most 4/3 in base64 to the store. */
+const SENT_BYTES_PER_BODY_BYTE = 1 + 4 / 3
 /** Only this failure shows that no process listens: a live process may also reset connections. */
 const REFUSED_CODE = 'ECONNREFUSED'
 
@@ -104,13 +110,16 @@
   }
 
   private async store (address: string, path: string, body: object): Promise<StoreOutcome> {
+    const bytes = Buffer.from(JSON.stringify(body))
     const answer = await this.caller.call({
       address,
       method: 'POST',
       path,
       headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(body),
-      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS
+      body: bytes,
+      timeoutMilliseconds:
+        STORE_TIMEOUT_MILLISECONDS + getTransferMilliseconds(bytes.length * SENT_BYTES_PER_BODY_BYTE),
+      queueTimeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind === 'not-sent') return 'not-stored'
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return 'unknown'
