Receive reports of workers that arrive after their calls have timed out

Tasks ended as done on workers of the other region and were started again 5 to 6 s later.

Cause: a call that renews a lease and reads the report of its worker is given up 0.6 s after its wait, and its connection is closed. Over a link that is full for seconds, its request and the response still arrive, only later: the worker lists the ends of runs in a response that the owner has thrown away. No further connection opens within 0.3 s while the link is full. When the lease expires, the owner takes all runs of the worker as over and starts their tasks again, also those whose end was listed. Class of fault: evidence that arrives late is discarded, and its absence is taken as evidence.

Change: - A call that times out may keep its connection for a late response, on a further connection, so that other calls are not delayed. On paths that answer in time there are no more calls and connections than before. - The lease loop applies a late report, unless a report of a later call is applied already. The worker gets no new work before it responds in time, but its lease may be renewed. - A run that is not long-running is not given up with the lease while the response to a call from before the end of the lease may still arrive, until a lease's length after that call was sent. The same holds for the workers of an earlier owner. - A delayed reading of a worker's clock does not replace a better one.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -27,8 +27,8 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseExpired, recordFailure, removeRun, type WorkerEntry,
-  type WorkerRecord
+  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, removeRun, updateClockReading,
+  type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** Options of a dispatch engine. */
@@ -177,9 +177,10 @@
       if (entry.bornAtMilliseconds > 0) this.handleWorkerRestart(worker, now)
       worker.entry = { ...entry, bornAtMilliseconds: report.bornAtMilliseconds }
     }
-    worker.clockReading = { workerMilliseconds: report.workerMilliseconds, receivedAt: now }
+    updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
+    worker.reportAwaitedUntil = -Infinity
     const context: ReportContext = {
       jobs: this.jobs,
       sentAt,
@@ -210,9 +211,11 @@
    * Marks a worker as unreachable after a failed call; it gets no new work until it reports.
    * @param worker The worker.
    * @param sentAt Monotonic time at which the call was sent, or null when it was not sent.
+   * @param awaitedUntil Monotonic time until which the response to the call is still received.
    */
-  markUnreachable (worker: WorkerRecord, sentAt: number | null): void {
+  markUnreachable (worker: WorkerRecord, sentAt: number | null, awaitedUntil = -Infinity): void {
     worker.unansweredCallSentAt = sentAt ?? worker.unansweredCallSentAt
+    if (!isLeaseExpired(worker)) worker.reportAwaitedUntil = Math.max(worker.reportAwaitedUntil, awaitedUntil)
     if (worker.syncState !== 'synchronized') return
     worker.syncState = 'unreachable'
     if (sentAt !== null) recordFailure(worker, sentAt)
@@ -378,13 +381,14 @@
   }
 
   private expireWorkers (now: number): void {
-    this.unreconciled.expire()
+    this.unreconciled.expire(now)
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
       const isExpired = isLeaseExpired(worker)
       if (isExpired && worker.runs.size > 0) {
-        for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'lease-expired', now)
-        this.dirty = true
+        const lostRuns = [...worker.runs.values()].filter(run => isOverWithLease(run, worker, now))
+        for (const run of lostRuns) this.markRunLost(worker, run, 'lease-expired', now)
+        if (lostRuns.length > 0) this.dirty = true
       }
       const isRemovable = !worker.listed && worker.runs.size === 0 && !this.unreconciled.has(worker.entry.workerId)
       if (isRemovable && (isExpired || worker.clockReading === null)) this.workers.delete(worker.entry.workerId)
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -74,12 +74,14 @@
    * Removes workers that did not respond to a call sent after their expiry.
    *
    * A worker that was not called may still hold completions from before the expiry, so time alone removes no worker.
+   * @param now The monotonic time.
    */
-  expire (): void {
+  expire (now: number): void {
     for (const [workerId, expiresAt] of this.expiries) {
       const worker = this.options.workers.get(workerId)
       const callSentAt = worker?.unansweredCallSentAt ?? null
-      if (worker !== undefined && callSentAt !== null && callSentAt >= expiresAt) {
+      if (worker === undefined || now < worker.reportAwaitedUntil) continue
+      if (callSentAt !== null && callSentAt >= expiresAt) {
         this.markReconciled(worker, 'lease-expired')
       }
     }
--- a/src/dispatch/WorkerProtocol.ts
+++ b/src/dispatch/WorkerProtocol.ts
@@ -70,7 +70,8 @@
   | { kind: 'replaced' }
   /** The call was not sent, which is no evidence about the worker. */
   | { kind: 'not-sent', reason: string }
-  | { kind: 'unknown', reason: string }
+  /** No response arrived in time; while it is awaited, it is still received and passed to the listener of the call. */
+  | { kind: 'unknown', reason: string, isAwaited?: boolean }
 
 /** A call that acknowledges completions, renews the lease of a worker and reads its report. */
 export interface HoldRequest {
@@ -83,6 +84,13 @@
   waitMilliseconds: number
 }
 
+/** Receives the response to a report call that arrives after the call has timed out. */
+export interface LateReportListener {
+  /** How long after the call is sent its response is still received. */
+  milliseconds: number
+  onOutcome (outcome: HoldOutcome): void
+}
+
 /** The connections over which a stop is sent: those for orders, or the one over which the worker reports. */
 export type StopConnection = 'orders' | 'reports'
 
@@ -92,6 +100,6 @@
   /** Stops a run; by default over the connections for orders. */
   stop (taskName: string, attempt: number, epoch: number, connection?: StopConnection): Promise<OrderOutcome>
   setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome>
-  hold (request: HoldRequest): Promise<HoldOutcome>
+  hold (request: HoldRequest, lateReports?: LateReportListener): Promise<HoldOutcome>
   close (): void
 }
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -65,6 +65,11 @@
    * that were not sent are no evidence about the worker and do not count.
    */
   unansweredCallSentAt: number | null
+  /**
+   * Monotonic time until which the worker may still respond to a call that has timed out and was sent before its lease
+   * expired; its response may list ends of runs.
+   */
+  reportAwaitedUntil: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
   /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
@@ -119,6 +124,7 @@
     clockReading: null,
     reportedAt: -Infinity,
     unansweredCallSentAt: null,
+    reportAwaitedUntil: -Infinity,
     failureTimes: [-Infinity, -Infinity],
     leaseDeadline: 0,
     appliedCompletion: 0,
@@ -205,6 +211,18 @@
   return run.sentAt > -Infinity || run.startUncertain || run.confirmedAt !== null
 }
 
+/**
+ * Records a reading of a worker's clock, unless an earlier one gives a later time: a report may have been delayed.
+ * @param worker The worker.
+ * @param workerMilliseconds The reading.
+ * @param receivedAt Monotonic time at which it was received.
+ */
+export function updateClockReading (worker: WorkerRecord, workerMilliseconds: number, receivedAt: number): void {
+  const earliestTime = getEarliestWorkerTime(worker, receivedAt)
+  if (earliestTime !== null && earliestTime > workerMilliseconds) return
+  worker.clockReading = { workerMilliseconds, receivedAt }
+}
+
 /**
  * Returns a lower bound of the current time on a worker's clock.
  * @param worker The worker.
@@ -231,6 +249,18 @@
   return workerTime !== null && workerTime > worker.leaseDeadline + EXPIRY_MARGIN_MILLISECONDS
 }
 
+/**
+ * Returns whether a run on a worker with an expired lease counts as over, see `isLeaseExpired`. The end of a short run
+ * may be in a report that is still awaited; a long-running task restarts however its run has ended.
+ * @param run A run of the worker.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether the task of the run may start again.
+ */
+export function isOverWithLease (run: RunRecord, worker: WorkerRecord, now: number): boolean {
+  return now >= worker.reportAwaitedUntil || run.task.step.specification.longRunning
+}
+
 /**
  * Returns the time until all leases that this owner has granted to a worker have expired.
  * @param worker The worker, which has reported to this owner, or holds no run of any owner.
--- a/src/dispatch/lostRuns.test.ts
+++ b/src/dispatch/lostRuns.test.ts
@@ -76,3 +76,33 @@
   engine.markUnreachable(unresponsive, null)
   assert.deepEqual(plan(engine, 1100).map(order => order.run.attempt), [])
 })
+
+/** Reports a run, then leaves a call sent at 2,000 ms and one after the end of the lease without a response. */
+function leaveReportAwaited (step: Partial<StepSpecification>, awaitedUntil: number) {
+  const engine = createEngine(step)
+  const [{ worker, run }] = plan(engine, 10)
+  const running = [{ taskName: run.task.name, attempt: run.attempt, checkpoint: '', percent: 0, usageFigure: 0 }]
+  engine.applyReport(worker, { ...EMPTY_REPORT, running }, 100, 110)
+  worker.leaseDeadline = EMPTY_REPORT.workerMilliseconds + 6000
+  engine.markUnreachable(worker, 2000, awaitedUntil)
+  engine.markUnreachable(worker, 6500)
+  return { engine, worker, run }
+}
+
+test('starts no short task again while a report that may list its end is awaited', () => {
+  const { engine, worker, run } = leaveReportAwaited({}, 8000)
+  assert.equal(plan(engine, 7900).length, 0)
+  const ended = [{ number: 1, taskName: run.task.name, attempt: run.attempt, end: 'done' as const, checkpoint: '' }]
+  engine.applyReport(worker, { ...EMPTY_REPORT, workerMilliseconds: 3000, ended }, 2000, 7950)
+  assert.equal(plan(engine, 20_000).length, 0)
+})
+
+test('starts a short task again when an awaited report has not arrived in time', () => {
+  const { engine } = leaveReportAwaited({}, 8000)
+  assert.equal(plan(engine, 8000).length, 1)
+})
+
+test('starts a long-running task again after the end of the lease while a report is awaited', () => {
+  const { engine } = leaveReportAwaited({ longRunning: true }, 8000)
+  assert.equal(plan(engine, 7000).length, 1)
+})
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -23,6 +23,7 @@
   reconciledWorkers: Counter<'cause'>
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
+  lateReports: Counter
   loopDelaySeconds: Histogram
   unexpectedErrors: Counter<'activity'>
 }
@@ -137,6 +138,11 @@
       labelNames: ['reason'],
       registers
     }),
+    lateReports: new Counter({
+      name: 'papayamoor_instance_late_reports_total',
+      help: 'Reports of workers that arrived after their calls had timed out.',
+      registers
+    }),
     loopDelaySeconds: new Histogram({
       name: 'papayamoor_instance_loop_delay_seconds',
       help: 'How late the periodic timer of the owner ran.',
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -19,7 +19,7 @@
   logger: Logger
   /** Logs the ended runs of all workers. */
   endedRuns: BatchedLog
-  metrics: Pick<InstanceMetrics, 'workerCallFailures'>
+  metrics: Pick<InstanceMetrics, 'workerCallFailures' | 'lateReports'>
   errors: ErrorBoundary
   /** Returns whether this process may still renew leases. */
   mayRenewLeases (): boolean
@@ -53,6 +53,8 @@
 export class WorkerLeaseLoop {
   private stopped = false
   private lastCallFailed = false
+  /** Whether a report has arrived late since the last call failed. */
+  private hasLateReport = false
   /** Whether the next report settles starts without a response, so that the call for it should not wait. */
   private hasAnsweredStops = false
 
@@ -91,11 +93,13 @@
   }
 
   private async callWorker (): Promise<void> {
-    const { worker, engine, client, clock, leaseMilliseconds } = this.options
+    const { worker, engine, client, clock, leaseMilliseconds, errors } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
     // Calls may still reach an unresponsive worker: renewing its lease blindly would keep the lease from expiring.
-    const mayRenew = workerTime !== null && !this.lastCallFailed && !worker.isRecordedUnreached
+    const hasResponded = !this.lastCallFailed || this.hasLateReport
+    const mayRenew = workerTime !== null && hasResponded && !worker.isRecordedUnreached
+    this.hasLateReport = false
     const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
     if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await client.hold({
@@ -104,21 +108,21 @@
       acknowledgedCompletion: this.lastCallFailed ? 0 : worker.durableCompletion,
       leaseDeadline,
       waitMilliseconds: this.getWaitMilliseconds(leaseDeadline)
+    }, {
+      milliseconds: leaseMilliseconds,
+      onOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, sentAt)) }
     })
     if (this.stopped) return
     this.recordOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
     if (outcome.kind === 'fenced') return this.handleFence()
     if (outcome.kind !== 'reported') {
-      engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : sentAt)
+      const isAwaited = outcome.kind === 'unknown' && outcome.isAwaited === true
+      const awaitedUntil = isAwaited ? sentAt + leaseMilliseconds : -Infinity
+      engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : sentAt, awaitedUntil)
       await this.pause(this.getRetryMilliseconds(sentAt))
       return
     }
-    await this.options.prepareReport(worker)
-    if (this.stopped) return
-    const lastAppliedBefore = worker.appliedCompletion
-    engine.applyReport(worker, outcome.report, sentAt, clock.monotonicMilliseconds())
-    this.logEndedRuns(outcome.report, lastAppliedBefore)
-    this.options.onReport(worker)
+    if (!await this.applyReport(outcome.report, sentAt)) return
     const stops = await stopUncertainStarts(this.options)
     if (this.stopped) return
     if (stops === 'fenced') return this.handleFence()
@@ -128,6 +132,33 @@
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
+  /** Applies the response to a call that has timed out, which may list the ends of runs. */
+  private async handleLateOutcome (outcome: HoldOutcome, sentAt: number): Promise<void> {
+    const { worker, engine, clock, logger, metrics } = this.options
+    if (this.stopped) return
+    if (outcome.kind === 'fenced') return this.handleFence()
+    if (outcome.kind !== 'reported') return
+    metrics.lateReports.inc()
+    const ageMilliseconds = Math.round(clock.monotonicMilliseconds() - sentAt)
+    logger.info('late report of a worker', { worker: worker.entry.workerId, ageMilliseconds })
+    if (!await this.applyReport(outcome.report, sentAt)) return
+    this.hasLateReport = true
+    // The latest call has failed, so the worker gets no new work before it responds in time.
+    if (this.lastCallFailed) engine.markUnreachable(worker, null)
+  }
+
+  /** Applies a report, unless one of a later call is applied already; returns whether it was applied. */
+  private async applyReport (report: WorkerReport, sentAt: number): Promise<boolean> {
+    const { worker, engine, clock } = this.options
+    await this.options.prepareReport(worker)
+    if (this.stopped || sentAt <= worker.reportedAt) return false
+    const lastAppliedBefore = worker.appliedCompletion
+    engine.applyReport(worker, report, sentAt, clock.monotonicMilliseconds())
+    this.logEndedRuns(report, lastAppliedBefore)
+    this.options.onReport(worker)
+    return true
+  }
+
   private handleFence (): void {
     this.stopped = true
     this.options.onFenced()
--- a/src/shared/CallQueue.test.ts
+++ b/src/shared/CallQueue.test.ts
@@ -7,6 +7,7 @@
   const started: string[] = []
   let created = 0
   const queue = CallQueue.create<number>({
+    lateConnections: 0,
     connections,
     createConnection: () => ++created,
     isOpen: connection => !closed.has(connection)
--- a/src/shared/CallQueue.ts
+++ b/src/shared/CallQueue.ts
@@ -10,6 +10,8 @@
 export interface CallQueueOptions<Connection> {
   /** The maximum number of connections. */
   connections: number
+  /** The maximum number of further connections whose calls have timed out, and which are kept for late responses. */
+  lateConnections: number
   createConnection (): Connection
   /** Returns whether a call can be sent on the connection without opening it first. */
   isOpen (connection: Connection): boolean
@@ -20,6 +22,7 @@
   private readonly queuedCalls = new Set<QueuedCall<Connection>>()
   private readonly idleConnections: Connection[] = []
   private connectionCount = 0
+  private readonly lateConnections = new Set<Connection>()
 
   private constructor (private readonly options: CallQueueOptions<Connection>) {}
 
@@ -51,6 +54,19 @@
     return this.queuedCalls.delete(call)
   }
 
+  /**
+   * Lets other calls use another connection while a late response is awaited on this one.
+   * @param connection The connection, which is passed to `release` afterwards.
+   * @returns Whether the connection may be kept; false when late responses are awaited on too many others.
+   */
+  keepForLateResponse (connection: Connection): boolean {
+    if (this.lateConnections.size >= this.options.lateConnections) return false
+    this.lateConnections.add(connection)
+    this.connectionCount--
+    this.startNext()
+    return true
+  }
+
   /** Closes all queued calls. */
   close (): void {
     const calls = [...this.queuedCalls]
@@ -63,11 +79,16 @@
    * @param connection The connection.
    */
   release (connection: Connection): void {
+    if (this.lateConnections.delete(connection)) this.connectionCount++
+    this.idleConnections.push(connection)
+    this.startNext()
+  }
+
+  private startNext (): void {
     const [next] = this.queuedCalls
-    if (next === undefined) {
-      this.idleConnections.push(connection)
-      return
-    }
+    if (next === undefined) return
+    const connection = this.takeIdleConnection() ?? this.createConnectionWithinLimit()
+    if (connection === null) return
     this.queuedCalls.delete(next)
     next.start(connection)
   }
--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -12,7 +12,10 @@
   path: string
   headers?: Record<string, string>
   body?: string | Buffer
-  /** How long the response may take after the call is sent; on a timeout the connection is closed and not reused. */
+  /**
+   * How long the response may take after the call is sent; on a timeout the connection is closed and not reused, unless
+   * it is kept for a late response.
+   */
   timeoutMilliseconds: number
   /**
    * How long a response that has begun may pause: each received part starts this limit anew. `timeoutMilliseconds` then
@@ -23,11 +26,26 @@
   maximumBodyBytes?: number
   /** How long the call may wait before it is sent; defaults to `timeoutMilliseconds`. */
   queueTimeoutMilliseconds?: number
+  /** Receives the response if it arrives after the call has timed out; by default, such a response is discarded. */
+  lateResponse?: LateResponse
+}
+
+/** How a response is received that arrives after its call has timed out. */
+export interface LateResponse {
+  /** How long the connection of the call is kept for the response after the timeout. */
+  milliseconds: number
+  onResponse (response: HttpResponse): void
+}
+
+/** The response to a call. */
+export interface HttpResponse {
+  statusCode: number
+  body: Buffer
 }
 
 /** The result of a call. */
 export type HttpResult =
-  | { kind: 'answered', statusCode: number, body: Buffer }
+  | { kind: 'answered' } & HttpResponse
   /** The service received nothing. */
   | { kind: 'not-sent', reason: string }
   /** The service may have received the call. */
@@ -53,6 +71,8 @@
 export interface HttpCallerOptions {
   /** The maximum number of connections to one address. */
   connections: number
+  /** The maximum number of further connections to one address on which late responses are awaited; none by default. */
+  lateConnections?: number
   observer?: HttpCallerObserver
   /** Opens a connection; defaults to plain TCP. */
   openConnection?: OpenConnection
@@ -128,6 +148,7 @@
     const connections: HttpConnection[] = []
     const queue = CallQueue.create<HttpConnection>({
       connections: this.options.connections,
+      lateConnections: this.options.lateConnections ?? 0,
       createConnection: () => {
         const connection = this.createConnection(address)
         connections.push(connection)
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -34,6 +34,8 @@
   private readonly chunks: Buffer[] = []
   private receivedBytes = 0
   private isSettled = false
+  /** Whether the call has timed out and its connection is kept for a late response. */
+  private isLate = false
   private readonly timeLimit: TimeLimit
 
   private constructor (private readonly options: HttpExchangeOptions) {
@@ -87,11 +89,15 @@
 
   onResponseEnd (): void {
     const body = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks)
-    this.settle({ kind: 'answered', statusCode: this.statusCode, body }, 'answered')
+    const response = { statusCode: this.statusCode, body }
+    this.timeLimit.cancel()
+    this.settle({ kind: 'answered', ...response }, 'answered')
     this.releaseConnection()
+    if (this.isLate) this.options.call.lateResponse?.onResponse(response)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    this.timeLimit.cancel()
     const reason = getErrorReason(error)
     const isSent = this.controller !== null
     const isClosed = reason === 'UND_ERR_DESTROYED'
@@ -105,11 +111,20 @@
       this.options.queue.remove(this)
       const reason = this.connection === null ? QUEUE_TIMEOUT_REASON : 'connect-timeout'
       this.settle({ kind: 'not-sent', reason }, 'expired-waiting')
-    } else {
-      this.settle({ kind: 'lost', reason: TIMEOUT_REASON }, 'expired-in-flight')
-      // Aborting closes the connection, so that an unresponsive one is not reused.
-      this.controller.abort(new Error(TIMEOUT_REASON))
+      return
     }
+    this.settle({ kind: 'lost', reason: TIMEOUT_REASON }, 'expired-in-flight')
+    if (!this.isLate && this.awaitLateResponse()) return
+    // Aborting closes the connection, so that an unresponsive one is not reused.
+    this.controller.abort(new Error(TIMEOUT_REASON))
+  }
+
+  private awaitLateResponse (): boolean {
+    const { call: { lateResponse }, queue } = this.options
+    if (lateResponse === undefined || !queue.keepForLateResponse(this.connection!)) return false
+    this.isLate = true
+    this.timeLimit.start(lateResponse.milliseconds)
+    return true
   }
 
   private limitSilence (): void {
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -1,5 +1,5 @@
 import type {
-  HoldOutcome, HoldRequest, OrderOutcome, StartOrder, StopConnection, WorkerClient
+  HoldOutcome, HoldRequest, LateReportListener, OrderOutcome, StartOrder, StopConnection, WorkerClient
 } from '../../src/dispatch/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
 import type { EmulatedProcessor } from './EmulatedProcessor.js'
@@ -50,6 +50,7 @@
 /** Limits of shared and of separate connections for holds and orders, as in `platform/RunnerClient.ts`. */
 const SHARED_CONNECTION_LIMIT = 3
 const HOLD_CONNECTION_LIMIT = 1
+const LATE_CONNECTION_LIMIT = 2
 const ORDER_CONNECTION_LIMIT = 2
 /** Time-out of an order, as in `platform/RunnerClient.ts`. */
 const ORDER_TIMEOUT_MILLISECONDS = 350
@@ -61,6 +62,7 @@
 const ROUND_TRIP_MILLISECONDS = 2
 
 const TIMED_OUT = { kind: 'unknown', reason: 'timeout' } as const
+const AWAITED = { ...TIMED_OUT, isAwaited: true } as const
 const NOT_SENT = { kind: 'not-sent', reason: 'queue-timeout' } as const
 /** The outcomes of holds and of orders without a connection, as in `platform/RunnerClient.ts`. */
 const HOLD_NOT_CONNECTED = { kind: 'unknown', reason: 'connect-timeout' } as const
@@ -79,6 +81,8 @@
   path: LossyPath
   /** The outcome of a call for which no connection was open in time. */
   notConnected: unknown
+  /** The number of further connections that are kept for late responses. */
+  lateCount: number
   connections: Connection[]
   queue: QueuedCall[]
 }
@@ -90,6 +94,8 @@
   settle: (outcome: unknown) => void
   cancelTimer: CancelTimer
   isExpired: boolean
+  /** Receives a response that arrives after the time-out, while the connection is kept for it. */
+  lateReports: LateReportListener | undefined
   isSettled: boolean
   connection: Connection | null
   isSent: boolean
@@ -134,9 +140,9 @@
     return await this.order(() => this.options.worker.setPace(taskName, attempt, percent, epoch))
   }
 
-  async hold (request: HoldRequest): Promise<HoldOutcome> {
+  async hold (request: HoldRequest, lateReports?: LateReportListener): Promise<HoldOutcome> {
     const timeout = request.waitMilliseconds + HOLD_MARGIN_MILLISECONDS
-    const outcome = await this.call(this.holdPool, () => this.options.worker.hold(request), timeout)
+    const outcome = await this.call(this.holdPool, () => this.options.worker.hold(request), timeout, lateReports)
     this.options.processor.charge('planned-job', this.options.countQueuedJobs())
     return outcome
   }
@@ -151,7 +157,7 @@
   }
 
   private call<Outcome> (
-    pool: ConnectionPool, perform: () => Promise<Outcome>, timeoutMilliseconds: number
+    pool: ConnectionPool, perform: () => Promise<Outcome>, timeoutMilliseconds: number, lateReports?: LateReportListener
   ): Promise<Outcome> {
     const { processor } = this.options
     return new Promise(resolve => {
@@ -162,6 +168,7 @@
         settle: outcome => resolve(outcome as Outcome),
         cancelTimer: processor.clock.setTimer(timeoutMilliseconds, () => this.expire(call)),
         isExpired: false,
+        lateReports: this.options.expiredCalls === 'leaves-queue' ? lateReports : undefined,
         isSettled: false,
         connection: null,
         isSent: false
@@ -258,8 +265,7 @@
 
   private receiveAnswer (call: QueuedCall, outcome: unknown): void {
     this.options.processor.handle('answer', () => {
-      // The connection of an expired call is already closed, so its response is discarded.
-      if (call.isExpired) return
+      if (call.isExpired) return this.receiveLateAnswer(call, outcome)
       call.cancelTimer()
       call.isSettled = true
       call.settle(outcome)
@@ -267,12 +273,38 @@
     })
   }
 
+  /** Passes on a late response whose connection was kept; the response on a closed connection is discarded. */
+  private receiveLateAnswer (call: QueuedCall, outcome: unknown): void {
+    const { lateReports } = call
+    if (lateReports === undefined) return
+    call.cancelTimer()
+    call.pool.lateCount--
+    this.releaseConnection(call, 'open')
+    lateReports.onOutcome(outcome as HoldOutcome)
+  }
+
+  private awaitLateAnswer (call: QueuedCall, { milliseconds }: LateReportListener): void {
+    const remainingMilliseconds = Math.max(0, milliseconds - call.timeoutMilliseconds)
+    call.pool.lateCount++
+    call.cancelTimer = this.options.processor.clock.setTimer(remainingMilliseconds, () => {
+      call.lateReports = undefined
+      call.pool.lateCount--
+      this.releaseConnection(call, 'closed')
+    })
+    call.settle(AWAITED)
+    this.assignCalls(call.pool)
+  }
+
   private expire (call: QueuedCall): void {
     const { counts, expiredCalls } = this.options
     if (call.isSettled) return
     call.isExpired = true
     if (call.isSent) {
       counts.expiredSent++
+      if (call.lateReports !== undefined && call.pool.lateCount < LATE_CONNECTION_LIMIT) {
+        return this.awaitLateAnswer(call, call.lateReports)
+      }
+      call.lateReports = undefined
       this.releaseConnection(call, 'closed')
     } else {
       counts.expiredUnsent++
@@ -298,13 +330,13 @@
 }
 
 function createPool (limit: number, path: LossyPath, notConnected: unknown): ConnectionPool {
-  return { limit, path, notConnected, connections: [], queue: [] }
+  return { limit, path, notConnected, lateCount: 0, connections: [], queue: [] }
 }
 
 function findFreeConnection (pool: ConnectionPool): Connection | null {
   const free = pool.connections.filter(connection => connection.call === null)
   const found = free.find(connection => connection.state === 'open') ?? free[0]
-  if (found !== undefined || pool.connections.length === pool.limit) return found ?? null
+  if (found !== undefined || pool.connections.length - pool.lateCount >= pool.limit) return found ?? null
   const added: Connection = { state: 'closed', call: null, stream: null }
   pool.connections.push(added)
   return added
