Apply only what has changed of the site to the engine

Each change of a worker's entry, most of which are heartbeats, made the owner build a map of all queues, apply the entries of all workers and plan again: 0.26 ms a heartbeat with 3,000 queues and 350 workers, 0.85 ms with 10,000. At 350 heartbeats a second the latter is 0.3 of a core, more than some instances have.

The configuration and the data centres are now applied when their objects have changed, and workers by the keys that the follower names. An entry that equals the one before names no change. What an unchanged entry requires later is kept: runs that appear on a draining worker are stopped at the next update as before, and a worker that reports with an older incarnation than listed is unreachable again with that report.

The differential test plays 60 sequences of 250 random changes of a site and of its engine beside the former code, which applies all; workers, runs, orders and followed addresses are equal but for `changeCount`.

One difference: without a change the engine is no longer marked dirty by heartbeats of other workers, but by reports, outcomes and the tick of 0.2 s.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -11,6 +11,7 @@
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
 import { ShardDispatcher } from './ShardDispatcher.js'
+import type { ChangedWorkers } from './SiteUpdater.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
 
 /** Options of an instance. */
@@ -69,7 +70,7 @@
     })
     this.errors = errors
     this.site = SiteWatch.create({
-      platform: options.platform, clock, logger, errors, onChange: () => this.updateDispatcher()
+      platform: options.platform, clock, logger, errors, onChange: changed => this.updateDispatcher(changed)
     })
     this.election = OwnerElection.create({
       shardId: SHARD_ID,
@@ -177,8 +178,8 @@
     this.site.stopFollowingWorkers()
   }
 
-  private updateDispatcher (): void {
-    if (this.site.areWorkersLoaded()) this.dispatcher?.updateSite()
+  private updateDispatcher (changedWorkers: ChangedWorkers): void {
+    if (this.site.areWorkersLoaded()) this.dispatcher?.updateSite(changedWorkers)
   }
 
   private createOwnerApi (): OwnerApi {
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -22,7 +22,7 @@
 import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { RecoveryMonitor } from './RecoveryMonitor.js'
-import type { SiteWatch } from './SiteWatch.js'
+import { SiteUpdater, type ChangedWorkers, type SiteState } from './SiteUpdater.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -33,7 +33,7 @@
   tableService: TableService
   tableLimits: TableLimits
   feed: TableFeed
-  site: SiteWatch
+  site: SiteState
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
@@ -86,6 +86,7 @@
   private readonly recoveryMonitor: RecoveryMonitor
   private readonly loops: WorkerLeaseLoops
   private readonly jobRows: JobRowReader
+  private readonly siteUpdater: SiteUpdater
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -130,12 +131,16 @@
       prepareReport: async worker => await this.readJobsBeforeReport(worker),
       onReport: worker => {
         if (!worker.registered) this.registry.register(this.engine.workers)
+        this.siteUpdater.review(worker.entry.workerId)
         this.sender.handleReport(worker)
         this.schedulePlan()
       },
       onFenced: () => options.onDeposed('a worker rejected a lease renewal with an old epoch'),
       waitForDurability: () => this.writer.waitForDurability()
     })
+    this.siteUpdater = SiteUpdater.create({
+      site: options.site, engine: this.engine, follow: worker => this.loops.follow(worker)
+    })
     this.writer = ProgressWriter.create({
       ...options,
       engine: this.engine,
@@ -199,20 +204,12 @@
     await this.writer.flush()
   }
 
-  /** Applies the current workers, queues and data centres of the site to the engine. */
-  updateSite (): void {
-    if (!this.loaded || this.stopped) return
-    const { site } = this.options
-    const configuration = site.getConfiguration()
-    if (configuration !== null) {
-      this.engine.setQueueServices(new Map(configuration.queues.map(queue => [queue.name, queue.serviceName])))
-    }
-    this.engine.setDataCentresOut(site.getDataCentresOut())
-    const entries = site.getWorkers()
-    for (const entry of entries.values()) {
-      this.loops.follow(this.engine.setWorker(entry))
-    }
-    for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.markRemoved(workerId)
+  /**
+   * Applies changes of the workers, queues and data centres of the site to the engine.
+   * @param changedWorkers The workers whose entries have changed.
+   */
+  updateSite (changedWorkers: ChangedWorkers = 'all'): void {
+    if (!this.loaded || this.stopped || !this.siteUpdater.update(changedWorkers)) return
     this.registry.register(this.engine.workers)
     this.schedulePlan()
   }
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import type { WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
@@ -7,6 +8,8 @@
 import { TableFollower } from '../table/TableFollower.js'
 import type { Row } from '../table/TableService.js'
 import type { SiteConfiguration } from './SiteConfiguration.js'
+import type { ChangedWorkers } from './SiteUpdater.js'
+import { WorkerEntries } from './WorkerEntries.js'
 
 /** A decoded row of the operators' table. */
 export type OperatorRow =
@@ -30,7 +33,7 @@
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
-  onChange (): void
+  onChange (changedWorkers: ChangedWorkers): void
 }
 
 /** A lost call delays a configuration by this wait and the call's timeout margin, together at most 2.5 s. */
@@ -42,13 +45,16 @@
 export class SiteWatch {
   private configuration: SiteConfiguration | null = null
   private readonly dataCentresOut = new Map<string, string>()
-  private readonly workers = new Map<string, WorkerEntry>()
+  /** The data centres of the rows, replaced when the rows change. */
+  private dataCentresOutSet: ReadonlySet<string> = new Set()
+  private readonly workers: WorkerEntries
   private workersLoaded = false
   private readonly operatorFollower: TableFollower
   private workerFollower: TableFollower | null = null
 
   private constructor (private readonly options: SiteWatchOptions) {
     const { platform, clock, logger, errors } = options
+    this.workers = WorkerEntries.create({ logger, decodeWorker: (key, value) => platform.decodeWorker(key, value) })
     this.operatorFollower = TableFollower.create({
       table: platform.operatorTable,
       feed: platform.feed,
@@ -111,14 +117,14 @@
     return this.configuration
   }
 
-  /** Returns the data centres that operators have taken out, which get no new work. */
+  /** Returns the data centres that operators have taken out, which get no new work; the same set until they change. */
   getDataCentresOut (): ReadonlySet<string> {
-    return new Set(this.dataCentresOut.values())
+    return this.dataCentresOutSet
   }
 
   /** Returns the listed workers, which are none before the list is read. */
   getWorkers (): ReadonlyMap<string, WorkerEntry> {
-    return this.workers
+    return this.workers.getAll()
   }
 
   /** Returns whether the list of workers was read. */
@@ -134,7 +140,7 @@
   private replaceOperatorRows (rows: Row[]): void {
     this.dataCentresOut.clear()
     for (const row of rows) this.applyOperatorRow(row.key, row.value)
-    this.options.onChange()
+    this.announceOperatorChanges()
   }
 
   private applyOperatorChanges (changes: RowChange[]): void {
@@ -142,7 +148,13 @@
       if (row !== null) this.applyOperatorRow(key, row.value)
       else if (this.dataCentresOut.delete(key)) this.options.logger.info('data centre gets new work again', { key })
     }
-    this.options.onChange()
+    this.announceOperatorChanges()
+  }
+
+  private announceOperatorChanges (): void {
+    const dataCentres = new Set(this.dataCentresOut.values())
+    if (!isDeepStrictEqual(dataCentres, this.dataCentresOutSet)) this.dataCentresOutSet = dataCentres
+    this.options.onChange([])
   }
 
   private applyOperatorRow (key: string, value: JsonValue): void {
@@ -160,27 +172,12 @@
   }
 
   private replaceWorkers (rows: Row[]): void {
-    this.workers.clear()
-    for (const row of rows) this.applyWorkerRow(row.key, row.value)
+    this.workers.replace(rows)
     this.workersLoaded = true
-    this.options.onChange()
+    this.options.onChange('all')
   }
 
   private applyWorkerChanges (changes: RowChange[]): void {
-    for (const { key, row } of changes) {
-      if (row !== null) this.applyWorkerRow(key, row.value)
-      else this.workers.delete(key)
-    }
-    this.options.onChange()
-  }
-
-  private applyWorkerRow (key: string, value: JsonValue): void {
-    const entry = this.options.platform.decodeWorker(key, value)
-    if (entry === null) {
-      this.options.logger.info('invalid worker row ignored', { key })
-      this.workers.delete(key)
-    } else {
-      this.workers.set(key, entry)
-    }
+    this.options.onChange(this.workers.apply(changes))
   }
 }
