Follow a worker that is listed again soon after its removal

A worker whose entry had gone and whose lease was over was removed from the engine, and its lease loop was stopped at the next tick, up to 0.2 s later. When its entry came back in between, the engine had a new record and the loop kept reporting to the former one: the owner never used that worker again.

The loops now follow a worker by its record.

--- a/src/instance/WorkerLeaseLoops.ts
+++ b/src/instance/WorkerLeaseLoops.ts
@@ -10,6 +10,7 @@
 
 /** The lease loop of a worker, and the client with its address. */
 interface FollowedWorker {
+  worker: WorkerRecord
   loop: WorkerLeaseLoop
   client: WorkerClient
   address: string
@@ -34,9 +35,14 @@
     return new WorkerLeaseLoops(options)
   }
 
-  /** Starts the loop of a worker that is not followed yet, or calls it at the address of its present entry. */
+  /**
+   * Starts the loop of a worker that is not followed yet, or calls it at the address of its present entry. A worker
+   * that was removed and is listed again has another record, which the loop of the former one does not update.
+   */
   follow (worker: WorkerRecord): void {
-    const followed = this.followed.get(worker.entry.workerId)
+    const { workerId } = worker.entry
+    if (this.followed.has(workerId) && this.followed.get(workerId)?.worker !== worker) this.stop(workerId)
+    const followed = this.followed.get(workerId)
     if (followed === undefined) this.start(worker)
     else if (followed.address !== worker.entry.address) this.replaceClient(followed, worker.entry)
   }
@@ -68,7 +74,7 @@
   private start (worker: WorkerRecord): void {
     const { createWorkerClient, ...loopOptions } = this.options
     const { workerId, address } = worker.entry
-    const followed = { client: createWorkerClient(worker.entry), address }
+    const followed = { worker, client: createWorkerClient(worker.entry), address }
     const loop = WorkerLeaseLoop.create({
       ...loopOptions,
       endedRuns: this.endedRuns,
