--- a/tools/bench/benches/configuration-size.ts
+++ b/tools/bench/benches/configuration-size.ts
@@ -10,6 +10,7 @@
 import { measureSiteUpdates } from '../configuration/measureSiteUpdates.js'
 import { TurnProbe } from '../configuration/TurnProbe.js'
 import type { Figure } from '../Figure.js'
+import { measureHeapBytes } from '../measure/measureHeapBytes.js'
 
 const ROUTE_COUNTS = [3000, 10_000]
 const REPETITIONS = 15
@@ -56,8 +57,14 @@
   }
   const create = (figure: string, value: number, unit: string): Figure =>
     ({ figure: `${figure}, ${routeCount} routes`, value: Number(value.toFixed(3)), unit, naive: null, target: 'no target' })
+  const heap = measureHeapBytes(() => {
+    const configuration = decode(parseJson(JSON.stringify(createLargeConfiguration(routeCount, seed))) as JsonValue)
+    findQueue(configuration, '', '')
+    return configuration
+  })
   return [
     create('size of the answer', answerBytes, 'bytes'),
+    create('heap of the configuration with its index', heap.bytes, 'bytes'),
     ...[...samples].flatMap(([name, values]) => {
       const unit = name.startsWith('number') ? 'turns' : 'ms'
       const median = [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)]
