--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -229,7 +229,8 @@
     for (const { value } of learned) {
       this.options.errors.run('learned-row', () => this.engine.advisor.import(value as unknown as LearnedEffects))
     }
-    this.jobRows.load(jobs.rows, rows.progress)
+    await this.jobRows.load(jobs.rows, rows.progress)
+    if (this.stopped) return false
     const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
     for (const row of rows.holding) {
       const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
