--- a/src/instance/JobRowReader.ts
+++ b/src/instance/JobRowReader.ts
@@ -2,7 +2,6 @@
 import { decodeProgress, decodeProgressKey, type JobRecord } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
-import { forEachInTurns } from '../shared/forEachInTurns.js'
 import type { Logger } from '../shared/Logger.js'
 import type { Row } from '../table/TableService.js'
 import type { FinishedJobCleaner } from './FinishedJobCleaner.js'
@@ -21,9 +20,6 @@
   cancelJob (jobId: string): void
 }
 
-/** The rows of ended jobs that a whole processor handles in about two milliseconds. */
-const ROWS_PER_TURN = 1000
-
 /** Adds the jobs of stored rows to the job table, and queues the rows of ended jobs for removal. */
 export class JobRowReader {
   private readonly assembler = SubmissionAssembler.create()
@@ -42,26 +38,22 @@
   }
 
   /**
-   * Adds the jobs that earlier owners have left, in turns of the event loop: the rows of ended jobs stay, so there may
-   * be very many.
+   * Adds the jobs that earlier owners have left.
    * @param jobRows The rows of the job table.
    * @param progressRows The rows of the progress table.
-   * @returns A promise that resolves when all jobs are added; until then, the jobs must not be used.
    */
-  async load (jobRows: readonly Row[], progressRows: readonly Row[]): Promise<void> {
+  load (jobRows: readonly Row[], progressRows: readonly Row[]): void {
     const { jobs, cleaner, clock } = this.options
     const now = clock.monotonicMilliseconds()
-    const progressByJobId = new Map<string, Row[]>()
-    await this.forEachInTurns(progressRows, row => addToGroup(progressByJobId, row))
-    await this.forEachInTurns(progressByJobId, ([jobId, progress]) => {
+    const progressByJobId = groupProgressRows(progressRows)
+    for (const [jobId, progress] of progressByJobId) {
       const state = progress.map(({ value }) => decodeProgress(value).state).find(other => other !== undefined)
-      if (state === undefined) return
+      if (state === undefined) continue
       jobs.setFinalState(jobId, state, now)
       cleaner.addProgressRows(progress.map(({ key }) => key).filter(key => key !== jobId))
-    })
-    await this.forEachInTurns(jobRows, row => this.addRow(row, key => progressByJobId.get(key) ?? [], true))
-    await this.forEachInTurns(jobRows, row => this.cancelJob(row))
-    await this.forEachInTurns(jobRows, row => this.queueEndedJob(row))
+    }
+    this.addRows(jobRows, key => progressByJobId.get(key) ?? [], true)
+    this.queueEndedJobs(jobRows)
   }
 
   /**
@@ -70,8 +62,7 @@
    * @param recovered Whether an earlier owner may have started, or may still start, their tasks.
    */
   add (rows: readonly Row[], recovered: boolean): void {
-    for (const row of rows) this.addRow(row, () => [], recovered)
-    for (const row of rows) this.cancelJob(row)
+    this.addRows(rows, () => [], recovered)
   }
 
   /** Queues the rows of a job whose final state is durable for removal. */
@@ -83,25 +74,20 @@
     this.partKeys.delete(jobId)
   }
 
-  private async forEachInTurns<Item> (items: Iterable<Item>, handle: (item: Item) => void): Promise<void> {
-    const { clock } = this.options
-    const endTurn = () => new Promise<void>(resolve => { clock.setTimer(0, resolve) })
-    await forEachInTurns(items, { itemsPerTurn: ROWS_PER_TURN, endTurn }, handle)
-  }
-
-  private addRow (row: Row, getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
-    if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) return
-    this.rememberPart(row)
-    this.options.errors.run('job-row', () => {
-      const whole = this.assembler.add(row)
-      if (whole !== null) this.addJob(whole, getProgress(whole.key), recovered)
-    })
-  }
-
-  /** Cancels the job that a row names as cancelled, which must have been added before. */
-  private cancelJob ({ key }: Row): void {
-    const jobId = getCancelledJobId(key)
-    if (jobId !== null) this.options.cancelJob(jobId)
+  private addRows (rows: readonly Row[], getProgress: (jobId: string) => readonly Row[], recovered: boolean): void {
+    const { errors, cancelJob } = this.options
+    for (const row of rows) {
+      if (getCancelledJobId(row.key) !== null || isFinishedJob(row.value)) continue
+      this.rememberPart(row)
+      errors.run('job-row', () => {
+        const whole = this.assembler.add(row)
+        if (whole !== null) this.addJob(whole, getProgress(whole.key), recovered)
+      })
+    }
+    for (const row of rows) {
+      const jobId = getCancelledJobId(row.key)
+      if (jobId !== null) cancelJob(jobId)
+    }
   }
 
   private rememberPart ({ key }: Row): void {
@@ -120,22 +106,28 @@
     jobs.add({ submission, progress, recovered, hasStoredAssignments }, clock.monotonicMilliseconds())
   }
 
-  /** Queues a row of a job that ended under an earlier owner, which did not remove it. */
-  private queueEndedJob ({ key, value }: Row): void {
+  /** Queues the rows of jobs that ended under an earlier owner, which did not remove them. */
+  private queueEndedJobs (rows: readonly Row[]): void {
     const { jobs, cleaner } = this.options
-    const cancelledJob = getCancelledJobId(key)
-    const partOf = getSubmissionPartOf(key)
-    const jobId = cancelledJob ?? partOf?.jobId ?? key
-    const needsCleanup = !isFinishedJob(value) || cancelledJob !== null
-    if (!needsCleanup || jobs.getJob(jobId) !== undefined) return
-    cleaner.add(jobId, cancelledJob === null && partOf === null ? [] : [key])
+    for (const { key, value } of rows) {
+      const cancelledJob = getCancelledJobId(key)
+      const partOf = getSubmissionPartOf(key)
+      const jobId = cancelledJob ?? partOf?.jobId ?? key
+      const needsCleanup = !isFinishedJob(value) || cancelledJob !== null
+      if (!needsCleanup || jobs.getJob(jobId) !== undefined) continue
+      cleaner.add(jobId, cancelledJob === null && partOf === null ? [] : [key])
+    }
   }
 }
 
-/** Adds a row of the progress table to those of its job. */
-function addToGroup (groups: Map<string, Row[]>, row: Row): void {
-  const { jobId } = decodeProgressKey(row.key)
-  const group = groups.get(jobId)
-  if (group === undefined) groups.set(jobId, [row])
-  else group.push(row)
+/** Groups the rows of the progress table by job. */
+function groupProgressRows (rows: readonly Row[]): Map<string, Row[]> {
+  const groups = new Map<string, Row[]>()
+  for (const row of rows) {
+    const { jobId } = decodeProgressKey(row.key)
+    const group = groups.get(jobId)
+    if (group === undefined) groups.set(jobId, [row])
+    else group.push(row)
+  }
+  return groups
 }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -229,8 +229,7 @@
     for (const { value } of learned) {
       this.options.errors.run('learned-row', () => this.engine.advisor.import(value as unknown as LearnedEffects))
     }
-    await this.jobRows.load(jobs.rows, rows.progress)
-    if (this.stopped) return false
+    this.jobRows.load(jobs.rows, rows.progress)
     const remainingLeases = this.restoreUnreachedWorkers(rows.unreached)
     for (const row of rows.holding) {
       const worker = this.engine.setWorker(decodeHeldWorker(row.key, row.value))
