--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -17,12 +17,12 @@
 import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 import { JobRowReader } from './JobRowReader.js'
 import { LearnedEffectsWriter } from './LearnedEffectsWriter.js'
-import { loadShardRows } from './loadShardRows.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { OrderSender } from './OrderSender.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { RecoveryMonitor } from './RecoveryMonitor.js'
-import type { SiteWatch } from './SiteWatch.js'
+import { ShardRowLoader } from './ShardRowLoader.js'
+import { SiteUpdater, type ChangedWorkers, type SiteState } from './SiteUpdater.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -33,7 +33,7 @@
   tableService: TableService
   tableLimits: TableLimits
   feed: TableFeed
-  site: SiteWatch
+  site: SiteState
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
@@ -86,6 +86,8 @@
   private readonly recoveryMonitor: RecoveryMonitor
   private readonly loops: WorkerLeaseLoops
   private readonly jobRows: JobRowReader
+  private readonly siteUpdater: SiteUpdater
+  private readonly rowLoader: ShardRowLoader
   private jobFollower: TableFollower | null = null
   private stopped = false
   private draining = false
@@ -101,6 +103,7 @@
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
+    this.rowLoader = ShardRowLoader.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
     this.jobRows = JobRowReader.create({
       ...options,
@@ -130,12 +133,16 @@
       prepareReport: async worker => await this.readJobsBeforeReport(worker),
       onReport: worker => {
         if (!worker.registered) this.registry.register(this.engine.workers)
+        this.siteUpdater.review(worker.entry.workerId)
         this.sender.handleReport(worker)
         this.schedulePlan()
       },
       onFenced: () => options.onDeposed('a worker rejected a lease renewal with an old epoch'),
       waitForDurability: () => this.writer.waitForDurability()
     })
+    this.siteUpdater = SiteUpdater.create({
+      site: options.site, engine: this.engine, follow: worker => this.loops.follow(worker)
+    })
     this.writer = ProgressWriter.create({
       ...options,
       engine: this.engine,
@@ -199,20 +206,12 @@
     await this.writer.flush()
   }
 
-  /** Applies the current workers, queues and data centres of the site to the engine. */
-  updateSite (): void {
-    if (!this.loaded || this.stopped) return
-    const { site } = this.options
-    const configuration = site.getConfiguration()
-    if (configuration !== null) {
-      this.engine.setQueueServices(new Map(configuration.queues.map(queue => [queue.name, queue.serviceName])))
-    }
-    this.engine.setDataCentresOut(site.getDataCentresOut())
-    const entries = site.getWorkers()
-    for (const entry of entries.values()) {
-      this.loops.follow(this.engine.setWorker(entry))
-    }
-    for (const workerId of this.engine.workers.keys()) if (!entries.has(workerId)) this.engine.markRemoved(workerId)
+  /**
+   * Applies changes of the workers, queues and data centres of the site to the engine.
+   * @param changedWorkers The workers whose entries have changed.
+   */
+  updateSite (changedWorkers: ChangedWorkers = 'all'): void {
+    if (!this.loaded || this.stopped || !this.siteUpdater.update(changedWorkers)) return
     this.registry.register(this.engine.workers)
     this.schedulePlan()
   }
@@ -224,7 +223,7 @@
   }
 
   private async load (): Promise<boolean> {
-    const rows = await loadShardRows(this.options)
+    const rows = await this.rowLoader.load()
     if (rows === null || this.stopped) return false
     const { jobs, learned, unreachedReadAt } = rows
     for (const { value } of learned) {
--- a/src/table/TableFeed.ts
+++ b/src/table/TableFeed.ts
@@ -1,3 +1,4 @@
+import type { TableReadProgress } from './TableReadProgress.js'
 import type { ReadOutcome, Row } from './TableService.js'
 
 /** The write or deletion of a row. */
@@ -28,8 +29,11 @@
 
 /** Reads whole tables and waits for their changes. */
 export interface TableFeed {
-  /** Reads all rows of a table; changes after the returned version must be read with `waitForChanges`. */
-  readTable (table: string): Promise<ReadOutcome<TableSnapshot>>
+  /**
+   * Reads all rows of a table; changes after the returned version must be read with `waitForChanges`. With the progress
+   * of a failed read, a client that reads pages continues there.
+   */
+  readTable (table: string, progress?: TableReadProgress): Promise<ReadOutcome<TableSnapshot>>
   /** Reads a table like `readTable`, and ends as `too-large` as soon as the responses exceed the given bytes. */
   readTableWithin (table: string, maximumBytes: number): Promise<ReadOutcome<TableSnapshot> | TooLarge>
   /**
