Put regions behind a link of limited rate in the emulated site

In the emulated site no call waited for another one on its way, so no test showed what a full link between regions does.

With farRegion, the table calls, the calls to workers, their connections and the calls to peers between the regions wait in that queue. DistantTables gives table calls the time-outs of platform/PlatformTable.ts, sizes them by their encoded rows and lets the store take time.

--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -5,6 +5,7 @@
 import type { EmulatedProcessor } from './EmulatedProcessor.js'
 import type { LossyPath, PathDirection } from './LossyPath.js'
 import type { LossyStream } from './LossyStream.js'
+import type { LinkRoute } from './RegionLink.js'
 import type { WorkerPaths } from './WorkerPaths.js'
 
 /** Selects the worker client to emulate by its handling of calls that time out while queued for a connection. */
@@ -20,6 +21,9 @@
    */
   | 'leaves-queue'
 
+/** The calls to a worker. */
+export type CallName = 'hold' | 'start' | 'stop' | 'set-pace'
+
 /** Counters of connections and expired calls, over all workers. */
 export interface ConnectionCounts {
   opened: number
@@ -32,6 +36,10 @@
   worker: WorkerClient
   /** The network between the process and the worker. */
   paths: WorkerPaths
+  /** The link between regions that the calls cross after the network; absent or null within a region. */
+  route?: LinkRoute | null
+  /** Called with the name of each call that ended without a response or was not sent in time. */
+  onExpired?: (name: CallName) => void
   /** Identifies the process of the worker, null while none runs; a packet that is sent again reaches no later one. */
   getIncarnation: () => number | null
   processor: EmulatedProcessor
@@ -59,6 +67,10 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 300
 /** Opening a connection within a region takes as long as a call. */
 const ROUND_TRIP_MILLISECONDS = 2
+/** The bytes of a request, and of a response beside what it reports. */
+const MESSAGE_BYTES = 400
+/** The bytes of each packet by which a connection opens. */
+const OPENING_BYTES = 60
 
 const TIMED_OUT = { kind: 'unknown', reason: 'timeout' } as const
 const NOT_SENT = { kind: 'not-sent', reason: 'queue-timeout' } as const
@@ -84,6 +96,7 @@
 }
 
 interface QueuedCall {
+  name: CallName
   pool: ConnectionPool
   timeoutMilliseconds: number
   perform: () => Promise<unknown>
@@ -120,23 +133,24 @@
 
   async start (order: StartOrder): Promise<OrderOutcome> {
     this.options.onStart(order.taskName)
-    return await this.order(() => this.options.worker.start(order))
+    return await this.order('start', () => this.options.worker.start(order))
   }
 
   async stop (
     taskName: string, attempt: number, epoch: number, connection: StopConnection = 'orders'
   ): Promise<OrderOutcome> {
     const pool = connection === 'orders' ? this.orderPool : this.holdPool
-    return await this.call(pool, () => this.options.worker.stop(taskName, attempt, epoch), ORDER_TIMEOUT_MILLISECONDS)
+    const perform = () => this.options.worker.stop(taskName, attempt, epoch)
+    return await this.call('stop', pool, perform, ORDER_TIMEOUT_MILLISECONDS)
   }
 
   async setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome> {
-    return await this.order(() => this.options.worker.setPace(taskName, attempt, percent, epoch))
+    return await this.order('set-pace', () => this.options.worker.setPace(taskName, attempt, percent, epoch))
   }
 
   async hold (request: HoldRequest): Promise<HoldOutcome> {
     const timeout = request.waitMilliseconds + HOLD_MARGIN_MILLISECONDS
-    const outcome = await this.call(this.holdPool, () => this.options.worker.hold(request), timeout)
+    const outcome = await this.call('hold', this.holdPool, () => this.options.worker.hold(request), timeout)
     this.options.processor.charge('planned-job', this.options.countQueuedJobs())
     return outcome
   }
@@ -146,16 +160,17 @@
     for (const pool of [this.holdPool, this.orderPool]) pool.queue = []
   }
 
-  private async order (perform: () => Promise<OrderOutcome>): Promise<OrderOutcome> {
-    return await this.call(this.orderPool, perform, ORDER_TIMEOUT_MILLISECONDS)
+  private async order (name: CallName, perform: () => Promise<OrderOutcome>): Promise<OrderOutcome> {
+    return await this.call(name, this.orderPool, perform, ORDER_TIMEOUT_MILLISECONDS)
   }
 
   private call<Outcome> (
-    pool: ConnectionPool, perform: () => Promise<Outcome>, timeoutMilliseconds: number
+    name: CallName, pool: ConnectionPool, perform: () => Promise<Outcome>, timeoutMilliseconds: number
   ): Promise<Outcome> {
     const { processor } = this.options
     return new Promise(resolve => {
       const call: QueuedCall = {
+        name,
         pool,
         timeoutMilliseconds,
         perform,
@@ -201,7 +216,7 @@
       else this.handleOpeningTimeout(connection, pool)
     })
     clock.setTimer(processor.getBusyMilliseconds() + ROUND_TRIP_MILLISECONDS, () => {
-      if (!isEnded) giveUp = pool.path.open(() => end(true))
+      if (!isEnded) giveUp = pool.path.open(() => this.crossLinkTwice(() => end(true)))
     })
     if (expiredCalls === 'destroys-connection') return
     // A connection that was opened by the time-out is used, so the time-out is handled after it.
@@ -221,6 +236,7 @@
     if (call !== null) {
       call.cancelTimer()
       call.isSettled = true
+      this.options.onExpired?.(call.name)
       call.settle(pool.notConnected)
     }
     this.assignCalls(pool)
@@ -244,16 +260,31 @@
     const stream = connection.stream!
     clock.setTimer(processor.getBusyMilliseconds(), () => {
       if (!isAlive()) return
-      this.sendSegment(stream, 'toWorker', () => {
-        call.perform().then(outcome => this.sendSegment(stream, 'fromWorker', () => this.receiveAnswer(call, outcome)))
+      this.sendSegment(stream, 'toWorker', null, () => {
+        call.perform().then(outcome => {
+          this.sendSegment(stream, 'fromWorker', outcome, () => this.receiveAnswer(call, outcome))
+        })
       })
     })
   }
 
+  /** Exchanges the packets by which a connection opens. */
+  private crossLinkTwice (onOpen: () => void): void {
+    const { route } = this.options
+    if (route == null) onOpen()
+    else route.requests.send(OPENING_BYTES, () => route.answers.send(OPENING_BYTES, onOpen))
+  }
+
   /** Sends a segment, which is lost if the process of the worker ends before it arrives. */
-  private sendSegment (stream: LossyStream, direction: PathDirection, deliver: () => void): void {
-    const incarnation = this.options.getIncarnation()
-    stream.send(direction, () => { if (this.options.getIncarnation() === incarnation) deliver() })
+  private sendSegment (stream: LossyStream, direction: PathDirection, content: unknown, deliver: () => void): void {
+    const { route, getIncarnation } = this.options
+    const incarnation = getIncarnation()
+    const deliverIfRunning = () => { if (getIncarnation() === incarnation) deliver() }
+    stream.send(direction, () => {
+      if (route == null) return deliverIfRunning()
+      const link = direction === 'toWorker' ? route.requests : route.answers
+      link.send(MESSAGE_BYTES + JSON.stringify(content).length, deliverIfRunning)
+    })
   }
 
   private receiveAnswer (call: QueuedCall, outcome: unknown): void {
@@ -271,6 +302,7 @@
     const { counts, expiredCalls } = this.options
     if (call.isSettled) return
     call.isExpired = true
+    this.options.onExpired?.(call.name)
     if (call.isSent) {
       counts.expiredSent++
       this.releaseConnection(call, 'closed')
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -7,6 +7,7 @@
 import type { JsonValue } from '../../src/shared/JsonValue.js'
 import { silentLogger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
+import { PageSize } from '../../src/table/PageSize.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
 import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
 import type { TableService } from '../../src/table/TableService.js'
@@ -14,10 +15,12 @@
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { createStep } from './createStep.js'
 import { strictLogger } from './createTestErrors.js'
+import { DistantTables } from './DistantTables.js'
 import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
+import type { LinkRoute, RegionLink } from './RegionLink.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
 
@@ -38,6 +41,17 @@
   workerClockRate?: number
   /** Whether instances may confine unexpected errors; by default, the first one fails the test. */
   allowsUnexpectedErrors?: boolean
+  /** A second region behind a link, which needs `processorTime`; by default, there is one region. */
+  farRegion?: FarRegion
+  /** How long the store takes for each call in addition to the usual time; gives table calls their time-outs. */
+  getStoreDelayMilliseconds?: () => number
+}
+
+/** A region behind a link; the store is in the other one. */
+export interface FarRegion {
+  link: RegionLink
+  /** Returns whether an instance or a worker is in this region. */
+  contains (id: string): boolean
 }
 
 /** How the processor time and the connections of the processes are emulated. */
@@ -80,6 +94,8 @@
 /** The platform removes a worker from its list this long after the worker process crashes. */
 const DELISTING_DELAY_MILLISECONDS = 4500
 const PEER_TIMEOUT_MILLISECONDS = 600
+const PEER_MESSAGE_BYTES = 400
+const LINK_MEGABITS_PER_SECOND = 1000
 const OPERATOR_TABLE = 'operators'
 const WORKER_TABLE = 'listed-workers'
 
@@ -88,6 +104,8 @@
   readonly judge: RunJudge
   /** Counters of the worker connections of all processes; they stay 0 if processor time is not emulated. */
   readonly connectionCounts: ConnectionCounts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
+  /** Number of calls that timed out, by the names of calls; counted only where time-outs are emulated. */
+  readonly timeouts = new Map<string, number>()
   readonly tables: EmulatedTables
   readonly workers = new Map<string, EmulatedWorker>()
   /** The networks to the workers, which can lose packets if processor time is emulated. */
@@ -169,11 +187,11 @@
     const tables = this.tables.createClient(random)
     const processor = this.createProcessor(process)
     const receiver = processor ?? process
-    const gatedTables = gateTables(process, processor, tables)
+    const gatedTables = gateTables(process, processor, this.createDistantTables(instanceId, tables))
     const address = `${instanceId}:1`
     const instance = Instance.create({
       instanceId,
-      region: 'south',
+      region: this.isFar(instanceId) ? 'north' : 'south',
       peerAddress: address,
       ownerTable: gatedTables,
       callerTable: gatedTables,
@@ -186,9 +204,9 @@
         decodeOperatorRow,
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
-      peer: this.createPeer(receiver),
+      peer: this.createPeer(receiver, instanceId),
       registry: new Registry(),
-      resources: { processors: 1, linkMegabitsPerSecond: 1000 },
+      resources: { processors: 1, linkMegabitsPerSecond: LINK_MEGABITS_PER_SECOND },
       livenessSource: {
         listLiveWorkers: async () => await receiver.receive(Promise.resolve({
           kind: 'ok' as const,
@@ -198,7 +216,7 @@
       clock: receiver.clock,
       logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
       leaseMilliseconds: LEASE_MILLISECONDS,
-      createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId),
+      createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
     const existingIndex = this.instances.findIndex(other => other.address === address)
@@ -258,6 +276,38 @@
     this.putRow(JOB_TABLE, key, value)
   }
 
+  private isFar (id: string): boolean {
+    return this.options.farRegion?.contains(id) ?? false
+  }
+
+  private getRoute (callerId: string, targetId: string): LinkRoute | null {
+    return this.options.farRegion?.link.getRoute(this.isFar(callerId), this.isFar(targetId)) ?? null
+  }
+
+  private countTimeout (call: string): void {
+    this.timeouts.set(call, (this.timeouts.get(call) ?? 0) + 1)
+  }
+
+  /** Returns the client itself where neither a link nor a slow store is emulated. */
+  private createDistantTables (instanceId: string, tables: EmulatedTableClient): TableService & TableFeed {
+    const { clock, farRegion, getStoreDelayMilliseconds } = this.options
+    if (farRegion === undefined && getStoreDelayMilliseconds === undefined) return tables
+    return DistantTables.create({
+      tables,
+      clock,
+      route: farRegion?.link.getRoute(this.isFar(instanceId), false) ?? null,
+      getResponseMilliseconds: getStoreDelayMilliseconds ?? (() => 0),
+      pageSize: PageSize.create(LINK_MEGABITS_PER_SECOND),
+      onTimeout: call => this.countTimeout(call)
+    })
+  }
+
+  private async answerOverLink<Value> (route: LinkRoute, value: Value): Promise<Awaited<Value>> {
+    const answer = await value
+    await route.answers.transfer(PEER_MESSAGE_BYTES, () => true)
+    return answer
+  }
+
   private waitForPeerTimeout (): Promise<null> {
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
@@ -294,7 +344,7 @@
   }
 
   private createWorkerClient (
-    process: SimulatedProcess, processor: EmulatedProcessor | null, workerId: string
+    process: SimulatedProcess, processor: EmulatedProcessor | null, workerId: string, instanceId: string
   ): WorkerClient {
     const worker = this.workers.get(workerId)!
     const { processorTime, clock } = this.options
@@ -302,6 +352,8 @@
     return EmulatedConnections.create({
       worker,
       paths: this.paths.get(workerId)!,
+      route: this.getRoute(instanceId, workerId),
+      onExpired: name => this.countTimeout(name),
       getIncarnation: () => worker.isAlive ? worker.bornAtMilliseconds : null,
       processor,
       clock,
@@ -313,7 +365,7 @@
     })
   }
 
-  private createPeer (process: Receiver): OwnerPeer {
+  private createPeer (process: Receiver, instanceId: string): OwnerPeer {
     const find = (address: string) => this.instances.find(other => other.address === address)
     const callPeer = async <Value>(
       address: string, answer: (other: EmulatedInstance) => Value
@@ -326,7 +378,11 @@
         return null
       }
       if (other.processor === null) return await process.receive(Promise.resolve(answer(other)))
-      const response = other.processor.receive(Promise.resolve(), 'request').then(() => answer(other))
+      const route = this.getRoute(instanceId, address.split(':')[0])
+      const request: Promise<unknown> = route?.requests.transfer(PEER_MESSAGE_BYTES, () => true) ?? Promise.resolve()
+      const response = other.processor.receive(request, 'request').then(() => {
+        return route === null ? answer(other) : this.answerOverLink(route, answer(other))
+      })
       return await process.receive(Promise.race([response, this.waitForPeerTimeout()]))
     }
     return {
@@ -363,7 +419,7 @@
  * that has crashed receives no results.
  */
 function gateTables (
-  process: SimulatedProcess, processor: EmulatedProcessor | null, tables: EmulatedTableClient
+  process: SimulatedProcess, processor: EmulatedProcessor | null, tables: TableService & TableFeed
 ): TableService & TableFeed {
   const forward = async <Value>(call: () => Promise<Value>): Promise<Value> => {
     await process.receive(Promise.resolve())
