Follow a large operators' table by one whole read and copies of it

What callers saw: with a configuration of 3,000 queues or more, instances of the region without the store were late or not ready, and runs were lost behind the full link. Cause: each instance received the whole row over the link that its region shares.

TableFollower ends an answer beyond 64 KiB and reads the table through LargeTableReader; the owner publishes. Only the operators' table does so. Its retry delay grows and has a random part. Metrics count copies published and used, and whole reads by cause.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -3,9 +3,11 @@
 import type { Clock } from '../shared/Clock.js'
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
+import type { ListedObjectStore } from '../table/ListedObjectStore.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { TableService } from '../table/TableService.js'
+import { getPublishingDelay } from './getPublishingDelay.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
@@ -25,6 +27,7 @@
   callerTable: TableService
   tableLimits: TableLimits
   feed: TableFeed
+  objects: ListedObjectStore
   platform: PlatformTables
   peer: OwnerPeer
   livenessSource: WorkerCensus
@@ -69,7 +72,20 @@
     })
     this.errors = errors
     this.site = SiteWatch.create({
-      platform: options.platform, clock, logger, errors, onChange: () => this.updateDispatcher()
+      platform: options.platform,
+      objects: options.objects,
+      clock,
+      logger,
+      errors,
+      largeTableObserver: {
+        copyPublished: () => this.metrics.tableCopiesPublished.inc(),
+        copyUsed: () => this.metrics.tableCopiesUsed.inc(),
+        wholeRead: cause => this.metrics.wholeTableReads.inc({ cause })
+      },
+      resourceDelayMilliseconds: getPublishingDelay(options.resources),
+      isPublisher: () => this.election.isOwner(),
+      random: options.random,
+      onChange: () => this.updateDispatcher()
     })
     this.election = OwnerElection.create({
       shardId: SHARD_ID,
@@ -162,6 +178,7 @@
       earlierLeasesEndAt: renewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
+      random: options.random,
       getRenewalAge: () => this.election.getRenewalAge(),
       onDeposed: reason => this.election.depose(reason)
     })
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -25,6 +25,9 @@
   workerCallFailures: Counter<'reason'>
   loopDelaySeconds: Histogram
   unexpectedErrors: Counter<'activity'>
+  tableCopiesPublished: Counter
+  tableCopiesUsed: Counter
+  wholeTableReads: Counter<'cause'>
 }
 
 /**
@@ -148,6 +151,22 @@
       help: 'Errors that no code expected, by the activity that they ended.',
       labelNames: ['activity'],
       registers
+    }),
+    tableCopiesPublished: new Counter({
+      name: 'papayamoor_instance_table_copies_published_total',
+      help: 'Copies of a large table that this instance stored for the others.',
+      registers
+    }),
+    tableCopiesUsed: new Counter({
+      name: 'papayamoor_instance_table_copies_used_total',
+      help: 'How often this instance read a copy instead of a large table.',
+      registers
+    }),
+    wholeTableReads: new Counter({
+      name: 'papayamoor_instance_whole_table_reads_total',
+      help: 'How often this instance read a large table itself, by cause.',
+      labelNames: ['cause'],
+      registers
     })
   }
 }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -51,6 +51,8 @@
   /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
   assignmentsStoredSince: number | null
   createWorkerClient (entry: WorkerEntry): WorkerClient
+  /** Returns a number from 0 to 1 for the random part of retry delays. */
+  random (): number
   /** Returns the milliseconds since the last successful renewal of the ownership. */
   getRenewalAge (): number
   onDeposed (reason: string): void
@@ -258,7 +260,7 @@
   }
 
   private followJobs (startVersion: number): void {
-    const { feed, clock, logger, errors } = this.options
+    const { feed, clock, logger, errors, random } = this.options
     this.jobFollower = TableFollower.create({
       table: JOB_TABLE,
       startVersion,
@@ -266,6 +268,7 @@
       clock,
       logger,
       errors,
+      random,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.addJobs(snapshot.rows),
       onChanges: changes => this.addJobs(changes.flatMap(change => change.row === null ? [] : [change.row]))
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -3,7 +3,10 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
+import { LargeTableReader, type LargeTableObserver } from '../table/LargeTableReader.js'
+import type { ListedObjectStore } from '../table/ListedObjectStore.js'
 import type { RowChange, TableFeed } from '../table/TableFeed.js'
+import type { Compression } from '../table/tableCopyFormat.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { Row } from '../table/TableService.js'
 import type { SiteConfiguration } from './SiteConfiguration.js'
@@ -27,14 +30,27 @@
 /** Options of a watch. */
 export interface SiteWatchOptions {
   platform: PlatformTables
+  /** Holds copies of a large operators' table. */
+  objects: ListedObjectStore
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
+  largeTableObserver: LargeTableObserver
+  /** Compression of the copies; zlib by default. */
+  compression?: Compression
+  /** How much longer this instance looks for a copy of a large table before it reads the table itself. */
+  resourceDelayMilliseconds: number
+  /** Returns whether this instance publishes the copies. */
+  isPublisher (): boolean
+  /** Returns a number from 0 to 1 for the random parts of delays. */
+  random (): number
   onChange (): void
 }
 
 /** A lost call delays a configuration by this wait and the call's timeout margin, together at most 2.5 s. */
 const OPERATOR_WAIT_MILLISECONDS = 1500
+/** The largest answer about the operators' table that each instance receives over the link between regions. */
+const OPERATOR_ANSWER_LIMIT_BYTES = 65_536
 /** A dead connection must be detected within 2.5 s, after which the owner is assumed to know that a worker drains. */
 const WORKER_WAIT_MILLISECONDS = 1500
 
@@ -48,13 +64,22 @@
   private workerFollower: TableFollower | null = null
 
   private constructor (private readonly options: SiteWatchOptions) {
-    const { platform, clock, logger, errors } = options
+    const { platform, clock, logger, errors, random } = options
+    const reader = LargeTableReader.create({
+      ...options,
+      table: platform.operatorTable,
+      feed: platform.feed,
+      observer: options.largeTableObserver,
+      maximumBytes: OPERATOR_ANSWER_LIMIT_BYTES
+    })
     this.operatorFollower = TableFollower.create({
       table: platform.operatorTable,
       feed: platform.feed,
+      largeTable: { reader, maximumBytes: OPERATOR_ANSWER_LIMIT_BYTES },
       clock,
       logger,
       errors,
+      random,
       waitMilliseconds: OPERATOR_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.replaceOperatorRows(snapshot.rows),
       onChanges: changes => this.applyOperatorChanges(changes)
@@ -77,7 +102,7 @@
 
   /** Starts following the list of workers, which only the owner needs. */
   startFollowingWorkers (): void {
-    const { platform, clock, logger, errors } = this.options
+    const { platform, clock, logger, errors, random } = this.options
     this.workersLoaded = false
     this.workers.clear()
     this.workerFollower = TableFollower.create({
@@ -86,6 +111,7 @@
       clock,
       logger,
       errors,
+      random,
       waitMilliseconds: WORKER_WAIT_MILLISECONDS,
       onSnapshot: snapshot => this.replaceWorkers(snapshot.rows),
       onChanges: changes => this.applyWorkerChanges(changes)
--- a/src/instance/jobsDuringLoad.test.ts
+++ b/src/instance/jobsDuringLoad.test.ts
@@ -95,6 +95,7 @@
       setPace: async () => ACCEPTED,
       close: () => {}
     }) as unknown as WorkerClient,
+    random: createRandom(1),
     getRenewalAge: () => 0,
     onDeposed: () => {}
   })
--- a/src/instance/workerAddress.test.ts
+++ b/src/instance/workerAddress.test.ts
@@ -48,6 +48,7 @@
       },
       close: () => { closed.push(address) }
     }) as unknown as WorkerClient,
+    random: createRandom(1),
     getRenewalAge: () => 0,
     onDeposed: () => {}
   })
--- a/src/table/TableFollower.test.ts
+++ b/src/table/TableFollower.test.ts
@@ -32,6 +32,7 @@
     logger: silentLogger,
     errors: createTestErrors(clock),
     waitMilliseconds: WAIT_MILLISECONDS,
+    random: createRandom(2),
     onSnapshot: ({ rows }) => keys.push(...rows.map(({ key }) => key)),
     onChanges: changes => keys.push(...changes.map(({ key }) => key))
   })
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -1,7 +1,17 @@
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
+import { RetryDelay } from '../shared/RetryDelay.js'
+import type { LargeTableReader } from './LargeTableReader.js'
 import type { RowChange, TableFeed, TableSnapshot } from './TableFeed.js'
+import type { ReadOutcome } from './TableService.js'
+
+/** How a follower reads a table whose answers are too large for each instance to receive them. */
+export interface LargeTableOptions {
+  reader: Pick<LargeTableReader, 'read'>
+  /** The largest answer that the follower receives itself. */
+  maximumBytes: number
+}
 
 /** Options of a follower. */
 export interface TableFollowerOptions {
@@ -14,13 +24,18 @@
   waitMilliseconds: number
   /** The table version that the caller has already read; when absent, the follower reads the whole table first. */
   startVersion?: number
+  /** When absent, answers of any size are received. */
+  largeTable?: LargeTableOptions
+  /** Returns a number from 0 to 1 for the random part of retry delays. */
+  random (): number
   /** Called after the whole table was read; rows that are not in the snapshot do not exist. */
   onSnapshot (snapshot: TableSnapshot): void
   onChanges (changes: RowChange[]): void
 }
 
-/** Delay after a failed call, which limits the retry load on the service during an outage. */
-const RETRY_DELAY_MILLISECONDS = 250
+/** Limits of the delay after a failed call, which limits the retry load on the service during an outage. */
+const SHORTEST_RETRY_DELAY_MILLISECONDS = 150
+const LONGEST_RETRY_DELAY_MILLISECONDS = 1000
 
 /** Reads a table once, then follows its changes so that a local copy stays up to date. */
 export class TableFollower {
@@ -28,12 +43,18 @@
   private version: number | null
   private lastContactAt = -Infinity
   private isAvailable = true
+  private readonly retryDelay: RetryDelay
   /** The read of `catchUp` in flight, if any, and the one after it, which has not been sent yet. */
   private currentCatchUp: Promise<void> | null = null
   private followingCatchUp: Promise<void> | null = null
 
   private constructor (private readonly options: TableFollowerOptions) {
     this.version = options.startVersion ?? null
+    this.retryDelay = RetryDelay.create({
+      random: options.random,
+      shortestMilliseconds: SHORTEST_RETRY_DELAY_MILLISECONDS,
+      longestMilliseconds: LONGEST_RETRY_DELAY_MILLISECONDS
+    })
   }
 
   /**
@@ -98,23 +119,21 @@
   }
 
   private async readSnapshot (): Promise<boolean> {
-    const { feed, table } = this.options
-    const outcome = await feed.readTable(table)
-    if (this.stopped) return true
-    if (outcome.kind !== 'ok') return this.recordFailure(outcome.reason)
-    this.recordContact()
-    this.version = outcome.value.version
-    this.options.onSnapshot(outcome.value)
-    return true
+    const { feed, table, largeTable } = this.options
+    const outcome = largeTable === undefined
+      ? await feed.readTable(table)
+      : await feed.readTableWithin(table, largeTable.maximumBytes)
+    return outcome.kind === 'too-large' ? await this.readLargeTable(null) : this.applySnapshot(outcome)
   }
 
   private async awaitChanges (version: number, waitMilliseconds: number): Promise<boolean> {
-    const { feed, table } = this.options
-    const outcome = await feed.waitForChanges(table, version, waitMilliseconds)
+    const { feed, table, largeTable } = this.options
+    const outcome = await feed.waitForChanges(table, version, waitMilliseconds, largeTable?.maximumBytes)
     if (this.stopped) return true
     if (outcome.kind === 'unavailable') return this.recordFailure(outcome.reason)
-    if (outcome.kind === 'too-large') return this.recordFailure(outcome.kind)
+    if (outcome.kind === 'too-large') return await this.readLargeTable(version)
     this.recordContact()
+    this.retryDelay.reset()
     if (outcome.kind === 'compacted') {
       this.options.logger.info('table history was compacted; reading the whole table again', { table, version })
       this.version = null
@@ -125,6 +144,26 @@
     return true
   }
 
+  private async readLargeTable (afterVersion: number | null): Promise<boolean> {
+    const { largeTable } = this.options
+    if (largeTable === undefined) return this.recordFailure('too-large')
+    this.recordContact()
+    return this.applySnapshot(await largeTable.reader.read(afterVersion))
+  }
+
+  /** Passes a snapshot on, unless newer rows were passed on meanwhile. */
+  private applySnapshot (outcome: ReadOutcome<TableSnapshot>): boolean {
+    if (this.stopped) return true
+    if (outcome.kind !== 'ok') return this.recordFailure(outcome.reason)
+    const snapshot = outcome.value
+    this.recordContact()
+    this.retryDelay.reset()
+    if (this.version !== null && snapshot.version < this.version) return true
+    this.version = snapshot.version
+    this.options.onSnapshot(snapshot)
+    return true
+  }
+
   private recordContact (): void {
     this.lastContactAt = this.options.clock.monotonicMilliseconds()
     if (!this.isAvailable) this.options.logger.info('table feed available again', { table: this.options.table })
@@ -138,6 +177,6 @@
   }
 
   private delayRetry (): Promise<void> {
-    return new Promise(resolve => { this.options.clock.setTimer(RETRY_DELAY_MILLISECONDS, resolve) })
+    return new Promise(resolve => { this.options.clock.setTimer(this.retryDelay.next(), resolve) })
   }
 }
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -7,9 +7,7 @@
 import type { JsonValue } from '../../src/shared/JsonValue.js'
 import { silentLogger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
-import type { TableFeed } from '../../src/table/TableFeed.js'
 import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
-import type { TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { createStep } from './createStep.js'
@@ -18,6 +16,8 @@
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
+import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
+import { MemoryObjects } from './MemoryObjects.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
 
@@ -89,6 +89,8 @@
   /** Counters of the worker connections of all processes; they stay 0 if processor time is not emulated. */
   readonly connectionCounts: ConnectionCounts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
   readonly tables: EmulatedTables
+  /** The objects of the platform's store. */
+  readonly objects: MemoryObjects
   readonly workers = new Map<string, EmulatedWorker>()
   /** The networks to the workers, which can lose packets if processor time is emulated. */
   readonly paths = new Map<string, WorkerPaths>()
@@ -99,6 +101,7 @@
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
     this.tables = EmulatedTables.create({ clock })
+    this.objects = MemoryObjects.create({ clock })
     this.judge = RunJudge.create({ treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false })
   }
 
@@ -179,6 +182,7 @@
       callerTable: gatedTables,
       tableLimits: DEFAULT_TABLE_LIMITS,
       feed: gatedTables,
+      objects: gateObjects(process, this.objects.createClient(() => tables.faults.cutOff)),
       platform: {
         feed: gatedTables,
         operatorTable: OPERATOR_TABLE,
@@ -352,45 +356,9 @@
 
 function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
-  const configuration = { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
-  return { kind: 'configuration', configuration }
-}
-
-/**
- * Forwards table calls of a process. While the process is frozen, its calls and their results are delayed; a process
- * that has crashed receives no results.
- */
-function gateTables (
-  process: SimulatedProcess, processor: EmulatedProcessor | null, tables: EmulatedTableClient
-): TableService & TableFeed {
-  const forward = async <Value>(call: () => Promise<Value>): Promise<Value> => {
-    await process.receive(Promise.resolve())
-    if (processor === null) return await process.receive(call())
-    processor.charge('call')
-    return await processor.receive(call())
-  }
-  return {
-    transact: transaction => forward(() => tables.transact(transaction)),
-    read: row => forward(() => tables.read(row)),
-    readMany: rows => forward(() => tables.readMany(rows)),
-    scan: (table, options) => forward(() => tables.scan(table, options)),
-    readTable: table => forward(() => tables.readTable(table)),
-    readTableWithin: (...options) => forward(() => tables.readTableWithin(...options)),
-    waitForChanges: (...options) => forward(() => tables.waitForChanges(...options))
-  }
-}
-
-function gateWorker (process: SimulatedProcess, worker: EmulatedWorker): WorkerClient {
-  const forward = async <Value>(call: () => Promise<Value>): Promise<Value> => {
-    await process.receive(Promise.resolve())
-    return await process.receive(call())
-  }
   return {
-    start: order => forward(() => worker.start(order)),
-    stop: (taskName, attempt, token) => forward(() => worker.stop(taskName, attempt, token)),
-    setPace: (taskName, attempt, percent, token) => forward(() => worker.setPace(taskName, attempt, percent, token)),
-    hold: request => forward(() => worker.hold(request)),
-    close: () => {}
+    kind: 'configuration',
+    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
   }
 }
 
