--- a/src/instance/SiteUpdater.test.ts
+++ b/src/instance/SiteUpdater.test.ts
@@ -4,6 +4,7 @@
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
+import { MemoryObjects } from '../../stand-ins/platform/MemoryObjects.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import {
   DispatchEngine, type DispatchOrder, type OrderOutcome, type WorkerEntry, type WorkerRecord
@@ -262,9 +263,14 @@
       decodeOperatorRow: key => ({ kind: 'data-centre-out', dataCentre: key }),
       decodeWorker: (workerId, value) => createWorkerEntry({ workerId, state: (value as { state: 'ready' }).state })
     },
+    objects: MemoryObjects.create({ clock }).createClient(() => false),
     clock,
     logger: silentLogger,
     errors: createTestErrors(clock),
+    largeTableObserver: { copyPublished: () => {}, copyUsed: () => {}, wholeRead: () => {} },
+    resourceDelayMilliseconds: 0,
+    isPublisher: () => false,
+    random: createRandom(1),
     onChange: changed => announced.push(changed)
   })
   const put = async (table: string, key: string, value: JsonValue) => {
