Check that a copy can be used before it is transferred

After a compaction of the store's history each instance read the copy before, found that its changes are gone, and read the next copy: 42 copies for the 21 instances behind one emulated link.

The reader now asks the feed for the changes after a copy first, and reads the copy only if it can use it. The emulated bytes after a compaction fall below 32 copies for 21 instances (the bound of the new test).

--- a/src/instance/largeOperatorTable.test.ts
+++ b/src/instance/largeOperatorTable.test.ts
@@ -6,7 +6,7 @@
 } from '../../stand-ins/platform/OperatorTableSite.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { getTableCopyKey, getTableCopyPrefix } from '../table/tableCopyFormat.js'
+import { getTableCopyKey, getTableCopyPrefix, getTableCopyVersion } from '../table/tableCopyFormat.js'
 
 /** The time from its acknowledgement in which a configuration is in force on every machine, on the small site. */
 const APPLY_LIMIT_MILLISECONDS = 2500
@@ -203,6 +203,22 @@
   })
 }
 
+test('the copy before a malformed one is used with the changes after it', async () => {
+  const { clock, site, countWholeReads, assertNoOlderVersion } = await createSite()
+  site.putConfiguration('large')
+  await clock.advance(SETTLE_MILLISECONDS)
+  const [key] = site.objects.contents.keys()
+  const version = getTableCopyVersion(OPERATOR_TABLE, key)!
+  site.objects.contents.set(getTableCopyKey(OPERATOR_TABLE, version + 1), Uint8Array.of(1, 2, 3))
+  const wholeReads = countWholeReads()
+  const started = site.addInstance(true, false)
+  await clock.advance(1000)
+  assert.deepEqual(started.versions, [site.newestVersion])
+  assert.ok(started.logLines.includes('table copy not usable'))
+  assert.equal(countWholeReads(), wholeReads)
+  assertNoOlderVersion()
+})
+
 test('a copy that is newer than the table is not used', async () => {
   const { clock, site, assertCurrent, assertNoOlderVersion } = await createSite()
   const version = 1_000_000
@@ -233,6 +249,20 @@
   }
 })
 
+test('a copy that cannot be used any more is not transferred', async () => {
+  const { clock, site, assertCurrent, countWholeReads } = await createSite(1, { announcesSizes: true })
+  site.putConfiguration('large')
+  await clock.advance(SETTLE_MILLISECONDS)
+  const [copy] = site.objects.contents.values()
+  const bytes = site.regionLink.totalBytes
+  site.tables.compact()
+  await clock.advance(SETTLE_MILLISECONDS)
+  assertCurrent()
+  assert.equal(countWholeReads(), 2)
+  const copyCount = (site.regionLink.totalBytes - bytes) / copy.length
+  assert.ok(copyCount < FAR_COUNT * 1.5, `${copyCount} copies for ${FAR_COUNT} instances`)
+})
+
 test('a process that starts after the history since the copy is gone reads the table itself and publishes it', async () => {
   const { clock, site, countWholeReads, assertNoOlderVersion } = await createSite()
   site.putConfiguration('large')
--- a/src/table/LargeTableReader.ts
+++ b/src/table/LargeTableReader.ts
@@ -3,9 +3,9 @@
 import type { Logger } from '../shared/Logger.js'
 import type { ListedObjectStore } from './ListedObjectStore.js'
 import { mergeChanges } from './mergeChanges.js'
-import { TableCopies, type TableCopy } from './TableCopies.js'
+import { TableCopies } from './TableCopies.js'
 import { zlibCompression, type Compression } from './tableCopyFormat.js'
-import type { TableFeed, TableSnapshot } from './TableFeed.js'
+import type { FeedOutcome, TableFeed, TableSnapshot } from './TableFeed.js'
 import type { ReadOutcome } from './TableService.js'
 
 /** Why an instance reads a large table itself: it publishes the copy, or it has found none in time. */
@@ -45,7 +45,7 @@
   readonly requestedAfter: number | null
   readonly startedAt: number
   readonly randomDelay: number
-  readonly malformed: Set<number>
+  readonly excluded: Set<number>
   /** The version that the next copy must exceed. */
   after: number | null
   /** The shortest time in which the store has answered a list. */
@@ -105,7 +105,7 @@
       requestedAfter: afterVersion,
       startedAt: clock.monotonicMilliseconds(),
       randomDelay: random() * SEARCH_SPREAD_MILLISECONDS,
-      malformed: new Set(),
+      excluded: new Set(),
       after: afterVersion,
       roundTripMilliseconds: Infinity,
       failure: null
@@ -145,19 +145,49 @@
   }
 
   private async findSnapshot (search: Search): Promise<TableSnapshot | null> {
-    const { table, logger } = this.options
+    const { table, logger, observer } = this.options
     const version = await this.findVersion(search)
     if (version === null) return null
+    const changes = await this.readChangesAfter(search, version)
+    if (changes === null) return null
     const copy = await this.copies.read(version)
-    if (copy.kind === 'ok') return await this.completeCopy(search, copy.value)
-    if (copy.kind === 'malformed') {
-      search.malformed.add(version)
-      logger.warn('table copy not usable', { table, version, reason: copy.kind })
+    if (copy.kind !== 'ok') {
+      if (copy.kind === 'malformed') this.excludeCopy(search, version, copy.kind)
+      search.failure = copy.kind === 'unavailable' ? copy.reason : copy.kind
+      return null
+    }
+    const { snapshot, bytes } = copy.value
+    logger.info('table copy used', { table, version, bytes, milliseconds: this.getElapsed(search) })
+    observer.copyUsed()
+    return changes.kind === 'changes' ? mergeChanges(snapshot, changes.changes, changes.version) : snapshot
+  }
+
+  /**
+   * Reads the changes after a copy before the copy itself, which need not be transferred if it cannot be used. Without
+   * its changes, a copy is used only if the caller has an older version.
+   */
+  private async readChangesAfter (search: Search, version: number): Promise<FeedOutcome | null> {
+    const { table, feed, maximumBytes } = this.options
+    const outcome = await feed.waitForChanges(table, version, 0, maximumBytes)
+    if (outcome.kind === 'changes') {
+      if (outcome.version >= version) return outcome
+      this.excludeCopy(search, version, 'newer than the table')
+      return null
+    }
+    if (search.requestedAfter !== null) return outcome
+    search.failure = outcome.kind === 'unavailable' ? outcome.reason : outcome.kind
+    if (outcome.kind !== 'unavailable') {
+      search.after = version
+      this.excludeCopy(search, version, outcome.kind)
     }
-    search.failure = copy.kind === 'unavailable' ? copy.reason : copy.kind
     return null
   }
 
+  private excludeCopy (search: Search, version: number, reason: string): void {
+    search.excluded.add(version)
+    this.options.logger.info('table copy not usable', { table: this.options.table, version, reason })
+  }
+
   private async findVersion (search: Search): Promise<number | null> {
     const { clock } = this.options
     const listedAt = clock.monotonicMilliseconds()
@@ -170,30 +200,7 @@
       return null
     }
     search.failure = null
-    return listed.value.filter(version => !search.malformed.has(version)).at(-1) ?? null
-  }
-
-  /** Adds the changes since a copy; without them, the copy is returned only if it exceeds the caller's version. */
-  private async completeCopy (search: Search, { snapshot, bytes }: TableCopy): Promise<TableSnapshot | null> {
-    const { table, feed, logger, observer, maximumBytes } = this.options
-    const { version } = snapshot
-    const outcome = await feed.waitForChanges(table, version, 0, maximumBytes)
-    if (outcome.kind === 'changes' && outcome.version < version) {
-      search.malformed.add(version)
-      logger.warn('table copy not usable', { table, version, reason: 'newer than the table' })
-      return null
-    }
-    if (outcome.kind !== 'changes' && search.requestedAfter === null) {
-      search.failure = outcome.kind === 'unavailable' ? outcome.reason : outcome.kind
-      if (outcome.kind !== 'unavailable') {
-        search.after = version
-        logger.info('table copy not usable', { table, version, reason: outcome.kind })
-      }
-      return null
-    }
-    logger.info('table copy used', { table, version, bytes, milliseconds: this.getElapsed(search) })
-    observer.copyUsed()
-    return outcome.kind === 'changes' ? mergeChanges(snapshot, outcome.changes, outcome.version) : snapshot
+    return listed.value.filter(version => !search.excluded.has(version)).at(-1) ?? null
   }
 
   private getElapsed (search: Search): number {
