--- a/stand-ins/platform/EmulatedConnections.test.ts
+++ b/stand-ins/platform/EmulatedConnections.test.ts
@@ -12,7 +12,7 @@
 function createConnections (expiredCalls: ExpiredCalls) {
   const clock = VirtualClock.create()
   const processor = EmulatedProcessor.create({ clock, share: 1 })
-  const counts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
+  const counts = { opened: 0, calls: 0, expiredUnsent: 0, expiredSent: 0 }
   const stopped: string[] = []
   const worker = {
     stop: async (taskName: string): Promise<OrderOutcome> => {
@@ -51,7 +51,7 @@
   const pending = sendStops(7)
   await clock.advance(1000)
   assert.deepEqual(countKinds(await pending), { accepted: 7 })
-  assert.deepEqual(counts, { opened: 3, expiredUnsent: 0, expiredSent: 0 })
+  assert.deepEqual(counts, { opened: 3, calls: 7, expiredUnsent: 0, expiredSent: 0 })
 })
 
 /** Sends more calls at once than can be answered within the time-out, and then a few more. */
@@ -69,13 +69,15 @@
 
 test('with destroys-connection, a queued call that expires is not sent and destroys its assigned connection', async () => {
   assert.deepEqual(await overload('destroys-connection'), {
-    kinds: { accepted: 9, unknown: 6 }, sentCount: 12, counts: { opened: 9, expiredUnsent: 3, expiredSent: 3 }
+    kinds: { accepted: 9, unknown: 6 },
+    sentCount: 12,
+    counts: { opened: 9, calls: 15, expiredUnsent: 3, expiredSent: 3 }
   })
 })
 
 test('with leaves-queue, expired calls use no connection and sent calls have their full time-out', async () => {
   assert.deepEqual(await overload('leaves-queue'), {
-    kinds: { accepted: 8, 'not-sent': 7 }, sentCount: 8, counts: { opened: 2, expiredUnsent: 7, expiredSent: 0 }
+    kinds: { accepted: 8, 'not-sent': 7 }, sentCount: 8, counts: { opened: 2, calls: 11, expiredUnsent: 7, expiredSent: 0 }
   })
 })
 
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -27,6 +27,8 @@
 /** Counters of connections and expired calls, over all workers. */
 export interface ConnectionCounts {
   opened: number
+  /** Calls that were sent. */
+  calls: number
   expiredUnsent: number
   expiredSent: number
 }
@@ -255,13 +257,14 @@
   }
 
   private sendCall (connection: Connection): void {
-    const { processor, clock, isAlive, expiredCalls } = this.options
+    const { processor, clock, isAlive, expiredCalls, counts } = this.options
     const call = connection.call!
     if (call.isExpired) {
       this.releaseConnection(call, 'closed')
       return
     }
     call.isSent = true
+    counts.calls++
     if (expiredCalls === 'leaves-queue') {
       call.cancelTimer()
       // Responses that have arrived by the time-out are handled first.
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -105,7 +105,7 @@
 export class EmulatedSite {
   readonly judge: RunJudge
   /** Counters of the worker connections of all processes; they stay 0 if processor time is not emulated. */
-  readonly connectionCounts: ConnectionCounts = { opened: 0, expiredUnsent: 0, expiredSent: 0 }
+  readonly connectionCounts: ConnectionCounts = { opened: 0, calls: 0, expiredUnsent: 0, expiredSent: 0 }
   /** Number of calls that timed out, by the names of calls; counted only where time-outs are emulated. */
   readonly timeouts = new Map<string, number>()
   readonly tables: EmulatedTables
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -88,6 +88,11 @@
     this.acknowledged.add(taskName)
   }
 
+  /** Returns whether the owner has acknowledged a completion of a task. */
+  isAcknowledged (taskName: string): boolean {
+    return this.acknowledged.has(taskName)
+  }
+
   /** Records that a completion has been listed for a while, under a lease that has not lapsed since the run ended. */
   recordListedCompletion (taskName: string, attempt: number): void {
     if (!this.options.treatsListedAsAcknowledged) return
