Bound the wait for late reports, and apply the ends in overtaken ones

Only calls from before the end of the leases of earlier owners count now, and only those whose connection was kept (hangingWorker, overtakenReports, lateResponses). - An earlier call that arrives after a later one may list an end that the later one does not; its report was dropped, and the task started again. The ends in an outdated report are applied now, its runs are not (overtakenReports). A report older than half a lease renews nothing (overtakenReports). - The reading of the clock in a delayed first report made the lease of an earlier owner end sooner, up to the delay (delayedFirstReport). - A late report of a process that was found to have ended is ignored.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -23,7 +23,7 @@
 import { UnreachedWorkers } from './UnreachedWorkers.js'
 import { WorkerCosts } from './WorkerCosts.js'
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
-import { applyReport, type ReportContext } from './applyReport.js'
+import { applyCompletions, applyReport, type ReportContext } from './applyReport.js'
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
@@ -147,6 +147,7 @@
   confirmWorkerExited (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'worker-gone', now)
     worker.orphanedRuns.clear()
+    worker.exitConfirmedAt = now
     this.unreconciled.markReconciled(worker, 'process-ended')
     this.dirty = true
   }
@@ -180,23 +181,12 @@
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
-    worker.reportAwaitedUntil = -Infinity
-    const context: ReportContext = {
-      jobs: this.jobs,
-      sentAt,
-      now,
-      stop: run => this.orders.stop(worker, run),
-      stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
-      failJob: job => this.failJob(job),
-      stopRuns: task => this.stopper.stopTask(task),
-      markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
-      reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
-    }
-    const changed = applyReport(worker, report, context)
+    const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
     worker.syncState = 'synchronized'
-    const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(entry.workerId) ?? now
-    worker.leaseDeadline = Math.max(worker.leaseDeadline, report.workerMilliseconds + earlierLeaseEndsAt - now)
+    // The clock was read between the call and its response, which may have been delayed.
+    const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(entry.workerId) ?? sentAt
+    worker.leaseDeadline = Math.max(worker.leaseDeadline, report.workerMilliseconds + earlierLeaseEndsAt - sentAt)
     this.unreconciled.markReconciled(worker, 'reported')
     if (changed) this.dirty = true
     this.moveStalledRuns(worker, now)
@@ -207,6 +197,18 @@
     }
   }
 
+  /**
+   * Applies the ends of runs in a delayed report: the runs that it lists as running may be over.
+   * @param worker The worker, in the incarnation that reports.
+   * @param report The report.
+   * @param sentAt Monotonic time at which the call was sent.
+   * @param now The monotonic time.
+   */
+  applyLateReport (worker: WorkerRecord, report: WorkerReport, sentAt: number, now: number): void {
+    if (applyCompletions(worker, report, this.createReportContext(worker, sentAt, now))) this.dirty = true
+    worker.changeCount++
+  }
+
   /**
    * Marks a worker as unreachable after a failed call; it gets no new work until it reports.
    * @param worker The worker.
@@ -215,7 +217,9 @@
    */
   markUnreachable (worker: WorkerRecord, sentAt: number | null, awaitedUntil = -Infinity): void {
     worker.unansweredCallSentAt = sentAt ?? worker.unansweredCallSentAt
-    if (!isLeaseExpired(worker)) worker.reportAwaitedUntil = Math.max(worker.reportAwaitedUntil, awaitedUntil)
+    if (sentAt !== null && this.mayBeLeasedAt(worker, sentAt)) {
+      worker.reportAwaitedUntil = Math.max(worker.reportAwaitedUntil, awaitedUntil)
+    }
     if (worker.syncState !== 'synchronized') return
     worker.syncState = 'unreachable'
     if (sentAt !== null) recordFailure(worker, sentAt)
@@ -325,6 +329,26 @@
     }
   }
 
+  /** Returns whether a lease of this owner or an earlier one may have lasted at a monotonic time. */
+  private mayBeLeasedAt (worker: WorkerRecord, at: number): boolean {
+    const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(worker.entry.workerId) ?? -Infinity
+    return at < earlierLeaseEndsAt || (worker.clockReading !== null && !isLeaseExpired(worker))
+  }
+
+  private createReportContext (worker: WorkerRecord, sentAt: number, now: number): ReportContext {
+    return {
+      jobs: this.jobs,
+      sentAt,
+      now,
+      stop: run => this.orders.stop(worker, run),
+      stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
+      failJob: job => this.failJob(job),
+      stopRuns: task => this.stopper.stopTask(task),
+      markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
+      reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
+    }
+  }
+
   private readonly mayStart = (task: TaskRecord): boolean => !this.unreconciled.mayRun(task)
 
   private getServiceName (job: JobRecord): string {
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -70,6 +70,8 @@
    * expired; its response may list ends of runs.
    */
   reportAwaitedUntil: number
+  /** Monotonic time at which the worker's process was found to have ended; responses to earlier calls are ignored. */
+  exitConfirmedAt: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
   /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
@@ -125,6 +127,7 @@
     reportedAt: -Infinity,
     unansweredCallSentAt: null,
     reportAwaitedUntil: -Infinity,
+    exitConfirmedAt: -Infinity,
     failureTimes: [-Infinity, -Infinity],
     leaseDeadline: 0,
     appliedCompletion: 0,
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -37,13 +37,7 @@
  * @returns Whether something changed that may let a task start.
  */
 export function applyReport (worker: WorkerRecord, report: WorkerReport, context: ReportContext): boolean {
-  let changed = false
-  for (const ended of report.ended) {
-    if (ended.number <= worker.appliedCompletion) continue
-    applyCompletionOrRestore(worker, ended, context)
-    worker.appliedCompletion = ended.number
-    changed = true
-  }
+  let changed = applyCompletions(worker, report, context)
   const listed = new Set<string>()
   for (const row of report.running) {
     listed.add(getRunKey(row.taskName, row.attempt))
@@ -56,6 +50,24 @@
   return changed
 }
 
+/**
+ * Applies only the completions of a report, whose lists of runs may be outdated.
+ * @param worker The worker.
+ * @param report The report.
+ * @param context The jobs, the times and the callbacks.
+ * @returns Whether a completion was applied.
+ */
+export function applyCompletions (worker: WorkerRecord, report: WorkerReport, context: ReportContext): boolean {
+  let changed = false
+  for (const ended of report.ended) {
+    if (ended.number <= worker.appliedCompletion) continue
+    applyCompletionOrRestore(worker, ended, context)
+    worker.appliedCompletion = ended.number
+    changed = true
+  }
+  return changed
+}
+
 function applyRunning (worker: WorkerRecord, row: ListedRun, context: ReportContext): void {
   const key = getRunKey(row.taskName, row.attempt)
   const { now } = context
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -97,7 +97,9 @@
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
     // Calls may still reach an unresponsive worker: renewing its lease blindly would keep the lease from expiring.
-    const hasResponded = !this.lastCallFailed || this.hasLateReport
+    // A report that arrives late shows only that the worker could be reached some time ago.
+    const hasResponded = !this.lastCallFailed ||
+      (this.hasLateReport && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
     const mayRenew = workerTime !== null && hasResponded && !worker.isRecordedUnreached
     this.hasLateReport = false
     const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
@@ -137,16 +139,35 @@
     const { worker, engine, clock, logger, metrics } = this.options
     if (this.stopped) return
     if (outcome.kind === 'fenced') return this.handleFence()
-    if (outcome.kind !== 'reported') return
+    if (outcome.kind !== 'reported' || sentAt < worker.exitConfirmedAt) return
     metrics.lateReports.inc()
     const ageMilliseconds = Math.round(clock.monotonicMilliseconds() - sentAt)
     logger.info('late report of a worker', { worker: worker.entry.workerId, ageMilliseconds })
+    if (this.isOutdated(sentAt)) return this.applyEnds(outcome.report, sentAt)
     if (!await this.applyReport(outcome.report, sentAt)) return
     this.hasLateReport = true
     // The latest call has failed, so the worker gets no new work before it responds in time.
     if (this.lastCallFailed) engine.markUnreachable(worker, null)
   }
 
+  /** Returns whether runs that a late report lists may be over: a later one is applied, or the lease has expired. */
+  private isOutdated (sentAt: number): boolean {
+    const { worker, engine, clock } = this.options
+    if (sentAt <= worker.reportedAt) return true
+    const workerTime = getEarliestWorkerTime(worker, clock.monotonicMilliseconds())
+    if (workerTime === null) return !engine.unreconciled.has(worker.entry.workerId)
+    return workerTime > worker.leaseDeadline
+  }
+
+  /** Applies the ends in an outdated report of the same incarnation; a task whose end is known does not start again. */
+  private applyEnds (report: WorkerReport, sentAt: number): void {
+    const { worker, engine, clock } = this.options
+    if (report.bornAtMilliseconds !== worker.entry.bornAtMilliseconds) return
+    const lastAppliedBefore = worker.appliedCompletion
+    engine.applyLateReport(worker, report, sentAt, clock.monotonicMilliseconds())
+    this.logEndedRuns(report, lastAppliedBefore)
+  }
+
   /** Applies a report, unless one of a later call is applied already; returns whether it was applied. */
   private async applyReport (report: WorkerReport, sentAt: number): Promise<boolean> {
     const { worker, engine, clock } = this.options
--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -48,8 +48,8 @@
   | { kind: 'answered' } & HttpResponse
   /** The service received nothing. */
   | { kind: 'not-sent', reason: string }
-  /** The service may have received the call. */
-  | { kind: 'lost', reason: string }
+  /** The service may have received the call; a late response may be awaited. */
+  | { kind: 'lost', reason: string, isAwaited?: boolean }
   /** The service responded with a body of more than `maximumBodyBytes`, which was not received as a whole. */
   | { kind: 'too-large', reason: string }
 
--- a/src/shared/HttpExchange.ts
+++ b/src/shared/HttpExchange.ts
@@ -113,8 +113,8 @@
       this.settle({ kind: 'not-sent', reason }, 'expired-waiting')
       return
     }
-    this.settle({ kind: 'lost', reason: TIMEOUT_REASON }, 'expired-in-flight')
     if (!this.isLate && this.awaitLateResponse()) return
+    this.settle({ kind: 'lost', reason: TIMEOUT_REASON }, 'expired-in-flight')
     // Aborting closes the connection, so that an unresponsive one is not reused.
     this.controller.abort(new Error(TIMEOUT_REASON))
   }
@@ -123,6 +123,7 @@
     const { call: { lateResponse }, queue } = this.options
     if (lateResponse === undefined || !queue.keepForLateResponse(this.connection!)) return false
     this.isLate = true
+    this.settle({ kind: 'lost', reason: TIMEOUT_REASON, isAwaited: true }, 'expired-in-flight')
     this.timeLimit.start(lateResponse.milliseconds)
     return true
   }
--- a/src/shared/lateResponses.test.ts
+++ b/src/shared/lateResponses.test.ts
@@ -49,7 +49,7 @@
 
 test('a response after the timeout of its call is passed on, and its connection is used again', async context => {
   const { held, late, callHeld, call, countConnections } = await createHeldServer(context)
-  assert.deepEqual(await callHeld(LONG_MILLISECONDS), { kind: 'lost', reason: 'timeout' })
+  assert.deepEqual(await callHeld(LONG_MILLISECONDS), { kind: 'lost', reason: 'timeout', isAwaited: true })
   held[0].end('late')
   await waitUntil(() => late.length === 1)
   assert.deepEqual({ ...late[0], body: late[0].body.toString() }, { statusCode: 200, body: 'late' })
@@ -75,7 +75,7 @@
 test('a call that times out while too many late responses are awaited closes its connection', async context => {
   const { held, late, callHeld } = await createHeldServer(context)
   await callHeld(LONG_MILLISECONDS)
-  await callHeld(LONG_MILLISECONDS)
+  assert.deepEqual(await callHeld(LONG_MILLISECONDS), { kind: 'lost', reason: 'timeout' })
   await once(held[1], 'close')
   held[0].end('late')
   await waitUntil(() => late.length === 1)
