Limit the time for a copy of a large table

A copy that arrived byte by byte kept its reader from the table without end, and with it all changes of the operators. After the search and 2 s more the table itself is read.

--- a/src/table/LargeTableReader.ts
+++ b/src/table/LargeTableReader.ts
@@ -65,6 +65,8 @@
 const LONGEST_DISTANCE_DELAY_MILLISECONDS = 800
 /** Upper limit of the random part of a search, which spreads instances of the same distance. */
 const SEARCH_SPREAD_MILLISECONDS = 100
+/** How much longer than the search the transfer of a copy may take. */
+const COPY_TRANSFER_MILLISECONDS = 2000
 /** How long the last list of a search may take. */
 const LAST_LIST_MILLISECONDS = 100
 
@@ -150,7 +152,9 @@
     if (version === null) return null
     const changes = await this.readChangesAfter(search, version)
     if (changes === null) return null
-    const copy = await this.copies.read(version)
+    const limit = Math.max(0, this.getRemaining(search)) + COPY_TRANSFER_MILLISECONDS
+    const copy = await this.awaitUntil(this.copies.read(version), limit) ??
+      { kind: 'unavailable' as const, reason: 'copy not read in time' }
     if (copy.kind !== 'ok') {
       if (copy.kind === 'malformed') this.excludeCopy(search, version, copy.kind)
       search.failure = copy.kind === 'unavailable' ? copy.reason : copy.kind
