--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -3,6 +3,7 @@
 } from '../../src/dispatch/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
 import type { RunJudge } from './RunJudge.js'
+import { createWorkerFaults } from './WorkerFaults.js'
 
 /** The resources and the behaviour of an emulated task. */
 export interface EmulatedTask extends WorkerCapacity {
@@ -14,19 +15,6 @@
   checkpointMilliseconds?: number
 }
 
-/** Faults that a test injects; all may be changed at any time. */
-export interface WorkerFaults {
-  /** The network drops all messages in both directions. */
-  cutOff: boolean
-  /** Calls to the worker while it is cut off fail as those of a process that has no open connection to it. */
-  failsToConnect: boolean
-  /** Share of the orders, 0 to 1, that the worker executes while its response is lost. */
-  lostAnswerShare: number
-  /** Share of the orders, 0 to 1, that get no response and are executed `lateMilliseconds` later. */
-  lateShare: number
-  lateMilliseconds: number
-}
-
 /** Options of an emulated worker. */
 export interface EmulatedWorkerOptions {
   workerId: string
@@ -65,9 +53,7 @@
 
 /** An emulated worker that follows the platform's rules on leases, epoch fencing, attempts and listed ended runs. */
 export class EmulatedWorker implements WorkerClient {
-  readonly faults: WorkerFaults = {
-    cutOff: false, failsToConnect: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 4000
-  }
+  readonly faults = createWorkerFaults()
 
   private readonly runs = new Map<string, Run>()
   private readonly highestAttempts = new Map<string, number>()
