Judge starts by the order of steps, schedule, route, attempts and checkpoints

RunJudge knew none of the fields of a step. Copies of speculative tasks and restarts of long-running ones are allowed as the platform allows them.

--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -1,7 +1,11 @@
+import { StartJudge, type StartCircumstances, type StartJudgeOptions } from './StartJudge.js'
+
 /** Options of a judge. */
 export interface RunJudgeOptions {
   /** Whether a listed completion counts as acknowledged, so that starting its task again is a violation. */
   treatsListedAsAcknowledged: boolean
+  /** The rules of jobs; by default, all tasks are judged as plain ones of a job with any specification. */
+  starts?: StartJudgeOptions
 }
 
 /** Test oracle that records the runs of all emulated workers and collects violations of the invariants on runs. */
@@ -25,8 +29,16 @@
   readonly lapsedRunWorkerIds: string[] = []
   /** Number of failed runs of each task, over all workers. */
   readonly failureCounts = new Map<string, number>()
+  /** The ends of gang members that waited too long for the others. */
+  readonly aloneEnds: string[] = []
+  private readonly startJudge: StartJudge | null
+  private readonly runCountByJob = new Map<string, number>()
+  private readonly startedAt = new Map<string, number>()
+  private readonly lastEndAt = new Map<string, number>()
 
-  private constructor (private readonly options: RunJudgeOptions) {}
+  private constructor (private readonly options: RunJudgeOptions) {
+    this.startJudge = options.starts === undefined ? null : StartJudge.create(options.starts)
+  }
 
   /**
    * Creates a judge without records.
@@ -48,27 +60,37 @@
   }
 
   /** Records a start that a worker has executed, and checks the invariants. */
-  recordStart (taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean): void {
+  recordStart (
+    taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean, circumstances?: StartCircumstances
+  ): void {
     this.startCount++
     this.startWorkerIds.push(workerId)
     this.lastRunWorkerIds.set(taskName, workerId)
     const runs = this.running.get(taskName) ?? new Set()
-    if (runs.size > 0) this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
-    if (this.acknowledged.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
-    else if (this.listedTasks.has(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its listed end`)
-    for (const starts of this.startsAfterCompletion.get(taskName)?.values() ?? []) {
-      starts.push(`run ${attempt} on ${workerId}`)
+    const step = this.startJudge?.getRules(taskName)?.step
+    if (runs.size > 0 && step?.speculative !== true) {
+      this.violations.push(`twice: ${taskName} run ${attempt} on ${workerId} beside ${[...runs].join()}`)
+    }
+    if (step?.speculative !== true && step?.longRunning !== true) this.checkEarlierEnds(taskName, attempt, workerId)
+    if (circumstances !== undefined && this.startJudge !== null) {
+      this.violations.push(...this.startJudge.recordStart(taskName, attempt, workerId, circumstances))
     }
     if (!isWithinCapacity) this.violations.push(`limit: ${workerId} is over its capacity with ${taskName}`)
     const jobId = taskName.split('.', 1)[0]
     if (!this.submittedJobs.has(jobId)) this.violations.push(`unasked: ${taskName}`)
     runs.add(`${workerId}#${attempt}`)
     this.running.set(taskName, runs)
+    this.runCountByJob.set(jobId, (this.runCountByJob.get(jobId) ?? 0) + 1)
+    this.recordTime(this.startedAt, taskName)
   }
 
   /** Records that a run has ended in any way. */
   recordRunEnd (taskName: string, attempt: number, workerId: string): void {
-    this.running.get(taskName)?.delete(`${workerId}#${attempt}`)
+    if (this.running.get(taskName)?.delete(`${workerId}#${attempt}`) !== true) return
+    const jobId = taskName.split('.', 1)[0]
+    this.runCountByJob.set(jobId, (this.runCountByJob.get(jobId) ?? 0) - 1)
+    this.startJudge?.recordRunEnd(taskName, workerId)
+    this.recordTime(this.lastEndAt, taskName)
   }
 
   /** Records that a run has ended because the lease of its worker has expired. */
@@ -78,6 +100,7 @@
 
   /** Records that a run has completed; its completion is not yet listed or acknowledged. */
   recordCompletion (taskName: string, attempt: number): void {
+    this.startJudge?.recordCompletion(taskName)
     if (!this.options.treatsListedAsAcknowledged) return
     const startsByAttempt = this.startsAfterCompletion.get(taskName) ?? new Map<number, string[]>()
     this.startsAfterCompletion.set(taskName, startsByAttempt.set(attempt, []))
@@ -85,18 +108,59 @@
 
   /** Records that the owner has acknowledged a completion. */
   recordAcknowledgedCompletion (taskName: string): void {
-    this.acknowledged.add(taskName)
+    this.acknowledged.add(this.getUnitName(taskName))
+    this.startJudge?.recordAcknowledgedCompletion(taskName)
+  }
+
+  /** Records that the owner has acknowledged a failed end. */
+  recordAcknowledgedFailure (taskName: string, attempt: number): void {
+    this.startJudge?.recordAcknowledgedFailure(taskName, attempt)
   }
 
-  /** Returns whether the owner has acknowledged a completion of a task. */
+  /** Records that a member of a gang has ended because it waited too long for the others. */
+  recordAloneEnd (taskName: string, attempt: number, workerId: string): void {
+    this.aloneEnds.push(`${taskName} run ${attempt} on ${workerId}`)
+  }
+
+  /** Returns whether the owner has acknowledged a completion of a task, or of another member of its gang. */
   isAcknowledged (taskName: string): boolean {
-    return this.acknowledged.has(taskName)
+    return this.acknowledged.has(this.getUnitName(taskName))
+  }
+
+  /** Returns whether a run of a task has completed, although the owner may never learn of it; false without rules. */
+  isDone (taskName: string): boolean {
+    return this.startJudge?.isDone(taskName) === true
+  }
+
+  /** Returns whether the earlier steps of a task have completed and its time has come; false without rules. */
+  isTurn (taskName: string): boolean {
+    return this.startJudge?.isTurn(taskName) === true
+  }
+
+  /** Returns whether a task runs. */
+  isRunning (taskName: string): boolean {
+    return (this.running.get(taskName)?.size ?? 0) > 0
+  }
+
+  /** Returns whether any task of a job runs. */
+  hasRunning (jobId: string): boolean {
+    return (this.runCountByJob.get(jobId) ?? 0) > 0
+  }
+
+  /** Returns the monotonic time of the last start of a task, or null if it never started; null without rules. */
+  getStartedAt (taskName: string): number | null {
+    return this.startedAt.get(taskName) ?? null
+  }
+
+  /** Returns the monotonic time at which a run of a task last ended, or null if none has; null without rules. */
+  getLastEndAt (taskName: string): number | null {
+    return this.lastEndAt.get(taskName) ?? null
   }
 
   /** Records that a completion has been listed for a while, under a lease that has not lapsed since the run ended. */
   recordListedCompletion (taskName: string, attempt: number): void {
     if (!this.options.treatsListedAsAcknowledged) return
-    this.listedTasks.add(taskName)
+    this.listedTasks.add(this.getUnitName(taskName))
     const startsByAttempt = this.startsAfterCompletion.get(taskName)
     for (const start of startsByAttempt?.get(attempt) ?? []) {
       this.violations.push(`again: ${taskName} ${start} after run ${attempt} was done, which was listed later`)
@@ -108,4 +172,23 @@
   getRunningTasks (): string[] {
     return [...this.running].filter(([, runs]) => runs.size > 0).map(([name]) => name).sort()
   }
+
+  private checkEarlierEnds (taskName: string, attempt: number, workerId: string): void {
+    if (this.isAcknowledged(taskName)) this.violations.push(`again: ${taskName} run ${attempt} after its acknowledged end`)
+    else if (this.listedTasks.has(this.getUnitName(taskName))) {
+      this.violations.push(`again: ${taskName} run ${attempt} after its listed end`)
+    }
+    for (const starts of this.startsAfterCompletion.get(taskName)?.values() ?? []) {
+      starts.push(`run ${attempt} on ${workerId}`)
+    }
+  }
+
+  private getUnitName (taskName: string): string {
+    return this.startJudge?.getUnitName(taskName) ?? taskName
+  }
+
+  private recordTime (times: Map<string, number>, taskName: string): void {
+    const { starts } = this.options
+    if (starts !== undefined) times.set(taskName, starts.clock.monotonicMilliseconds())
+  }
 }
