Let an emulated site have workers of several sizes and jobs of all kinds

What callers saw: a step that asked for less than the resources of its job showed as a violation of the limit, and memory and accelerators had none. The resources of a run were those of its job-wide EmulatedTask.

Now they are those of its step. Workers have a size, labels, a data centre and a service, and a site has several queues and schedules. The faults isMute, isHanging, failingShare, unhealthyShare and slowdown have an effect.

--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -3,7 +3,7 @@
 import {
   Instance, JOB_TABLE, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
-import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
+import type { StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
 import { silentLogger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
@@ -13,13 +13,15 @@
 import type { TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
-import { createStep } from './createStep.js'
 import { strictLogger } from './createTestErrors.js'
 import { DistantTables } from './DistantTables.js'
 import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
+import { EmulatedJobs, type SubmissionOptions } from './EmulatedJobs.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
-import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
+import type { EmulatedTask, EmulatedWorker } from './EmulatedWorker.js'
+import type { EmulatedWorkerDescription } from './EmulatedWorkerDescription.js'
+import { EmulatedWorkers } from './EmulatedWorkers.js'
 import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
 import { MemoryObjects } from './MemoryObjects.js'
 import type { LinkRoute, RegionLink } from './RegionLink.js'
@@ -31,7 +33,13 @@
   clock: VirtualClock
   random: () => number
   instanceCount: number
-  workerCount: number
+  /** The number of equal workers, unless `workers` is given; the default is 0. */
+  workerCount?: number
+  workers?: EmulatedWorkerDescription[]
+  /** The queues of the configuration; by default, `EMULATED_QUEUE` only. */
+  queues?: QueueConfiguration[]
+  /** Selects which best-effort tasks disturb which serving tasks; the default is 1. */
+  interferenceSeed?: number
   /** Emulates limited processor time and limited connections to workers; by default, computation takes no time. */
   processorTime?: ProcessorTimeOptions
   /**
@@ -75,7 +83,7 @@
   peerFaults: { cutOff: boolean }
 }
 
-/** The only queue of an emulated site. */
+/** The queue of a site that is created without queues. */
 export const EMULATED_QUEUE: QueueConfiguration = {
   name: 'drafts',
   host: 'permits',
@@ -91,10 +99,7 @@
 /** A caller that waits for a response for the whole time-out of the queue and never disconnects. */
 export const EMULATED_WAIT: CallerWait = { milliseconds: 3000, hasDisconnected: () => false }
 
-const WORKER_CAPACITY = { processorsMilli: 16_000, memoryMegabytes: 64_000, accelerators: 0 }
 const LEASE_MILLISECONDS = 6000
-/** The platform removes a worker from its list this long after the worker process crashes. */
-const DELISTING_DELAY_MILLISECONDS = 4500
 const PEER_TIMEOUT_MILLISECONDS = 600
 const PEER_MESSAGE_BYTES = 400
 const LINK_MEGABITS_PER_SECOND = 1000
@@ -111,18 +116,31 @@
   readonly tables: EmulatedTables
   /** The objects of the platform's store. */
   readonly objects: MemoryObjects
-  readonly workers = new Map<string, EmulatedWorker>()
+  readonly workers: Map<string, EmulatedWorker>
   /** The networks to the workers, which can lose packets if processor time is emulated. */
   readonly paths = new Map<string, WorkerPaths>()
   readonly instances: EmulatedInstance[] = []
-  /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
-  readonly tasks = new Map<string, EmulatedTask>()
+  private readonly jobs: EmulatedJobs
+  private readonly workerList: EmulatedWorkers
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
     this.tables = EmulatedTables.create({ clock })
     this.objects = MemoryObjects.create({ clock })
-    this.judge = RunJudge.create({ treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false })
+    this.jobs = EmulatedJobs.create(options.queues ?? [EMULATED_QUEUE])
+    this.judge = RunJudge.create({
+      treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false,
+      starts: { clock, getRules: taskName => this.jobs.getRules(taskName) }
+    })
+    this.workerList = EmulatedWorkers.create({
+      ...options,
+      judge: this.judge,
+      jobs: this.jobs,
+      tables: this.tables,
+      workerTable: WORKER_TABLE,
+      interferenceSeed: options.interferenceSeed ?? 1
+    })
+    this.workers = this.workerList.byId
   }
 
   /**
@@ -133,35 +151,38 @@
   static create (options: EmulatedSiteOptions): EmulatedSite {
     const site = new EmulatedSite(options)
     site.putRow(OPERATOR_TABLE, 'configuration', 1)
-    for (let index = 0; index < options.workerCount; index++) site.addWorker(`worker-${index}`)
+    const { workers, workerCount = 0 } = options
+    for (const description of workers ?? []) site.addWorker(description.workerId, description)
+    if (workers === undefined) for (let index = 0; index < workerCount; index++) site.addWorker(`worker-${index}`)
     for (let index = 0; index < options.instanceCount; index++) site.addInstance(`instance-${index}`)
     return site
   }
 
-  /** Starts a worker and adds it to the platform's list of workers. */
-  addWorker (workerId: string): EmulatedWorker {
-    const { clock, random, workerClockRate } = this.options
-    const worker = EmulatedWorker.create({
-      clockRate: workerClockRate,
-      workerId,
-      capacity: WORKER_CAPACITY,
-      clock,
-      judge: this.judge,
-      random,
-      getTask: taskName => this.tasks.get(taskName.split('.', 1)[0])!
-    })
-    this.workers.set(workerId, worker)
+  /** The specifications of all jobs that were submitted, whether or not they were accepted, by job ID. */
+  get specifications (): EmulatedJobs['specifications'] {
+    return this.jobs.specifications
+  }
+
+  /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
+  get tasks (): EmulatedJobs['tasks'] {
+    return this.jobs.tasks
+  }
+
+  /**
+   * Starts a worker and adds it to the platform's list of workers.
+   * @param workerId The worker.
+   * @param description Its size and its place; the default is a large worker of the first queue's service.
+   * @returns The worker.
+   */
+  addWorker (workerId: string, description?: EmulatedWorkerDescription): EmulatedWorker {
+    const { clock, random } = this.options
     this.paths.set(workerId, WorkerPaths.create({ clock, random }))
-    this.listWorker(workerId)
-    return worker
+    return this.workerList.add(workerId, description)
   }
 
   /** Crashes a worker process; the platform removes the worker from its list later unless it has restarted. */
   crashWorker (workerId: string): void {
-    this.workers.get(workerId)?.crash()
-    this.options.clock.setTimer(DELISTING_DELAY_MILLISECONDS, () => {
-      if (this.workers.get(workerId)?.isAlive !== true) this.deleteRow(WORKER_TABLE, workerId)
-    })
+    this.workerList.crash(workerId)
   }
 
   /**
@@ -170,17 +191,17 @@
    * @param remainingMilliseconds The time until then.
    */
   drainWorker (workerId: string, remainingMilliseconds: number): void {
-    this.listWorker(workerId, { state: 'draining', remainingMilliseconds })
-    this.options.clock.setTimer(remainingMilliseconds, () => {
-      this.workers.get(workerId)?.shutDown()
-      this.deleteRow(WORKER_TABLE, workerId)
-    })
+    this.workerList.drain(workerId, remainingMilliseconds)
   }
 
   /** Restarts a worker process under the same worker ID and lists its new incarnation. */
   restartWorker (workerId: string): void {
-    this.workers.get(workerId)?.restart()
-    this.listWorker(workerId)
+    this.workerList.restart(workerId)
+  }
+
+  /** Returns how the platform lists a worker now, or null if it does not. */
+  getWorkerEntry (workerId: string): WorkerEntry | null {
+    return this.workerList.getEntry(workerId)
   }
 
   /** Starts an instance; an existing instance with the same ID is replaced by a new process at the same address. */
@@ -207,7 +228,7 @@
         feed: gatedTables,
         operatorTable: OPERATOR_TABLE,
         workerTable: WORKER_TABLE,
-        decodeOperatorRow,
+        decodeOperatorRow: (key, value) => decodeOperatorRow(key, value, this.jobs.queues),
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
       peer: this.createPeer(receiver, instanceId),
@@ -248,21 +269,24 @@
     return this.instances.find(({ process, instance }) => process.isAlive() && instance.ownerApi.probe().isOwner)
   }
 
-  /** Submits a job to an instance once; callers may submit it again while the outcome is unknown. */
+  /**
+   * Submits a job to an instance once; callers may submit it again while the outcome is unknown.
+   * @param jobId The job.
+   * @param steps The steps, each with the fields that differ from `createStep`.
+   * @param task How the behaviour of its tasks differs from that of a short task.
+   * @param target The instance that receives the submission; by default a random one.
+   * @param options The queue and the schedule.
+   * @returns The outcome.
+   */
   async submit (
     jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {},
-    target: EmulatedInstance = this.chooseInstance()
+    target: EmulatedInstance = this.chooseInstance(), options: SubmissionOptions = {}
   ): Promise<SubmitOutcome> {
     const { process, instance, processor } = target
-    this.tasks.set(jobId, {
-      processorsMilli: 1000, memoryMegabytes: 1000, accelerators: 0, durationMilliseconds: 800, failureCount: 0, ...task
-    })
+    const { specification, queue } = this.jobs.add(jobId, steps, task, options)
     this.judge.recordSubmission(jobId)
-    const specification: JobSpecification = {
-      taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
-    }
     if (processor !== null) await processor.receive(Promise.resolve(), 'request')
-    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, EMULATED_WAIT))
+    return await process.receive(instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT))
   }
 
   /** Takes a data centre out of service, or brings it back. */
@@ -318,23 +342,6 @@
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
 
-  private listWorker (workerId: string, changes: Partial<WorkerEntry> = {}): void {
-    const worker = this.workers.get(workerId)!
-    const entry: WorkerEntry = {
-      workerId,
-      serviceName: EMULATED_QUEUE.serviceName,
-      address: `${workerId}:1`,
-      dataCentre: Number(workerId.split('-')[1]) % 2 === 0 ? 'south-a' : 'south-b',
-      state: 'ready',
-      labels: ['a', 'r1'],
-      capacity: WORKER_CAPACITY,
-      bornAtMilliseconds: worker.bornAtMilliseconds,
-      remainingMilliseconds: null,
-      ...changes
-    }
-    this.putRow(WORKER_TABLE, workerId, entry as unknown as JsonValue)
-  }
-
   private putRow (table: string, key: string, value: JsonValue): void {
     this.tables.apply({ operations: [{ kind: 'put', table, key, value, condition: { kind: 'any' } }] })
   }
@@ -412,11 +419,11 @@
 /** The clock of a process, and the way in which it receives results: only while it runs and its processor is free. */
 type Receiver = Pick<SimulatedProcess, 'clock' | 'receive'>
 
-function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
+function decodeOperatorRow (key: string, value: JsonValue, queues: readonly QueueConfiguration[]): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
   return {
     kind: 'configuration',
-    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
+    configuration: { version: Number(value), queues: [...queues], maximumBodyBytes: 100_000 }
   }
 }
 
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -1,19 +1,15 @@
 import type {
-  HoldOutcome, HoldRequest, ListedCompletion, OrderOutcome, RunOutcome, StartOrder, WorkerCapacity, WorkerClient
+  HoldOutcome, HoldRequest, ListedCompletion, OrderOutcome, StartOrder, WorkerCapacity, WorkerClient
 } from '../../src/dispatch/index.js'
+import type { StepSpecification } from '../../src/jobs/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
+import { EmulatedRuns, type StepContext } from './EmulatedRuns.js'
+import type { EmulatedTask } from './EmulatedTask.js'
+import { observeChanges } from './observeChanges.js'
 import type { RunJudge } from './RunJudge.js'
-import { createWorkerFaults } from './WorkerFaults.js'
-
-/** The resources and the behaviour of an emulated task. */
-export interface EmulatedTask extends WorkerCapacity {
-  /** Time until a run ends by itself; Infinity for a task that runs until it is stopped. */
-  durationMilliseconds: number
-  /** Number of runs of the task that fail before one succeeds. */
-  failureCount: number
-  /** Time between two checkpoints of a run; by default, runs make none. */
-  checkpointMilliseconds?: number
-}
+import { createWorkerFaults, type WorkerFaults } from './WorkerFaults.js'
+
+export type { EmulatedTask } from './EmulatedTask.js'
 
 /** Options of an emulated worker. */
 export interface EmulatedWorkerOptions {
@@ -23,28 +19,22 @@
   judge: RunJudge
   random: () => number
   getTask: (taskName: string) => EmulatedTask
+  /** What is known of the steps of the tasks; by default, all tasks are plain ones with the resources of `getTask`. */
+  steps?: StepContext
+  /** The kind and the rack of the worker; the default is none. */
+  labels?: string[]
+  /** The service whose queues the worker runs; the default is the empty name. */
+  serviceName?: string
   /** Rate of the clock of the worker; the default is 1, and 0.98 is the slowest clock that the platform allows. */
   clockRate?: number
 }
 
-interface Run {
-  taskName: string
-  attempt: number
-  task: EmulatedTask
-  startedAt: number
-  checkpoint: string
-  /** The share of its processors that the run uses; the emulation does not slow it down. */
-  pacePercent: number
-  cancelCompletion: CancelTimer
-}
-
 /** Time after which a call without a response ends as unknown. */
 const CALL_TIMEOUT_MILLISECONDS = 350
 /** Time after which the attempt to open a connection fails. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1000
 /** Network delay of a call and its response together. */
 const ROUND_TRIP_MILLISECONDS = 2
-const STOP_MILLISECONDS = 50
 /** A completion under an unbroken lease counts as acknowledged this long after a report has listed it. */
 const LISTING_DELAY_MILLISECONDS = 100
 const CONNECT_TIMED_OUT = { kind: 'not-sent', reason: 'connect-timeout', hasConnectionFailed: true } as const
@@ -53,14 +43,11 @@
 
 /** An emulated worker that follows the platform's rules on leases, epoch fencing, attempts and listed ended runs. */
 export class EmulatedWorker implements WorkerClient {
-  readonly faults = createWorkerFaults()
+  readonly faults: WorkerFaults
 
-  private readonly runs = new Map<string, Run>()
-  private readonly highestAttempts = new Map<string, number>()
-  private endedRuns: ListedCompletion[] = []
+  private readonly runs: EmulatedRuns
   /** Runs that ended before or during a lapse of the lease; starting their tasks again is allowed. */
   private readonly endedUnderLapsedLease = new WeakSet<ListedCompletion>()
-  private endedRunCount = 0
   private epoch = 0
   private leaseDeadline = 0
   private bornAt: number
@@ -70,7 +57,22 @@
   private cancelLeaseCheck: CancelTimer = () => {}
 
   private constructor (private readonly options: EmulatedWorkerOptions) {
-    this.bornAt = options.clock.monotonicMilliseconds() + 1
+    const { workerId, capacity, labels = [], serviceName = '', clock, judge, random, getTask, steps = null } = options
+    this.bornAt = clock.monotonicMilliseconds() + 1
+    this.faults = observeChanges(createWorkerFaults(), () => this.runs.updateRates())
+    this.runs = EmulatedRuns.create({
+      workerId,
+      capacity,
+      labels,
+      serviceName,
+      clock,
+      judge,
+      random,
+      getTask,
+      steps,
+      faults: this.faults,
+      onListedEnd: () => this.notify()
+    })
     this.scheduleLeaseCheck()
   }
 
@@ -96,18 +98,24 @@
     return (this.leaseDeadline - this.now()) / (this.options.clockRate ?? 1)
   }
 
-  /** Returns how many runs of a task fit beside the current runs. */
-  countRoom (task: WorkerCapacity): number {
-    const { capacity } = this.options
-    const tasks = [...this.runs.values()].map(run => run.task)
-    const getRoom = (dimension: 'processorsMilli' | 'memoryMegabytes') =>
-      (capacity[dimension] - tasks.reduce((sum, other) => sum + other[dimension], 0)) / task[dimension]
-    return Math.floor(Math.min(getRoom('processorsMilli'), getRoom('memoryMegabytes')))
+  /** Returns how many further runs of a step, or runs with the given resources, fit beside the current runs. */
+  countRoom (step: StepSpecification | WorkerCapacity): number {
+    return this.runs.countRoom(step)
+  }
+
+  /** Returns the resources that the current runs reserve; those of runs that are being stopped count. */
+  getUsedCapacity (): WorkerCapacity {
+    return this.runs.getUsedCapacity()
+  }
+
+  /** Returns the current runs. */
+  getRuns (): Array<{ taskName: string, attempt: number }> {
+    return this.runs.getAll().map(({ taskName, attempt }) => ({ taskName, attempt }))
   }
 
   async start (order: StartOrder): Promise<OrderOutcome> {
     this.options.judge.recordOrder(order.taskName, this.options.workerId)
-    return await this.deliverOrder(() => this.executeStart(order))
+    return await this.deliverOrder(isLate => this.executeStart(order, isLate))
   }
 
   async stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome> {
@@ -123,28 +131,10 @@
     if (this.faults.cutOff || !this.alive) {
       return await this.failHold()
     }
-    if (request.epoch < this.epoch) return { kind: 'fenced' }
-    this.epoch = request.epoch
-    this.extendLease(request.leaseDeadline)
-    this.acknowledge(request.acknowledgedCompletion)
-    if (request.waitMilliseconds > 0 && this.endedRuns.length === 0) await this.waitForRunEnd(request.waitMilliseconds)
-    if (this.faults.cutOff || !this.alive) return { kind: 'unknown', reason: 'no answer' }
-    this.scheduleListedCompletions()
-    return {
-      kind: 'reported',
-      report: {
-        workerMilliseconds: this.now(),
-        bornAtMilliseconds: this.bornAt,
-        running: [...this.runs.values()].map(run => ({
-          taskName: run.taskName,
-          attempt: run.attempt,
-          checkpoint: this.getCheckpoint(run),
-          percent: this.getPercent(run),
-          usageFigure: Math.round(run.task.processorsMilli * run.pacePercent / 100)
-        })),
-        ended: [...this.endedRuns]
-      }
-    }
+    const outcome = await this.executeHold(request)
+    if (!this.faults.isMute) return outcome
+    await this.wait(CALL_TIMEOUT_MILLISECONDS)
+    return { kind: 'unknown', reason: 'no answer' }
   }
 
   close (): void {}
@@ -152,7 +142,7 @@
   /** Crashes the worker process: all of its runs disappear without being reported. */
   crash (): void {
     this.alive = false
-    for (const run of [...this.runs.values()]) this.removeRun(run)
+    this.runs.clear()
   }
 
   /** Stops the emulation and its periodic timer, which would keep the process of a test running. */
@@ -165,14 +155,12 @@
   restart (): void {
     this.alive = true
     this.bornAt = this.options.clock.monotonicMilliseconds() + 1
-    this.endedRuns = []
-    this.endedRunCount = 0
+    this.runs.reset()
     this.epoch = 0
     this.leaseDeadline = 0
-    this.highestAttempts.clear()
   }
 
-  private async deliverOrder (execute: () => OrderOutcome): Promise<OrderOutcome> {
+  private async deliverOrder (execute: (isLate: boolean) => OrderOutcome): Promise<OrderOutcome> {
     const { random, clock } = this.options
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
@@ -181,11 +169,15 @@
     }
     if (random() < this.faults.lateShare) {
       const { bornAt } = this
-      clock.setTimer(this.faults.lateMilliseconds, () => { if (this.alive && this.bornAt === bornAt) execute() })
+      clock.setTimer(this.faults.lateMilliseconds, () => { if (this.alive && this.bornAt === bornAt) execute(true) })
+      await this.wait(CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    const outcome = execute(false)
+    if (this.faults.isMute) {
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
     }
-    const outcome = execute()
     if (random() < this.faults.lostAnswerShare) {
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'answer lost' }
@@ -210,114 +202,56 @@
     return this.faults.cutOff && this.faults.failsToConnect
   }
 
-  private executeStart (order: StartOrder): OrderOutcome {
-    const { options } = this
+  private async executeHold (request: HoldRequest): Promise<HoldOutcome> {
+    if (request.epoch < this.epoch) return { kind: 'fenced' }
+    this.epoch = request.epoch
+    this.extendLease(request.leaseDeadline)
+    this.runs.acknowledge(request.acknowledgedCompletion)
+    if (request.waitMilliseconds > 0 && this.runs.ended.length === 0) await this.waitForRunEnd(request.waitMilliseconds)
+    if (this.faults.cutOff || !this.alive) return { kind: 'unknown', reason: 'no answer' }
+    if (!this.faults.isMute) this.scheduleListedCompletions()
+    return {
+      kind: 'reported',
+      report: {
+        workerMilliseconds: this.now(),
+        bornAtMilliseconds: this.bornAt,
+        running: this.runs.list(),
+        ended: [...this.runs.ended]
+      }
+    }
+  }
+
+  private executeStart (order: StartOrder, isLate: boolean): OrderOutcome {
+    const { unhealthyShare } = this.faults
+    if (unhealthyShare > 0 && this.options.random() < unhealthyShare) return { kind: 'unhealthy' }
     if (order.epoch < this.epoch) return { kind: 'fenced' }
     this.epoch = order.epoch
     if (order.leaseDeadline <= this.now()) return { kind: 'rejected', reason: 'late' }
     this.extendLease(order.leaseDeadline)
-    const key = `${order.taskName}#${order.attempt}`
-    if (this.runs.has(key)) return { kind: 'accepted', workerMilliseconds: this.now() }
-    if (order.attempt <= (this.highestAttempts.get(order.taskName) ?? 0)) return { kind: 'rejected', reason: 'old' }
-    const task = options.getTask(order.taskName)
-    const run: Run = {
-      taskName: order.taskName,
-      attempt: order.attempt,
-      task,
-      startedAt: this.now(),
-      checkpoint: order.checkpoint,
-      pacePercent: 100,
-      cancelCompletion: () => {}
-    }
-    this.runs.set(key, run)
-    const used = [...this.runs.values()].reduce((sum, other) => sum + other.task.processorsMilli, 0)
-    options.judge.recordStart(
-      order.taskName, order.attempt, options.workerId, used <= options.capacity.processorsMilli
-    )
-    if (task.durationMilliseconds !== Infinity) {
-      run.cancelCompletion = options.clock.setTimer(task.durationMilliseconds, () => this.completeRun(run))
-    }
+    if (this.runs.start(order, isLate) === 'old') return { kind: 'rejected', reason: 'old' }
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
   private executeStop (taskName: string, attempt: number, epoch: number): OrderOutcome {
     if (epoch < this.epoch) return { kind: 'fenced' }
     this.epoch = epoch
-    this.highestAttempts.set(taskName, Math.max(attempt, this.highestAttempts.get(taskName) ?? 0))
-    const run = this.runs.get(`${taskName}#${attempt}`)
-    if (run !== undefined) this.options.clock.setTimer(STOP_MILLISECONDS, () => this.endRun(run, 'stopped'))
+    this.runs.stop(taskName, attempt)
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
   private executePace (taskName: string, attempt: number, percent: number, epoch: number): OrderOutcome {
     if (epoch < this.epoch) return { kind: 'fenced' }
     this.epoch = epoch
-    const run = this.runs.get(`${taskName}#${attempt}`)
-    if (run !== undefined) run.pacePercent = percent
+    this.runs.setPace(taskName, attempt, percent)
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
-  /** Returns the latest checkpoint of a run, which is that of an earlier run until it makes one. */
-  private getCheckpoint (run: Run): string {
-    const { checkpointMilliseconds = Infinity } = run.task
-    const count = Math.floor((this.now() - run.startedAt) / checkpointMilliseconds)
-    return count > 0 ? `${run.taskName}#${run.attempt} checkpoint ${count}` : run.checkpoint
-  }
-
-  private getPercent (run: Run): number {
-    const { durationMilliseconds } = run.task
-    if (durationMilliseconds === Infinity) return 100
-    return Math.min(99, Math.floor((this.now() - run.startedAt) / durationMilliseconds * 100))
-  }
-
-  private completeRun (run: Run): void {
-    const { failureCounts } = this.options.judge
-    const failed = failureCounts.get(run.taskName) ?? 0
-    if (failed < run.task.failureCount) {
-      failureCounts.set(run.taskName, failed + 1)
-      this.endRun(run, 'failed')
-    } else {
-      this.endRun(run, 'done')
-    }
-  }
-
-  private endRun (run: Run, outcome: RunOutcome): void {
-    if (!this.runs.has(`${run.taskName}#${run.attempt}`)) return
-    this.removeRun(run)
-    this.endedRunCount++
-    if (outcome === 'done') this.options.judge.recordCompletion(run.taskName, run.attempt)
-    if (outcome === 'lapsed') this.options.judge.recordLapse(this.options.workerId)
-    this.endedRuns.push({
-      number: this.endedRunCount,
-      taskName: run.taskName,
-      attempt: run.attempt,
-      end: outcome,
-      checkpoint: this.getCheckpoint(run)
-    })
-    this.notify()
-  }
-
-  private removeRun (run: Run): void {
-    const { taskName, attempt } = run
-    run.cancelCompletion()
-    this.runs.delete(`${taskName}#${attempt}`)
-    this.highestAttempts.set(taskName, Math.max(attempt, this.highestAttempts.get(taskName) ?? 0))
-    this.options.judge.recordRunEnd(taskName, attempt, this.options.workerId)
-  }
-
-  private acknowledge (number: number): void {
-    for (const ended of this.endedRuns) {
-      if (ended.number <= number && ended.end === 'done') this.options.judge.recordAcknowledgedCompletion(ended.taskName)
-    }
-    this.endedRuns = this.endedRuns.filter(ended => ended.number > number)
-  }
-
   /**
    * Reports each listed completion to the judge after the listing delay, unless the lease has lapsed since the run
    * ended or the worker process has restarted.
    */
   private scheduleListedCompletions (): void {
-    const listed = this.endedRuns.filter(({ end }) => end === 'done')
+    const listed = this.runs.ended.filter(({ end }) => end === 'done')
     if (listed.length === 0) return
     const { bornAt } = this
     this.options.clock.setTimer(LISTING_DELAY_MILLISECONDS, () => {
@@ -335,8 +269,8 @@
   private scheduleLeaseCheck (): void {
     this.cancelLeaseCheck = this.options.clock.setTimer(100, () => {
       if (this.now() > this.leaseDeadline) {
-        for (const run of [...this.runs.values()]) this.endRun(run, 'lapsed')
-        for (const ended of this.endedRuns) this.endedUnderLapsedLease.add(ended)
+        this.runs.lapse()
+        for (const ended of this.runs.ended) this.endedUnderLapsedLease.add(ended)
       }
       this.scheduleLeaseCheck()
     })
