Let runs lapse on an emulated worker that has restarted

What callers saw: a worker that was shut down and came back under its old ID never ended its runs when its lease expired, so that TWICE and starts after an acknowledged end showed which no platform has.

Cause: shutDown ends the timer that checks the lease, and restart did not start it again. The test failed first (no end was listed, 'lapsed' was expected) and passes. A second test, that a restart keeps no run and that a stop of the earlier process ends none of the new one, passed from the start.

--- a/stand-ins/platform/EmulatedWorker.test.ts
+++ b/stand-ins/platform/EmulatedWorker.test.ts
@@ -241,3 +241,28 @@
   }
   assert.deepEqual(await listEnds(worker), [1, 2, 3, 4].map(attempt => `job.0.0.0#${attempt} failed`))
 })
+
+test('runs lapse on a worker that was shut down and has restarted', async () => {
+  const { clock, site, workers: [worker], start, report, listEnds } = createWorkers({}, {
+    durationMilliseconds: Infinity
+  })
+  worker.shutDown()
+  worker.restart()
+  await start(worker, 0, { leaseDeadline: (await report(worker)).workerMilliseconds + 6000 })
+  await clock.advance(5000)
+  assert.deepEqual(site.judge.getRunningTasks(), ['job.0.0.0'])
+  await clock.advance(1200)
+  assert.deepEqual(await listEnds(worker), ['job.0.0.0#1 lapsed'])
+})
+
+test('a restarted worker keeps no run, and a stop of the earlier process ends no run of the new one', async () => {
+  const { clock, site, workers: [worker], settle, start } = createWorkers({}, { durationMilliseconds: Infinity })
+  await start(worker, 0)
+  await settle(worker.stop('job.0.0.0', 1, EPOCH), 3)
+  worker.restart()
+  assert.deepEqual(worker.getRuns(), [])
+  await start(worker, 0)
+  await clock.advance(1000)
+  assert.deepEqual(worker.getRuns(), [{ taskName: 'job.0.0.0', attempt: 1 }])
+  assert.deepEqual(site.judge.violations, [])
+})
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -158,6 +158,8 @@
     this.runs.reset()
     this.epoch = 0
     this.leaseDeadline = 0
+    this.cancelLeaseCheck()
+    this.scheduleLeaseCheck()
   }
 
   private async deliverOrder (execute: (isLate: boolean) => OrderOutcome): Promise<OrderOutcome> {
