Give a hold no response of a later process of an emulated worker

What callers saw: a hold that waited while its worker crashed and restarted was answered with the report of the new process, over a connection that had ended with the old one. It now ends as unknown.

--- a/stand-ins/platform/EmulatedWorker.test.ts
+++ b/stand-ins/platform/EmulatedWorker.test.ts
@@ -255,6 +255,16 @@
   assert.deepEqual(await listEnds(worker), ['job.0.0.0#1 lapsed'])
 })
 
+test('a hold that waits when its worker restarts gets no response of the new process', async () => {
+  const { clock, workers: [worker], start, settle } = createWorkers({}, { durationMilliseconds: 1000 })
+  const waiting = worker.hold({ epoch: EPOCH, acknowledgedCompletion: 0, leaseDeadline: null, waitMilliseconds: 1500 })
+  await clock.advance(100)
+  worker.crash()
+  worker.restart()
+  await start(worker, 0)
+  assert.deepEqual(await settle(waiting, 3000), { kind: 'unknown', reason: 'no answer' })
+})
+
 test('a restarted worker keeps no run, and a stop of the earlier process ends no run of the new one', async () => {
   const { clock, site, workers: [worker], settle, start } = createWorkers({}, { durationMilliseconds: Infinity })
   await start(worker, 0)
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -205,12 +205,14 @@
   }
 
   private async executeHold (request: HoldRequest): Promise<HoldOutcome> {
+    const { bornAt } = this
     if (request.epoch < this.epoch) return { kind: 'fenced' }
     this.epoch = request.epoch
     this.extendLease(request.leaseDeadline)
     this.runs.acknowledge(request.acknowledgedCompletion)
     if (request.waitMilliseconds > 0 && this.runs.ended.length === 0) await this.waitForRunEnd(request.waitMilliseconds)
-    if (this.faults.cutOff || !this.alive) return { kind: 'unknown', reason: 'no answer' }
+    const isCut = this.faults.cutOff || !this.alive || this.bornAt !== bornAt
+    if (isCut) return { kind: 'unknown', reason: 'no answer' }
     if (!this.faults.isMute) this.scheduleListedCompletions()
     return {
       kind: 'reported',
