List at most 500 ends in a report of an emulated worker

What callers saw: an emulated worker listed all of its ends at once, where the platform lists 500 at a time, so that the reading of the rest was never played.

--- a/stand-ins/platform/EmulatedRuns.ts
+++ b/stand-ins/platform/EmulatedRuns.ts
@@ -38,6 +38,8 @@
 }
 
 const STOP_MILLISECONDS = 50
+/** The largest number of ends in one report; the others follow once those are acknowledged. */
+const LISTED_END_LIMIT = 500
 /** A member of a gang ends after this long without all other members. */
 const GANG_WAIT_MILLISECONDS = 3000
 /** A long-running run that fails does so within this time of its start. */
@@ -68,6 +70,11 @@
     return this.endedRuns
   }
 
+  /** Returns the ends that a report lists. */
+  listEnds (): ListedCompletion[] {
+    return this.endedRuns.slice(0, LISTED_END_LIMIT)
+  }
+
   /** Returns the current runs. */
   getAll (): EmulatedRun[] {
     return [...this.runs.values()]
--- a/stand-ins/platform/EmulatedWorker.test.ts
+++ b/stand-ins/platform/EmulatedWorker.test.ts
@@ -276,3 +276,15 @@
   assert.deepEqual(worker.getRuns(), [{ taskName: 'job.0.0.0', attempt: 1 }])
   assert.deepEqual(site.judge.violations, [])
 })
+
+test('a worker lists at most 500 ends at a time, and the others once those are acknowledged', async () => {
+  const { clock, workers: [worker], settle, start, hold, report } = createWorkers({
+    taskCount: 600, processorsMilli: 1, memoryMegabytes: 1
+  })
+  for (let index = 0; index < 600; index++) await start(worker, index)
+  await clock.advance(1000)
+  const { ended } = await report(worker)
+  assert.deepEqual([ended.length, ended[0].number, ended[499].number], [500, 1, 500])
+  await settle(hold(worker, 500))
+  assert.equal((await report(worker)).ended.length, 100)
+})
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -220,7 +220,7 @@
         workerMilliseconds: this.now(),
         bornAtMilliseconds: this.bornAt,
         running: this.runs.list(),
-        ended: [...this.runs.ended]
+        ended: this.runs.listEnds()
       }
     }
   }
@@ -255,7 +255,7 @@
    * ended or the worker process has restarted.
    */
   private scheduleListedCompletions (): void {
-    const listed = this.runs.ended.filter(({ end }) => end === 'done')
+    const listed = this.runs.listEnds().filter(({ end }) => end === 'done')
     if (listed.length === 0) return
     const { bornAt } = this
     this.options.clock.setTimer(LISTING_DELAY_MILLISECONDS, () => {
