Judge starts after a completion that is acknowledged later

RunJudge reported a start after a completion only if the completion had been acknowledged before the start. The rule counts one that is acknowledged later too, unless the lease of its worker has lapsed between the two. The test failed first (no violation) and passes.

--- a/stand-ins/platform/EmulatedRuns.ts
+++ b/stand-ins/platform/EmulatedRuns.ts
@@ -50,6 +50,8 @@
   private readonly runs = new Map<string, EmulatedRun>()
   private readonly highestAttempts = new Map<string, number>()
   private endedRuns: ListedCompletion[] = []
+  /** Ends of runs before or during a lapse of the lease; starting their tasks again is allowed. */
+  private readonly endedUnderLapsedLease = new WeakSet<ListedCompletion>()
   private endedRunCount = 0
   private isLapsing = false
   private readonly used: WorkerCapacity = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
@@ -168,14 +170,21 @@
     this.isLapsing = true
     for (const run of this.getAll()) this.endRun(run, 'lapsed')
     this.isLapsing = false
+    for (const ended of this.endedRuns) this.endedUnderLapsedLease.add(ended)
+  }
+
+  /** Returns whether the lease has lapsed since a run ended. */
+  hasLapsedSince (ended: ListedCompletion): boolean {
+    return this.endedUnderLapsedLease.has(ended)
   }
 
   /** Forgets the ends up to a number. */
   acknowledge (number: number): void {
     const { judge } = this.options
-    for (const { number: endNumber, end, taskName, attempt } of this.endedRuns) {
+    for (const ended of this.endedRuns) {
+      const { number: endNumber, end, taskName, attempt } = ended
       if (endNumber > number) continue
-      if (end === 'done') judge.recordAcknowledgedCompletion(taskName)
+      if (end === 'done') judge.recordAcknowledgedCompletion(taskName, this.hasLapsedSince(ended) ? null : attempt)
       if (end === 'failed') judge.recordAcknowledgedFailure(taskName, attempt)
     }
     this.endedRuns = this.endedRuns.filter(ended => ended.number > number)
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -1,5 +1,5 @@
 import type {
-  HoldOutcome, HoldRequest, ListedCompletion, OrderOutcome, StartOrder, WorkerCapacity, WorkerClient
+  HoldOutcome, HoldRequest, OrderOutcome, StartOrder, WorkerCapacity, WorkerClient
 } from '../../src/dispatch/index.js'
 import type { StepSpecification } from '../../src/jobs/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
@@ -46,8 +46,6 @@
   readonly faults: WorkerFaults
 
   private readonly runs: EmulatedRuns
-  /** Runs that ended before or during a lapse of the lease; starting their tasks again is allowed. */
-  private readonly endedUnderLapsedLease = new WeakSet<ListedCompletion>()
   private epoch = 0
   private leaseDeadline = 0
   private bornAt: number
@@ -261,7 +259,7 @@
     this.options.clock.setTimer(LISTING_DELAY_MILLISECONDS, () => {
       if (this.bornAt !== bornAt) return
       for (const run of listed) {
-        if (!this.endedUnderLapsedLease.has(run)) this.options.judge.recordListedCompletion(run.taskName, run.attempt)
+        if (!this.runs.hasLapsedSince(run)) this.options.judge.recordListedCompletion(run.taskName, run.attempt)
       }
     })
   }
@@ -272,10 +270,7 @@
 
   private scheduleLeaseCheck (): void {
     this.cancelLeaseCheck = this.options.clock.setTimer(100, () => {
-      if (this.now() > this.leaseDeadline) {
-        this.runs.lapse()
-        for (const ended of this.runs.ended) this.endedUnderLapsedLease.add(ended)
-      }
+      if (this.now() > this.leaseDeadline) this.runs.lapse()
       this.scheduleLeaseCheck()
     })
   }
--- a/stand-ins/platform/RunJudge.test.ts
+++ b/stand-ins/platform/RunJudge.test.ts
@@ -45,3 +45,20 @@
   playRun(judge, 3, 'worker-1')
   assert.deepEqual(judge.violations, ['again: job.0.0.0 run 3 after its acknowledged end'])
 })
+
+test('reports a start after a completion that is acknowledged later, under a lease that has not lapsed', () => {
+  const lapsed = createJudge(false)
+  playRun(lapsed, 1, 'worker-1')
+  playRun(lapsed, 2, 'worker-2')
+  lapsed.recordAcknowledgedCompletion('job.0.0.0')
+  assert.deepEqual(lapsed.violations, [])
+  const unbroken = createJudge(false)
+  playRun(unbroken, 1, 'worker-1')
+  playRun(unbroken, 2, 'worker-2')
+  unbroken.recordAcknowledgedCompletion('job.0.0.0', 2)
+  assert.deepEqual(unbroken.violations, [])
+  unbroken.recordAcknowledgedCompletion('job.0.0.0', 1)
+  assert.deepEqual(unbroken.violations, [
+    'again: job.0.0.0 run 2 on worker-2 after run 1 was done, which was acknowledged later'
+  ])
+})
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -15,7 +15,7 @@
   private readonly acknowledged = new Set<string>()
   /** Tasks with a listed completion, whether or not it was acknowledged. */
   private readonly listedTasks = new Set<string>()
-  /** Starts that followed a completion which was not listed by then, by task name and completed attempt. */
+  /** Starts that followed a completion which was not noted by then, by task name and completed attempt. */
   private readonly startsAfterCompletion = new Map<string, Map<number, string[]>>()
   private readonly submittedJobs = new Set<string>()
   startCount = 0
@@ -101,15 +101,19 @@
   /** Records that a run has completed; its completion is not yet listed or acknowledged. */
   recordCompletion (taskName: string, attempt: number): void {
     this.startJudge?.recordCompletion(taskName)
-    if (!this.options.treatsListedAsAcknowledged) return
     const startsByAttempt = this.startsAfterCompletion.get(taskName) ?? new Map<number, string[]>()
     this.startsAfterCompletion.set(taskName, startsByAttempt.set(attempt, []))
   }
 
-  /** Records that the owner has acknowledged a completion. */
-  recordAcknowledgedCompletion (taskName: string): void {
+  /**
+   * Records that the owner has acknowledged a completion.
+   * @param taskName The task.
+   * @param attempt The run that completed, if the lease of its worker has not lapsed since; otherwise null.
+   */
+  recordAcknowledgedCompletion (taskName: string, attempt: number | null = null): void {
     this.acknowledged.add(this.getUnitName(taskName))
     this.startJudge?.recordAcknowledgedCompletion(taskName)
+    if (attempt !== null) this.reportStartsAfter(taskName, attempt, 'acknowledged')
   }
 
   /** Records that the owner has acknowledged a failed end. */
@@ -161,11 +165,7 @@
   recordListedCompletion (taskName: string, attempt: number): void {
     if (!this.options.treatsListedAsAcknowledged) return
     this.listedTasks.add(this.getUnitName(taskName))
-    const startsByAttempt = this.startsAfterCompletion.get(taskName)
-    for (const start of startsByAttempt?.get(attempt) ?? []) {
-      this.violations.push(`again: ${taskName} ${start} after run ${attempt} was done, which was listed later`)
-    }
-    startsByAttempt?.delete(attempt)
+    this.reportStartsAfter(taskName, attempt, 'listed')
   }
 
   /** Returns the names of the running tasks, sorted. */
@@ -183,6 +183,14 @@
     }
   }
 
+  private reportStartsAfter (taskName: string, attempt: number, noted: 'listed' | 'acknowledged'): void {
+    const startsByAttempt = this.startsAfterCompletion.get(taskName)
+    for (const start of startsByAttempt?.get(attempt) ?? []) {
+      this.violations.push(`again: ${taskName} ${start} after run ${attempt} was done, which was ${noted} later`)
+    }
+    startsByAttempt?.delete(attempt)
+  }
+
   private getUnitName (taskName: string): string {
     return this.startJudge?.getUnitName(taskName) ?? taskName
   }
