Let emulated workers guard their capacity

Where a service checks admission, its workers reject starts that do not fit; an emulated worker started whatever was ordered. With guardsCapacity it rejects them with the reason 'room' and still takes the lease deadline of the order.

--- a/stand-ins/platform/EmulatedRuns.ts
+++ b/stand-ins/platform/EmulatedRuns.ts
@@ -30,6 +30,8 @@
   judge: RunJudge
   random: () => number
   getTask: (taskName: string) => EmulatedTask
+  /** Whether starts that do not fit are rejected. */
+  guardsCapacity: boolean
   /** Null if all runs are those of plain tasks, whose steps are not known. */
   steps: StepContext | null
   faults: WorkerFaults
@@ -100,20 +102,23 @@
    * Starts a run unless it is there already.
    * @param order The start.
    * @param isLate Whether the order is executed long after it was sent.
-   * @returns Whether the run is there now; otherwise its attempt is not higher than that of an earlier run.
+   * @returns Whether the run is there now; otherwise its attempt is not higher than that of an earlier run, or it does
+   * not fit.
    */
-  start (order: StartOrder, isLate: boolean): 'started' | 'old' {
+  start (order: StartOrder, isLate: boolean): 'started' | 'old' | 'room' {
     const { options } = this
     const { taskName, attempt, checkpoint } = order
     const key = getKey(taskName, attempt)
     if (this.runs.has(key)) return 'started'
     if (attempt <= (this.highestAttempts.get(taskName) ?? 0)) return 'old'
     const step = options.steps?.getStep(taskName) ?? null
+    const task = options.getTask(taskName)
+    if (options.guardsCapacity && this.countRoom(step ?? task) < 1) return 'room'
     const run = EmulatedRun.create({
       taskName,
       attempt,
       checkpoint,
-      task: options.getTask(taskName),
+      task,
       step,
       clock: options.clock,
       onComplete: completed => this.completeRun(completed)
--- a/stand-ins/platform/EmulatedWorker.test.ts
+++ b/stand-ins/platform/EmulatedWorker.test.ts
@@ -78,6 +78,16 @@
   assert.deepEqual(site.judge.violations, ['limit: w-0 is over its capacity with job.0.0.2'])
 })
 
+test('a worker that guards its capacity rejects what does not fit, and can start it later', async () => {
+  const { clock, site, start } = createWorkers({ taskCount: 2, processorsMilli: 3000 })
+  const worker = site.addWorker('w-3', { ...WORKERS[0], workerId: 'w-3', guardsCapacity: true })
+  await start(worker, 0)
+  assert.deepEqual(await start(worker, 1), { kind: 'rejected', reason: 'room' })
+  await clock.advance(1000)
+  assert.equal((await start(worker, 1)).kind, 'accepted')
+  assert.deepEqual(site.judge.violations, [])
+})
+
 test('a gang works only while all members are present, and one end stands for those of all', async () => {
   const { clock, site, workers, start, report, listEnds } = createWorkers({ taskCount: 2, gang: true })
   await start(workers[0], 0)
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -25,6 +25,8 @@
   labels?: string[]
   /** The service whose queues the worker runs; the default is the empty name. */
   serviceName?: string
+  /** Whether starts that do not fit are rejected; the default is false. */
+  guardsCapacity?: boolean
   /** Rate of the clock of the worker; the default is 1, and 0.98 is the slowest clock that the platform allows. */
   clockRate?: number
 }
@@ -56,6 +58,7 @@
 
   private constructor (private readonly options: EmulatedWorkerOptions) {
     const { workerId, capacity, labels = [], serviceName = '', clock, judge, random, getTask, steps = null } = options
+    const { guardsCapacity = false } = options
     this.bornAt = clock.monotonicMilliseconds() + 1
     this.faults = observeChanges(createWorkerFaults(), () => this.runs.updateRates())
     this.runs = EmulatedRuns.create({
@@ -67,6 +70,7 @@
       judge,
       random,
       getTask,
+      guardsCapacity,
       steps,
       faults: this.faults,
       onListedEnd: () => this.notify()
@@ -230,7 +234,8 @@
     this.epoch = order.epoch
     if (order.leaseDeadline <= this.now()) return { kind: 'rejected', reason: 'late' }
     this.extendLease(order.leaseDeadline)
-    if (this.runs.start(order, isLate) === 'old') return { kind: 'rejected', reason: 'old' }
+    const result = this.runs.start(order, isLate)
+    if (result !== 'started') return { kind: 'rejected', reason: result }
     return { kind: 'accepted', workerMilliseconds: this.now() }
   }
 
--- a/stand-ins/platform/EmulatedWorkerDescription.ts
+++ b/stand-ins/platform/EmulatedWorkerDescription.ts
@@ -9,4 +9,6 @@
   dataCentre: string
   /** The service whose queues it runs; by default that of the first queue. */
   serviceName?: string
+  /** Whether it rejects starts that do not fit; by default, it starts whatever is ordered. */
+  guardsCapacity?: boolean
 }
--- a/stand-ins/platform/EmulatedWorkers.ts
+++ b/stand-ins/platform/EmulatedWorkers.ts
@@ -55,7 +55,7 @@
   /** Starts a worker and lists it. */
   add (workerId: string, description: EmulatedWorkerDescription = createDescription(workerId)): EmulatedWorker {
     const { clock, random, workerClockRate, judge, jobs } = this.options
-    const { capacity, labels } = description
+    const { capacity, labels, guardsCapacity } = description
     this.descriptions.set(workerId, description)
     const worker = EmulatedWorker.create({
       clockRate: workerClockRate,
@@ -66,6 +66,7 @@
       clock,
       judge,
       random,
+      guardsCapacity,
       getTask: taskName => jobs.getTask(taskName),
       steps: this.steps
     })
