Keep an emulated instance that runs when it is started again

addInstance put a new process in the place of one that still ran: after two kills of all instances within 3 s, two living processes had one address. A process that runs now stays, and an instance that is replaced again while it is down starts once, at the later of both times.

--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -117,6 +117,8 @@
   readonly instances: EmulatedInstance[] = []
   /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
   readonly tasks = new Map<string, EmulatedTask>()
+  /** The time of the latest restart of each address that has been requested. */
+  private readonly restartTimes = new Map<string, number>()
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
@@ -183,9 +185,17 @@
     this.listWorker(workerId)
   }
 
-  /** Starts an instance; an existing instance with the same ID is replaced by a new process at the same address. */
+  /**
+   * Starts an instance. An instance with the same ID whose process has ended is replaced by a new process at the same
+   * address; one whose process runs stays as it is.
+   * @param instanceId The instance.
+   * @returns The running instance.
+   */
   addInstance (instanceId: string): EmulatedInstance {
     const { clock, random } = this.options
+    const address = `${instanceId}:1`
+    const existingIndex = this.instances.findIndex(other => other.address === address)
+    if (existingIndex >= 0 && this.instances[existingIndex].process.isAlive()) return this.instances[existingIndex]
     const process = SimulatedProcess.create({
       clock, random, store: MemoryTableService.create(), workerClient: { exchange: neverRespond }
     })
@@ -193,7 +203,6 @@
     const processor = this.createProcessor(process)
     const receiver = processor ?? process
     const gatedTables = gateTables(process, processor, this.createDistantTables(instanceId, tables))
-    const address = `${instanceId}:1`
     const instance = Instance.create({
       instanceId,
       region: this.isFar(instanceId) ? 'north' : 'south',
@@ -225,7 +234,6 @@
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
-    const existingIndex = this.instances.findIndex(other => other.address === address)
     const added = { instance, process, tables, address, processor, peerFaults: { cutOff: false } }
     if (existingIndex >= 0) this.instances[existingIndex] = added
     else this.instances.push(added)
@@ -234,13 +242,19 @@
   }
 
   /**
-   * Kills an instance and starts another process at its address.
+   * Kills an instance and starts another process at its address. When the instance is replaced again before that, the
+   * new process starts at the later of both times.
    * @param instance The instance.
    * @param downMilliseconds The time between the two.
    */
   replaceInstance ({ process, address }: EmulatedInstance, downMilliseconds: number): void {
+    const { clock } = this.options
+    const startTime = Math.max(clock.monotonicMilliseconds() + downMilliseconds, this.restartTimes.get(address) ?? 0)
+    this.restartTimes.set(address, startTime)
     process.kill()
-    this.options.clock.setTimer(downMilliseconds, () => { this.addInstance(address.split(':')[0]) })
+    clock.setTimer(startTime - clock.monotonicMilliseconds(), () => {
+      if (this.restartTimes.get(address) === startTime) this.addInstance(address.split(':')[0])
+    })
   }
 
   /** Returns the running instance that is the owner, or undefined if there is none. */
