Emulate faults of single paths, machines without power and a refusing store

The emulated site could cut a worker off from all instances only. It now has faults of the path between one instance and one worker (silent, connections fail, answers lost), lost calls of an instance to its peers, machines without power that do not answer probes, a machine service that is away, and new versions of the configuration. The client of the tables can refuse calls, take longer for them and lose the renewals of the ownership; feeds can pause. A process can be woken before its time, and its time of day can step. Listeners hear of starts, submissions and acceptances.

--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -10,7 +10,7 @@
 import { PageSize } from '../../src/table/PageSize.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
 import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
-import type { TableService } from '../../src/table/TableService.js'
+import type { ReadOutcome, TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { createStep } from './createStep.js'
@@ -22,6 +22,7 @@
 import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
 import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
 import { MemoryObjects } from './MemoryObjects.js'
+import { PathFaults } from './PathFaults.js'
 import type { LinkRoute, RegionLink } from './RegionLink.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
@@ -71,8 +72,25 @@
   address: string
   /** Null if processor time is not emulated. */
   processor: EmulatedProcessor | null
-  /** While `cutOff` is set, the calls of other instances to this one get no response. */
-  peerFaults: { cutOff: boolean }
+  peerFaults: PeerFaults
+}
+
+/** Faults of the calls between one instance and the others; all may be changed at any time. */
+export interface PeerFaults {
+  /** The calls of other instances to this one get no response. */
+  cutOff: boolean
+  /** The calls of this instance to others get no response. */
+  losesCalls: boolean
+}
+
+/** Functions that are called on events of a site; each may be added and removed at any time. */
+export interface SiteListeners {
+  /** Called when a process of an instance has been started. */
+  started: Set<(instance: EmulatedInstance) => void>
+  /** Called when a client hands a job in to an instance. */
+  submitted: Set<(instance: EmulatedInstance) => void>
+  /** Called when an instance has accepted a job. */
+  accepted: Set<(instance: EmulatedInstance) => void>
 }
 
 /** The only queue of an emulated site. */
@@ -99,7 +117,8 @@
 const PEER_MESSAGE_BYTES = 400
 const LINK_MEGABITS_PER_SECOND = 1000
 const OPERATOR_TABLE = 'operators'
-const WORKER_TABLE = 'listed-workers'
+/** The table of the workers that the platform lists. */
+export const WORKER_TABLE = 'listed-workers'
 
 /** Emulates a whole site on one virtual clock: the tables and workers of the platform, and the instances. */
 export class EmulatedSite {
@@ -115,10 +134,18 @@
   /** The networks to the workers, which can lose packets if processor time is emulated. */
   readonly paths = new Map<string, WorkerPaths>()
   readonly instances: EmulatedInstance[] = []
+  /** The faults of the paths between single instances and single workers. */
+  readonly pathFaults = PathFaults.create()
+  /** The addresses of machines without power: calls to them get no response, instead of being refused. */
+  readonly darkAddresses = new Set<string>()
+  /** While `isAway` is set, the platform does not say which worker processes are alive. */
+  readonly machineServiceFaults = { isAway: false }
+  readonly listeners: SiteListeners = { started: new Set(), submitted: new Set(), accepted: new Set() }
   /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
   readonly tasks = new Map<string, EmulatedTask>()
   /** The time of the latest restart of each address that has been requested. */
   private readonly restartTimes = new Map<string, number>()
+  private configurationVersion = 1
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
@@ -223,10 +250,7 @@
       registry: new Registry(),
       resources: { processors: 1, linkMegabitsPerSecond: LINK_MEGABITS_PER_SECOND },
       livenessSource: {
-        listLiveWorkers: async () => await receiver.receive(Promise.resolve({
-          kind: 'ok' as const,
-          value: new Set([...this.workers].filter(([, worker]) => worker.isAlive).map(([workerId]) => workerId))
-        }))
+        listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers()))
       },
       clock: receiver.clock,
       logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
@@ -234,9 +258,12 @@
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
-    const added = { instance, process, tables, address, processor, peerFaults: { cutOff: false } }
+    const peerFaults: PeerFaults = { cutOff: false, losesCalls: false }
+    const added: EmulatedInstance = { instance, process, tables, address, processor, peerFaults }
     if (existingIndex >= 0) this.instances[existingIndex] = added
     else this.instances.push(added)
+    this.darkAddresses.delete(address)
+    for (const onStarted of this.listeners.started) onStarted(added)
     instance.start()
     return added
   }
@@ -257,6 +284,14 @@
     })
   }
 
+  /** Removes an instance and its machine for good. */
+  removeInstance ({ process, address }: EmulatedInstance): void {
+    process.kill()
+    this.darkAddresses.add(address)
+    const index = this.instances.findIndex(other => other.address === address)
+    if (index >= 0) this.instances.splice(index, 1)
+  }
+
   /** Returns the running instance that is the owner, or undefined if there is none. */
   getOwner (): EmulatedInstance | undefined {
     return this.instances.find(({ process, instance }) => process.isAlive() && instance.ownerApi.probe().isOwner)
@@ -275,8 +310,12 @@
     const specification: JobSpecification = {
       taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
     }
+    for (const onSubmitted of this.listeners.submitted) onSubmitted(target)
     if (processor !== null) await processor.receive(Promise.resolve(), 'request')
-    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, EMULATED_WAIT))
+    const outcome = await process.receive(
+      instance.gateway.submit(jobId, specification, EMULATED_QUEUE, EMULATED_WAIT))
+    if (outcome.kind === 'accepted') for (const onAccepted of this.listeners.accepted) onAccepted(target)
+    return outcome
   }
 
   /** Takes a data centre out of service, or brings it back. */
@@ -285,6 +324,15 @@
     else this.deleteRow(OPERATOR_TABLE, `out/${dataCentre}`)
   }
 
+  /**
+   * Stores a new version of the configuration.
+   * @param changes What differs from the first version in the queue.
+   */
+  changeConfiguration (changes: Partial<QueueConfiguration>): void {
+    this.configurationVersion++
+    this.putRow(OPERATOR_TABLE, 'configuration', { version: this.configurationVersion, changes })
+  }
+
   /** Returns a random instance whose process runs and is not frozen, or the first instance if there is none. */
   chooseInstance (): EmulatedInstance {
     const alive = this.instances.filter(({ process }) => process.isAlive() && !process.isFrozen())
@@ -304,6 +352,12 @@
     return this.options.farRegion?.link.getRoute(this.isFar(callerId), this.isFar(targetId)) ?? null
   }
 
+  private listLiveWorkers (): ReadOutcome<Set<string>> {
+    if (this.machineServiceFaults.isAway) return { kind: 'unavailable', reason: 'no answer' }
+    const living = [...this.workers].filter(([, worker]) => worker.isAlive)
+    return { kind: 'ok', value: new Set(living.map(([workerId]) => workerId)) }
+  }
+
   private countTimeout (call: string): void {
     this.timeouts.set(call, (this.timeouts.get(call) ?? 0) + 1)
   }
@@ -368,7 +422,9 @@
   ): WorkerClient {
     const worker = this.workers.get(workerId)!
     const { processorTime, clock } = this.options
-    if (processor === null || processorTime === undefined) return gateWorker(process, worker)
+    if (processor === null || processorTime === undefined) {
+      return gateWorker({ process, worker, getFault: () => this.pathFaults.get(instanceId, workerId) })
+    }
     return EmulatedConnections.create({
       worker,
       paths: this.paths.get(workerId)!,
@@ -387,12 +443,13 @@
 
   private createPeer (process: Receiver, instanceId: string): OwnerPeer {
     const find = (address: string) => this.instances.find(other => other.address === address)
+    const losesCalls = () => find(`${instanceId}:1`)?.peerFaults.losesCalls === true
     const callPeer = async <Value>(
       address: string, answer: (other: EmulatedInstance) => Value
     ): Promise<Value | null> => {
       const other = find(address)
       const isUnresponsive = other === undefined || other.process.isFrozen() || !other.process.isAlive() ||
-        other.peerFaults.cutOff
+        other.peerFaults.cutOff || losesCalls()
       if (isUnresponsive) {
         await new Promise<void>(resolve => { process.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, resolve) })
         return null
@@ -407,7 +464,9 @@
     }
     return {
       probe: async address => {
-        if (find(address)?.process.isAlive() !== true) return { kind: 'refused' }
+        const target = find(address)
+        const isSilent = this.darkAddresses.has(address) || target?.peerFaults.cutOff === true || losesCalls()
+        if (target?.process.isAlive() !== true && !isSilent) return { kind: 'refused' }
         const answer = await callPeer(address, other => other.instance.ownerApi.probe())
         return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
       },
@@ -428,9 +487,12 @@
 
 function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
+  const { version, changes } = typeof value === 'number'
+    ? { version: value, changes: {} }
+    : value as unknown as { version: number, changes: Partial<QueueConfiguration> }
   return {
     kind: 'configuration',
-    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
+    configuration: { version, queues: [{ ...EMULATED_QUEUE, ...changes }], maximumBodyBytes: 100_000 }
   }
 }
 
--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../src/shared/Clock.js'
+import { SHARD_HEARTBEAT_TABLE } from '../../src/leases/index.js'
 import type { FeedOutcome, RowChange, TableFeed, TableSnapshot, TooLarge } from '../../src/table/TableFeed.js'
 import type {
   Condition, Operation, ReadOutcome, Row, RowKey, ScanOptions, TableService, Transaction, TransactionOutcome
@@ -16,6 +17,28 @@
    */
   lateShare: number
   lateMilliseconds: number
+  /** Calls are refused at once and have no effect. */
+  isRefusing: boolean
+  /** The factor by which calls take longer; 1 is the usual speed. */
+  slowdown: number
+  /** The renewals of the ownership get no response and have no effect. */
+  losesRenewals: boolean
+}
+
+/**
+ * Creates the faults of a client that has none.
+ * @returns The faults.
+ */
+export function createTableClientFaults (): TableClientFaults {
+  return {
+    cutOff: false,
+    lostAnswerShare: 0,
+    lateShare: 0,
+    lateMilliseconds: 3000,
+    isRefusing: false,
+    slowdown: 1,
+    losesRenewals: false
+  }
 }
 
 interface Change extends RowChange {
@@ -33,6 +56,8 @@
   private compactedTo = 0
   private version = 0
   private waiters: Array<() => void> = []
+  /** While feeds are paused, the version of the last change that they return. */
+  private pausedVersion: number | null = null
 
   private constructor (private readonly clock: Clock) {}
 
@@ -80,8 +105,20 @@
   /** Returns the changes of a table after a version, or `compacted` if the history no longer reaches back that far. */
   getChanges (table: string, after: number): FeedOutcome {
     if (after < this.compactedTo) return { kind: 'compacted' }
-    const changes = this.history.slice(this.findFirstChangeAfter(after)).filter(change => change.table === table)
-    return { kind: 'changes', changes, version: this.version }
+    const end = this.pausedVersion === null ? this.history.length : this.findFirstChangeAfter(this.pausedVersion)
+    const changes = this.history.slice(this.findFirstChangeAfter(after), end).filter(change => change.table === table)
+    return { kind: 'changes', changes, version: Math.max(after, this.pausedVersion ?? this.version) }
+  }
+
+  /** From now on, feeds return no further changes until `resumeFeeds`. */
+  pauseFeeds (): void {
+    this.pausedVersion ??= this.version
+  }
+
+  /** Feeds return all changes again. */
+  resumeFeeds (): void {
+    this.pausedVersion = null
+    this.notify()
   }
 
   /** Drops the history of changes, so that clients must read whole tables again. */
@@ -135,8 +172,12 @@
 
 /** The table client of one process, with injected faults. */
 export class EmulatedTableClient implements TableService, TableFeed {
-  readonly faults: TableClientFaults = { cutOff: false, lostAnswerShare: 0, lateShare: 0, lateMilliseconds: 3000 }
+  readonly faults = createTableClientFaults()
   writeCount = 0
+  /** The time of the last write that was applied, on the clock of the site. */
+  lastWriteAt = -Infinity
+  /** Called when a renewal of the ownership has been applied, before its response arrives. */
+  onRenewal: () => void = () => {}
 
   private constructor (
     private readonly tables: EmulatedTables,
@@ -149,14 +190,25 @@
   }
 
   async transact (transaction: Transaction): Promise<TransactionOutcome> {
-    if (!await this.waitForRoundTrip()) return { kind: 'unknown', reason: 'no answer' }
+    if (!await this.waitForRoundTrip()) {
+      return this.faults.isRefusing
+        ? { kind: 'unavailable', reason: 'refused' }
+        : { kind: 'unknown', reason: 'no answer' }
+    }
     this.writeCount++
+    const isRenewal = transaction.operations.some(({ kind, table }) => kind === 'put' && table === SHARD_HEARTBEAT_TABLE)
+    if (isRenewal && this.faults.losesRenewals) {
+      await this.wait(TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
     if (this.random() < this.faults.lateShare) {
       this.clock.setTimer(this.faults.lateMilliseconds, () => { this.tables.apply(transaction) })
       await this.wait(TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
     }
     const outcome = this.tables.apply(transaction)
+    if (outcome.kind === 'committed') this.lastWriteAt = this.clock.monotonicMilliseconds()
+    if (isRenewal) this.onRenewal()
     if (this.random() >= this.faults.lostAnswerShare) return outcome
     await this.wait(TIMEOUT_MILLISECONDS)
     return { kind: 'unknown', reason: 'answer lost' }
@@ -208,8 +260,8 @@
       await this.wait(TIMEOUT_MILLISECONDS)
       return false
     }
-    await this.wait(RESPONSE_MILLISECONDS)
-    return true
+    await this.wait(RESPONSE_MILLISECONDS * this.faults.slowdown)
+    return !this.faults.isRefusing
   }
 
   private wait (milliseconds: number): Promise<void> {
--- a/tools/simulation/SimulatedProcess.ts
+++ b/tools/simulation/SimulatedProcess.ts
@@ -47,6 +47,9 @@
   private alive = true
   private frozenUntil = 0
   private suspendedMilliseconds = 0
+  private suspendedUntil = 0
+  /** How far the time of day of the process is ahead of that of the site, negative if it is behind. */
+  clockStepMilliseconds = 0
   private readonly deferredActions: Array<() => void> = []
 
   private constructor (private readonly options: SimulatedProcessOptions) {}
@@ -89,6 +92,18 @@
   suspend (durationMilliseconds: number): void {
     this.freeze(durationMilliseconds)
     this.suspendedMilliseconds += durationMilliseconds
+    const until = this.options.clock.monotonicMilliseconds() + durationMilliseconds
+    this.suspendedUntil = Math.max(this.suspendedUntil, until)
+  }
+
+  /** Wakes the process now if it is frozen; its monotonic clock does not count the time of a suspension until now. */
+  thaw (): void {
+    const now = this.options.clock.monotonicMilliseconds()
+    if (!this.isFrozen()) return
+    this.suspendedMilliseconds -= Math.max(0, this.suspendedUntil - now)
+    this.suspendedUntil = now
+    this.frozenUntil = now
+    for (const action of this.deferredActions.splice(0)) action()
   }
 
   /** Runs an action at once, after the process wakes if it is frozen, or never if it was killed. */
@@ -101,7 +116,7 @@
   /** The clock of the process; its timers do not fire while the process is frozen. */
   readonly clock: Clock = {
     monotonicMilliseconds: () => this.options.clock.monotonicMilliseconds() - this.suspendedMilliseconds,
-    wallMilliseconds: () => this.options.clock.wallMilliseconds(),
+    wallMilliseconds: () => this.options.clock.wallMilliseconds() + this.clockStepMilliseconds,
     setTimer: (delay, callback): CancelTimer => {
       let cancelled = false
       const cancelTimer = this.options.clock.setTimer(delay, () =>
