--- /dev/null
+++ b/stand-ins/platform/PlatformDisruptions.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createFaultySite } from './createFaultySite.js'
+import { WORKER_TABLE } from './EmulatedSite.js'
+
+const ROW = { table: WORKER_TABLE, key: 'worker-0' }
+
+for (const [variant, isRefusing] of [[0, false], [1, true]] as const) {
+  test(`the store answers no instance while it is away, ${isRefusing ? 'refusing calls' : 'silent'}`, async () => {
+    const { clock, site, faults, start } = await createFaultySite()
+    start('store-away', { variant })
+    for (const { tables } of site.instances) {
+      const calledAt = clock.monotonicMilliseconds()
+      const read = tables.read(ROW).then(
+        outcome => ({ outcome, milliseconds: clock.monotonicMilliseconds() - calledAt }))
+      const written = tables.transact({ operations: [] })
+      await clock.advance(1000)
+      const { outcome, milliseconds } = await read
+      assert.equal(outcome.kind, 'unavailable')
+      assert.equal(milliseconds, isRefusing ? 4 : 1000)
+      assert.equal((await written).kind, isRefusing ? 'unavailable' : 'unknown')
+    }
+    const read = site.instances[0].tables.read(ROW)
+    await clock.advance(100)
+    assert.equal((await read).kind, 'ok')
+    assert.equal(faults.calmSince, 6000)
+  })
+}
+
+test('the store is away for the owner or for a chosen instance only, also after a restart', async () => {
+  const { clock, site, start } = await createFaultySite()
+  start('store-away-for-some', { variant: 0 })
+  assert.deepEqual(site.instances.filter(({ tables }) => tables.faults.cutOff), [site.getOwner()])
+  await clock.advance(3000)
+  assert.deepEqual(site.instances.filter(({ tables }) => tables.faults.cutOff), [])
+  start('store-away-for-some', { variant: 3, target: 1, durationMilliseconds: 5000 })
+  assert.deepEqual(site.instances.map(({ tables }) => tables.faults.isRefusing), [false, true, false])
+  start('instance-kill-all', { durationMilliseconds: 1000 })
+  await clock.advance(2000)
+  assert.deepEqual(site.instances.map(({ tables }) => tables.faults.isRefusing), [false, true, false])
+  await clock.advance(3000)
+  assert.deepEqual(site.instances.map(({ tables }) => tables.faults.isRefusing), [false, false, false])
+})
+
+test('calls of a slow store take 60 times as long', async () => {
+  const { clock, site, start } = await createFaultySite()
+  start('store-slow')
+  let hasAnswered = false
+  site.instances[0].tables.read(ROW).then(() => { hasAnswered = true })
+  await clock.advance(239)
+  assert.equal(hasAnswered, false)
+  await clock.advance(2)
+  assert.equal(hasAnswered, true)
+  await clock.advance(3000)
+  assert.equal(site.instances[0].tables.faults.slowdown, 1)
+})
+
+test('answers of writes are lost, and writes are late, until the fault has ended and the last one has arrived', async () => {
+  const { clock, site, faults, start } = await createFaultySite()
+  start('store-lost-answers')
+  start('store-late-writes', { durationMilliseconds: 2000 })
+  const { lostAnswerShare, lateShare, lateMilliseconds } = site.instances[0].tables.faults
+  assert.deepEqual([lostAnswerShare, lateShare], [0.3, 0.3])
+  assert.ok(lateMilliseconds >= 1000 && lateMilliseconds <= 6000)
+  await clock.advance(2500)
+  assert.equal(site.instances[0].tables.faults.lateShare, 0)
+  assert.equal(site.instances[0].tables.faults.lostAnswerShare, 0.3)
+  await clock.advance(6000)
+  assert.equal(site.instances[0].tables.faults.lostAnswerShare, 0)
+  assert.equal(faults.calmSince, Math.max(6000, 5000 + lateMilliseconds))
+})
+
+test('only the renewals of the owner are lost, so that another instance takes over', async () => {
+  const { clock, site, start } = await createFaultySite()
+  const owner = site.getOwner()!
+  start('store-lost-renewals', { durationMilliseconds: 12_000 })
+  const read = owner.tables.read(ROW)
+  const outcome = site.submit('job', [{ taskCount: 1 }], {}, owner)
+  await clock.advance(1500)
+  assert.equal((await read).kind, 'ok')
+  assert.equal((await outcome).kind, 'accepted')
+  await clock.advance(12_000)
+  assert.notEqual(site.getOwner(), owner)
+  assert.equal(owner.tables.faults.losesRenewals, false)
+})
+
+test('the history is dropped, in some forms after feeds have heard nothing for a second', async () => {
+  const { clock, site, faults, start } = await createFaultySite()
+  const { tables } = site
+  const { version } = tables.getTable(WORKER_TABLE)
+  site.addWorker('worker-6')
+  assert.equal(tables.getChanges(WORKER_TABLE, version).kind, 'changes')
+  start('store-compaction', { variant: 0 })
+  assert.equal(tables.getChanges(WORKER_TABLE, version).kind, 'compacted')
+  const later = tables.getTable(WORKER_TABLE).version
+  start('store-compaction', { variant: 1 })
+  site.addWorker('worker-7')
+  assert.deepEqual(tables.getChanges(WORKER_TABLE, later), { kind: 'changes', changes: [], version: later })
+  await clock.advance(990)
+  assert.deepEqual(tables.getChanges(WORKER_TABLE, later), { kind: 'changes', changes: [], version: later })
+  await clock.advance(20)
+  assert.equal(tables.getChanges(WORKER_TABLE, later).kind, 'compacted')
+  assert.equal(faults.calmSince, 4000)
+})
+
+test('the machine service does not say which workers live while it is away', async () => {
+  const { clock, site, start } = await createFaultySite()
+  start('machine-service-away')
+  start('machine-service-away', { durationMilliseconds: 1000 })
+  await clock.advance(2000)
+  assert.equal(site.machineServiceFaults.isAway, true)
+  await clock.advance(1000)
+  assert.equal(site.machineServiceFaults.isAway, false)
+})
+
+test('no task starts in a data centre while it is out of service', async () => {
+  const { clock, site, faults, start } = await createFaultySite()
+  start('data-centre-out', { target: 0, durationMilliseconds: 5000 })
+  start('data-centre-out', { target: 0, durationMilliseconds: 1000 })
+  assert.deepEqual(['worker-0', 'worker-1'].map(workerId => faults.isWorkerAffected(workerId)), [true, false])
+  await clock.advance(3000)
+  site.submit('first', [{ taskCount: 6 }])
+  await clock.advance(1500)
+  assert.equal(site.judge.startWorkerIds.length, 6)
+  assert.ok(site.judge.startWorkerIds.every(workerId => Number(workerId.split('-')[1]) % 2 === 1))
+  await clock.advance(1500)
+  assert.equal(faults.isWorkerAffected('worker-0'), false)
+  site.submit('second', [{ taskCount: 12, processorsMilli: 8000 }], { processorsMilli: 8000 })
+  await clock.advance(2000)
+  assert.ok(site.judge.startWorkerIds.includes('worker-0'))
+})
+
+test('a new version of the configuration is in force at all instances', async () => {
+  const { clock, site, start } = await createFaultySite()
+  start('configuration-change', { variant: 1 })
+  await clock.advance(1000)
+  assert.ok(site.instances.every(({ instance }) => instance.isReady()))
+  assert.deepEqual(site.tables.get({ table: 'operators', key: 'configuration' })?.value, {
+    version: 2, changes: { timeoutMilliseconds: 2000 }
+  })
+})
