Isolate instances, spread restarts after a power loss and pause feeds

Further faults of an emulated site: an instance that reaches neither the store nor its peers nor any worker, machines that have power again one after the other, an instance that is gone for good once it has accepted a job, and feeds that are behind for the whole fault without a compaction. Each has a test of its effect and its end.

--- a/stand-ins/platform/InstanceDisruptions.test.ts
+++ b/stand-ins/platform/InstanceDisruptions.test.ts
@@ -67,6 +67,32 @@
   assert.equal(faults.calmSince, 4000)
 })
 
+test('machines have power again one after the other', async () => {
+  const { clock, site, faults, start } = await createFaultySite()
+  start('instance-power-off-all', { variant: 1, durationMilliseconds: 8000 })
+  const counts = new Set<number>()
+  for (let elapsed = 0; elapsed < 8000; elapsed += 50) {
+    await clock.advance(50)
+    counts.add(getLiving(site).length)
+    assert.equal(site.darkAddresses.size, 3 - getLiving(site).length)
+  }
+  assert.deepEqual([...counts], [0, 1, 2, 3])
+  assert.notEqual(faults.calmSince, null)
+})
+
+test('an instance that has accepted a job is gone for good at once, and another one comes', async () => {
+  const { clock, site, start } = await createFaultySite()
+  const [target] = site.instances
+  start('strike-after-acceptance', { variant: 5 })
+  const outcome = site.submit('job', [{ taskCount: 1 }], {}, target)
+  await clock.advance(4000)
+  assert.equal((await outcome).kind, 'accepted')
+  assert.equal(target.process.isAlive(), false)
+  assert.deepEqual(getLiving(site), ['instance-1', 'instance-2', 'instance-100'])
+  await clock.advance(15_000)
+  assert.ok(site.judge.startCount > 0)
+})
+
 test('instances freeze, and wake at the end of the fault or of all faults', async () => {
   const { clock, site, faults, start } = await createFaultySite()
   const owner = site.getOwner()!
--- a/stand-ins/platform/InstanceDisruptions.ts
+++ b/stand-ins/platform/InstanceDisruptions.ts
@@ -14,9 +14,10 @@
 }
 
 type InstanceChoice = 'owner' | 'other' | 'last-writer' | 'target'
-type Strike = 'acceptor' | 'owner' | 'all-killed' | 'all-without-power' | 'acceptor-frozen'
-
-const STRIKES: readonly Strike[] = ['acceptor', 'owner', 'all-killed', 'all-without-power', 'acceptor-frozen']
+const STRIKES = [
+  'acceptor', 'owner', 'all-killed', 'all-without-power', 'acceptor-frozen', 'acceptor-replaced'
+] as const
+const SHORTEST_POWER_LOSS_MILLISECONDS = 500
 const STOP_MILLISECONDS = 2600
 /** Time between the end of a stopped process and the start of the next one. */
 const RESTART_MILLISECONDS = 900
@@ -74,7 +75,7 @@
     'instance-kill': fault =>
       this.takeDown(this.choose(fault, ['owner', 'other', 'last-writer']), fault.durationMilliseconds),
     'instance-kill-all': fault => this.takeDown(this.context.site.instances, fault.durationMilliseconds),
-    'instance-power-off-all': fault => this.takeDown(this.context.site.instances, fault.durationMilliseconds, true),
+    'instance-power-off-all': fault => this.powerOffAll(fault),
     'instance-freeze': fault => {
       if (fault.variant % 4 === 3) this.freezeAfterRenewal(fault)
       else if (fault.variant % 4 === 2) this.freeze(this.context.site.instances, fault.durationMilliseconds)
@@ -82,7 +83,10 @@
     },
     'instance-suspend': fault => this.freeze(this.choose(fault, ['owner', 'target']), fault.durationMilliseconds, true),
     'instance-rolling-restart': fault => this.restartAll(fault),
-    'instance-replacement': fault => this.replace(fault),
+    'instance-replacement': fault => {
+      const [instance] = this.choose(fault, ['owner', 'owner', 'target', 'target'])
+      this.replace(instance, fault.variant % 2 === 0)
+    },
     'instance-addition': () => {
       if (this.context.site.instances.length >= 2 * this.initialCount) return
       this.context.lasting.begin({ affected: [this.add()], durationMilliseconds: 0, end: () => {} })
@@ -143,6 +147,16 @@
     })
   }
 
+  /** Takes the power of all machines, which have it again at the same time or one after the other. */
+  private powerOffAll ({ durationMilliseconds, variant }: SiteFault): void {
+    const { site, random } = this.context
+    if (variant % 2 === 0) return this.takeDown(site.instances, durationMilliseconds, true)
+    const spreadMilliseconds = Math.max(0, durationMilliseconds - SHORTEST_POWER_LOSS_MILLISECONDS)
+    for (const instance of site.instances) {
+      this.takeDown([instance], SHORTEST_POWER_LOSS_MILLISECONDS + random() * spreadMilliseconds, true)
+    }
+  }
+
   private applyToProcess (instanceId: string, { isDown, hasNoPower }: Partial<ProcessSettings>): void {
     const { site } = this.context
     if (this.removed.has(instanceId)) return
@@ -207,11 +221,10 @@
   }
 
   /** Replaces an instance for good by one at another address: a planned one starts first, another one later. */
-  private replace (fault: SiteFault): void {
+  private replace (instance: EmulatedInstance, isPlanned: boolean): void {
     const { site, lasting } = this.context
-    const [instance] = this.choose(fault, ['owner', 'owner', 'target', 'target'])
     const instanceId = getInstanceId(instance)
-    if (fault.variant % 2 === 0) {
+    if (isPlanned) {
       this.add()
       if (instance.process.isAlive()) instance.instance.stop()
       lasting.begin({
@@ -284,6 +297,7 @@
     const { site } = this.context
     const strike = chooseForm(STRIKES, variant)
     if (strike === 'acceptor-frozen') return this.freeze([acceptor], durationMilliseconds)
+    if (strike === 'acceptor-replaced') return this.replace(acceptor, false)
     const struck = {
       acceptor: [acceptor],
       owner: [site.getOwner() ?? acceptor],
@@ -293,6 +307,11 @@
     this.takeDown(struck, durationMilliseconds, strike === 'all-without-power')
   }
 
+  /** Cuts instances off from all others, in both directions. */
+  cutPeers (instances: EmulatedInstance[], durationMilliseconds: number): void {
+    this.setHosts(instances, durationMilliseconds, { cutOff: true, losesCalls: true })
+  }
+
   private setHosts (instances: EmulatedInstance[], durationMilliseconds: number, change: Partial<HostSettings>): void {
     const instanceIds = instances.map(getInstanceId)
     const ends = instanceIds.map(instanceId => this.hosts.add(instanceId, { ...change }))
--- a/stand-ins/platform/PlatformDisruptions.test.ts
+++ b/stand-ins/platform/PlatformDisruptions.test.ts
@@ -103,6 +103,40 @@
   assert.equal(faults.calmSince, 4000)
 })
 
+test('feeds hear of no change during a pause, and of all of them after it', async () => {
+  const { clock, site, start } = await createFaultySite()
+  const { version } = site.tables.getTable(WORKER_TABLE)
+  const getCount = () => {
+    const outcome = site.tables.getChanges(WORKER_TABLE, version)
+    return outcome.kind === 'changes' ? outcome.changes.length : outcome.kind
+  }
+  start('store-compaction', { variant: 2 })
+  site.addWorker('worker-6')
+  assert.equal(getCount(), 0)
+  await clock.advance(2900)
+  assert.equal(getCount(), 0)
+  await clock.advance(200)
+  assert.equal(getCount(), 1)
+})
+
+test('an isolated owner reaches nothing, another instance takes over, and all paths are back at the end', async () => {
+  const { clock, site, faults, start } = await createFaultySite()
+  const owner = site.getOwner()!
+  const ownerId = owner.address.split(':')[0]
+  start('instance-isolation', { durationMilliseconds: 12_000 })
+  assert.deepEqual(owner.peerFaults, { cutOff: true, losesCalls: true })
+  assert.equal(owner.tables.faults.cutOff, true)
+  assert.equal(site.pathFaults.get(ownerId, 'worker-3'), 'silent')
+  await clock.advance(11_900)
+  assert.notEqual(site.getOwner(), undefined)
+  assert.notEqual(site.getOwner(), owner)
+  await clock.advance(200)
+  assert.deepEqual(owner.peerFaults, { cutOff: false, losesCalls: false })
+  assert.equal(owner.tables.faults.cutOff, false)
+  assert.equal(site.pathFaults.get(ownerId, 'worker-3'), null)
+  assert.equal(faults.calmSince, 15_000)
+})
+
 test('the machine service does not say which workers live while it is away', async () => {
   const { clock, site, start } = await createFaultySite()
   start('machine-service-away')
--- a/stand-ins/platform/PlatformDisruptions.ts
+++ b/stand-ins/platform/PlatformDisruptions.ts
@@ -73,6 +73,7 @@
       const change = chooseForm([{ cutOff: true }, { isRefusing: true }], Math.floor(fault.variant / 2))
       this.setTables(instances.map(getInstanceId), fault, change)
     },
+    'instance-isolation': fault => this.isolate(fault),
     'store-slow': fault => this.setTables(this.getAll(), fault, { slowdown: STORE_SLOWDOWN }),
     'store-lost-answers': fault => this.setTables(this.getAll(), fault, { lostAnswerShare: LOST_WRITE_SHARE }),
     'store-late-writes': fault => {
@@ -102,21 +103,36 @@
     }
   }
 
-  /** Drops the history of the tables, in some forms after feeds have heard of no change for a while. */
-  private compact ({ variant }: SiteFault): void {
+  /**
+   * Drops the history of the tables, at once or after feeds have heard of no change for a while; or they hear of none
+   * for the whole fault, and of all changes after it.
+   */
+  private compact ({ variant, durationMilliseconds }: SiteFault): void {
     const { tables } = this.options.context.site
-    if (variant % 2 === 0) {
+    const form = chooseForm(['at-once', 'after-pause', 'pause'] as const, variant)
+    if (form === 'at-once') {
       tables.compact()
       this.begin([], 0, () => {})
       return
     }
     const resume = this.feeds.add(WHOLE_SITE, { arePaused: true })
-    this.begin([], FEED_PAUSE_MILLISECONDS, () => {
-      tables.compact()
+    this.begin([], form === 'pause' ? durationMilliseconds : FEED_PAUSE_MILLISECONDS, () => {
+      if (form === 'after-pause') tables.compact()
       resume()
     })
   }
 
+  /** Cuts instances off from the store, from the other instances and from all workers. */
+  private isolate (fault: SiteFault): void {
+    const { context: { site }, instances, workers } = this.options
+    const isolated = instances.choose(fault, ['owner', 'target'])
+    const instanceIds = isolated.map(getInstanceId)
+    this.setTables(instanceIds, fault, { cutOff: true })
+    instances.cutPeers(isolated, fault.durationMilliseconds)
+    const workerIds = [...site.workers.keys()].filter(workerId => !workers.isAway(workerId))
+    workers.cutPaths(instanceIds, workerIds, fault, 'silent')
+  }
+
   private getAll (): string[] {
     return this.options.context.site.instances.map(getInstanceId)
   }
--- a/stand-ins/platform/SiteFaultKind.ts
+++ b/stand-ins/platform/SiteFaultKind.ts
@@ -7,8 +7,8 @@
   'worker-crash-behind-cut', 'worker-unlisted',
   // The kinds that affect instances.
   'instance-kill', 'instance-kill-all', 'instance-power-off-all', 'instance-freeze', 'instance-suspend',
-  'instance-rolling-restart', 'instance-replacement', 'instance-addition', 'instance-peer-cut', 'owner-losses',
-  'strike-after-acceptance', 'strike-after-submission', 'clock-step',
+  'instance-rolling-restart', 'instance-replacement', 'instance-addition', 'instance-peer-cut',
+  'instance-isolation', 'owner-losses', 'strike-after-acceptance', 'strike-after-submission', 'clock-step',
   // The kinds that affect the store and the machine service of the platform.
   'store-away', 'store-away-for-some', 'store-slow', 'store-lost-answers', 'store-late-writes', 'store-compaction',
   'store-lost-renewals', 'machine-service-away',
--- a/stand-ins/platform/SiteFaults.test.ts
+++ b/stand-ins/platform/SiteFaults.test.ts
@@ -59,6 +59,7 @@
     assert.notEqual(site.getOwner(), undefined)
     const outcome = site.submit('last', [{ taskCount: 4 }])
     await clock.advance(5000)
+    assert.deepEqual(site.judge.violations, [])
     assert.equal((await outcome).kind, 'accepted')
     assert.ok(site.judge.lastRunWorkerIds.has('last.0.0.3'), [...site.judge.lastRunWorkerIds.keys()].join(' '))
     assert.equal(new Set(site.instances.map(({ address }) => address)).size, site.instances.length)
--- a/stand-ins/platform/WorkerDisruptions.ts
+++ b/stand-ins/platform/WorkerDisruptions.ts
@@ -116,9 +116,11 @@
       const instanceIds = this.context.site.instances.map(getInstanceId)
       const count = Math.max(1, Math.floor(instanceIds.length / 2))
       const form = chooseForm(PATH_FAULTS, fault.variant)
-      this.cutPaths(chooseNeighbours(instanceIds, Math.floor(fault.variant / PATH_FAULTS.length), count), fault, form)
+      const cutInstanceIds = chooseNeighbours(instanceIds, Math.floor(fault.variant / PATH_FAULTS.length), count)
+      this.cutPaths(cutInstanceIds, this.choose(fault), fault, form)
     },
-    'worker-one-way': fault => this.cutPaths(this.context.site.instances.map(getInstanceId), fault, 'answers-lost'),
+    'worker-one-way': fault =>
+      this.cutPaths(this.context.site.instances.map(getInstanceId), this.choose(fault), fault, 'answers-lost'),
     'worker-late-orders': fault => this.delayOrders(fault),
     'worker-lost-answers': fault => this.set(
       this.choose(fault), fault.durationMilliseconds, { lostAnswerShare: chooseForm([0.3, 1], fault.variant) }),
@@ -315,8 +317,8 @@
     })
   }
 
-  private cutPaths (instanceIds: string[], fault: SiteFault, pathFault: PathFault): void {
-    const workerIds = this.choose(fault)
+  /** Gives all paths between some instances and some workers a fault. */
+  cutPaths (instanceIds: string[], workerIds: string[], fault: SiteFault, pathFault: PathFault): void {
     const ends = workerIds.flatMap(workerId => instanceIds.map(instanceId =>
       this.paths.add(getPathId(instanceId, workerId), { fault: pathFault })))
     this.context.lasting.begin({
