--- a/stand-ins/platform/EmulatedJobs.ts
+++ b/stand-ins/platform/EmulatedJobs.ts
@@ -61,6 +61,11 @@
     return { specification, queue }
   }
 
+  /** Returns the queue of a job that was submitted. */
+  getQueue (jobId: string): QueueConfiguration {
+    return this.queuesByJob.get(jobId)!
+  }
+
   /** Returns the behaviour of a task of a job that was submitted. */
   getTask (taskName: string): EmulatedTask {
     return this.tasks.get(splitTaskName(taskName).jobId)!
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -10,7 +10,7 @@
 import { PageSize } from '../../src/table/PageSize.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
 import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
-import type { TableService } from '../../src/table/TableService.js'
+import type { ReadOutcome, TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
 import { strictLogger } from './createTestErrors.js'
@@ -24,6 +24,7 @@
 import { EmulatedWorkers } from './EmulatedWorkers.js'
 import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
 import { MemoryObjects } from './MemoryObjects.js'
+import { PathFaults } from './PathFaults.js'
 import type { LinkRoute, RegionLink } from './RegionLink.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
@@ -79,8 +80,25 @@
   address: string
   /** Null if processor time is not emulated. */
   processor: EmulatedProcessor | null
-  /** While `cutOff` is set, the calls of other instances to this one get no response. */
-  peerFaults: { cutOff: boolean }
+  peerFaults: PeerFaults
+}
+
+/** Faults of the calls between one instance and the others; all may be changed at any time. */
+export interface PeerFaults {
+  /** The calls of other instances to this one get no response. */
+  cutOff: boolean
+  /** The calls of this instance to others get no response. */
+  losesCalls: boolean
+}
+
+/** Functions that are called on events of a site; each may be added and removed at any time. */
+export interface SiteListeners {
+  /** Called when a process of an instance has been started. */
+  started: Set<(instance: EmulatedInstance) => void>
+  /** Called when a client hands a job in to an instance. */
+  submitted: Set<(instance: EmulatedInstance) => void>
+  /** Called when an instance has accepted a job. */
+  accepted: Set<(instance: EmulatedInstance) => void>
 }
 
 /** The queue of a site that is created without queues. */
@@ -104,7 +122,8 @@
 const PEER_MESSAGE_BYTES = 400
 const LINK_MEGABITS_PER_SECOND = 1000
 const OPERATOR_TABLE = 'operators'
-const WORKER_TABLE = 'listed-workers'
+/** The table of the workers that the platform lists. */
+export const WORKER_TABLE = 'listed-workers'
 
 /** Emulates a whole site on one virtual clock: the tables and workers of the platform, and the instances. */
 export class EmulatedSite {
@@ -122,6 +141,16 @@
   readonly instances: EmulatedInstance[] = []
   private readonly jobs: EmulatedJobs
   private readonly workerList: EmulatedWorkers
+  /** The faults of the paths between single instances and single workers. */
+  readonly pathFaults = PathFaults.create()
+  /** The addresses of machines without power: calls to them get no response, instead of being refused. */
+  readonly darkAddresses = new Set<string>()
+  /** While `isAway` is set, the platform does not say which worker processes are alive. */
+  readonly machineServiceFaults = { isAway: false }
+  readonly listeners: SiteListeners = { started: new Set(), submitted: new Set(), accepted: new Set() }
+  /** The time of the latest restart of each address that has been requested. */
+  private readonly restartTimes = new Map<string, number>()
+  private configurationVersion = 1
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
@@ -204,9 +233,17 @@
     return this.workerList.getEntry(workerId)
   }
 
-  /** Starts an instance; an existing instance with the same ID is replaced by a new process at the same address. */
+  /**
+   * Starts an instance. An instance with the same ID whose process has ended is replaced by a new process at the same
+   * address; one whose process runs stays as it is.
+   * @param instanceId The instance.
+   * @returns The running instance.
+   */
   addInstance (instanceId: string): EmulatedInstance {
     const { clock, random } = this.options
+    const address = `${instanceId}:1`
+    const existingIndex = this.instances.findIndex(other => other.address === address)
+    if (existingIndex >= 0 && this.instances[existingIndex].process.isAlive()) return this.instances[existingIndex]
     const process = SimulatedProcess.create({
       clock, random, store: MemoryTableService.create(), workerClient: { exchange: neverRespond }
     })
@@ -214,7 +251,6 @@
     const processor = this.createProcessor(process)
     const receiver = processor ?? process
     const gatedTables = gateTables(process, processor, this.createDistantTables(instanceId, tables))
-    const address = `${instanceId}:1`
     const instance = Instance.create({
       instanceId,
       region: this.isFar(instanceId) ? 'north' : 'south',
@@ -235,10 +271,7 @@
       registry: new Registry(),
       resources: { processors: 1, linkMegabitsPerSecond: LINK_MEGABITS_PER_SECOND },
       livenessSource: {
-        listLiveWorkers: async () => await receiver.receive(Promise.resolve({
-          kind: 'ok' as const,
-          value: new Set([...this.workers].filter(([, worker]) => worker.isAlive).map(([workerId]) => workerId))
-        }))
+        listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers()))
       },
       clock: receiver.clock,
       logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
@@ -246,22 +279,38 @@
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
-    const existingIndex = this.instances.findIndex(other => other.address === address)
-    const added = { instance, process, tables, address, processor, peerFaults: { cutOff: false } }
+    const peerFaults: PeerFaults = { cutOff: false, losesCalls: false }
+    const added: EmulatedInstance = { instance, process, tables, address, processor, peerFaults }
     if (existingIndex >= 0) this.instances[existingIndex] = added
     else this.instances.push(added)
+    this.darkAddresses.delete(address)
+    for (const onStarted of this.listeners.started) onStarted(added)
     instance.start()
     return added
   }
 
   /**
-   * Kills an instance and starts another process at its address.
+   * Kills an instance and starts another process at its address. When the instance is replaced again before that, the
+   * new process starts at the later of both times.
    * @param instance The instance.
    * @param downMilliseconds The time between the two.
    */
   replaceInstance ({ process, address }: EmulatedInstance, downMilliseconds: number): void {
+    const { clock } = this.options
+    const startTime = Math.max(clock.monotonicMilliseconds() + downMilliseconds, this.restartTimes.get(address) ?? 0)
+    this.restartTimes.set(address, startTime)
     process.kill()
-    this.options.clock.setTimer(downMilliseconds, () => { this.addInstance(address.split(':')[0]) })
+    clock.setTimer(startTime - clock.monotonicMilliseconds(), () => {
+      if (this.restartTimes.get(address) === startTime) this.addInstance(address.split(':')[0])
+    })
+  }
+
+  /** Removes an instance and its machine for good. */
+  removeInstance ({ process, address }: EmulatedInstance): void {
+    process.kill()
+    this.darkAddresses.add(address)
+    const index = this.instances.findIndex(other => other.address === address)
+    if (index >= 0) this.instances.splice(index, 1)
   }
 
   /** Returns the running instance that is the owner, or undefined if there is none. */
@@ -285,8 +334,22 @@
     const { process, instance, processor } = target
     const { specification, queue } = this.jobs.add(jobId, steps, task, options)
     this.judge.recordSubmission(jobId)
+    for (const onSubmitted of this.listeners.submitted) onSubmitted(target)
     if (processor !== null) await processor.receive(Promise.resolve(), 'request')
-    return await process.receive(instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT))
+    const outcome = await process.receive(
+      instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT))
+    if (outcome.kind === 'accepted') for (const onAccepted of this.listeners.accepted) onAccepted(target)
+    return outcome
+  }
+
+  /** Returns the service whose workers run a job that was submitted. */
+  getServiceName (jobId: string): string {
+    return this.jobs.getQueue(jobId).serviceName
+  }
+
+  /** Returns whether operators have taken a data centre out of service. */
+  isDataCentreOut (dataCentre: string): boolean {
+    return this.tables.get({ table: OPERATOR_TABLE, key: `out/${dataCentre}` }) !== null
   }
 
   /** Takes a data centre out of service, or brings it back. */
@@ -295,6 +358,15 @@
     else this.deleteRow(OPERATOR_TABLE, `out/${dataCentre}`)
   }
 
+  /**
+   * Stores a new version of the configuration.
+   * @param changes What differs from the first version in the queue.
+   */
+  changeConfiguration (changes: Partial<QueueConfiguration>): void {
+    this.configurationVersion++
+    this.putRow(OPERATOR_TABLE, 'configuration', { version: this.configurationVersion, changes })
+  }
+
   /** Returns a random instance whose process runs and is not frozen, or the first instance if there is none. */
   chooseInstance (): EmulatedInstance {
     const alive = this.instances.filter(({ process }) => process.isAlive() && !process.isFrozen())
@@ -314,6 +386,12 @@
     return this.options.farRegion?.link.getRoute(this.isFar(callerId), this.isFar(targetId)) ?? null
   }
 
+  private listLiveWorkers (): ReadOutcome<Set<string>> {
+    if (this.machineServiceFaults.isAway) return { kind: 'unavailable', reason: 'no answer' }
+    const living = [...this.workers].filter(([, worker]) => worker.isAlive)
+    return { kind: 'ok', value: new Set(living.map(([workerId]) => workerId)) }
+  }
+
   private countTimeout (call: string): void {
     this.timeouts.set(call, (this.timeouts.get(call) ?? 0) + 1)
   }
@@ -361,7 +439,9 @@
   ): WorkerClient {
     const worker = this.workers.get(workerId)!
     const { processorTime, clock } = this.options
-    if (processor === null || processorTime === undefined) return gateWorker(process, worker)
+    if (processor === null || processorTime === undefined) {
+      return gateWorker({ process, worker, getFault: () => this.pathFaults.get(instanceId, workerId) })
+    }
     return EmulatedConnections.create({
       worker,
       paths: this.paths.get(workerId)!,
@@ -380,12 +460,13 @@
 
   private createPeer (process: Receiver, instanceId: string): OwnerPeer {
     const find = (address: string) => this.instances.find(other => other.address === address)
+    const losesCalls = () => find(`${instanceId}:1`)?.peerFaults.losesCalls === true
     const callPeer = async <Value>(
       address: string, answer: (other: EmulatedInstance) => Value
     ): Promise<Value | null> => {
       const other = find(address)
       const isUnresponsive = other === undefined || other.process.isFrozen() || !other.process.isAlive() ||
-        other.peerFaults.cutOff
+        other.peerFaults.cutOff || losesCalls()
       if (isUnresponsive) {
         await new Promise<void>(resolve => { process.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, resolve) })
         return null
@@ -400,7 +481,9 @@
     }
     return {
       probe: async address => {
-        if (find(address)?.process.isAlive() !== true) return { kind: 'refused' }
+        const target = find(address)
+        const isSilent = this.darkAddresses.has(address) || target?.peerFaults.cutOff === true || losesCalls()
+        if (target?.process.isAlive() !== true && !isSilent) return { kind: 'refused' }
         const answer = await callPeer(address, other => other.instance.ownerApi.probe())
         return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
       },
@@ -421,9 +504,12 @@
 
 function decodeOperatorRow (key: string, value: JsonValue, queues: readonly QueueConfiguration[]): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
+  const { version, changes } = typeof value === 'number'
+    ? { version: value, changes: {} }
+    : value as unknown as { version: number, changes: Partial<QueueConfiguration> }
   return {
     kind: 'configuration',
-    configuration: { version: Number(value), queues: [...queues], maximumBodyBytes: 100_000 }
+    configuration: { version, queues: queues.map(queue => ({ ...queue, ...changes })), maximumBodyBytes: 100_000 }
   }
 }
 
