Search for lost jobs under all kinds of jobs and faults

The search plays workers of several sizes, racks, labels and data centres, three queues, 13 kinds of jobs and 45 kinds of faults, with losses of instances at the end and faults of workers that outlast them. RunJudge judges the runs.

--- /dev/null
+++ b/src/instance/siteSearch.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict'
+import { mock, test } from 'node:test'
+import { createSearchSchedule, SEARCH_JOB_KINDS, SearchPlay } from '../../stand-ins/search/index.js'
+import { SITE_FAULT_KINDS } from '../../stand-ins/platform/SiteFaults.js'
+import { UnreconciledWorkers } from '../dispatch/UnreconciledWorkers.js'
+import { DispatchEngine } from '../dispatch/index.js'
+import { isKnownRed } from '../../tools/demo/isKnownRed.js'
+import { getTestSeed } from '../shared/testSeed.js'
+import { JobRowReader } from './JobRowReader.js'
+
+/** Plays in a run of the tests; `npm run search` plays thousands. */
+const PLAY_COUNT = 300
+/** A faulty variant must be found within this many plays. */
+const VARIANT_PLAY_LIMIT = 60
+
+/** Seeds of plays that broke a rule before, each with the cause. */
+const REGRESSIONS: ReadonlyArray<{ seed: number, cause: string }> = []
+
+async function findViolations (seed: number): Promise<string[]> {
+  const { violations } = await SearchPlay.run(createSearchSchedule(seed))
+  return violations.map(violation => `seed ${seed}: ${violation}`)
+}
+
+for (const { seed, cause } of REGRESSIONS) {
+  test(`no rule is broken in play ${seed}: ${cause}`, async () => {
+    assert.deepEqual(await findViolations(seed), [])
+  })
+}
+
+const title = 'no accepted job is lost and no rule is broken under any kinds of jobs and faults'
+test(title, { todo: isKnownRed(title) }, async () => {
+  const failures: string[] = []
+  for (let index = 0; index < PLAY_COUNT; index++) failures.push(...await findViolations(getTestSeed() + index))
+  assert.deepEqual(failures, [])
+})
+
+test('a search plays all kinds of jobs and of faults', () => {
+  const schedules = Array.from({ length: PLAY_COUNT }, (_, index) => createSearchSchedule(getTestSeed() + index))
+  const jobKinds = new Set(schedules.flatMap(({ jobs }) => jobs.map(({ kind }) => kind)))
+  const faultKinds = new Set(schedules.flatMap(({ faults }) => faults.map(({ kind }) => kind)))
+  assert.deepEqual([...jobKinds].sort(), [...SEARCH_JOB_KINDS].sort())
+  assert.deepEqual([...faultKinds].sort(), [...SITE_FAULT_KINDS].sort())
+})
+
+/** Variants of the owner, each with one event left out, and the rule that the search must find broken. */
+const VARIANTS: Array<{ name: string, breakOwner (): void, rule: string }> = [
+  {
+    name: 'workers of earlier owners are awaited without end',
+    breakOwner: () => { mock.method(UnreconciledWorkers.prototype, 'expire', () => {}) },
+    rule: 'lost'
+  },
+  {
+    name: 'tasks do not wait for workers of earlier owners',
+    breakOwner: () => { mock.method(UnreconciledWorkers.prototype, 'mayRun', () => false) },
+    rule: 'twice'
+  },
+  {
+    name: 'the answer to a stop settles nothing',
+    breakOwner: () => { mock.method(DispatchEngine.prototype, 'applyStopOutcome', () => {}) },
+    rule: 'lost'
+  },
+  {
+    name: 'some jobs that are stored after the load are not read',
+    breakOwner: () => {
+      const { add } = JobRowReader.prototype
+      mock.method(JobRowReader.prototype, 'add', function (this: JobRowReader, ...[rows, recovered]: Parameters<typeof add>) {
+        add.call(this, rows.filter(({ key }) => !key.endsWith('7')), recovered)
+      })
+    },
+    rule: 'lost'
+  }
+]
+
+async function isBroken (seed: number, rule: string): Promise<boolean> {
+  return (await findViolations(seed)).some(violation => violation.includes(`: ${rule}:`))
+}
+
+for (const { name, breakOwner, rule } of VARIANTS) {
+  test(`the search finds the variant in which ${name}`, async () => {
+    for (let index = 0; index < VARIANT_PLAY_LIMIT; index++) {
+      breakOwner()
+      const isFound = await isBroken(getTestSeed() + index, rule)
+      mock.restoreAll()
+      if (isFound && !await isBroken(getTestSeed() + index, rule)) return
+    }
+    assert.fail(`not found in ${VARIANT_PLAY_LIMIT} plays`)
+  })
+}
--- a/stand-ins/platform/EmulatedRuns.ts
+++ b/stand-ins/platform/EmulatedRuns.ts
@@ -273,6 +273,7 @@
     const { judge, workerId, steps, onListedEnd } = this.options
     this.removeRun(run)
     if (outcome === 'done') judge.recordCompletion(run.taskName, run.attempt)
+    if (outcome === 'failed') judge.recordFailedEnd(run.taskName)
     if (outcome === 'lapsed') judge.recordLapse(workerId)
     if (outcome === 'alone') judge.recordAloneEnd(run.taskName, run.attempt, workerId)
     if (isListed) {
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -5,7 +5,7 @@
 } from '../../src/instance/index.js'
 import type { StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
-import { silentLogger } from '../../src/shared/Logger.js'
+import { silentLogger, type LogFields, type Logger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
 import { PageSize } from '../../src/table/PageSize.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
@@ -50,6 +50,8 @@
   treatsListedAsAcknowledged?: boolean
   /** Rate of the clocks of all workers; the default is 1. */
   workerClockRate?: number
+  /** Receives the log lines of all instances; by default, they are dropped. */
+  onLog? (instanceId: string, message: string, fields: LogFields): void
   /** Whether instances may confine unexpected errors; by default, the first one fails the test. */
   allowsUnexpectedErrors?: boolean
   /** A second region behind a link, which needs `processorTime`; by default, there is one region. */
@@ -274,7 +276,7 @@
         listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers()))
       },
       clock: receiver.clock,
-      logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
+      logger: this.createLogger(instanceId),
       leaseMilliseconds: LEASE_MILLISECONDS,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
@@ -420,6 +422,21 @@
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
 
+  private createLogger (instanceId: string): Logger {
+    const { allowsUnexpectedErrors, onLog } = this.options
+    const logger = allowsUnexpectedErrors === true ? silentLogger : strictLogger
+    if (onLog === undefined) return logger
+    const log: Logger['info'] = (message, fields = {}) => onLog(instanceId, message, fields)
+    return {
+      info: log,
+      warn: log,
+      error: (message, fields) => {
+        log(message, fields)
+        logger.error(message, fields)
+      }
+    }
+  }
+
   private putRow (table: string, key: string, value: JsonValue): void {
     this.tables.apply({ operations: [{ kind: 'put', table, key, value, condition: { kind: 'any' } }] })
   }
--- /dev/null
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -0,0 +1,265 @@
+import type { WorkerEntry } from '../../src/dispatch/index.js'
+import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
+import type { VirtualClock } from '../../src/shared/VirtualClock.js'
+import type { EmulatedSite } from './EmulatedSite.js'
+import type { EmulatedWorker } from './EmulatedWorker.js'
+
+/** Options of a judge. */
+export interface LostJobJudgeOptions {
+  site: EmulatedSite
+  clock: VirtualClock
+  /** Returns the time since which no fault has been active, or null while one is. */
+  getCalmSince (): number | null
+  /** Returns whether a fault keeps a worker from running tasks or from being reached by all instances. */
+  isWorkerAffected (workerId: string): boolean
+}
+
+/** A job, or a long-running task, that could run and did not for longer than the bound. */
+export interface LostWork {
+  /** The job, or the name of the long-running task. */
+  name: string
+  /** A step with a task that could start. */
+  step: number
+  /** When the wait began and for how long it had lasted when it was found. */
+  since: number
+  waitedMilliseconds: number
+  /** The number of tasks of the step for which the workers had room. */
+  room: number
+}
+
+/** A job that was accepted and has not ended. */
+interface ObservedJob {
+  jobId: string
+  specification: JobSpecification
+}
+
+/** A worker that may get new work, and how the platform lists it. */
+interface UsableWorker {
+  worker: EmulatedWorker
+  entry: WorkerEntry
+}
+
+/** Since when something could run and does not, and whether that lasts in this sample. */
+interface Wait {
+  since: number
+  roomSince: number | null
+}
+
+const SAMPLE_MILLISECONDS = 250
+/** A job may have nothing running for this long while there is room for it. */
+const WAIT_LIMIT_MILLISECONDS = 3000
+/** A long-running task must run again within this time after its last run. */
+const RESTART_LIMIT_MILLISECONDS = 6000
+/** A long-running task is judged at any time when no fault was active this long before the wait. */
+const CALM_MILLISECONDS = 4000
+/** A job that ends is judged while less than this share of the capacity of its service is in use. */
+const USED_SHARE_LIMIT = 0.5
+/** A job waits for capacity unless the workers have room for this many times the task, or the gang. */
+const ROOM_FACTOR = 2
+
+/** Test oracle for accepted jobs that could run and do not, sampled while the clock advances. */
+export class LostJobJudge {
+  private readonly jobs = new Map<string, ObservedJob>()
+  private readonly waits = new Map<string, Wait>()
+  private readonly lost = new Map<string, LostWork>()
+  private finishAt = Infinity
+  /** The longest wait of a job that ends, with room for it, which ended or was judged after the finish. */
+  longestWaitMilliseconds = 0
+
+  private constructor (private readonly options: LostJobJudgeOptions) {}
+
+  /**
+   * Creates a judge without jobs.
+   * @param options The site, its clock and its faults.
+   * @returns The judge.
+   */
+  static create (options: LostJobJudgeOptions): LostJobJudge {
+    return new LostJobJudge(options)
+  }
+
+  /** All waits that exceeded a bound, in the order in which they did. */
+  get violations (): LostWork[] {
+    return [...this.lost.values()]
+  }
+
+  /** Records that a job was accepted and is not to be cancelled. */
+  recordAcceptedJob (jobId: string): void {
+    this.jobs.set(jobId, { jobId, specification: this.options.site.specifications.get(jobId)! })
+  }
+
+  /** Records that the cancellation of a job was requested, so that it need not run any more. */
+  recordCancellation (jobId: string): void {
+    this.jobs.delete(jobId)
+  }
+
+  /** Starts to judge jobs that end; before this, only long-running tasks are judged, and only when it is calm. */
+  startFinish (): void {
+    this.finishAt = this.options.clock.monotonicMilliseconds()
+  }
+
+  /**
+   * Advances the clock and samples the site at a fixed interval.
+   * @param durationMilliseconds The time to advance by.
+   */
+  async advance (durationMilliseconds: number): Promise<void> {
+    const { clock } = this.options
+    const end = clock.monotonicMilliseconds() + durationMilliseconds
+    for (let now = clock.monotonicMilliseconds(); now < end; now = clock.monotonicMilliseconds()) {
+      await clock.advance(Math.min(SAMPLE_MILLISECONDS, end - now))
+      this.sample()
+    }
+  }
+
+  private sample (): void {
+    const now = this.options.clock.monotonicMilliseconds()
+    const workers = this.getUsableWorkers()
+    const usedShares = new Map<string, number>()
+    const running = new Set(this.options.site.judge.getRunningTasks())
+    for (const job of this.jobs.values()) {
+      const serviceName = this.options.site.getServiceName(job.jobId)
+      const ofService = workers.filter(({ entry }) => entry.serviceName === serviceName)
+      if (!usedShares.has(serviceName)) usedShares.set(serviceName, getUsedShare(ofService))
+      this.checkJob(job, ofService, usedShares.get(serviceName)!, now)
+      this.checkLongRunningTasks(job, ofService, usedShares.get(serviceName)!, running, now)
+    }
+  }
+
+  /** Returns the workers that are in service and not affected by a fault. */
+  private getUsableWorkers (): UsableWorker[] {
+    const { site, isWorkerAffected } = this.options
+    const usable: UsableWorker[] = []
+    for (const [workerId, worker] of site.workers) {
+      const entry = site.getWorkerEntry(workerId)
+      if (!worker.isAlive || entry?.state !== 'ready' || isWorkerAffected(workerId)) continue
+      if (!site.isDataCentreOut(entry.dataCentre)) usable.push({ worker, entry })
+    }
+    return usable
+  }
+
+  private checkJob (job: ObservedJob, workers: UsableWorker[], usedShare: number, now: number): void {
+    const { site: { judge } } = this.options
+    const startable = judge.hasRunning(job.jobId) || judge.mayHaveFailed(job.jobId) || usedShare >= USED_SHARE_LIMIT
+      ? undefined
+      : this.findStartable(job, workers, now)
+    const existing = this.waits.get(job.jobId)
+    if (startable === undefined) {
+      if (existing !== undefined && now >= this.finishAt) this.recordWait(now - existing.since)
+      this.waits.delete(job.jobId)
+      return
+    }
+    const wait = existing ?? { since: now, roomSince: now }
+    this.waits.set(job.jobId, wait)
+    if (now < this.finishAt) return
+    this.recordWait(now - wait.since)
+    if (now - wait.since >= WAIT_LIMIT_MILLISECONDS) this.report(job.jobId, startable, wait.since, now)
+  }
+
+  private checkLongRunningTasks (
+    job: ObservedJob, workers: UsableWorker[], usedShare: number, running: ReadonlySet<string>, now: number
+  ): void {
+    const calmSince = this.options.getCalmSince()
+    for (const [step, specification] of job.specification.steps.entries()) {
+      if (!specification.longRunning || !this.isReady(job, 0, specification)) continue
+      const room = this.countRoom(workers, job.jobId, 0, step, specification)
+      for (let index = 0; index < specification.taskCount; index++) {
+        const name = `${job.jobId}.0.${step}.${index}`
+        if (running.has(name)) {
+          this.waits.delete(name)
+          continue
+        }
+        const wait = this.waits.get(name) ?? { since: now, roomSince: null }
+        this.waits.set(name, wait)
+        if (room < ROOM_FACTOR) wait.roomSince = null
+        else wait.roomSince ??= now
+        if (wait.roomSince === null || now - wait.roomSince < WAIT_LIMIT_MILLISECONDS) continue
+        if (now - wait.since < RESTART_LIMIT_MILLISECONDS) continue
+        const isCalm = calmSince !== null && now - calmSince >= CALM_MILLISECONDS + WAIT_LIMIT_MILLISECONDS
+        const isFinish = now >= this.finishAt && usedShare < USED_SHARE_LIMIT
+        if (isCalm || isFinish) this.report(name, { step, room }, wait.since, now)
+      }
+    }
+  }
+
+  /** Returns a step with a task, or a gang, that could start twice. */
+  private findStartable (
+    job: ObservedJob, workers: UsableWorker[], now: number
+  ): { step: number, room: number } | undefined {
+    const { specification: { steps, repeatCount, startAtMilliseconds, intervalMilliseconds } } = job
+    for (let occurrence = 0; occurrence < Math.max(1, repeatCount); occurrence++) {
+      if (repeatCount > 0 && startAtMilliseconds + occurrence * intervalMilliseconds > now) break
+      for (const [step, specification] of steps.entries()) {
+        if (specification.longRunning || !this.isReady(job, occurrence, specification)) continue
+        if (this.isStepDone(job, occurrence, step)) continue
+        const needed = (specification.gang ? specification.taskCount : 1) * ROOM_FACTOR
+        const room = this.countRoom(workers, job.jobId, occurrence, step, specification)
+        if (room >= needed) return { step, room }
+      }
+    }
+    return undefined
+  }
+
+  private isReady (job: ObservedJob, occurrence: number, { afterSteps }: StepSpecification): boolean {
+    return afterSteps.every(step => this.isStepDone(job, occurrence, step))
+  }
+
+  private isStepDone ({ jobId, specification }: ObservedJob, occurrence: number, step: number): boolean {
+    const { judge } = this.options.site
+    const { taskCount } = specification.steps[step]
+    for (let index = 0; index < taskCount; index++) {
+      if (!judge.isDone(`${jobId}.${occurrence}.${step}.${index}`)) return false
+    }
+    return true
+  }
+
+  /** Returns how many more tasks of a step the workers can run, with its label and within its limit per worker. */
+  private countRoom (
+    workers: readonly UsableWorker[], jobId: string, occurrence: number, step: number, specification: StepSpecification
+  ): number {
+    const { requiredLabel, maximumPerWorker, fills, processorsMilli } = specification
+    const prefix = `${jobId}.${occurrence}.${step}.`
+    let count = 0
+    for (const { worker, entry: { labels, capacity } } of workers) {
+      if (requiredLabel !== '' && !labels.includes(requiredLabel)) continue
+      const runs = worker.getRuns()
+      const runCount = runs.filter(({ taskName }) => taskName.startsWith(prefix)).length
+      const limit = maximumPerWorker === 0 ? Infinity : maximumPerWorker - runCount
+      const used = worker.getUsedCapacity().processorsMilli + this.getBestEffortDemand(runs)
+      const fitting = fills ? Math.floor((capacity.processorsMilli - used) / processorsMilli) : Infinity
+      count += Math.max(0, Math.min(limit, fitting, worker.countRoom(specification)))
+    }
+    return count
+  }
+
+  /** Returns the processors that best-effort runs ask for, in thousandths. */
+  private getBestEffortDemand (runs: ReadonlyArray<{ taskName: string }>): number {
+    let sum = 0
+    for (const { taskName } of runs) {
+      const [jobId, , step] = taskName.split('.')
+      const { fills, processorsMilli } = this.options.site.specifications.get(jobId)!.steps[Number(step)]
+      if (fills) sum += processorsMilli
+    }
+    return sum
+  }
+
+  private recordWait (milliseconds: number): void {
+    this.longestWaitMilliseconds = Math.max(this.longestWaitMilliseconds, milliseconds)
+  }
+
+  private report (name: string, { step, room }: { step: number, room: number }, since: number, now: number): void {
+    this.lost.set(`${name} ${since}`, { name, step, since, waitedMilliseconds: now - since, room })
+  }
+}
+
+/** Returns the larger one of the shares of processors and of memory that are in use. */
+function getUsedShare (workers: readonly UsableWorker[]): number {
+  const sums = { processors: 0, memory: 0, usedProcessors: 0, usedMemory: 0 }
+  for (const { worker, entry: { capacity } } of workers) {
+    const used = worker.getUsedCapacity()
+    sums.processors += capacity.processorsMilli
+    sums.memory += capacity.memoryMegabytes
+    sums.usedProcessors += used.processorsMilli
+    sums.usedMemory += used.memoryMegabytes
+  }
+  if (sums.processors === 0 || sums.memory === 0) return 1
+  return Math.max(sums.usedProcessors / sums.processors, sums.usedMemory / sums.memory)
+}
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -29,6 +29,10 @@
   readonly lapsedRunWorkerIds: string[] = []
   /** Number of failed runs of each task, over all workers. */
   readonly failureCounts = new Map<string, number>()
+  /** Number of runs of each task, or gang, that have failed for any cause. */
+  private readonly failedEndCounts = new Map<string, number>()
+  /** The jobs with a task that has failed as often as its queue allows. */
+  private readonly failedJobs = new Set<string>()
   /** The ends of gang members that waited too long for the others. */
   readonly aloneEnds: string[] = []
   private readonly startJudge: StartJudge | null
@@ -121,6 +125,21 @@
     this.startJudge?.recordAcknowledgedFailure(taskName, attempt)
   }
 
+  /** Records that a run of a task has failed, for whatever cause. */
+  recordFailedEnd (taskName: string): void {
+    const unitName = this.getUnitName(taskName)
+    const count = (this.failedEndCounts.get(unitName) ?? 0) + 1
+    this.failedEndCounts.set(unitName, count)
+    const rules = this.startJudge?.getRules(taskName) ?? null
+    if (rules === null || rules.step.longRunning || count < rules.queue.attemptLimit) return
+    this.failedJobs.add(taskName.split('.', 1)[0])
+  }
+
+  /** Returns whether a task of a job has failed as often as its queue allows; false without rules. */
+  mayHaveFailed (jobId: string): boolean {
+    return this.failedJobs.has(jobId)
+  }
+
   /** Records that a member of a gang has ended because it waited too long for the others. */
   recordAloneEnd (taskName: string, attempt: number, workerId: string): void {
     this.aloneEnds.push(`${taskName} run ${attempt} on ${workerId}`)
--- /dev/null
+++ b/tools/search/search.ts
@@ -0,0 +1,113 @@
+import { availableParallelism } from 'node:os'
+import { fileURLToPath } from 'node:url'
+import { parseArgs } from 'node:util'
+import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads'
+import { createSearchSchedule, reduceSchedule, SearchPlay, type SearchSchedule } from '../../stand-ins/search/index.js'
+
+const SIGNATURE_LENGTH = 60
+
+/** A play with broken rules, or one that ended with an error. */
+interface PlayReport {
+  seed: number
+  violations: string[]
+  acceptedCount: number
+  startCount: number
+  longestWaitMilliseconds: number
+}
+
+async function play (seed: number): Promise<PlayReport> {
+  try {
+    return { seed, ...await SearchPlay.run(createSearchSchedule(seed)) }
+  } catch (error) {
+    const text = error instanceof Error ? error.stack ?? error.message : String(error)
+    return { seed, violations: [`error: ${text}`], acceptedCount: 0, startCount: 0, longestWaitMilliseconds: 0 }
+  }
+}
+
+function getKinds (violations: readonly string[]): string[] {
+  return [...new Set(violations.map(violation => violation.split(':', 1)[0]))]
+}
+
+/** Returns what a violation says without its names and figures, by which the failures of two plays are compared. */
+function getSignature (violation: string): string {
+  return violation.replace(/\S*\d\S*/g, 'N').slice(0, SIGNATURE_LENGTH)
+}
+
+async function playAll (seeds: readonly number[], parallel: number): Promise<void> {
+  const startedAt = performance.now()
+  const totals = { plays: 0, failed: 0, jobs: 0, starts: 0, longestWaitMilliseconds: 0 }
+  const kinds = new Map<string, number>()
+  await Promise.all(Array.from({ length: parallel }, (_, index) => new Promise<void>((resolve, reject) => {
+    const workerSeeds = seeds.filter((_, position) => position % parallel === index)
+    const worker = new Worker(fileURLToPath(import.meta.url), { workerData: workerSeeds })
+    worker.on('message', (report: PlayReport) => {
+      totals.plays++
+      totals.jobs += report.acceptedCount
+      totals.starts += report.startCount
+      totals.longestWaitMilliseconds = Math.max(totals.longestWaitMilliseconds, report.longestWaitMilliseconds)
+      if (report.violations.length === 0) return
+      totals.failed++
+      for (const kind of getKinds(report.violations)) kinds.set(kind, (kinds.get(kind) ?? 0) + 1)
+      console.log(JSON.stringify({ seed: report.seed, violations: report.violations.slice(0, 5) }))
+    })
+    worker.on('error', reject)
+    worker.on('exit', () => resolve())
+  })))
+  const seconds = Math.round((performance.now() - startedAt) / 1000)
+  console.log(JSON.stringify({ ...totals, playsByBrokenRule: Object.fromEntries(kinds), seconds }))
+  process.exitCode = totals.failed > 0 ? 1 : 0
+}
+
+/** Returns the smallest schedule with the first failure of the play of a seed, or null when it has none. */
+async function findSmallest (seed: number): Promise<SearchSchedule | null> {
+  const schedule = createSearchSchedule(seed)
+  const { violations } = await SearchPlay.run(schedule)
+  const [signature] = violations.map(getSignature)
+  if (signature === undefined) {
+    console.log(`The play of seed ${seed} breaks no rule.`)
+    return null
+  }
+  return await reduceSchedule(schedule, async candidate =>
+    (await SearchPlay.run(candidate)).violations.some(violation => getSignature(violation) === signature))
+}
+
+/** Prints the smallest schedule with the first failure of the play of a seed. */
+async function reduce (seed: number): Promise<void> {
+  const schedule = await findSmallest(seed)
+  if (schedule === null) return
+  console.log(JSON.stringify(schedule, null, 1))
+  console.log(JSON.stringify((await SearchPlay.run(schedule)).violations, null, 1))
+}
+
+/** Prints the log lines of the smallest schedule with the first failure of the play of a seed. */
+async function printLog (seed: number): Promise<void> {
+  const schedule = await findSmallest(seed)
+  if (schedule === null) return
+  console.log(JSON.stringify(schedule))
+  const { violations } = await SearchPlay.run(schedule, (atMilliseconds, instanceId, message, fields) => {
+    console.log(`${atMilliseconds} ${instanceId} ${message} ${JSON.stringify(fields)}`)
+  })
+  console.log(violations.join('\n'))
+}
+
+if (isMainThread) {
+  const { values } = parseArgs({
+    options: {
+      plays: { type: 'string', default: '100' },
+      seed: { type: 'string', default: '1' },
+      parallel: { type: 'string', default: String(Math.max(1, Math.floor(availableParallelism() / 2))) },
+      reduce: { type: 'string' },
+      log: { type: 'string' }
+    }
+  })
+  if (values.reduce !== undefined) {
+    await reduce(Number(values.reduce))
+  } else if (values.log !== undefined) {
+    await printLog(Number(values.log))
+  } else {
+    const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
+    await playAll(seeds, Number(values.parallel))
+  }
+} else {
+  for (const seed of workerData as number[]) parentPort!.postMessage(await play(seed))
+}
