Return the version of the tables from feeds that are not paused

A feed of the emulated tables returned the version that its caller named when that was the higher one, so 'a copy that is newer than the table is not used' failed in each run. Only a paused feed may lag behind its caller now.

--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -107,7 +107,8 @@
     if (after < this.compactedTo) return { kind: 'compacted' }
     const end = this.pausedVersion === null ? this.history.length : this.findFirstChangeAfter(this.pausedVersion)
     const changes = this.history.slice(this.findFirstChangeAfter(after), end).filter(change => change.table === table)
-    return { kind: 'changes', changes, version: Math.max(after, this.pausedVersion ?? this.version) }
+    const version = this.pausedVersion === null ? this.version : Math.max(after, this.pausedVersion)
+    return { kind: 'changes', changes, version }
   }
 
   /** From now on, feeds return no further changes until `resumeFeeds`. */
