--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -33,8 +33,9 @@
   specification: JobSpecification
 }
 
-/** A worker that may get new work, and how the platform lists it. */
-interface UsableWorker {
+/** A worker in service, and how the platform lists it. */
+interface ListedWorker {
+  workerId: string
   worker: EmulatedWorker
   entry: WorkerEntry
 }
@@ -112,31 +113,34 @@
 
   private sample (): void {
     const now = this.options.clock.monotonicMilliseconds()
-    const workers = this.getUsableWorkers()
+    const listed = this.getListedWorkers()
+    const workers = listed.filter(({ workerId }) => !this.options.isWorkerAffected(workerId))
     const usedShares = new Map<string, number>()
     const running = new Set(this.options.site.judge.getRunningTasks())
     for (const job of this.jobs.values()) {
       const serviceName = this.options.site.getServiceName(job.jobId)
       const ofService = workers.filter(({ entry }) => entry.serviceName === serviceName)
-      if (!usedShares.has(serviceName)) usedShares.set(serviceName, getUsedShare(ofService))
+      if (!usedShares.has(serviceName)) {
+        usedShares.set(serviceName, getUsedShare(listed.filter(({ entry }) => entry.serviceName === serviceName)))
+      }
       this.checkJob(job, ofService, usedShares.get(serviceName)!, now)
       this.checkLongRunningTasks(job, ofService, usedShares.get(serviceName)!, running, now)
     }
   }
 
-  /** Returns the workers that are in service and not affected by a fault. */
-  private getUsableWorkers (): UsableWorker[] {
-    const { site, isWorkerAffected } = this.options
-    const usable: UsableWorker[] = []
+  /** Returns the workers that are in service, whether or not a fault affects them. */
+  private getListedWorkers (): ListedWorker[] {
+    const { site } = this.options
+    const found: ListedWorker[] = []
     for (const [workerId, worker] of site.workers) {
       const entry = site.getWorkerEntry(workerId)
-      if (!worker.isAlive || entry?.state !== 'ready' || isWorkerAffected(workerId)) continue
-      if (!site.isDataCentreOut(entry.dataCentre)) usable.push({ worker, entry })
+      if (!worker.isAlive || entry?.state !== 'ready' || site.isDataCentreOut(entry.dataCentre)) continue
+      found.push({ workerId, worker, entry })
     }
-    return usable
+    return found
   }
 
-  private checkJob (job: ObservedJob, workers: UsableWorker[], usedShare: number, now: number): void {
+  private checkJob (job: ObservedJob, workers: ListedWorker[], usedShare: number, now: number): void {
     const { site: { judge } } = this.options
     const startable = judge.hasRunning(job.jobId) || judge.mayHaveFailed(job.jobId) || usedShare >= USED_SHARE_LIMIT
       ? undefined
@@ -155,7 +159,7 @@
   }
 
   private checkLongRunningTasks (
-    job: ObservedJob, workers: UsableWorker[], usedShare: number, running: ReadonlySet<string>, now: number
+    job: ObservedJob, workers: ListedWorker[], usedShare: number, running: ReadonlySet<string>, now: number
   ): void {
     const calmSince = this.options.getCalmSince()
     for (const [step, specification] of job.specification.steps.entries()) {
@@ -182,7 +186,7 @@
 
   /** Returns a step with a task, or a gang, that could start twice. */
   private findStartable (
-    job: ObservedJob, workers: UsableWorker[], now: number
+    job: ObservedJob, workers: ListedWorker[], now: number
   ): { step: number, room: number } | undefined {
     const { specification: { steps, repeatCount, startAtMilliseconds, intervalMilliseconds } } = job
     for (let occurrence = 0; occurrence < Math.max(1, repeatCount); occurrence++) {
@@ -213,7 +217,7 @@
 
   /** Returns how many more tasks of a step the workers can run, with its label and within its limit per worker. */
   private countRoom (
-    workers: readonly UsableWorker[], jobId: string, occurrence: number, step: number, specification: StepSpecification
+    workers: readonly ListedWorker[], jobId: string, occurrence: number, step: number, specification: StepSpecification
   ): number {
     const { requiredLabel, maximumPerWorker, fills, processorsMilli } = specification
     const prefix = `${jobId}.${occurrence}.${step}.`
@@ -251,7 +255,7 @@
 }
 
 /** Returns the larger one of the shares of processors and of memory that are in use. */
-function getUsedShare (workers: readonly UsableWorker[]): number {
+function getUsedShare (workers: readonly ListedWorker[]): number {
   const sums = { processors: 0, memory: 0, usedProcessors: 0, usedMemory: 0 }
   for (const { worker, entry: { capacity } } of workers) {
     const used = worker.getUsedCapacity()
