--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -3,25 +3,28 @@
 import {
   Instance, JOB_TABLE, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
-import type { JobSpecification, StepSpecification } from '../../src/jobs/index.js'
+import type { StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
-import { silentLogger } from '../../src/shared/Logger.js'
+import { silentLogger, type LogFields, type Logger } from '../../src/shared/Logger.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
 import { PageSize } from '../../src/table/PageSize.js'
 import type { TableFeed } from '../../src/table/TableFeed.js'
 import { DEFAULT_TABLE_LIMITS } from '../../src/table/TableLimits.js'
-import type { TableService } from '../../src/table/TableService.js'
+import type { ReadOutcome, TableService } from '../../src/table/TableService.js'
 import { SimulatedProcess } from '../../tools/simulation/SimulatedProcess.js'
 import { MemoryTableService } from '../table-service/MemoryTableService.js'
-import { createStep } from './createStep.js'
 import { strictLogger } from './createTestErrors.js'
 import { DistantTables } from './DistantTables.js'
 import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
+import { EmulatedJobs, type SubmissionOptions } from './EmulatedJobs.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
-import { EmulatedWorker, type EmulatedTask } from './EmulatedWorker.js'
+import type { EmulatedTask, EmulatedWorker } from './EmulatedWorker.js'
+import type { EmulatedWorkerDescription } from './EmulatedWorkerDescription.js'
+import { EmulatedWorkers } from './EmulatedWorkers.js'
 import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
 import { MemoryObjects } from './MemoryObjects.js'
+import { PathFaults } from './PathFaults.js'
 import type { LinkRoute, RegionLink } from './RegionLink.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
@@ -31,7 +34,13 @@
   clock: VirtualClock
   random: () => number
   instanceCount: number
-  workerCount: number
+  /** The number of equal workers, unless `workers` is given; the default is 0. */
+  workerCount?: number
+  workers?: EmulatedWorkerDescription[]
+  /** The queues of the configuration; by default, `EMULATED_QUEUE` only. */
+  queues?: QueueConfiguration[]
+  /** Selects which best-effort tasks disturb which serving tasks; the default is 1. */
+  interferenceSeed?: number
   /** Emulates limited processor time and limited connections to workers; by default, computation takes no time. */
   processorTime?: ProcessorTimeOptions
   /**
@@ -41,6 +50,8 @@
   treatsListedAsAcknowledged?: boolean
   /** Rate of the clocks of all workers; the default is 1. */
   workerClockRate?: number
+  /** Receives the log lines of all instances; by default, they are dropped. */
+  onLog? (instanceId: string, message: string, fields: LogFields): void
   /** Whether instances may confine unexpected errors; by default, the first one fails the test. */
   allowsUnexpectedErrors?: boolean
   /** A second region behind a link, which needs `processorTime`; by default, there is one region. */
@@ -71,11 +82,28 @@
   address: string
   /** Null if processor time is not emulated. */
   processor: EmulatedProcessor | null
-  /** While `cutOff` is set, the calls of other instances to this one get no response. */
-  peerFaults: { cutOff: boolean }
+  peerFaults: PeerFaults
 }
 
-/** The only queue of an emulated site. */
+/** Faults of the calls between one instance and the others; all may be changed at any time. */
+export interface PeerFaults {
+  /** The calls of other instances to this one get no response. */
+  cutOff: boolean
+  /** The calls of this instance to others get no response. */
+  losesCalls: boolean
+}
+
+/** Functions that are called on events of a site; each may be added and removed at any time. */
+export interface SiteListeners {
+  /** Called when a process of an instance has been started. */
+  started: Set<(instance: EmulatedInstance) => void>
+  /** Called when a client hands a job in to an instance. */
+  submitted: Set<(instance: EmulatedInstance) => void>
+  /** Called when an instance has accepted a job. */
+  accepted: Set<(instance: EmulatedInstance) => void>
+}
+
+/** The queue of a site that is created without queues. */
 export const EMULATED_QUEUE: QueueConfiguration = {
   name: 'drafts',
   host: 'permits',
@@ -91,15 +119,13 @@
 /** A caller that waits for a response for the whole time-out of the queue and never disconnects. */
 export const EMULATED_WAIT: CallerWait = { milliseconds: 3000, hasDisconnected: () => false }
 
-const WORKER_CAPACITY = { processorsMilli: 16_000, memoryMegabytes: 64_000, accelerators: 0 }
 const LEASE_MILLISECONDS = 6000
-/** The platform removes a worker from its list this long after the worker process crashes. */
-const DELISTING_DELAY_MILLISECONDS = 4500
 const PEER_TIMEOUT_MILLISECONDS = 600
 const PEER_MESSAGE_BYTES = 400
 const LINK_MEGABITS_PER_SECOND = 1000
 const OPERATOR_TABLE = 'operators'
-const WORKER_TABLE = 'listed-workers'
+/** The table of the workers that the platform lists. */
+export const WORKER_TABLE = 'listed-workers'
 
 /** Emulates a whole site on one virtual clock: the tables and workers of the platform, and the instances. */
 export class EmulatedSite {
@@ -111,18 +137,41 @@
   readonly tables: EmulatedTables
   /** The objects of the platform's store. */
   readonly objects: MemoryObjects
-  readonly workers = new Map<string, EmulatedWorker>()
+  readonly workers: Map<string, EmulatedWorker>
   /** The networks to the workers, which can lose packets if processor time is emulated. */
   readonly paths = new Map<string, WorkerPaths>()
   readonly instances: EmulatedInstance[] = []
-  /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
-  readonly tasks = new Map<string, EmulatedTask>()
+  private readonly jobs: EmulatedJobs
+  private readonly workerList: EmulatedWorkers
+  /** The faults of the paths between single instances and single workers. */
+  readonly pathFaults = PathFaults.create()
+  /** The addresses of machines without power: calls to them get no response, instead of being refused. */
+  readonly darkAddresses = new Set<string>()
+  /** While `isAway` is set, the platform does not say which worker processes are alive. */
+  readonly machineServiceFaults = { isAway: false }
+  readonly listeners: SiteListeners = { started: new Set(), submitted: new Set(), accepted: new Set() }
+  /** The time of the latest restart of each address that has been requested. */
+  private readonly restartTimes = new Map<string, number>()
+  private configurationVersion = 1
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
     this.tables = EmulatedTables.create({ clock })
     this.objects = MemoryObjects.create({ clock })
-    this.judge = RunJudge.create({ treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false })
+    this.jobs = EmulatedJobs.create(options.queues ?? [EMULATED_QUEUE])
+    this.judge = RunJudge.create({
+      treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false,
+      starts: { clock, getRules: taskName => this.jobs.getRules(taskName) }
+    })
+    this.workerList = EmulatedWorkers.create({
+      ...options,
+      judge: this.judge,
+      jobs: this.jobs,
+      tables: this.tables,
+      workerTable: WORKER_TABLE,
+      interferenceSeed: options.interferenceSeed ?? 1
+    })
+    this.workers = this.workerList.byId
   }
 
   /**
@@ -133,35 +182,38 @@
   static create (options: EmulatedSiteOptions): EmulatedSite {
     const site = new EmulatedSite(options)
     site.putRow(OPERATOR_TABLE, 'configuration', 1)
-    for (let index = 0; index < options.workerCount; index++) site.addWorker(`worker-${index}`)
+    const { workers, workerCount = 0 } = options
+    for (const description of workers ?? []) site.addWorker(description.workerId, description)
+    if (workers === undefined) for (let index = 0; index < workerCount; index++) site.addWorker(`worker-${index}`)
     for (let index = 0; index < options.instanceCount; index++) site.addInstance(`instance-${index}`)
     return site
   }
 
-  /** Starts a worker and adds it to the platform's list of workers. */
-  addWorker (workerId: string): EmulatedWorker {
-    const { clock, random, workerClockRate } = this.options
-    const worker = EmulatedWorker.create({
-      clockRate: workerClockRate,
-      workerId,
-      capacity: WORKER_CAPACITY,
-      clock,
-      judge: this.judge,
-      random,
-      getTask: taskName => this.tasks.get(taskName.split('.', 1)[0])!
-    })
-    this.workers.set(workerId, worker)
+  /** The specifications of all jobs that were submitted, whether or not they were accepted, by job ID. */
+  get specifications (): EmulatedJobs['specifications'] {
+    return this.jobs.specifications
+  }
+
+  /** The emulated behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
+  get tasks (): EmulatedJobs['tasks'] {
+    return this.jobs.tasks
+  }
+
+  /**
+   * Starts a worker and adds it to the platform's list of workers.
+   * @param workerId The worker.
+   * @param description Its size and its place; the default is a large worker of the first queue's service.
+   * @returns The worker.
+   */
+  addWorker (workerId: string, description?: EmulatedWorkerDescription): EmulatedWorker {
+    const { clock, random } = this.options
     this.paths.set(workerId, WorkerPaths.create({ clock, random }))
-    this.listWorker(workerId)
-    return worker
+    return this.workerList.add(workerId, description)
   }
 
   /** Crashes a worker process; the platform removes the worker from its list later unless it has restarted. */
   crashWorker (workerId: string): void {
-    this.workers.get(workerId)?.crash()
-    this.options.clock.setTimer(DELISTING_DELAY_MILLISECONDS, () => {
-      if (this.workers.get(workerId)?.isAlive !== true) this.deleteRow(WORKER_TABLE, workerId)
-    })
+    this.workerList.crash(workerId)
   }
 
   /**
@@ -170,22 +222,30 @@
    * @param remainingMilliseconds The time until then.
    */
   drainWorker (workerId: string, remainingMilliseconds: number): void {
-    this.listWorker(workerId, { state: 'draining', remainingMilliseconds })
-    this.options.clock.setTimer(remainingMilliseconds, () => {
-      this.workers.get(workerId)?.shutDown()
-      this.deleteRow(WORKER_TABLE, workerId)
-    })
+    this.workerList.drain(workerId, remainingMilliseconds)
   }
 
   /** Restarts a worker process under the same worker ID and lists its new incarnation. */
   restartWorker (workerId: string): void {
-    this.workers.get(workerId)?.restart()
-    this.listWorker(workerId)
+    this.workerList.restart(workerId)
+  }
+
+  /** Returns how the platform lists a worker now, or null if it does not. */
+  getWorkerEntry (workerId: string): WorkerEntry | null {
+    return this.workerList.getEntry(workerId)
   }
 
-  /** Starts an instance; an existing instance with the same ID is replaced by a new process at the same address. */
+  /**
+   * Starts an instance. An instance with the same ID whose process has ended is replaced by a new process at the same
+   * address; one whose process runs stays as it is.
+   * @param instanceId The instance.
+   * @returns The running instance.
+   */
   addInstance (instanceId: string): EmulatedInstance {
     const { clock, random } = this.options
+    const address = `${instanceId}:1`
+    const existingIndex = this.instances.findIndex(other => other.address === address)
+    if (existingIndex >= 0 && this.instances[existingIndex].process.isAlive()) return this.instances[existingIndex]
     const process = SimulatedProcess.create({
       clock, random, store: MemoryTableService.create(), workerClient: { exchange: neverRespond }
     })
@@ -193,7 +253,6 @@
     const processor = this.createProcessor(process)
     const receiver = processor ?? process
     const gatedTables = gateTables(process, processor, this.createDistantTables(instanceId, tables))
-    const address = `${instanceId}:1`
     const instance = Instance.create({
       instanceId,
       region: this.isFar(instanceId) ? 'north' : 'south',
@@ -207,40 +266,53 @@
         feed: gatedTables,
         operatorTable: OPERATOR_TABLE,
         workerTable: WORKER_TABLE,
-        decodeOperatorRow,
+        decodeOperatorRow: (key, value) => decodeOperatorRow(key, value, this.jobs.queues),
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
       peer: this.createPeer(receiver, instanceId),
       registry: new Registry(),
       resources: { processors: 1, linkMegabitsPerSecond: LINK_MEGABITS_PER_SECOND },
       livenessSource: {
-        listLiveWorkers: async () => await receiver.receive(Promise.resolve({
-          kind: 'ok' as const,
-          value: new Set([...this.workers].filter(([, worker]) => worker.isAlive).map(([workerId]) => workerId))
-        }))
+        listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers()))
       },
       clock: receiver.clock,
-      logger: this.options.allowsUnexpectedErrors === true ? silentLogger : strictLogger,
+      logger: this.createLogger(instanceId),
       leaseMilliseconds: LEASE_MILLISECONDS,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
-    const existingIndex = this.instances.findIndex(other => other.address === address)
-    const added = { instance, process, tables, address, processor, peerFaults: { cutOff: false } }
+    const peerFaults: PeerFaults = { cutOff: false, losesCalls: false }
+    const added: EmulatedInstance = { instance, process, tables, address, processor, peerFaults }
     if (existingIndex >= 0) this.instances[existingIndex] = added
     else this.instances.push(added)
+    this.darkAddresses.delete(address)
+    for (const onStarted of this.listeners.started) onStarted(added)
     instance.start()
     return added
   }
 
   /**
-   * Kills an instance and starts another process at its address.
+   * Kills an instance and starts another process at its address. When the instance is replaced again before that, the
+   * new process starts at the later of both times.
    * @param instance The instance.
    * @param downMilliseconds The time between the two.
    */
   replaceInstance ({ process, address }: EmulatedInstance, downMilliseconds: number): void {
+    const { clock } = this.options
+    const startTime = Math.max(clock.monotonicMilliseconds() + downMilliseconds, this.restartTimes.get(address) ?? 0)
+    this.restartTimes.set(address, startTime)
     process.kill()
-    this.options.clock.setTimer(downMilliseconds, () => { this.addInstance(address.split(':')[0]) })
+    clock.setTimer(startTime - clock.monotonicMilliseconds(), () => {
+      if (this.restartTimes.get(address) === startTime) this.addInstance(address.split(':')[0])
+    })
+  }
+
+  /** Removes an instance and its machine for good. */
+  removeInstance ({ process, address }: EmulatedInstance): void {
+    process.kill()
+    this.darkAddresses.add(address)
+    const index = this.instances.findIndex(other => other.address === address)
+    if (index >= 0) this.instances.splice(index, 1)
   }
 
   /** Returns the running instance that is the owner, or undefined if there is none. */
@@ -248,21 +320,38 @@
     return this.instances.find(({ process, instance }) => process.isAlive() && instance.ownerApi.probe().isOwner)
   }
 
-  /** Submits a job to an instance once; callers may submit it again while the outcome is unknown. */
+  /**
+   * Submits a job to an instance once; callers may submit it again while the outcome is unknown.
+   * @param jobId The job.
+   * @param steps The steps, each with the fields that differ from `createStep`.
+   * @param task How the behaviour of its tasks differs from that of a short task.
+   * @param target The instance that receives the submission; by default a random one.
+   * @param options The queue and the schedule.
+   * @returns The outcome.
+   */
   async submit (
     jobId: string, steps: Array<Partial<StepSpecification>>, task: Partial<EmulatedTask> = {},
-    target: EmulatedInstance = this.chooseInstance()
+    target: EmulatedInstance = this.chooseInstance(), options: SubmissionOptions = {}
   ): Promise<SubmitOutcome> {
     const { process, instance, processor } = target
-    this.tasks.set(jobId, {
-      processorsMilli: 1000, memoryMegabytes: 1000, accelerators: 0, durationMilliseconds: 800, failureCount: 0, ...task
-    })
+    const { specification, queue } = this.jobs.add(jobId, steps, task, options)
     this.judge.recordSubmission(jobId)
-    const specification: JobSpecification = {
-      taskDescription: 'text', steps: steps.map(createStep), startAtMilliseconds: 0, intervalMilliseconds: 0, repeatCount: 0
-    }
+    for (const onSubmitted of this.listeners.submitted) onSubmitted(target)
     if (processor !== null) await processor.receive(Promise.resolve(), 'request')
-    return await process.receive(instance.gateway.submit(jobId, specification, EMULATED_QUEUE, EMULATED_WAIT))
+    const outcome = await process.receive(
+      instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT))
+    if (outcome.kind === 'accepted') for (const onAccepted of this.listeners.accepted) onAccepted(target)
+    return outcome
+  }
+
+  /** Returns the service whose workers run a job that was submitted. */
+  getServiceName (jobId: string): string {
+    return this.jobs.getQueue(jobId).serviceName
+  }
+
+  /** Returns whether operators have taken a data centre out of service. */
+  isDataCentreOut (dataCentre: string): boolean {
+    return this.tables.get({ table: OPERATOR_TABLE, key: `out/${dataCentre}` }) !== null
   }
 
   /** Takes a data centre out of service, or brings it back. */
@@ -271,6 +360,15 @@
     else this.deleteRow(OPERATOR_TABLE, `out/${dataCentre}`)
   }
 
+  /**
+   * Stores a new version of the configuration.
+   * @param changes What differs from the first version in the queue.
+   */
+  changeConfiguration (changes: Partial<QueueConfiguration>): void {
+    this.configurationVersion++
+    this.putRow(OPERATOR_TABLE, 'configuration', { version: this.configurationVersion, changes })
+  }
+
   /** Returns a random instance whose process runs and is not frozen, or the first instance if there is none. */
   chooseInstance (): EmulatedInstance {
     const alive = this.instances.filter(({ process }) => process.isAlive() && !process.isFrozen())
@@ -290,6 +388,12 @@
     return this.options.farRegion?.link.getRoute(this.isFar(callerId), this.isFar(targetId)) ?? null
   }
 
+  private listLiveWorkers (): ReadOutcome<Set<string>> {
+    if (this.machineServiceFaults.isAway) return { kind: 'unavailable', reason: 'no answer' }
+    const living = [...this.workers].filter(([, worker]) => worker.isAlive)
+    return { kind: 'ok', value: new Set(living.map(([workerId]) => workerId)) }
+  }
+
   private countTimeout (call: string): void {
     this.timeouts.set(call, (this.timeouts.get(call) ?? 0) + 1)
   }
@@ -318,21 +422,19 @@
     return new Promise(resolve => { this.options.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, () => resolve(null)) })
   }
 
-  private listWorker (workerId: string, changes: Partial<WorkerEntry> = {}): void {
-    const worker = this.workers.get(workerId)!
-    const entry: WorkerEntry = {
-      workerId,
-      serviceName: EMULATED_QUEUE.serviceName,
-      address: `${workerId}:1`,
-      dataCentre: Number(workerId.split('-')[1]) % 2 === 0 ? 'south-a' : 'south-b',
-      state: 'ready',
-      labels: ['a', 'r1'],
-      capacity: WORKER_CAPACITY,
-      bornAtMilliseconds: worker.bornAtMilliseconds,
-      remainingMilliseconds: null,
-      ...changes
+  private createLogger (instanceId: string): Logger {
+    const { allowsUnexpectedErrors, onLog } = this.options
+    const logger = allowsUnexpectedErrors === true ? silentLogger : strictLogger
+    if (onLog === undefined) return logger
+    const log: Logger['info'] = (message, fields = {}) => onLog(instanceId, message, fields)
+    return {
+      info: log,
+      warn: log,
+      error: (message, fields) => {
+        log(message, fields)
+        logger.error(message, fields)
+      }
     }
-    this.putRow(WORKER_TABLE, workerId, entry as unknown as JsonValue)
   }
 
   private putRow (table: string, key: string, value: JsonValue): void {
@@ -354,7 +456,9 @@
   ): WorkerClient {
     const worker = this.workers.get(workerId)!
     const { processorTime, clock } = this.options
-    if (processor === null || processorTime === undefined) return gateWorker(process, worker)
+    if (processor === null || processorTime === undefined) {
+      return gateWorker({ process, worker, getFault: () => this.pathFaults.get(instanceId, workerId) })
+    }
     return EmulatedConnections.create({
       worker,
       paths: this.paths.get(workerId)!,
@@ -373,12 +477,13 @@
 
   private createPeer (process: Receiver, instanceId: string): OwnerPeer {
     const find = (address: string) => this.instances.find(other => other.address === address)
+    const losesCalls = () => find(`${instanceId}:1`)?.peerFaults.losesCalls === true
     const callPeer = async <Value>(
       address: string, answer: (other: EmulatedInstance) => Value
     ): Promise<Value | null> => {
       const other = find(address)
       const isUnresponsive = other === undefined || other.process.isFrozen() || !other.process.isAlive() ||
-        other.peerFaults.cutOff
+        other.peerFaults.cutOff || losesCalls()
       if (isUnresponsive) {
         await new Promise<void>(resolve => { process.clock.setTimer(PEER_TIMEOUT_MILLISECONDS, resolve) })
         return null
@@ -393,7 +498,9 @@
     }
     return {
       probe: async address => {
-        if (find(address)?.process.isAlive() !== true) return { kind: 'refused' }
+        const target = find(address)
+        const isSilent = this.darkAddresses.has(address) || target?.peerFaults.cutOff === true || losesCalls()
+        if (target?.process.isAlive() !== true && !isSilent) return { kind: 'refused' }
         const answer = await callPeer(address, other => other.instance.ownerApi.probe())
         return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
       },
@@ -412,11 +519,14 @@
 /** The clock of a process, and the way in which it receives results: only while it runs and its processor is free. */
 type Receiver = Pick<SimulatedProcess, 'clock' | 'receive'>
 
-function decodeOperatorRow (key: string, value: JsonValue): OperatorRow {
+function decodeOperatorRow (key: string, value: JsonValue, queues: readonly QueueConfiguration[]): OperatorRow {
   if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
+  const { version, changes } = typeof value === 'number'
+    ? { version: value, changes: {} }
+    : value as unknown as { version: number, changes: Partial<QueueConfiguration> }
   return {
     kind: 'configuration',
-    configuration: { version: Number(value), queues: [EMULATED_QUEUE], maximumBodyBytes: 100_000 }
+    configuration: { version, queues: queues.map(queue => ({ ...queue, ...changes })), maximumBodyBytes: 100_000 }
   }
 }
 
