--- a/stand-ins/platform/LinkDirection.ts
+++ b/stand-ins/platform/LinkDirection.ts
@@ -11,6 +11,8 @@
 export class LinkDirection {
   /** Number of bytes that were sent. */
   carriedBytes = 0
+  /** The longest time from a call of `send` to the arrival of its last byte, 0 before the first. */
+  longestTravelMilliseconds = 0
   private freeAt = -Infinity
 
   private constructor (private readonly options: LinkDirectionOptions) {}
@@ -42,7 +44,10 @@
   send (byteCount: number): number {
     const { bitsPerSecond, delayMilliseconds, getTime } = this.options
     this.carriedBytes += byteCount
-    this.freeAt = Math.max(this.freeAt, getTime()) + byteCount * 8 * 1000 / bitsPerSecond
-    return this.freeAt + delayMilliseconds
+    const now = getTime()
+    this.freeAt = Math.max(this.freeAt, now) + byteCount * 8 * 1000 / bitsPerSecond
+    const arrivesAt = this.freeAt + delayMilliseconds
+    this.longestTravelMilliseconds = Math.max(this.longestTravelMilliseconds, arrivesAt - now)
+    return arrivesAt
   }
 }
--- a/stand-ins/platform/SharedLink.test.ts
+++ b/stand-ins/platform/SharedLink.test.ts
@@ -85,18 +85,21 @@
 })
 
 test('the directions do not share their rate, and a byte takes the delay of an idle direction', async context => {
-  const { open } = await createFixture(context, 8 * MEGABIT)
+  const { link, open } = await createFixture(context, 8 * MEGABIT)
   const large = await open()
   const small = await open()
   large.target.write(Buffer.alloc(200_000))
   await receive(large.caller, 10_000)
   small.caller.write('x')
   const { milliseconds } = await receive(small.target, 1)
-  assert.ok(milliseconds < 60, `${milliseconds} ms`)
+  assertNear(milliseconds, DELAY_MILLISECONDS)
+  // The time in the link contains no processor time.
+  const { longestTravelMilliseconds } = link.toTargets
+  assert.ok(longestTravelMilliseconds < DELAY_MILLISECONDS + 1, `${longestTravelMilliseconds} ms`)
 })
 
 test('a byte waits for the windows of the other connections, not for all that they want to send', async context => {
-  const { open } = await createFixture(context, 8 * MEGABIT)
+  const { link, open } = await createFixture(context, 8 * MEGABIT)
   const large = [await open(), await open()]
   const small = await open()
   for (const { target } of large) target.write(Buffer.alloc(400_000))
@@ -104,7 +107,10 @@
   small.target.write('x')
   const { milliseconds } = await receive(small.caller, 1)
   assert.ok(milliseconds > 60, `${milliseconds} ms`)
-  assert.ok(milliseconds < 2 * WINDOW_BYTES / 1000 + DELAY_MILLISECONDS + TOLERANCE_MILLISECONDS, `${milliseconds} ms`)
+  const limit = 2 * WINDOW_BYTES / 1000 + DELAY_MILLISECONDS
+  assert.ok(milliseconds < limit + TOLERANCE_MILLISECONDS, `${milliseconds} ms`)
+  const { longestTravelMilliseconds } = link.toCallers
+  assert.ok(longestTravelMilliseconds < limit + 1, `${longestTravelMilliseconds} ms`)
 })
 
 test('a connection whose caller is gone carries nothing that is not yet in the link', async context => {
