Send stops without a response with the reports of their worker

What callers saw: over a path that loses packets, runs of a cancelled job went on for many seconds.

Cause: a stop is sent over the connections for orders only. While their opening and calls fail, reports arrive on the other connection and renew the lease, so neither a stop nor the end of the lease ends the run. Starts without a response were settled over the connection for reports already.

That connection is kept for a late response to the stop, up to 3 s: a lost packet must not cost the connection for the reports as well.

--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -41,6 +41,7 @@
     startedAt: -10_000,
     sentAt: -10_000,
     startUncertain: false,
+    isStopUnanswered: false,
     confirmedAt: 0,
     percent: 100,
     progressedAt: 0,
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -241,6 +241,7 @@
         if (run !== null) engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
         return
       }
+      if (run !== null && outcome.kind !== 'withdrawn') run.isStopUnanswered = true
       if (outcome.kind === 'withdrawn' || outcome.kind === 'not-sent') await this.pauseUntilReport(worker, retryMilliseconds)
       else await this.pause(retryMilliseconds)
       retryMilliseconds = Math.min(LONGEST_STOP_RETRY_MILLISECONDS, retryMilliseconds * 2)
--- a/src/instance/stopUncertainStarts.ts
+++ b/src/instance/stopUncertainStarts.ts
@@ -17,23 +17,24 @@
 export type StopsOutcome = 'none-answered' | 'answered' | 'fenced'
 
 /**
- * Stops the runs whose start got no response over the connection over which their worker has just reported.
+ * Stops the runs whose start or stop got no response over the connection over which their worker has just reported.
  *
  * Answers packet loss: the connections for orders may fail for seconds while reports arrive, which renew the lease, so
- * that neither the response to the stop nor the end of the lease would settle the start.
+ * that neither a stop nor the end of the lease would end the run or settle its start.
  * @param context The worker, its client and the engine.
  * @returns The outcome.
  */
 export async function stopUncertainStarts (context: UncertainStartsContext): Promise<StopsOutcome> {
   const { worker, engine, client, clock } = context
   const uncertain = [...worker.runs.values()].filter(run =>
-    run.state === 'stopping' && run.startUncertain && run.confirmedAt === null)
+    run.state === 'stopping' && (run.isStopUnanswered || (run.startUncertain && run.confirmedAt === null)))
   let answeredCount = 0
   for (const run of uncertain.slice(0, STOPS_PER_REPORT)) {
     const outcome = await client.stop(run.task.name, run.attempt, engine.epoch, 'reports')
     if (outcome.kind === 'fenced') return 'fenced'
     // The connection is likely to fail for the other stops too.
     if (!isStopAnswered(outcome)) break
+    run.isStopUnanswered = false
     engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, clock.monotonicMilliseconds())
     answeredCount++
   }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -19,6 +19,8 @@
   sentAt: number
   /** Whether the worker did not respond to the start, so that it may execute it at any time before a confirmed stop. */
   startUncertain: boolean
+  /** Whether a stop over the connections for orders got no response, so that it is sent with the reports as well. */
+  isStopUnanswered: boolean
   /** Monotonic time at which the worker confirmed that it executed the start or the stop; null before that. */
   confirmedAt: number | null
   /** Progress in percent, as reported by the worker. A serving task is at 100 once it has started up. */
@@ -243,6 +245,7 @@
     startedAt: now,
     sentAt: -Infinity,
     startUncertain: false,
+    isStopUnanswered: false,
     confirmedAt: null,
     percent: 0,
     progressedAt: now,
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -64,6 +64,8 @@
 const ORDER_CONNECTION_LIMIT = 2
 /** Time-out of an order, as in `platform/RunnerClient.ts`. */
 const ORDER_TIMEOUT_MILLISECONDS = 350
+/** How long the connection for reports is kept for the response to a stop, as in `platform/RunnerClient.ts`. */
+const LATE_STOP_MILLISECONDS = 3000
 /** Time that a hold may take in addition to its wait, as in `platform/RunnerClient.ts`. */
 const HOLD_MARGIN_MILLISECONDS = 600
 /** Time after which the opening of a connection is given up, as in `platform/RunnerClient.ts`. */
@@ -147,9 +149,10 @@
   async stop (
     taskName: string, attempt: number, epoch: number, connection: StopConnection = 'orders'
   ): Promise<OrderOutcome> {
-    const pool = connection === 'orders' ? this.orderPool : this.holdPool
     const perform = () => this.options.worker.stop(taskName, attempt, epoch)
-    return await this.call('stop', pool, perform, ORDER_TIMEOUT_MILLISECONDS)
+    if (connection === 'orders') return await this.order('stop', perform)
+    const late = { milliseconds: LATE_STOP_MILLISECONDS, onOutcome: () => {} }
+    return await this.call('stop', this.holdPool, perform, ORDER_TIMEOUT_MILLISECONDS, late)
   }
 
   async setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome> {
