Keep leases, stops and ends on a path that is slow and loses nothing

What callers saw: with a round trip of 0.7 s and more, leases of workers lapsed although no packet was lost: 112 to 145 of 190 runs, runs of cancelled jobs went on for up to 6.5 s, and ends were acknowledged after up to 22.7 s.

Cause, traced for a worker with a round trip of 1 s: each opening of a connection was given up after 0.3 s and the next one began from the start, so none ever opened. With connections, the reports arrive after their calls have timed out. Such a worker was recorded as unreached for a successor, after which its lease may not be renewed; its ends were not acknowledged, and stops were withdrawn.

Change: - One opening to each address goes on for 2.7 s after its limit. Its connection is used by the call that waits for one at that moment, or by the next one. The call itself is answered as before, and others open connections meanwhile. Other openings are ended at their limit; they went on for up to 1 s. - A worker with a late report within 3 s counts as reached: it is not recorded as unreached, and stops are sent to it. - While a late report allows a renewal it also allows an acknowledgement. - The emulated connections do the same.

The limits of calls are as they were.

--- a/src/dispatch/UnreachedWorkers.ts
+++ b/src/dispatch/UnreachedWorkers.ts
@@ -1,4 +1,4 @@
-import { getRemainingLease, type WorkerRecord } from './WorkerRecord.js'
+import { getRemainingLease, isReached, type WorkerRecord } from './WorkerRecord.js'
 
 /** The stored milliseconds until all leases have expired, by worker that the owner does not reach. */
 export type UnreachedRecord = Record<string, number>
@@ -51,7 +51,7 @@
   needsRecord (unreconciled: ReadonlyMap<string, number>, now: number): boolean {
     for (const workerId of this.recorded) {
       const worker = this.workers.get(workerId)
-      if (worker === undefined || worker.syncState === 'synchronized') return true
+      if (worker === undefined || isReached(worker, now)) return true
     }
     if (now - this.recordedAt < RECORD_INTERVAL_MILLISECONDS) return false
     return Object.entries(this.getRemaining(unreconciled, now))
@@ -90,7 +90,7 @@
     const remaining: UnreachedRecord = Object.create(null)
     let count = 0
     for (const [workerId, worker] of this.workers) {
-      const isUnreached = worker.syncState !== 'synchronized' && worker.unansweredCallSentAt !== null &&
+      const isUnreached = !isReached(worker, now) && worker.unansweredCallSentAt !== null &&
         now - worker.reportedAt >= SHORTEST_FAILURE_MILLISECONDS
       if (!isUnreached) continue
       const expiresAt = unreconciled.get(workerId)
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -60,6 +60,8 @@
   clockReading: { workerMilliseconds: number, receivedAt: number } | null
   /** Monotonic time at which the call was sent whose response was the latest report. */
   reportedAt: number
+  /** Monotonic time at which the latest report arrived whose call had timed out; -Infinity if there is none. */
+  lateReportAt: number
   /**
    * Monotonic time at which the latest call was sent to which the worker did not respond; null after a report. Calls
    * that were not sent are no evidence about the worker and do not count.
@@ -101,6 +103,8 @@
 const EXPIRY_MARGIN_MILLISECONDS = 100
 /** A worker that has stopped responding twice within this time gets new work only when no other one has capacity. */
 const UNSTEADY_MILLISECONDS = 10_000
+/** A worker whose report arrived late within this time has a slow path: its lease is renewed, and stops reach it. */
+const SLOW_PATH_MILLISECONDS = 3000
 /** The maximum share by which a worker's clock may run slow. */
 const CLOCK_DRIFT_SHARE = 0.02
 
@@ -125,6 +129,7 @@
     servingReserved: 0,
     clockReading: null,
     reportedAt: -Infinity,
+    lateReportAt: -Infinity,
     unansweredCallSentAt: null,
     reportAwaitedUntil: -Infinity,
     exitConfirmedAt: -Infinity,
@@ -152,6 +157,7 @@
   worker.leaseDeadline = 0
   worker.clockReading = null
   worker.syncState = 'unknown'
+  worker.lateReportAt = -Infinity
   worker.failureStreak = 0
 }
 
@@ -306,6 +312,16 @@
   return now - worker.failureTimes[1] < UNSTEADY_MILLISECONDS
 }
 
+/**
+ * Returns whether calls reach a worker: it responds, or its responses have arrived late until recently.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether stops and renewals are likely to arrive; false before the first report.
+ */
+export function isReached (worker: WorkerRecord, now: number): boolean {
+  return worker.syncState === 'synchronized' || now - worker.lateReportAt < SLOW_PATH_MILLISECONDS
+}
+
 /**
  * Pauses new work for a worker.
  * @param worker The worker.
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -1,5 +1,5 @@
 import {
-  getEarliestWorkerTime, isSent, OrderGate, recordFailure, type DispatchEngine, type DispatchOrder,
+  getEarliestWorkerTime, isReached, isSent, OrderGate, recordFailure, type DispatchEngine, type DispatchOrder,
   type OrderOutcome, type OrderRequest, type WorkerClient, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
@@ -229,7 +229,7 @@
     const { engine, onDeposed } = this.options
     const isRunning = () => run === null ? worker.orphanedRuns.size > 0 : run.task.runs.includes(run)
     // Runs on an unresponsive worker end with its lease; stops sent to it would only delay other orders.
-    const isNeeded = () => isRunning() && worker.syncState === 'synchronized'
+    const isNeeded = () => isRunning() && isReached(worker, this.now())
     let retryMilliseconds = FIRST_STOP_RETRY_MILLISECONDS
     while (!this.stopped && isRunning()) {
       const outcome = await this.sendWhenAdmitted(
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -106,8 +106,8 @@
     if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await client.hold({
       epoch: engine.epoch,
-      // After a failed call a new incarnation of the worker may respond, which numbers its ended runs from 1.
-      acknowledgedCompletion: this.lastCallFailed ? 0 : worker.durableCompletion,
+      // A new incarnation of the worker, which numbers its ended runs from 1, may respond after failed calls.
+      acknowledgedCompletion: hasResponded ? worker.durableCompletion : 0,
       leaseDeadline,
       waitMilliseconds: this.getWaitMilliseconds(leaseDeadline)
     }, {
@@ -146,6 +146,7 @@
     if (this.isOutdated(sentAt)) return this.applyEnds(outcome.report, sentAt)
     if (!await this.applyReport(outcome.report, sentAt)) return
     this.hasLateReport = true
+    worker.lateReportAt = clock.monotonicMilliseconds()
     // The latest call has failed, so the worker gets no new work before it responds in time.
     if (this.lastCallFailed) engine.markUnreachable(worker, null)
   }
--- a/src/instance/lossyCancellations.test.ts
+++ b/src/instance/lossyCancellations.test.ts
@@ -89,7 +89,7 @@
 const LOSSY_LIMIT_MILLISECONDS = LEASE_MILLISECONDS + CANCELLATION_LIMIT_MILLISECONDS
 const CASES: LossCase[] = [
   { title: 'no packet is lost', loss: {}, limitMilliseconds: CANCELLATION_LIMIT_MILLISECONDS },
-  ...[1, 3].map(count => ({
+  ...[1, 3, 5].map(count => ({
     title: `${count} packets in ten are lost in both directions`,
     loss: { toWorker: count / 10, fromWorker: count / 10 },
     limitMilliseconds: LOSSY_LIMIT_MILLISECONDS
--- a/src/shared/HttpCaller.ts
+++ b/src/shared/HttpCaller.ts
@@ -1,8 +1,8 @@
 import { CallQueue } from './CallQueue.js'
 import { SystemClock, type Clock } from './Clock.js'
+import { ConnectionOpener } from './ConnectionOpener.js'
 import { HttpConnection, isValidAddress, openTcpConnection, type OpenConnection } from './HttpConnection.js'
 import { HttpExchange } from './HttpExchange.js'
-import { limitOpeningTime } from './limitOpeningTime.js'
 
 /** One call to an HTTP service. */
 export interface HttpCall {
@@ -78,6 +78,11 @@
   openConnection?: OpenConnection
   /** The time limit for opening a connection, shorter than that of `openConnection`. */
   connectTimeoutMilliseconds?: number
+  /**
+   * How long one opening to each address goes on after `connectTimeoutMilliseconds`, so that a later call uses its
+   * connection; 0 by default.
+   */
+  lateOpeningMilliseconds?: number
 }
 
 /** The reason of a call to an address that is not a host with an optional port. */
@@ -87,6 +92,7 @@
 interface AddressPool {
   queue: CallQueue<HttpConnection>
   connections: HttpConnection[]
+  opener: ConnectionOpener | null
 }
 
 /** Makes HTTP calls over persistent connections, without the overhead of the stream interfaces. */
@@ -134,6 +140,7 @@
     if (pool === undefined) return
     this.pools.delete(address)
     pool.queue.close()
+    pool.opener?.close()
     for (const connection of pool.connections) connection.destroy()
   }
 
@@ -146,28 +153,39 @@
     const existing = this.pools.get(address)
     if (existing !== undefined) return existing
     const connections: HttpConnection[] = []
+    const opener = this.createOpener()
     const queue = CallQueue.create<HttpConnection>({
       connections: this.options.connections,
       lateConnections: this.options.lateConnections ?? 0,
       createConnection: () => {
-        const connection = this.createConnection(address)
+        const connection = this.createConnection(address, opener)
         connections.push(connection)
         return connection
       },
       isOpen: connection => connection.isOpen
     })
-    const pool = { queue, connections }
+    const pool = { queue, connections, opener }
     this.pools.set(address, pool)
     return pool
   }
 
-  private createConnection (address: string): HttpConnection {
-    const { observer, openConnection = openTcpConnection, connectTimeoutMilliseconds: milliseconds } = this.options
+  /** Returns null if only the system limits the time to open a connection. */
+  private createOpener (): ConnectionOpener | null {
+    const { openConnection = openTcpConnection, connectTimeoutMilliseconds, lateOpeningMilliseconds = 0 } = this.options
+    if (connectTimeoutMilliseconds === undefined) return null
+    return ConnectionOpener.create({
+      openConnection,
+      clock: this.clock,
+      limitMilliseconds: connectTimeoutMilliseconds,
+      lateMilliseconds: lateOpeningMilliseconds
+    })
+  }
+
+  private createConnection (address: string, opener: ConnectionOpener | null): HttpConnection {
+    const { observer, openConnection = openTcpConnection } = this.options
     return HttpConnection.create({
       address,
-      openConnection: milliseconds === undefined
-        ? openConnection
-        : limitOpeningTime(openConnection, { clock: this.clock, milliseconds }),
+      openConnection: opener?.open ?? openConnection,
       onOpen: () => observer?.connectionOpened(address),
       onClose: reason => observer?.connectionClosed(address, reason)
     })
--- a/src/shared/HttpConnection.ts
+++ b/src/shared/HttpConnection.ts
@@ -21,10 +21,17 @@
 /** The time limit for opening a connection. A machine that takes longer is powered off or cut off from the network. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1000
 
+/**
+ * Creates a function that opens plain TCP connections.
+ * @param timeoutMilliseconds The time limit for opening a connection.
+ * @returns The function.
+ */
+export function createTcpConnector (timeoutMilliseconds: number): OpenConnection {
+  return buildConnector({ timeout: timeoutMilliseconds, noDelay: true })
+}
+
 /** Opens plain TCP connections. */
-export const openTcpConnection: OpenConnection = buildConnector({
-  timeout: CONNECT_TIMEOUT_MILLISECONDS, noDelay: true
-})
+export const openTcpConnection: OpenConnection = createTcpConnector(CONNECT_TIMEOUT_MILLISECONDS)
 
 /** A connection that carries one call at a time and is opened when a call needs it. */
 export class HttpConnection {
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -2,6 +2,7 @@
   HoldOutcome, HoldRequest, LateReportListener, OrderOutcome, StartOrder, StopConnection, WorkerClient
 } from '../../src/dispatch/index.js'
 import type { CancelTimer, Clock } from '../../src/shared/Clock.js'
+import { EmulatedOpenings } from './EmulatedOpenings.js'
 import type { EmulatedProcessor } from './EmulatedProcessor.js'
 import type { LossyPath, PathDirection } from './LossyPath.js'
 import type { LossyStream } from './LossyStream.js'
@@ -70,6 +71,8 @@
 const HOLD_MARGIN_MILLISECONDS = 600
 /** Time after which the opening of a connection is given up, as in `platform/RunnerClient.ts`. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300
+/** How long one opening goes on after that, as in `platform/RunnerClient.ts`. */
+const LATE_OPENING_MILLISECONDS = 2700
 /** Opening a connection within a region takes as long as a call. */
 const ROUND_TRIP_MILLISECONDS = 2
 /** The bytes of a request, and of a response beside what it reports. */
@@ -95,6 +98,7 @@
 interface ConnectionPool {
   limit: number
   path: LossyPath
+  openings: EmulatedOpenings
   /** The outcome of a call for which no connection was open in time. */
   notConnected: unknown
   /** The number of further connections that are kept for late responses. */
@@ -128,8 +132,8 @@
     const isShared = options.expiredCalls === 'destroys-connection'
     const { orders, holds } = options.paths
     const orderLimit = isShared ? SHARED_CONNECTION_LIMIT : ORDER_CONNECTION_LIMIT
-    this.orderPool = createPool(orderLimit, orders, ORDER_NOT_CONNECTED)
-    this.holdPool = isShared ? this.orderPool : createPool(HOLD_CONNECTION_LIMIT, holds, HOLD_NOT_CONNECTED)
+    this.orderPool = this.createPool(orderLimit, orders, ORDER_NOT_CONNECTED)
+    this.holdPool = isShared ? this.orderPool : this.createPool(HOLD_CONNECTION_LIMIT, holds, HOLD_NOT_CONNECTED)
   }
 
   /**
@@ -217,27 +221,11 @@
   }
 
   private open (connection: Connection, pool: ConnectionPool): void {
-    const { processor, clock, counts, expiredCalls } = this.options
     connection.state = 'opening'
-    counts.opened++
-    processor.charge('connection')
-    let isEnded = false
-    let giveUp: CancelTimer = () => {}
-    let cancelLimit: CancelTimer = () => {}
-    const end = (isOpen: boolean) => processor.handle('timer', () => {
-      if (isEnded) return
-      isEnded = true
-      giveUp()
-      cancelLimit()
+    pool.openings.open(isOpen => {
       if (isOpen) this.handleOpen(connection, pool)
       else this.handleOpeningTimeout(connection, pool)
     })
-    clock.setTimer(processor.getBusyMilliseconds() + ROUND_TRIP_MILLISECONDS, () => {
-      if (!isEnded) giveUp = pool.path.open(() => this.crossLinkTwice(() => end(true)))
-    })
-    if (expiredCalls === 'destroys-connection') return
-    // A connection that was opened by the time-out is used, so the time-out is handled after it.
-    cancelLimit = processor.clock.setTimer(CONNECT_TIMEOUT_MILLISECONDS, () => end(false))
   }
 
   private handleOpen (connection: Connection, pool: ConnectionPool): void {
@@ -364,6 +352,26 @@
     this.assignCalls(call.pool)
   }
 
+  private createPool (limit: number, path: LossyPath, notConnected: unknown): ConnectionPool {
+    const { processor, clock, expiredCalls, counts } = this.options
+    const openings = EmulatedOpenings.create({
+      processor,
+      clock,
+      limitMilliseconds: expiredCalls === 'leaves-queue' ? CONNECT_TIMEOUT_MILLISECONDS : Infinity,
+      lateMilliseconds: LATE_OPENING_MILLISECONDS,
+      isClosed: () => this.closed,
+      connect: onOpen => {
+        counts.opened++
+        processor.charge('connection')
+        let giveUp = clock.setTimer(processor.getBusyMilliseconds() + ROUND_TRIP_MILLISECONDS, () => {
+          giveUp = path.open(() => this.crossLinkTwice(onOpen))
+        })
+        return () => giveUp()
+      }
+    })
+    return { limit, path, openings, notConnected, lateCount: 0, connections: [], queue: [] }
+  }
+
   private releaseConnection (call: QueuedCall, state: 'closed' | 'open'): void {
     const connection = call.connection!
     connection.call = null
@@ -372,10 +380,6 @@
   }
 }
 
-function createPool (limit: number, path: LossyPath, notConnected: unknown): ConnectionPool {
-  return { limit, path, notConnected, lateCount: 0, connections: [], queue: [] }
-}
-
 function findFreeConnection (pool: ConnectionPool): Connection | null {
   const free = pool.connections.filter(connection => connection.call === null)
   const found = free.find(connection => connection.state === 'open') ?? free[0]
