Await late reports for 2 s after the leases of earlier owners

What callers saw: an accepted job of short tasks did not run for more than 11 s after the last of one or several takeovers, with most room free, beside a worker that accepts calls and answers none.

Cause: each call to such a worker leaves a connection on which its response is awaited for the length of a lease. A call that is sent just before the leases of the earlier owner end extended the wait for the worker by nearly another lease, though only a response that was sent before that end counts. A new owner has no report of the worker, so each of its calls opens a connection first, within 0.3 s; what delays the response after that is a lost packet or the worker itself.

Change: a report is awaited for at most 2 s after the end of the leases of earlier owners.

--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,6 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ReconciliationCause } from './DispatchObserver.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { LATE_REPORT_LIMIT_MILLISECONDS, type WorkerRecord } from './WorkerRecord.js'
 
 /** Options of the set. */
 export interface UnreconciledWorkersOptions {
@@ -80,7 +80,8 @@
     for (const [workerId, expiresAt] of this.expiries) {
       const worker = this.options.workers.get(workerId)
       const callSentAt = worker?.unansweredCallSentAt ?? null
-      if (worker === undefined || now < worker.reportAwaitedUntil) continue
+      if (worker === undefined) continue
+      if (now < Math.min(worker.reportAwaitedUntil, expiresAt + LATE_REPORT_LIMIT_MILLISECONDS)) continue
       if (callSentAt !== null && callSentAt >= expiresAt) {
         this.markReconciled(worker, 'lease-expired')
       }
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -99,6 +99,11 @@
 
 /** Time after the lease deadline, on the worker's clock, by which the worker has stopped all its runs. */
 const EXPIRY_MARGIN_MILLISECONDS = 100
+/**
+ * Time after the end of a lease in which a report may arrive that its worker sent before. Calls after the first one
+ * without a response open a connection within a shorter time, so only packets lost after that delay their responses.
+ */
+export const LATE_REPORT_LIMIT_MILLISECONDS = 2000
 /** A worker that has stopped responding twice within this time gets new work only when no other one has capacity. */
 const UNSTEADY_MILLISECONDS = 10_000
 /** The maximum share by which a worker's clock may run slow. */
