Judge a new owner by probes of its own, not by those of its predecessor

What callers could see: two owners that both start tasks for up to 0.7 s.

Cause: a candidate probes the owner's address and then reads the row of the shard. When the row names another owner at the same address, what the probe had shown of its predecessor (a refused connection, or a process that does not own the shard) was taken as evidence about the new owner. A process that restarts and acquires the shard between the probe and the read was so replaced while it was alive, as an owner that has certainly stopped.

Change: OwnerStopDetector keeps what probes have shown, and forgets it when an owner of another epoch is observed. A last refusal at the same address counts as the first of the two that are needed, so a takeover takes no longer than before when the process at the address was killed again.

Tests: two in OwnerElection.test.ts, seen to fail before (the candidate acquired the shard after one denied and after two refused probes).

--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -92,3 +92,70 @@
   assert.ok(earlierStartsEndAt !== null && earlierStartsEndAt >= lastRenewalAt + TASK_START_LIMIT_MILLISECONDS)
   await third.stop()
 })
+
+/** Stores the rows of an owner at 10.0.0.1 that has not released the shard. */
+function putOwner (store: LimitedStore, epoch: number): void {
+  const shard: ShardRow = {
+    owner: 'a', address: '10.0.0.1:1', region: 'south', epoch, writeId: 'a', earlier: [], earlierRenewalsMilliseconds: 0
+  }
+  const heartbeat: HeartbeatRow = { owner: 'a', epoch, beat: 0, summary: null, released: false }
+  for (const [table, value] of [[SHARD_TABLE, shard], [SHARD_HEARTBEAT_TABLE, heartbeat]] as const) {
+    store.put({ table, key: 'site', value: value as unknown as JsonValue })
+  }
+}
+
+interface CandidateOptions {
+  clock: VirtualClock
+  store: LimitedStore
+  address: string
+  probe: OwnerPeer['probe']
+}
+
+/** Runs an election in a process that waits for longer than others before it tries to become owner. */
+function runCandidate ({ clock, store, address, probe }: CandidateOptions) {
+  const takeovers: Takeover[] = []
+  const election = OwnerElection.create({
+    shardId: 'site',
+    instanceId: 'b',
+    address,
+    region: 'south',
+    tableService: store.client,
+    peer: { probe } as unknown as OwnerPeer,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    resources: { processors: 0, linkMegabitsPerSecond: 1 },
+    random: () => 0,
+    onAcquired: takeover => { takeovers.push(takeover) },
+    onDeposed: () => {}
+  })
+  election.run()
+  return { election, takeovers }
+}
+
+for (const refusalCount of [0, 2]) {
+  const title = `an owner that acquires the shard after a probe of its address keeps it, with ${refusalCount} refused probes`
+  test(title, async () => {
+    const clock = VirtualClock.create(1000)
+    const store = LimitedStore.create()
+    putOwner(store, 1)
+    let probeCount = 0
+    const { election, takeovers } = runCandidate({
+      clock,
+      store,
+      address: '10.0.0.2:1',
+      probe: async () => {
+        probeCount++
+        if (probeCount < refusalCount) return { kind: 'refused' }
+        if (probeCount > Math.max(1, refusalCount)) return { kind: 'alive', isOwner: true, renewalAge: 0 }
+        // Another process at the address starts and acquires the shard before the rows are read.
+        putOwner(store, 2)
+        return refusalCount > 0 ? { kind: 'refused' } : { kind: 'alive', isOwner: false, renewalAge: 1e9 }
+      }
+    })
+    await clock.advance(5000)
+    await election.stop()
+    assert.ok(probeCount > refusalCount)
+    assert.deepEqual(takeovers, [])
+  })
+}
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
 import type { OwnerPeer } from './OwnerPeer.js'
+import { OwnerStopDetector } from './OwnerStopDetector.js'
 import {
   INSTANCE_CLOCK_MARGIN_SHARE, LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS
 } from './ownerTimeLimits.js'
@@ -54,8 +55,6 @@
 const TAKEOVER_WAIT_MILLISECONDS = 2200
 /** When the owner's last renewal is older, the store is read to see whether there is a newer owner. */
 const STALE_RENEWAL_MILLISECONDS = 2000
-/** Number of consecutive refused connections after which the owner's process counts as stopped. */
-const REFUSALS_UNTIL_STOPPED = 2
 /** Upper limit of the random part of a candidate's delay, which spreads the candidates over time. */
 const CANDIDATE_SPREAD_MILLISECONDS = 150
 /** A candidate's delay includes this many round trips to the store, so that candidates near the store go first. */
@@ -77,8 +76,7 @@
 export class OwnerElection {
   private readonly lease: ShardLease
   private stopped = false
-  private consecutiveRefusals = 0
-  private ownerDeniesOwnership = false
+  private stopDetector = OwnerStopDetector.create()
   private readonly startedAt: number
 
   private constructor (private readonly options: OwnerElectionOptions) {
@@ -166,17 +164,16 @@
     ])
     if (read.kind !== 'ok' || this.stopped) return
     const now = clock.monotonicMilliseconds()
-    const previousAddress = this.getOwnerAddress()
+    const previousOwner = this.lease.getObservedOwner()
     this.lease.observe(read.value[0], read.value[1], now)
-    if (previousAddress !== this.getOwnerAddress()) {
-      this.consecutiveRefusals = 0
-      this.ownerDeniesOwnership = false
+    const owner = this.lease.getObservedOwner()
+    if (previousOwner?.epoch !== owner?.epoch) {
+      this.stopDetector.handleNewOwner(previousOwner?.address === owner?.address)
       // The owner was observed for the first time, so it must be probed before a takeover.
-      if (previousAddress === null && this.getOwnerAddress() !== this.options.address) return
+      if (previousOwner === null && this.getOwnerAddress() !== this.options.address) return
     }
     const isOwnEarlierIncarnation = this.getOwnerAddress() === this.options.address
-    const hasOwnerStopped = this.consecutiveRefusals >= REFUSALS_UNTIL_STOPPED ||
-      this.ownerDeniesOwnership || isOwnEarlierIncarnation
+    const hasOwnerStopped = this.stopDetector.hasStopped || isOwnEarlierIncarnation
     const vacantFrom = hasOwnerStopped ? now : this.lease.getEarliestTakeoverTime()
     if (vacantFrom === null || now < vacantFrom) return
     await this.tryToAcquire(now - sentAt, hasOwnerStopped)
@@ -194,8 +191,7 @@
     const earlierActivity = this.getEarlierActivity(earlierOwnerStopped)
     const { earlierRenewalsEndAt } = earlierActivity
     if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped, earlierRenewalsEndAt })) return
-    this.consecutiveRefusals = 0
-    this.ownerDeniesOwnership = false
+    this.stopDetector = OwnerStopDetector.create()
     const fence = this.lease.getFence()
     if (fence === null) return
     logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
@@ -225,10 +221,7 @@
     const address = this.getOwnerAddress()
     if (address === null || address === this.options.address) return false
     const outcome = await this.options.peer.probe(address)
-    if (outcome.kind === 'refused') this.consecutiveRefusals++
-    else this.consecutiveRefusals = 0
-    // A process that responds without owning the shard has restarted or has released the shard.
-    this.ownerDeniesOwnership = outcome.kind === 'alive' && !outcome.isOwner
+    this.stopDetector.record(outcome)
     return outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
   }
 
