Count the leases of a stopped owner from when it was found to have stopped

What callers saw: after a takeover, short tasks waited for a silent worker for longer than the leases of the earlier owner lasted, by the time that a candidate lets others go first (up to 1.35 s) and that of the takeover.

Cause: once an owner was known to have stopped, its last renewal was taken to be as late as the takeover, although the evidence is older.

Change: the time of the evidence counts. It is the second refused connection to the owner's address, the answer of a process there that does not own the shard, the first read of its release, or the start of this process at the same address, unless it has itself tried to acquire the shard. The end of the renewals after the last observed heartbeat counts if it is earlier. Owners before the observed one that had stopped when it acquired the shard need no time of their own. `ownership acquired` logs how long earlier owners may still renew leases.

Tests: two in OwnerElection.test.ts, seen to fail before.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -158,8 +158,6 @@
   private startDispatcher (takeover: Takeover): void {
     const { options } = this
     const { fence, earlierRenewalsEndAt, earlierStartsEndAt, assignmentsStoredSince } = takeover
-    const now = options.clock.monotonicMilliseconds()
-    const renewalsEndAt = Math.max(now, earlierRenewalsEndAt ?? now)
     this.dispatcher?.stop()
     this.metrics.takeovers.inc()
     this.dispatcher = ShardDispatcher.create({
@@ -176,7 +174,7 @@
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
-      earlierLeasesEndAt: renewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierLeasesEndAt: earlierRenewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
       earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
       random: options.random,
--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -133,6 +133,39 @@
   return { election, takeovers }
 }
 
+test('the renewals of an owner that was found to have stopped count until then, not until the takeover', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const probedAt: number[] = []
+  const { election, takeovers } = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.2:1',
+    probe: async () => {
+      probedAt.push(clock.monotonicMilliseconds())
+      return { kind: 'refused' }
+    }
+  })
+  await clock.advance(5000)
+  await election.stop()
+  assert.equal(probedAt.length, 2)
+  assert.deepEqual(takeovers.map(takeover => takeover.earlierRenewalsEndAt), [probedAt[1]])
+})
+
+test('the renewals of an earlier process at the own address count until the start of this process', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const startedAt = clock.monotonicMilliseconds()
+  const { election, takeovers } = runCandidate({
+    clock, store, address: '10.0.0.1:1', probe: async () => ({ kind: 'refused' })
+  })
+  await clock.advance(5000)
+  await election.stop()
+  assert.deepEqual(takeovers.map(takeover => takeover.earlierRenewalsEndAt), [startedAt])
+})
+
 for (const refusalCount of [0, 2]) {
   const title = `an owner that acquires the shard after a probe of its address keeps it, with ${refusalCount} refused probes`
   test(title, async () => {
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -19,8 +19,8 @@
 /** What a process knows when it becomes owner. */
 export interface Takeover {
   fence: Fence
-  /** Monotonic time until which earlier owners may renew the leases of workers; null when they have stopped. */
-  earlierRenewalsEndAt: number | null
+  /** Monotonic time, which may be past, by which earlier owners have stopped to renew the leases of workers. */
+  earlierRenewalsEndAt: number
   /** Monotonic time until which earlier owners may start tasks; null when they have stopped. */
   earlierStartsEndAt: number | null
   /** The row version since which all owners have stored assignments, or null when some have not. */
@@ -77,6 +77,8 @@
   private readonly lease: ShardLease
   private stopped = false
   private stopDetector = OwnerStopDetector.create()
+  /** Whether a row with the address of this process may be its own. */
+  private hasTriedToAcquire = false
   private readonly startedAt: number
 
   private constructor (private readonly options: OwnerElectionOptions) {
@@ -173,47 +175,56 @@
       if (previousOwner === null && this.getOwnerAddress() !== this.options.address) return
     }
     const isOwnEarlierIncarnation = this.getOwnerAddress() === this.options.address
-    const hasOwnerStopped = this.stopDetector.hasStopped || isOwnEarlierIncarnation
-    const vacantFrom = hasOwnerStopped ? now : this.lease.getEarliestTakeoverTime()
+    const endOfOwnIncarnations = this.hasTriedToAcquire ? now : this.startedAt
+    const ownerStoppedAt = isOwnEarlierIncarnation ? endOfOwnIncarnations : this.stopDetector.stoppedAt
+    const vacantFrom = ownerStoppedAt === null ? this.lease.getEarliestTakeoverTime() : now
     if (vacantFrom === null || now < vacantFrom) return
-    await this.tryToAcquire(now - sentAt, hasOwnerStopped)
+    await this.tryToAcquire(now - sentAt, ownerStoppedAt)
   }
 
-  private async tryToAcquire (storeRoundTripMilliseconds: number, hasOwnerStopped: boolean): Promise<void> {
+  private async tryToAcquire (storeRoundTripMilliseconds: number, ownerStoppedAt: number | null): Promise<void> {
     const { random, logger, instanceId, clock } = this.options
     const age = clock.monotonicMilliseconds() - this.startedAt
     const delay = Math.min(LONGEST_DISTANCE_DELAY_MILLISECONDS, storeRoundTripMilliseconds * STORE_DISTANCE_WEIGHT) +
       getResourceDelay(this.options.resources) + getAgeDelay(age) + random() * CANDIDATE_SPREAD_MILLISECONDS
     await this.pause(delay)
     if (this.stopped) return
-    const earlierOwnerStopped = hasOwnerStopped || this.lease.getObservedHeartbeat() === null ||
-      this.lease.getObservedHeartbeat()?.released === true
-    const earlierActivity = this.getEarlierActivity(earlierOwnerStopped)
+    const heartbeat = this.lease.getObservedHeartbeat()
+    const stoppedAt = ownerStoppedAt ??
+      (heartbeat === null || heartbeat.released ? this.lease.getObservedSince() : null)
+    const earlierActivity = this.getEarlierActivity(stoppedAt)
     const { earlierRenewalsEndAt } = earlierActivity
-    if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped, earlierRenewalsEndAt })) return
+    this.hasTriedToAcquire = true
+    if (!await this.lease.acquire({ ownerHasTerminated: ownerStoppedAt !== null, earlierRenewalsEndAt })) return
     this.stopDetector = OwnerStopDetector.create()
     const fence = this.lease.getFence()
     if (fence === null) return
-    logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
+    logger.info('ownership acquired', {
+      owner: instanceId,
+      epoch: fence.epoch,
+      earlierOwnerStopped: stoppedAt !== null,
+      earlierRenewalsEndInMilliseconds: getRoundedRemaining(earlierRenewalsEndAt, clock.monotonicMilliseconds())
+    })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
     this.options.onAcquired({ fence, ...earlierActivity, assignmentsStoredSince })
   }
 
-  /** Returns until when the observed owner, if it has not stopped, and those before it may act. */
+  /** Returns until when the observed owner, which may have stopped at a known time, and those before it may act. */
   private getEarlierActivity (
-    earlierOwnerStopped: boolean
+    stoppedAt: number | null
   ): Pick<Takeover, 'earlierRenewalsEndAt' | 'earlierStartsEndAt'> {
     const now = this.options.clock.monotonicMilliseconds()
     // The takeover succeeds only if the heartbeat is the observed one, so the owner has not renewed since.
-    const renewedBefore = (earlierOwnerStopped ? null : this.lease.getObservedSince()) ?? -Infinity
+    const renewedBefore = this.lease.getObservedSince() ?? now
     const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
-    const getEnd = (limitMilliseconds: number): number | null => {
-      const end = Math.max(storedEnd, renewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE))
-      return end > now ? end : null
+    const getEnd = (limitMilliseconds: number): number => {
+      const limitEnd = renewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE)
+      return Math.max(storedEnd, Math.min(stoppedAt ?? Infinity, limitEnd))
     }
+    const earlierStartsEndAt = getEnd(TASK_START_LIMIT_MILLISECONDS)
     return {
       earlierRenewalsEndAt: getEnd(LEASE_RENEWAL_LIMIT_MILLISECONDS),
-      earlierStartsEndAt: getEnd(TASK_START_LIMIT_MILLISECONDS)
+      earlierStartsEndAt: earlierStartsEndAt > now ? earlierStartsEndAt : null
     }
   }
 
@@ -221,7 +232,7 @@
     const address = this.getOwnerAddress()
     if (address === null || address === this.options.address) return false
     const outcome = await this.options.peer.probe(address)
-    this.stopDetector.record(outcome)
+    this.stopDetector.record(outcome, this.options.clock.monotonicMilliseconds())
     return outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
   }
 
@@ -230,6 +241,11 @@
   }
 }
 
+/** Returns the whole milliseconds until a time; null for a time that never was. */
+function getRoundedRemaining (at: number, now: number): number | null {
+  return Number.isFinite(at) ? Math.round(at - now) : null
+}
+
 function getAgeDelay (ageMilliseconds: number): number {
   return Math.min(1, ageMilliseconds / OLD_PROCESS_MILLISECONDS) * OLD_PROCESS_DELAY_MILLISECONDS
 }
--- a/src/instance/OwnerStopDetector.ts
+++ b/src/instance/OwnerStopDetector.ts
@@ -6,7 +6,7 @@
 /** Finds out from probes of the owner's address whether the owner has stopped. */
 export class OwnerStopDetector {
   private consecutiveRefusals = 0
-  private isStopped = false
+  private stoppedSince: number | null = null
 
   private constructor () {}
 
@@ -18,20 +18,22 @@
     return new OwnerStopDetector()
   }
 
-  /** Whether the owner has stopped. */
-  get hasStopped (): boolean {
-    return this.isStopped
+  /** Monotonic time by which the owner had stopped; null while it may be active. */
+  get stoppedAt (): number | null {
+    return this.stoppedSince
   }
 
   /**
    * Records the outcome of a probe.
    * @param outcome The outcome.
+   * @param now The monotonic time.
    */
-  record (outcome: ProbeOutcome): void {
+  record (outcome: ProbeOutcome, now: number): void {
     this.consecutiveRefusals = outcome.kind === 'refused' ? this.consecutiveRefusals + 1 : 0
     // A process that responds without owning the shard has restarted or has given up the shard.
-    this.isStopped = this.consecutiveRefusals >= REFUSALS_UNTIL_STOPPED ||
+    const hasStopped = this.consecutiveRefusals >= REFUSALS_UNTIL_STOPPED ||
       (outcome.kind === 'alive' && !outcome.isOwner)
+    this.stoppedSince = hasStopped ? this.stoppedSince ?? now : null
   }
 
   /**
@@ -39,7 +41,7 @@
    * @param isAtSameAddress Whether it has the address that was probed, so that its next refusal is the second one.
    */
   handleNewOwner (isAtSameAddress: boolean): void {
-    this.isStopped = false
+    this.stoppedSince = null
     this.consecutiveRefusals = isAtSameAddress ? Math.min(this.consecutiveRefusals, REFUSALS_UNTIL_STOPPED - 1) : 0
   }
 }
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -127,11 +127,12 @@
   /**
    * Returns until when the owners before the observed one may renew the leases of workers.
    * @param clockMarginShare The greatest relative difference in rate between the clocks of two instances.
-   * @returns The monotonic time.
+   * @returns The monotonic time, -Infinity when they had stopped when the observed owner acquired the shard.
    */
   getStoredEarlierRenewalsEnd (clockMarginShare: number): number {
-    return this.observedShardSince +
-      (this.getObservedOwner()?.earlierRenewalsMilliseconds ?? 0) * (1 + clockMarginShare)
+    const milliseconds = this.getObservedOwner()?.earlierRenewalsMilliseconds
+    if (milliseconds === 0) return -Infinity
+    return this.observedShardSince + (milliseconds ?? 0) * (1 + clockMarginShare)
   }
 
   /**
