Probe a silent earlier owner after the takeover until it has stopped

What callers saw: an accepted job of short tasks did not run for more than 11 s after a freeze of 4.5 s of the owner had ended, beside a worker that answers no call.

Cause: a new owner waits for the leases that an earlier owner may renew for 6 s after its last renewal of ownership. That the earlier owner is back and has given up the shard, or that its process has ended, was not looked at.

Change: while an earlier owner may still renew leases, its successor probes it each 0.4 s. From two refused connections on, or an answer that it does not own the shard, its leases count from that time. An owner that has given up the shard sends no renewal any more, and the leases that it has granted last 6 s from when they were sent.

In earlierRenewals.test.ts an owner that reaches one worker alone gives up the shard 0 to 3.5 s after the takeover: no task runs twice.

--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -40,6 +40,16 @@
     this.expiries.set(workerId, expiresAt)
   }
 
+  /**
+   * Handles that the leases of all earlier owners end by a time.
+   * @param expiresAt Monotonic time from which no run of an earlier owner can exist; a later one is replaced by it.
+   */
+  limitExpiries (expiresAt: number): void {
+    for (const [workerId, earlierExpiry] of this.expiries) {
+      this.expiries.set(workerId, Math.min(earlierExpiry, expiresAt))
+    }
+  }
+
   /** Returns whether a worker is not reconciled. */
   has (workerId: string): boolean {
     return this.expiries.has(workerId)
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -101,6 +101,7 @@
       resources: options.resources,
       random: options.random,
       onAcquired: takeover => this.startDispatcher(takeover),
+      onEarlierOwnerStopped: renewalsEndAt => this.dispatcher?.limitEarlierLeases(this.getLeasesEnd(renewalsEndAt)),
       onDeposed: reason => this.stopDispatcher(reason)
     })
     this.ownerApi = this.createOwnerApi()
@@ -174,7 +175,7 @@
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
-      earlierLeasesEndAt: earlierRenewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
       earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
       random: options.random,
@@ -186,6 +187,10 @@
     this.errors.runAsync('dispatch', async () => await dispatcher.run())
   }
 
+  private getLeasesEnd (renewalsEndAt: number): number {
+    return renewalsEndAt + this.options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE)
+  }
+
   private stopDispatcher (reason: string): void {
     this.options.logger.warn('ownership lost', { reason })
     this.dispatcher?.stop()
--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -10,6 +10,8 @@
 import type { OwnerPeer } from './OwnerPeer.js'
 import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 
+/** Interval at which processes probe an owner. */
+const PROBE_MILLISECONDS = 400
 /** The row of the shard held some 1,140 such owners before it exceeded a row of the store. */
 const UNRELEASED_OWNERS = 1200
 
@@ -43,6 +45,7 @@
     resources: { processors: 1, linkMegabitsPerSecond: 1000 },
     random: () => 0,
     onAcquired: () => {},
+    onEarlierOwnerStopped: () => {},
     onDeposed: () => {}
   })
   election.run()
@@ -76,6 +79,7 @@
     resources: { processors: 1, linkMegabitsPerSecond: 1000 },
     random: () => 0,
     onAcquired: takeover => { takeovers.push(takeover) },
+    onEarlierOwnerStopped: () => {},
     onDeposed: () => {}
   })
   const second = createElection('b', '10.0.0.2:1')
@@ -114,6 +118,7 @@
 /** Runs an election in a process that waits for longer than others before it tries to become owner. */
 function runCandidate ({ clock, store, address, probe }: CandidateOptions) {
   const takeovers: Takeover[] = []
+  const stops: number[] = []
   const election = OwnerElection.create({
     shardId: 'site',
     instanceId: 'b',
@@ -127,10 +132,11 @@
     resources: { processors: 0, linkMegabitsPerSecond: 1 },
     random: () => 0,
     onAcquired: takeover => { takeovers.push(takeover) },
+    onEarlierOwnerStopped: renewalsEndAt => { stops.push(renewalsEndAt) },
     onDeposed: () => {}
   })
   election.run()
-  return { election, takeovers }
+  return { election, takeovers, stops }
 }
 
 test('the renewals of an owner that was found to have stopped count until then, not until the takeover', async () => {
@@ -192,3 +198,24 @@
     assert.deepEqual(takeovers, [])
   })
 }
+
+test('the renewals of a silent owner count until it has given up the shard after a takeover', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const answersFrom = 6000
+  const { election, takeovers, stops } = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.2:1',
+    probe: async () => clock.monotonicMilliseconds() < answersFrom
+      ? { kind: 'silent', reason: 'timeout' }
+      : { kind: 'alive', isOwner: false, renewalAge: 1e9 }
+  })
+  await clock.advance(8000)
+  await election.stop()
+  assert.equal(takeovers.length, 1)
+  assert.ok(takeovers[0].earlierRenewalsEndAt > answersFrom + PROBE_MILLISECONDS)
+  assert.equal(stops.length, 1)
+  assert.ok(stops[0] >= answersFrom && stops[0] <= answersFrom + PROBE_MILLISECONDS, `stopped at ${stops[0]} ms`)
+})
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -44,6 +44,11 @@
   /** Returns a number from 0 to 1 for the random part of a candidate's delay. */
   random (): number
   onAcquired (takeover: Takeover): void
+  /**
+   * Called when an earlier owner that was not known to have stopped at the takeover has stopped.
+   * @param renewalsEndAt Monotonic time by which earlier owners have stopped to renew the leases of workers.
+   */
+  onEarlierOwnerStopped (renewalsEndAt: number): void
   onDeposed (reason: string): void
 }
 
@@ -194,6 +199,8 @@
       (heartbeat === null || heartbeat.released ? this.lease.getObservedSince() : null)
     const earlierActivity = this.getEarlierActivity(stoppedAt)
     const { earlierRenewalsEndAt } = earlierActivity
+    const earlierAddress = this.getOwnerAddress()
+    const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
     this.hasTriedToAcquire = true
     if (!await this.lease.acquire({ ownerHasTerminated: ownerStoppedAt !== null, earlierRenewalsEndAt })) return
     this.stopDetector = OwnerStopDetector.create()
@@ -207,6 +214,26 @@
     })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
     this.options.onAcquired({ fence, ...earlierActivity, assignmentsStoredSince })
+    if (stoppedAt !== null || earlierAddress === null) return
+    this.options.errors.runAsync('earlier-owner-check', async () => {
+      await this.waitForEarlierOwner({ fence, address: earlierAddress, earlierRenewalsEndAt, storedEnd })
+    })
+  }
+
+  /** Probes an earlier owner that may be active until it has stopped or has certainly ended its renewals. */
+  private async waitForEarlierOwner (
+    earlier: { fence: Fence, address: string, earlierRenewalsEndAt: number, storedEnd: number }
+  ): Promise<void> {
+    const { clock, peer } = this.options
+    const detector = OwnerStopDetector.create()
+    while (clock.monotonicMilliseconds() < earlier.earlierRenewalsEndAt) {
+      const outcome = await peer.probe(earlier.address)
+      if (this.stopped || this.lease.getFence() !== earlier.fence) return
+      detector.record(outcome, clock.monotonicMilliseconds())
+      const { stoppedAt } = detector
+      if (stoppedAt !== null) return this.options.onEarlierOwnerStopped(Math.max(stoppedAt, earlier.storedEnd))
+      await this.pause(PROBE_MILLISECONDS)
+    }
   }
 
   /** Returns until when the observed owner, which may have stopped at a known time, and those before it may act. */
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -98,12 +98,14 @@
   private cancelTick: () => void = () => {}
   private loaded = false
   private readonly earlierStarts: EarlierStarts
+  private earlierLeasesEndAt: number
 
   private constructor (private readonly options: ShardDispatcherOptions) {
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
+    this.earlierLeasesEndAt = options.earlierLeasesEndAt
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.rowLoader = ShardRowLoader.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
@@ -186,6 +188,15 @@
     this.tick()
   }
 
+  /**
+   * Limits the wait for workers that are not reconciled, because their leases are known to expire earlier.
+   * @param leasesEndAt Monotonic time by which all worker leases granted by earlier owners have expired.
+   */
+  limitEarlierLeases (leasesEndAt: number): void {
+    this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, leasesEndAt)
+    this.engine.unreconciled.limitExpiries(leasesEndAt)
+  }
+
   /** Stops starting tasks; leases are still renewed. */
   drain (): void {
     this.draining = true
@@ -238,7 +249,7 @@
       worker.registered = true
       worker.listed = false
       const remaining = remainingLeases.get(row.key) ?? Infinity
-      const leasesEndAt = Math.min(this.options.earlierLeasesEndAt, unreachedReadAt + remaining)
+      const leasesEndAt = Math.min(this.earlierLeasesEndAt, unreachedReadAt + remaining)
       this.engine.unreconciled.add(row.key, leasesEndAt)
       this.loops.follow(worker)
     }
--- a/src/instance/earlierRenewals.test.ts
+++ b/src/instance/earlierRenewals.test.ts
@@ -142,4 +142,22 @@
       scenario.finish()
     }
   })
+
+  test(`no task runs twice when that owner gives up the shard while a worker is reached by it only, with clock rate ${clockRate}`, async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+      const scenario = new Scenario({ seed, clockRate })
+      await scenario.startTasks()
+      const { loadCount } = scenario.restartJudge
+      const owner = scenario.site.getOwner()!
+      const reconnect = scenario.separateOwner()
+      await scenario.waitForOwner(loadCount)
+      await scenario.restartJudge.advance((seed - 1) * 500)
+      owner.tables.faults.cutOff = false
+      owner.peerFaults.cutOff = false
+      await scenario.restartJudge.advance(LEASES_END_MILLISECONDS + 5000)
+      reconnect()
+      await scenario.restartJudge.advance(10_000)
+      scenario.finish()
+    }
+  })
 }
--- a/src/instance/takeoverWaits.test.ts
+++ b/src/instance/takeoverWaits.test.ts
@@ -17,6 +17,8 @@
 const FINISH_MILLISECONDS = 30_000
 const DOWN_MILLISECONDS = 1000
 const LONG_DOWN_MILLISECONDS = 8000
+/** Longer than a candidate waits for the next renewal, shorter than the owner may renew leases without one. */
+const FROZEN_MILLISECONDS = 4500
 /** Time until the next owner has acquired the shard and has not recorded the workers that it does not reach. */
 const WITHIN_LOAD_MILLISECONDS = 20
 const HOLD_MARGIN_MILLISECONDS = 600
@@ -120,6 +122,7 @@
     else if (fault === 'replaced') replace(worker, this.clock)
     else Object.assign(worker.faults, { cutOff: true, failsToConnect: fault === 'refusing' })
     this.recordLostStarts(worker)
+    this.disruptedUntil = this.now
     if (fault === 'unlisted') {
       this.site.tables.apply({
         operations: [{ kind: 'delete', table: WORKER_TABLE, key: workerId, condition: { kind: 'any' } }]
@@ -144,6 +147,11 @@
     this.disruptedUntil = this.now + downMilliseconds
   }
 
+  freezeOwner (): void {
+    this.site.getOwner()?.process.freeze(FROZEN_MILLISECONDS)
+    this.disruptedUntil = this.now + FROZEN_MILLISECONDS
+  }
+
   /** Advances until there is an owner that is not frozen; it may not have loaded the jobs yet. */
   async waitForOwner (): Promise<void> {
     for (let elapsed = 0; elapsed < 20_000; elapsed += WITHIN_LOAD_MILLISECONDS) {
@@ -213,6 +221,7 @@
   {
     name: 'long power loss of all', count: 1, gapMilliseconds: 0, disrupt: scenario => scenario.killAll(LONG_DOWN_MILLISECONDS)
   },
+  { name: 'freeze of the owner', count: 1, gapMilliseconds: 0, disrupt: scenario => scenario.freezeOwner() },
   {
     name: 'kills of five owners that have just acquired the shard',
     count: 5,
@@ -222,7 +231,8 @@
   {
     name: 'five restarts of all', count: 5, gapMilliseconds: 2000, disrupt: scenario => scenario.killAll(DOWN_MILLISECONDS)
   },
-  { name: 'kills of three owners', count: 3, gapMilliseconds: 6000, disrupt: scenario => scenario.killOwner() }
+  { name: 'kills of three owners', count: 3, gapMilliseconds: 6000, disrupt: scenario => scenario.killOwner() },
+  { name: 'freezes of two owners', count: 2, gapMilliseconds: 3000, disrupt: scenario => scenario.freezeOwner() }
 ]
 
 async function play (seed: number, fault: WorkerFault, schedule: Schedule) {
