Await late reports for 2 s after the lease of a worker

What callers saw: without a takeover, the tasks of a worker that stopped answering (its process hangs, its connections stay open) did not start elsewhere for more than 11 s.

Cause: as after takeovers: a call that is sent just before the end of the worker's lease, on a connection that became free again, extended the wait for its response by nearly another lease.

Change: the limit of 2 s after the end of the lease counts for the leases of this owner too. The first two calls without a response are sent within 2.2 s of the last renewal, so their responses are awaited as long as before.

--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -259,14 +259,17 @@
 
 /**
  * Returns whether a run on a worker with an expired lease counts as over, see `isLeaseExpired`. The end of a short run
- * may be in a report that is still awaited; a long-running task restarts however its run has ended.
+ * may be in a report that is still awaited, if the worker sent it before its lease expired; a long-running task
+ * restarts however its run has ended.
  * @param run A run of the worker.
  * @param worker The worker.
  * @param now The monotonic time.
  * @returns Whether the task of the run may start again.
  */
 export function isOverWithLease (run: RunRecord, worker: WorkerRecord, now: number): boolean {
-  return now >= worker.reportAwaitedUntil || run.task.step.specification.longRunning
+  if (now >= worker.reportAwaitedUntil || run.task.step.specification.longRunning) return true
+  const workerTime = getEarliestWorkerTime(worker, now)
+  return workerTime !== null && workerTime > worker.leaseDeadline + LATE_REPORT_LIMIT_MILLISECONDS
 }
 
 /**
--- a/src/instance/takeoverWaits.test.ts
+++ b/src/instance/takeoverWaits.test.ts
@@ -270,6 +270,18 @@
   }
 }
 
+for (const fault of WORKER_FAULTS.filter(name => name !== 'flapping')) {
+  test(`all jobs run in time beside a worker that is ${fault} without a takeover`, async () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const scenario = new Scenario(seed)
+      await scenario.startFault(fault)
+      const { lateJobIds } = await scenario.judge()
+      assert.deepEqual(lateJobIds, [], `seed ${seed}`)
+      await scenario.finish()
+    }
+  })
+}
+
 test('a worker that was recorded as unreached gets tasks again when it answers after a takeover', async () => {
   const scenario = new Scenario(1)
   await scenario.startFault('silent')
