Store which earlier owners may be active, and probe them after a takeover

What callers saw: tasks waited for a worker that does not answer for longer than 11 s after the last of two takeovers, if the first was from a frozen owner and the second was a restart of all processes soon after it.

Cause: the row of the shard holds how long earlier owners may still renew leases, as a duration from when the row was written. A process that has started since counts it from its first read of the row, so the wait for the first owner began again, though its process had ended by then. Its address was not known any more.

Change: the row names the earlier owners that may be active, at most eight of them, and none when not all are known. A later owner probes all of them, as its predecessor did, and counts their leases from when the last one has stopped. The field `earlier` of the row had been left empty since the owner of a site calls no earlier ones for their leases.

--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -98,9 +98,16 @@
 })
 
 /** Stores the rows of an owner at 10.0.0.1 that has not released the shard. */
-function putOwner (store: LimitedStore, epoch: number): void {
+function putOwner (store: LimitedStore, epoch: number, earlier: Partial<ShardRow> = {}): void {
   const shard: ShardRow = {
-    owner: 'a', address: '10.0.0.1:1', region: 'south', epoch, writeId: 'a', earlier: [], earlierRenewalsMilliseconds: 0
+    owner: 'a',
+    address: '10.0.0.1:1',
+    region: 'south',
+    epoch,
+    writeId: 'a',
+    earlier: [],
+    earlierRenewalsMilliseconds: 0,
+    ...earlier
   }
   const heartbeat: HeartbeatRow = { owner: 'a', epoch, beat: 0, summary: null, released: false }
   for (const [table, value] of [[SHARD_TABLE, shard], [SHARD_HEARTBEAT_TABLE, heartbeat]] as const) {
@@ -219,3 +226,33 @@
   assert.equal(stops.length, 1)
   assert.ok(stops[0] >= answersFrom && stops[0] <= answersFrom + PROBE_MILLISECONDS, `stopped at ${stops[0]} ms`)
 })
+
+for (const { earlier, isKnown } of [
+  { earlier: [{ epoch: 1, address: '10.0.0.9:1' }], isKnown: true },
+  { earlier: [], isKnown: false }
+]) {
+  const title = `a third owner ${isKnown ? 'probes' : 'waits for'} a first one whose address is ${isKnown ? '' : 'not '}stored`
+  test(title, async () => {
+    const clock = VirtualClock.create(1000)
+    const store = LimitedStore.create()
+    putOwner(store, 2, { earlier, earlierRenewalsMilliseconds: 4000 })
+    const probed = new Set<string>()
+    const { election, takeovers, stops } = runCandidate({
+      clock,
+      store,
+      address: '10.0.0.2:1',
+      probe: async address => {
+        probed.add(address)
+        return { kind: 'refused' }
+      }
+    })
+    await clock.advance(8000)
+    const row = store.getRow({ table: SHARD_TABLE, key: 'site' })?.value as unknown as ShardRow
+    await election.stop()
+    assert.deepEqual(takeovers.map(({ earlierRenewalsEndAt }) => earlierRenewalsEndAt > 1000 + 4000), [true])
+    assert.deepEqual(row.earlier, earlier)
+    assert.equal(probed.has('10.0.0.9:1'), isKnown)
+    assert.equal(stops.length, isKnown ? 1 : 0)
+    if (isKnown) assert.ok(stops[0] < takeovers[0].earlierRenewalsEndAt)
+  })
+}
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -1,4 +1,4 @@
-import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type Fence } from '../leases/ShardLease.js'
+import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type EarlierOwner, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
@@ -52,6 +52,8 @@
   onDeposed (reason: string): void
 }
 
+/** The row of the shard holds this many earlier owners that may be active; more of them follow each other too fast. */
+const ACTIVE_OWNER_LIMIT = 8
 /** Interval at which the owner renews its lease; three renewals fit into the takeover wait. */
 const RENEW_MILLISECONDS = 700
 /** Interval at which other processes probe the owner. */
@@ -85,6 +87,8 @@
   /** Whether a row with the address of this process may be its own. */
   private hasTriedToAcquire = false
   private readonly startedAt: number
+  /** All earlier owners that may be active, as stored for a successor; none when not all of them are known. */
+  private activeOwners: EarlierOwner[] = []
 
   private constructor (private readonly options: OwnerElectionOptions) {
     const { shardId, instanceId, address, region, tableService, clock } = options
@@ -97,8 +101,7 @@
       tableService,
       clock,
       rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
-      // No owner calls earlier ones: it waits until the leases that they have granted have expired.
-      selectStoredOwners: () => []
+      selectStoredOwners: () => this.activeOwners
     })
   }
 
@@ -199,8 +202,8 @@
       (heartbeat === null || heartbeat.released ? this.lease.getObservedSince() : null)
     const earlierActivity = this.getEarlierActivity(stoppedAt)
     const { earlierRenewalsEndAt } = earlierActivity
-    const earlierAddress = this.getOwnerAddress()
-    const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
+    const endOfStopped = stoppedAt ?? -Infinity
+    this.activeOwners = this.findActiveOwners(stoppedAt)
     this.hasTriedToAcquire = true
     if (!await this.lease.acquire({ ownerHasTerminated: ownerStoppedAt !== null, earlierRenewalsEndAt })) return
     this.stopDetector = OwnerStopDetector.create()
@@ -214,26 +217,44 @@
     })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
     this.options.onAcquired({ fence, ...earlierActivity, assignmentsStoredSince })
-    if (stoppedAt !== null || earlierAddress === null) return
+    if (this.activeOwners.length === 0) return
     this.options.errors.runAsync('earlier-owner-check', async () => {
-      await this.waitForEarlierOwner({ fence, address: earlierAddress, earlierRenewalsEndAt, storedEnd })
+      const stops = await Promise.all(this.activeOwners.map(async ({ address }) =>
+        await this.waitForEarlierOwner(address, fence, earlierRenewalsEndAt)))
+      const end = Math.max(endOfStopped, ...stops.map(at => at ?? Infinity))
+      if (end < earlierRenewalsEndAt) this.options.onEarlierOwnerStopped(end)
     })
   }
 
-  /** Probes an earlier owner that may be active until it has stopped or has certainly ended its renewals. */
-  private async waitForEarlierOwner (
-    earlier: { fence: Fence, address: string, earlierRenewalsEndAt: number, storedEnd: number }
-  ): Promise<void> {
+  /** Returns all earlier owners that may be active; none when some of them are not known. */
+  private findActiveOwners (stoppedAt: number | null): EarlierOwner[] {
+    const observed = this.lease.getObservedOwner()
+    if (observed === null) return []
+    const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
+    const mayEarlierBeActive = storedEnd > this.options.clock.monotonicMilliseconds()
+    if (mayEarlierBeActive && observed.earlier.length === 0) return []
+    const earlier = mayEarlierBeActive ? observed.earlier : []
+    const { epoch, address } = observed
+    const active = stoppedAt === null ? [...earlier, { epoch, address }] : earlier
+    return active.length > ACTIVE_OWNER_LIMIT ? [] : active
+  }
+
+  /**
+   * Probes an earlier owner that may be active until it has stopped or has certainly ended its renewals.
+   * @returns Monotonic time by which it had stopped, or null when that is not known.
+   */
+  private async waitForEarlierOwner (address: string, fence: Fence, renewalsEndAt: number): Promise<number | null> {
     const { clock, peer } = this.options
+    if (address === this.options.address) return clock.monotonicMilliseconds()
     const detector = OwnerStopDetector.create()
-    while (clock.monotonicMilliseconds() < earlier.earlierRenewalsEndAt) {
-      const outcome = await peer.probe(earlier.address)
-      if (this.stopped || this.lease.getFence() !== earlier.fence) return
+    while (clock.monotonicMilliseconds() < renewalsEndAt) {
+      const outcome = await peer.probe(address)
+      if (this.stopped || this.lease.getFence() !== fence) return null
       detector.record(outcome, clock.monotonicMilliseconds())
-      const { stoppedAt } = detector
-      if (stoppedAt !== null) return this.options.onEarlierOwnerStopped(Math.max(stoppedAt, earlier.storedEnd))
+      if (detector.stoppedAt !== null) return detector.stoppedAt
       await this.pause(PROBE_MILLISECONDS)
     }
+    return null
   }
 
   /** Returns until when the observed owner, which may have stopped at a known time, and those before it may act. */
--- a/src/instance/takeoverWaits.test.ts
+++ b/src/instance/takeoverWaits.test.ts
@@ -212,7 +212,7 @@
   name: string
   count: number
   gapMilliseconds: number
-  disrupt (scenario: Scenario): void
+  disrupt (scenario: Scenario, index: number): void
 }
 
 const SCHEDULES: Schedule[] = [
@@ -232,7 +232,13 @@
     name: 'five restarts of all', count: 5, gapMilliseconds: 2000, disrupt: scenario => scenario.killAll(DOWN_MILLISECONDS)
   },
   { name: 'kills of three owners', count: 3, gapMilliseconds: 6000, disrupt: scenario => scenario.killOwner() },
-  { name: 'freezes of two owners', count: 2, gapMilliseconds: 3000, disrupt: scenario => scenario.freezeOwner() }
+  { name: 'freezes of two owners', count: 2, gapMilliseconds: 3000, disrupt: scenario => scenario.freezeOwner() },
+  {
+    name: 'freeze of the owner and a restart of all after the takeover',
+    count: 2,
+    gapMilliseconds: WITHIN_LOAD_MILLISECONDS,
+    disrupt: (scenario, index) => index === 0 ? scenario.freezeOwner() : scenario.killAll(DOWN_MILLISECONDS)
+  }
 ]
 
 async function play (seed: number, fault: WorkerFault, schedule: Schedule) {
@@ -244,7 +250,7 @@
       await scenario.advance(schedule.gapMilliseconds)
     }
     scenario.submit(1)
-    schedule.disrupt(scenario)
+    schedule.disrupt(scenario, index)
     scenario.submit(1)
     await scenario.advance(50)
     scenario.submit(1)
