--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,6 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ReconciliationCause } from './DispatchObserver.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { LATE_REPORT_LIMIT_MILLISECONDS, type WorkerRecord } from './WorkerRecord.js'
 
 /** Options of the set. */
 export interface UnreconciledWorkersOptions {
@@ -40,6 +40,16 @@
     this.expiries.set(workerId, expiresAt)
   }
 
+  /**
+   * Handles that the leases of all earlier owners end by a time.
+   * @param expiresAt Monotonic time from which no run of an earlier owner can exist; a later one is replaced by it.
+   */
+  limitExpiries (expiresAt: number): void {
+    for (const [workerId, earlierExpiry] of this.expiries) {
+      this.expiries.set(workerId, Math.min(earlierExpiry, expiresAt))
+    }
+  }
+
   /** Returns whether a worker is not reconciled. */
   has (workerId: string): boolean {
     return this.expiries.has(workerId)
@@ -80,7 +90,8 @@
     for (const [workerId, expiresAt] of this.expiries) {
       const worker = this.options.workers.get(workerId)
       const callSentAt = worker?.unansweredCallSentAt ?? null
-      if (worker === undefined || now < worker.reportAwaitedUntil) continue
+      if (worker === undefined) continue
+      if (now < Math.min(worker.reportAwaitedUntil, expiresAt + LATE_REPORT_LIMIT_MILLISECONDS)) continue
       if (callSentAt !== null && callSentAt >= expiresAt) {
         this.markReconciled(worker, 'lease-expired')
       }
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -101,6 +101,11 @@
 
 /** Time after the lease deadline, on the worker's clock, by which the worker has stopped all its runs. */
 const EXPIRY_MARGIN_MILLISECONDS = 100
+/**
+ * Time after the end of a lease in which a report may arrive that its worker sent before. Calls after the first one
+ * without a response open a connection within a shorter time, so only packets lost after that delay their responses.
+ */
+export const LATE_REPORT_LIMIT_MILLISECONDS = 2000
 /** A worker that has stopped responding twice within this time gets new work only when no other one has capacity. */
 const UNSTEADY_MILLISECONDS = 10_000
 /** A worker whose report arrived late within this time has a slow path: its lease is renewed, and stops reach it. */
@@ -260,14 +265,17 @@
 
 /**
  * Returns whether a run on a worker with an expired lease counts as over, see `isLeaseExpired`. The end of a short run
- * may be in a report that is still awaited; a long-running task restarts however its run has ended.
+ * may be in a report that is still awaited, if the worker sent it before its lease expired; a long-running task
+ * restarts however its run has ended.
  * @param run A run of the worker.
  * @param worker The worker.
  * @param now The monotonic time.
  * @returns Whether the task of the run may start again.
  */
 export function isOverWithLease (run: RunRecord, worker: WorkerRecord, now: number): boolean {
-  return now >= worker.reportAwaitedUntil || run.task.step.specification.longRunning
+  if (now >= worker.reportAwaitedUntil || run.task.step.specification.longRunning) return true
+  const workerTime = getEarliestWorkerTime(worker, now)
+  return workerTime !== null && workerTime > worker.leaseDeadline + LATE_REPORT_LIMIT_MILLISECONDS
 }
 
 /**
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -101,6 +101,7 @@
       resources: options.resources,
       random: options.random,
       onAcquired: takeover => this.startDispatcher(takeover),
+      onEarlierOwnerStopped: renewalsEndAt => this.dispatcher?.limitEarlierLeases(this.getLeasesEnd(renewalsEndAt)),
       onDeposed: reason => this.stopDispatcher(reason)
     })
     this.ownerApi = this.createOwnerApi()
@@ -158,8 +159,6 @@
   private startDispatcher (takeover: Takeover): void {
     const { options } = this
     const { fence, earlierRenewalsEndAt, earlierStartsEndAt, assignmentsStoredSince } = takeover
-    const now = options.clock.monotonicMilliseconds()
-    const renewalsEndAt = Math.max(now, earlierRenewalsEndAt ?? now)
     this.dispatcher?.stop()
     this.metrics.takeovers.inc()
     this.dispatcher = ShardDispatcher.create({
@@ -176,7 +175,7 @@
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
       assignmentsStoredSince,
-      earlierLeasesEndAt: renewalsEndAt + options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE),
+      earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
       earlierStartsEndAt,
       createWorkerClient: options.createWorkerClient,
       random: options.random,
@@ -188,6 +187,10 @@
     this.errors.runAsync('dispatch', async () => await dispatcher.run())
   }
 
+  private getLeasesEnd (renewalsEndAt: number): number {
+    return renewalsEndAt + this.options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE)
+  }
+
   private stopDispatcher (reason: string): void {
     this.options.logger.warn('ownership lost', { reason })
     this.dispatcher?.stop()
--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -10,6 +10,8 @@
 import type { OwnerPeer } from './OwnerPeer.js'
 import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 
+/** Interval at which processes probe an owner. */
+const PROBE_MILLISECONDS = 400
 /** The row of the shard held some 1,140 such owners before it exceeded a row of the store. */
 const UNRELEASED_OWNERS = 1200
 
@@ -43,6 +45,7 @@
     resources: { processors: 1, linkMegabitsPerSecond: 1000 },
     random: () => 0,
     onAcquired: () => {},
+    onEarlierOwnerStopped: () => {},
     onDeposed: () => {}
   })
   election.run()
@@ -76,6 +79,7 @@
     resources: { processors: 1, linkMegabitsPerSecond: 1000 },
     random: () => 0,
     onAcquired: takeover => { takeovers.push(takeover) },
+    onEarlierOwnerStopped: () => {},
     onDeposed: () => {}
   })
   const second = createElection('b', '10.0.0.2:1')
@@ -92,3 +96,163 @@
   assert.ok(earlierStartsEndAt !== null && earlierStartsEndAt >= lastRenewalAt + TASK_START_LIMIT_MILLISECONDS)
   await third.stop()
 })
+
+/** Stores the rows of an owner at 10.0.0.1 that has not released the shard. */
+function putOwner (store: LimitedStore, epoch: number, earlier: Partial<ShardRow> = {}): void {
+  const shard: ShardRow = {
+    owner: 'a',
+    address: '10.0.0.1:1',
+    region: 'south',
+    epoch,
+    writeId: 'a',
+    earlier: [],
+    earlierRenewalsMilliseconds: 0,
+    ...earlier
+  }
+  const heartbeat: HeartbeatRow = { owner: 'a', epoch, beat: 0, summary: null, released: false }
+  for (const [table, value] of [[SHARD_TABLE, shard], [SHARD_HEARTBEAT_TABLE, heartbeat]] as const) {
+    store.put({ table, key: 'site', value: value as unknown as JsonValue })
+  }
+}
+
+interface CandidateOptions {
+  clock: VirtualClock
+  store: LimitedStore
+  address: string
+  probe: OwnerPeer['probe']
+}
+
+/** Runs an election in a process that waits for longer than others before it tries to become owner. */
+function runCandidate ({ clock, store, address, probe }: CandidateOptions) {
+  const takeovers: Takeover[] = []
+  const stops: number[] = []
+  const election = OwnerElection.create({
+    shardId: 'site',
+    instanceId: 'b',
+    address,
+    region: 'south',
+    tableService: store.client,
+    peer: { probe } as unknown as OwnerPeer,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    resources: { processors: 0, linkMegabitsPerSecond: 1 },
+    random: () => 0,
+    onAcquired: takeover => { takeovers.push(takeover) },
+    onEarlierOwnerStopped: renewalsEndAt => { stops.push(renewalsEndAt) },
+    onDeposed: () => {}
+  })
+  election.run()
+  return { election, takeovers, stops }
+}
+
+test('the renewals of an owner that was found to have stopped count until then, not until the takeover', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const probedAt: number[] = []
+  const { election, takeovers } = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.2:1',
+    probe: async () => {
+      probedAt.push(clock.monotonicMilliseconds())
+      return { kind: 'refused' }
+    }
+  })
+  await clock.advance(5000)
+  await election.stop()
+  assert.equal(probedAt.length, 2)
+  assert.deepEqual(takeovers.map(takeover => takeover.earlierRenewalsEndAt), [probedAt[1]])
+})
+
+test('the renewals of an earlier process at the own address count until the start of this process', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const startedAt = clock.monotonicMilliseconds()
+  const { election, takeovers } = runCandidate({
+    clock, store, address: '10.0.0.1:1', probe: async () => ({ kind: 'refused' })
+  })
+  await clock.advance(5000)
+  await election.stop()
+  assert.deepEqual(takeovers.map(takeover => takeover.earlierRenewalsEndAt), [startedAt])
+})
+
+for (const refusalCount of [0, 2]) {
+  const title = `an owner that acquires the shard after a probe of its address keeps it, with ${refusalCount} refused probes`
+  test(title, async () => {
+    const clock = VirtualClock.create(1000)
+    const store = LimitedStore.create()
+    putOwner(store, 1)
+    let probeCount = 0
+    const { election, takeovers } = runCandidate({
+      clock,
+      store,
+      address: '10.0.0.2:1',
+      probe: async () => {
+        probeCount++
+        if (probeCount < refusalCount) return { kind: 'refused' }
+        if (probeCount > Math.max(1, refusalCount)) return { kind: 'alive', isOwner: true, renewalAge: 0 }
+        // Another process at the address starts and acquires the shard before the rows are read.
+        putOwner(store, 2)
+        return refusalCount > 0 ? { kind: 'refused' } : { kind: 'alive', isOwner: false, renewalAge: 1e9 }
+      }
+    })
+    await clock.advance(5000)
+    await election.stop()
+    assert.ok(probeCount > refusalCount)
+    assert.deepEqual(takeovers, [])
+  })
+}
+
+test('the renewals of a silent owner count until it has given up the shard after a takeover', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const answersFrom = 6000
+  const { election, takeovers, stops } = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.2:1',
+    probe: async () => clock.monotonicMilliseconds() < answersFrom
+      ? { kind: 'silent', reason: 'timeout' }
+      : { kind: 'alive', isOwner: false, renewalAge: 1e9 }
+  })
+  await clock.advance(8000)
+  await election.stop()
+  assert.equal(takeovers.length, 1)
+  assert.ok(takeovers[0].earlierRenewalsEndAt > answersFrom + PROBE_MILLISECONDS)
+  assert.equal(stops.length, 1)
+  assert.ok(stops[0] >= answersFrom && stops[0] <= answersFrom + PROBE_MILLISECONDS, `stopped at ${stops[0]} ms`)
+})
+
+for (const { earlier, isKnown } of [
+  { earlier: [{ epoch: 1, address: '10.0.0.9:1' }], isKnown: true },
+  { earlier: [], isKnown: false }
+]) {
+  const title = `a third owner ${isKnown ? 'probes' : 'waits for'} a first one whose address is ${isKnown ? '' : 'not '}stored`
+  test(title, async () => {
+    const clock = VirtualClock.create(1000)
+    const store = LimitedStore.create()
+    putOwner(store, 2, { earlier, earlierRenewalsMilliseconds: 4000 })
+    const probed = new Set<string>()
+    const { election, takeovers, stops } = runCandidate({
+      clock,
+      store,
+      address: '10.0.0.2:1',
+      probe: async address => {
+        probed.add(address)
+        return { kind: 'refused' }
+      }
+    })
+    await clock.advance(8000)
+    const row = store.getRow({ table: SHARD_TABLE, key: 'site' })?.value as unknown as ShardRow
+    await election.stop()
+    assert.deepEqual(takeovers.map(({ earlierRenewalsEndAt }) => earlierRenewalsEndAt > 1000 + 4000), [true])
+    assert.deepEqual(row.earlier, earlier)
+    assert.equal(probed.has('10.0.0.9:1'), isKnown)
+    assert.equal(stops.length, isKnown ? 1 : 0)
+    if (isKnown) assert.ok(stops[0] < takeovers[0].earlierRenewalsEndAt)
+  })
+}
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -1,9 +1,10 @@
-import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type Fence } from '../leases/ShardLease.js'
+import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type EarlierOwner, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
 import type { OwnerPeer } from './OwnerPeer.js'
+import { OwnerStopDetector } from './OwnerStopDetector.js'
 import {
   INSTANCE_CLOCK_MARGIN_SHARE, LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS
 } from './ownerTimeLimits.js'
@@ -18,8 +19,8 @@
 /** What a process knows when it becomes owner. */
 export interface Takeover {
   fence: Fence
-  /** Monotonic time until which earlier owners may renew the leases of workers; null when they have stopped. */
-  earlierRenewalsEndAt: number | null
+  /** Monotonic time, which may be past, by which earlier owners have stopped to renew the leases of workers. */
+  earlierRenewalsEndAt: number
   /** Monotonic time until which earlier owners may start tasks; null when they have stopped. */
   earlierStartsEndAt: number | null
   /** The row version since which all owners have stored assignments, or null when some have not. */
@@ -43,9 +44,16 @@
   /** Returns a number from 0 to 1 for the random part of a candidate's delay. */
   random (): number
   onAcquired (takeover: Takeover): void
+  /**
+   * Called when an earlier owner that was not known to have stopped at the takeover has stopped.
+   * @param renewalsEndAt Monotonic time by which earlier owners have stopped to renew the leases of workers.
+   */
+  onEarlierOwnerStopped (renewalsEndAt: number): void
   onDeposed (reason: string): void
 }
 
+/** The row of the shard holds this many earlier owners that may be active; more of them follow each other too fast. */
+const ACTIVE_OWNER_LIMIT = 8
 /** Interval at which the owner renews its lease; three renewals fit into the takeover wait. */
 const RENEW_MILLISECONDS = 700
 /** Interval at which other processes probe the owner. */
@@ -54,8 +62,6 @@
 const TAKEOVER_WAIT_MILLISECONDS = 2200
 /** When the owner's last renewal is older, the store is read to see whether there is a newer owner. */
 const STALE_RENEWAL_MILLISECONDS = 2000
-/** Number of consecutive refused connections after which the owner's process counts as stopped. */
-const REFUSALS_UNTIL_STOPPED = 2
 /** Upper limit of the random part of a candidate's delay, which spreads the candidates over time. */
 const CANDIDATE_SPREAD_MILLISECONDS = 150
 /** A candidate's delay includes this many round trips to the store, so that candidates near the store go first. */
@@ -77,9 +83,12 @@
 export class OwnerElection {
   private readonly lease: ShardLease
   private stopped = false
-  private consecutiveRefusals = 0
-  private ownerDeniesOwnership = false
+  private stopDetector = OwnerStopDetector.create()
+  /** Whether a row with the address of this process may be its own. */
+  private hasTriedToAcquire = false
   private readonly startedAt: number
+  /** All earlier owners that may be active, as stored for a successor; none when not all of them are known. */
+  private activeOwners: EarlierOwner[] = []
 
   private constructor (private readonly options: OwnerElectionOptions) {
     const { shardId, instanceId, address, region, tableService, clock } = options
@@ -92,8 +101,7 @@
       tableService,
       clock,
       rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
-      // No owner calls earlier ones: it waits until the leases that they have granted have expired.
-      selectStoredOwners: () => []
+      selectStoredOwners: () => this.activeOwners
     })
   }
 
@@ -166,58 +174,105 @@
     ])
     if (read.kind !== 'ok' || this.stopped) return
     const now = clock.monotonicMilliseconds()
-    const previousAddress = this.getOwnerAddress()
+    const previousOwner = this.lease.getObservedOwner()
     this.lease.observe(read.value[0], read.value[1], now)
-    if (previousAddress !== this.getOwnerAddress()) {
-      this.consecutiveRefusals = 0
-      this.ownerDeniesOwnership = false
+    const owner = this.lease.getObservedOwner()
+    if (previousOwner?.epoch !== owner?.epoch) {
+      this.stopDetector.handleNewOwner(previousOwner?.address === owner?.address)
       // The owner was observed for the first time, so it must be probed before a takeover.
-      if (previousAddress === null && this.getOwnerAddress() !== this.options.address) return
+      if (previousOwner === null && this.getOwnerAddress() !== this.options.address) return
     }
     const isOwnEarlierIncarnation = this.getOwnerAddress() === this.options.address
-    const hasOwnerStopped = this.consecutiveRefusals >= REFUSALS_UNTIL_STOPPED ||
-      this.ownerDeniesOwnership || isOwnEarlierIncarnation
-    const vacantFrom = hasOwnerStopped ? now : this.lease.getEarliestTakeoverTime()
+    const endOfOwnIncarnations = this.hasTriedToAcquire ? now : this.startedAt
+    const ownerStoppedAt = isOwnEarlierIncarnation ? endOfOwnIncarnations : this.stopDetector.stoppedAt
+    const vacantFrom = ownerStoppedAt === null ? this.lease.getEarliestTakeoverTime() : now
     if (vacantFrom === null || now < vacantFrom) return
-    await this.tryToAcquire(now - sentAt, hasOwnerStopped)
+    await this.tryToAcquire(now - sentAt, ownerStoppedAt)
   }
 
-  private async tryToAcquire (storeRoundTripMilliseconds: number, hasOwnerStopped: boolean): Promise<void> {
+  private async tryToAcquire (storeRoundTripMilliseconds: number, ownerStoppedAt: number | null): Promise<void> {
     const { random, logger, instanceId, clock } = this.options
     const age = clock.monotonicMilliseconds() - this.startedAt
     const delay = Math.min(LONGEST_DISTANCE_DELAY_MILLISECONDS, storeRoundTripMilliseconds * STORE_DISTANCE_WEIGHT) +
       getResourceDelay(this.options.resources) + getAgeDelay(age) + random() * CANDIDATE_SPREAD_MILLISECONDS
     await this.pause(delay)
     if (this.stopped) return
-    const earlierOwnerStopped = hasOwnerStopped || this.lease.getObservedHeartbeat() === null ||
-      this.lease.getObservedHeartbeat()?.released === true
-    const earlierActivity = this.getEarlierActivity(earlierOwnerStopped)
+    const heartbeat = this.lease.getObservedHeartbeat()
+    const stoppedAt = ownerStoppedAt ??
+      (heartbeat === null || heartbeat.released ? this.lease.getObservedSince() : null)
+    const earlierActivity = this.getEarlierActivity(stoppedAt)
     const { earlierRenewalsEndAt } = earlierActivity
-    if (!await this.lease.acquire({ ownerHasTerminated: hasOwnerStopped, earlierRenewalsEndAt })) return
-    this.consecutiveRefusals = 0
-    this.ownerDeniesOwnership = false
+    const endOfStopped = stoppedAt ?? -Infinity
+    this.activeOwners = this.findActiveOwners(stoppedAt)
+    this.hasTriedToAcquire = true
+    if (!await this.lease.acquire({ ownerHasTerminated: ownerStoppedAt !== null, earlierRenewalsEndAt })) return
+    this.stopDetector = OwnerStopDetector.create()
     const fence = this.lease.getFence()
     if (fence === null) return
-    logger.info('ownership acquired', { owner: instanceId, epoch: fence.epoch, earlierOwnerStopped })
+    logger.info('ownership acquired', {
+      owner: instanceId,
+      epoch: fence.epoch,
+      earlierOwnerStopped: stoppedAt !== null,
+      earlierRenewalsEndInMilliseconds: getRoundedRemaining(earlierRenewalsEndAt, clock.monotonicMilliseconds())
+    })
     const assignmentsStoredSince = this.lease.getAssignmentsStoredSince()
     this.options.onAcquired({ fence, ...earlierActivity, assignmentsStoredSince })
+    if (this.activeOwners.length === 0) return
+    this.options.errors.runAsync('earlier-owner-check', async () => {
+      const stops = await Promise.all(this.activeOwners.map(async ({ address }) =>
+        await this.waitForEarlierOwner(address, fence, earlierRenewalsEndAt)))
+      const end = Math.max(endOfStopped, ...stops.map(at => at ?? Infinity))
+      if (end < earlierRenewalsEndAt) this.options.onEarlierOwnerStopped(end)
+    })
+  }
+
+  /** Returns all earlier owners that may be active; none when some of them are not known. */
+  private findActiveOwners (stoppedAt: number | null): EarlierOwner[] {
+    const observed = this.lease.getObservedOwner()
+    if (observed === null) return []
+    const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
+    const mayEarlierBeActive = storedEnd > this.options.clock.monotonicMilliseconds()
+    if (mayEarlierBeActive && observed.earlier.length === 0) return []
+    const earlier = mayEarlierBeActive ? observed.earlier : []
+    const { epoch, address } = observed
+    const active = stoppedAt === null ? [...earlier, { epoch, address }] : earlier
+    return active.length > ACTIVE_OWNER_LIMIT ? [] : active
   }
 
-  /** Returns until when the observed owner, if it has not stopped, and those before it may act. */
+  /**
+   * Probes an earlier owner that may be active until it has stopped or has certainly ended its renewals.
+   * @returns Monotonic time by which it had stopped, or null when that is not known.
+   */
+  private async waitForEarlierOwner (address: string, fence: Fence, renewalsEndAt: number): Promise<number | null> {
+    const { clock, peer } = this.options
+    if (address === this.options.address) return clock.monotonicMilliseconds()
+    const detector = OwnerStopDetector.create()
+    while (clock.monotonicMilliseconds() < renewalsEndAt) {
+      const outcome = await peer.probe(address)
+      if (this.stopped || this.lease.getFence() !== fence) return null
+      detector.record(outcome, clock.monotonicMilliseconds())
+      if (detector.stoppedAt !== null) return detector.stoppedAt
+      await this.pause(PROBE_MILLISECONDS)
+    }
+    return null
+  }
+
+  /** Returns until when the observed owner, which may have stopped at a known time, and those before it may act. */
   private getEarlierActivity (
-    earlierOwnerStopped: boolean
+    stoppedAt: number | null
   ): Pick<Takeover, 'earlierRenewalsEndAt' | 'earlierStartsEndAt'> {
     const now = this.options.clock.monotonicMilliseconds()
     // The takeover succeeds only if the heartbeat is the observed one, so the owner has not renewed since.
-    const renewedBefore = (earlierOwnerStopped ? null : this.lease.getObservedSince()) ?? -Infinity
+    const renewedBefore = this.lease.getObservedSince() ?? now
     const storedEnd = this.lease.getStoredEarlierRenewalsEnd(INSTANCE_CLOCK_MARGIN_SHARE)
-    const getEnd = (limitMilliseconds: number): number | null => {
-      const end = Math.max(storedEnd, renewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE))
-      return end > now ? end : null
+    const getEnd = (limitMilliseconds: number): number => {
+      const limitEnd = renewedBefore + limitMilliseconds * (1 + INSTANCE_CLOCK_MARGIN_SHARE)
+      return Math.max(storedEnd, Math.min(stoppedAt ?? Infinity, limitEnd))
     }
+    const earlierStartsEndAt = getEnd(TASK_START_LIMIT_MILLISECONDS)
     return {
       earlierRenewalsEndAt: getEnd(LEASE_RENEWAL_LIMIT_MILLISECONDS),
-      earlierStartsEndAt: getEnd(TASK_START_LIMIT_MILLISECONDS)
+      earlierStartsEndAt: earlierStartsEndAt > now ? earlierStartsEndAt : null
     }
   }
 
@@ -225,10 +280,7 @@
     const address = this.getOwnerAddress()
     if (address === null || address === this.options.address) return false
     const outcome = await this.options.peer.probe(address)
-    if (outcome.kind === 'refused') this.consecutiveRefusals++
-    else this.consecutiveRefusals = 0
-    // A process that responds without owning the shard has restarted or has released the shard.
-    this.ownerDeniesOwnership = outcome.kind === 'alive' && !outcome.isOwner
+    this.stopDetector.record(outcome, this.options.clock.monotonicMilliseconds())
     return outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
   }
 
@@ -237,6 +289,11 @@
   }
 }
 
+/** Returns the whole milliseconds until a time; null for a time that never was. */
+function getRoundedRemaining (at: number, now: number): number | null {
+  return Number.isFinite(at) ? Math.round(at - now) : null
+}
+
 function getAgeDelay (ageMilliseconds: number): number {
   return Math.min(1, ageMilliseconds / OLD_PROCESS_MILLISECONDS) * OLD_PROCESS_DELAY_MILLISECONDS
 }
