Log why any task waits although workers have room

Change: `task waits` names, for one task of each step and size that has waited for 3 s with room on two workers, the reason, the workers with room by what keeps them from getting it, the age of the oldest of their latest reports, and the epoch. New reasons are those of paused workers, of interference and of gangs, and the reasons for which the owner starts nothing. `run not settled` names a run of any task that has been starting or stopping for 3 s. At most ten tasks are explained a second, each with one pass over the workers; a check looks at 1,000 jobs at most and the next one goes on behind them. `long-running task waits` keeps its fields.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -11,6 +11,7 @@
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
+import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
 import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
@@ -165,6 +166,17 @@
     return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
+  /**
+   * Returns what keeps the workers with room for a task from getting it.
+   * @param task The task.
+   * @param now The monotonic time.
+   * @returns The numbers of workers by obstacle.
+   */
+  findWorkerObstacles (task: TaskRecord, now: number): WorkerObstacles {
+    const serviceName = this.getServiceName(task.step.occurrence.job)
+    return findWorkerObstacles(task, this.workers.values(), this.getConditions(serviceName, now))
+  }
+
   /**
    * Applies a worker's report.
    * @param worker The worker.
--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -1,14 +1,18 @@
 import type { TaskRecord } from '../jobs/index.js'
-import { fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
+import { chooseEligibleWorker, fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
+import { selectGangPlacement } from './selectGangPlacement.js'
 import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
- * Why a ready task has no run: a worker that may run it has not been reconciled, no worker may get new work, no such
- * worker has the free capacity, those that have it run as many tasks of the step as the step allows on one worker, or
- * there is a worker for it that no plan has chosen yet.
+ * Why a ready task has no run: a worker that may run it has not been reconciled, a member of its gang is done or has a
+ * run that is not over, no worker may get new work, all that are in service are paused after failures or not rid of
+ * runs without a job, no worker that may get new work has the free capacity, those that have it run as many tasks of
+ * the step as the step allows on one worker, the task would bring serving tasks above their targets on each of them,
+ * they have room for some members of its gang only, or there is a worker for it that no plan has chosen yet.
  */
 export type WaitingReason =
-  'unreconciled-worker' | 'no-eligible-worker' | 'no-free-capacity' | 'limit-per-worker' | 'not-planned'
+  'unreconciled-worker' | 'gang-not-over' | 'no-eligible-worker' | 'workers-paused' | 'no-free-capacity' |
+  'limit-per-worker' | 'interference' | 'no-room-for-gang' | 'not-planned'
 
 /** Why a task waits, and on how many workers that was decided; all counts are of workers that have its label. */
 export interface WaitingExplanation {
@@ -42,8 +46,18 @@
   const eligible = inService.filter(worker => isEligible(worker, conditions))
   const fitting = eligible.filter(worker => fits(worker, task))
   const isBelowLimit = (worker: WorkerRecord): boolean => limit === 0 || countRunsOfStep(worker, task.step) < limit
+  const getReason = (): WaitingReason => {
+    if (isGangNotOver(task)) return 'gang-not-over'
+    if (eligible.length === 0) return inService.length > 0 ? 'workers-paused' : 'no-eligible-worker'
+    if (fitting.length === 0) return 'no-free-capacity'
+    if (!fitting.some(isBelowLimit)) return 'limit-per-worker'
+    if (task.step.specification.gang) {
+      return selectGangPlacement(task.step, eligible, conditions).length === 0 ? 'no-room-for-gang' : 'not-planned'
+    }
+    return chooseEligibleWorker(task, eligible, 0, conditions) === null ? 'interference' : 'not-planned'
+  }
   return {
-    reason: getReason(eligible.length, fitting.length, fitting.some(isBelowLimit)),
+    reason: getReason(),
     workersInService: inService.length,
     workersWithRoom: inService.filter(worker => fits(worker, task) && isBelowLimit(worker)).length,
     workersPaused: inService.length - eligible.length,
@@ -52,8 +66,8 @@
   }
 }
 
-function getReason (eligibleCount: number, fittingCount: number, hasWorker: boolean): WaitingReason {
-  if (eligibleCount === 0) return 'no-eligible-worker'
-  if (fittingCount === 0) return 'no-free-capacity'
-  return hasWorker ? 'not-planned' : 'limit-per-worker'
+/** Returns whether a task belongs to a gang that cannot start: a member is done, or its run is not over. */
+function isGangNotOver ({ step: { specification, tasks } }: TaskRecord): boolean {
+  if (!specification.gang) return false
+  return tasks.remainingCount < tasks.count || [...tasks.getAllCreated()].some(({ runs }) => runs.length > 0)
 }
--- a/src/instance/RecoveryMonitor.ts
+++ b/src/instance/RecoveryMonitor.ts
@@ -1,5 +1,5 @@
 import {
-  findWaitingLongRunningTasks, getRemainingLease, type DispatchEngine, type WaitingReason, type WorkerRecord
+  findWaitingLongRunningTasks, getRemainingLease, isSent, type DispatchEngine, type WaitingReason, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
@@ -23,7 +23,7 @@
 
 /**
  * Logs which workers delay tasks of earlier owners after a takeover, which long-running tasks wait, and why, and which
- * of them have a run whose state the owner does not know.
+ * tasks have a run whose state the owner does not know. `WaitMonitor` explains the waits of other tasks.
  */
 export class RecoveryMonitor {
   private nextCheckAt = -Infinity
@@ -31,7 +31,7 @@
   private waitingForWorkersSince: number | null = null
   /** The reason that was logged last, by task name; tasks that no longer wait are removed. */
   private reportedReasons = new Map<string, WaitingReason>()
-  /** Monotonic time since when the run of a long-running task is starting or stopping; null once it is logged. */
+  /** Monotonic time since when a run is starting or stopping; null once it is logged. */
   private unsettledSince = new Map<RunRecord, number | null>()
 
   private constructor (private readonly options: RecoveryMonitorOptions) {}
@@ -99,7 +99,7 @@
     let reported = 0
     for (const worker of this.options.engine.workers.values()) {
       for (const run of worker.runs.values()) {
-        if (run.state === 'running' || !run.task.step.specification.longRunning) continue
+        if (run.state === 'running') continue
         const earlier = this.unsettledSince.get(run)
         const isDue = earlier !== null && earlier !== undefined && now - earlier >= WAIT_THRESHOLD_MILLISECONDS
         since.set(run, isDue && reported < NAMED_LIMIT ? null : earlier === undefined ? now : earlier)
@@ -110,12 +110,14 @@
   }
 
   private reportUnsettledRun (run: RunRecord, worker: WorkerRecord, now: number): void {
-    this.options.logger.info('run of a long-running task not settled', {
+    const { longRunning } = run.task.step.specification
+    this.options.logger.info(longRunning ? 'run of a long-running task not settled' : 'run not settled', {
       task: run.task.name,
       attempt: run.attempt,
       worker: run.workerId,
       runState: run.state,
       isStartUncertain: run.startUncertain,
+      isSent: isSent(run),
       isConfirmed: run.confirmedAt !== null,
       workerState: worker.syncState,
       leaseEndsInMilliseconds: Math.round(getRemainingLease(worker, now)),
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -23,6 +23,7 @@
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import { ShardRowLoader } from './ShardRowLoader.js'
 import { SiteUpdater, type ChangedWorkers, type SiteState } from './SiteUpdater.js'
+import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -86,6 +87,7 @@
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
   private readonly recoveryMonitor: RecoveryMonitor
+  private readonly waitMonitor: WaitMonitor
   private readonly loops: WorkerLeaseLoops
   private readonly jobRows: JobRowReader
   private readonly siteUpdater: SiteUpdater
@@ -104,6 +106,9 @@
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
+    this.waitMonitor = WaitMonitor.create({
+      ...options, engine: this.engine, getStartObstacle: () => this.getStartObstacle()
+    })
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.rowLoader = ShardRowLoader.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
@@ -320,6 +325,7 @@
   private runPeriodicTasks (now: number): void {
     this.engine.jobs.expireFinalStates(now)
     this.recoveryMonitor.check()
+    this.waitMonitor.check()
     const removedWorkerIds = this.loops.getWorkerIds().filter(workerId => !this.engine.workers.has(workerId))
     for (const workerId of removedWorkerIds) this.loops.stop(workerId)
     this.registry.unregister(removedWorkerIds)
@@ -370,8 +376,15 @@
   }
 
   private mayStart (): boolean {
-    return !this.draining && this.loaded && this.options.site.getConfiguration() !== null &&
-      this.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS
+    return this.getStartObstacle() === null
+  }
+
+  /** Returns why no task may start now, null when tasks may. */
+  private getStartObstacle (): string | null {
+    if (this.draining) return 'owner-draining'
+    if (!this.loaded) return 'not-loaded'
+    if (this.options.site.getConfiguration() === null) return 'no-configuration'
+    return this.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS ? null : 'renewal-too-old'
   }
 
   private getRenewalAge (): number {
