Bound the wait of best-effort tasks that interfere everywhere

Cause: a best-effort task starts on no worker where its image is expected to bring a serving task above its target, or where one is above its target. When that holds on each worker, no event but a change of the load ends the wait.

Change: when no task of the step runs and one has waited for 1.5 s, it starts on the worker where it exceeds the interference budget the least, those with a serving task above its target last. Its pace is decided with the next report as ever, so that the targets are kept; at a pace of 0 it does no harm. This holds while less than 55% of the processors of the service are reserved. Above that, there is other work for the room, and starts would only take unused processors from images that do not interfere. Each long-running best-effort task starts so, as each has to run. A worker without interference is still preferred, and runs that stay slowed still move there.

--- a/src/dispatch/ColocationAdvisor.ts
+++ b/src/dispatch/ColocationAdvisor.ts
@@ -70,6 +70,24 @@
    * @returns The highest share over all serving tasks; up to 1, all latency targets are expected to be met.
    */
   getInterferencePressure (worker: WorkerRecord, task: TaskRecord): number {
+    return this.rateInterference(worker, task, (effect, budget) => budget <= 0 ? Infinity : effect / budget)
+  }
+
+  /**
+   * Returns by how much one more best-effort task would exceed a worker's interference budget. Compares workers that
+   * have no budget left, or less than the task needs.
+   * @param worker The worker.
+   * @param task The best-effort task.
+   * @returns The highest excess over all serving tasks, as an effect on their headroom; 0 for none.
+   */
+  getInterferenceExcess (worker: WorkerRecord, task: TaskRecord): number {
+    return this.rateInterference(worker, task, (effect, budget) => effect - budget)
+  }
+
+  /** Returns the highest rating, at least 0, of the effect on the serving tasks and of the budget that they leave. */
+  private rateInterference (
+    worker: WorkerRecord, task: TaskRecord, rate: (effect: number, budget: number) => number
+  ): number {
     const { image, processorsMilli } = task.step.specification
     this.addBestEffortImage(image)
     const added = processorsMilli / Math.max(1, worker.entry.capacity.processorsMilli)
@@ -91,7 +109,7 @@
         currentEffect += effect * run.usageFigure / capacity
       }
       const budget = this.getHeadroom(serving) + currentEffect - MINIMUM_ADMISSION_HEADROOM
-      highest = Math.max(highest, budget <= 0 ? Infinity : requestedEffect / budget)
+      highest = Math.max(highest, rate(requestedEffect, budget))
     }
     return highest
   }
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,8 +1,9 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
-import type { ChoiceConditions } from './chooseWorker.js'
+import { isInService, type ChoiceConditions } from './chooseWorker.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
+import { isRestart } from './WaitingRestarts.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
 /**
@@ -11,6 +12,20 @@
  */
 const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
 
+/**
+ * A task of a step without runs that has waited this long may start where it would not by preference, see
+ * `placeOverdue`. A task should not wait for 3 s beside free room; half of that leaves time for the start to arrive.
+ */
+const PREFERENCE_WAIT_MILLISECONDS = 1500
+/**
+ * Above this share of the processors in use, tasks wait for preferred workers however long that takes: there is other
+ * work for the room. A task should not wait while half of the room is free; the rest is a margin for runs that end.
+ */
+const IDLE_SHARE = 0.55
+
+/** What a choice permits that it does not by preference, see `ChoiceConditions`. */
+type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference'>
+
 /** Options of a plan. */
 export interface StartPlanOptions {
   workers: readonly WorkerRecord[]
@@ -31,9 +46,9 @@
  * stops at the number of starts that can be sent soon, and once a task does not fit, others of its size are skipped.
  */
 export class StartPlan {
+  /** The candidates of each service, with and without each relaxation. */
   private readonly candidates = new Map<string, StartCandidates>()
-  /** The candidates that include paused workers. */
-  private readonly pausedCandidates = new Map<string, StartCandidates>()
+  private readonly idleServices = new Map<string, boolean>()
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -103,9 +118,14 @@
   placeRestart (task: TaskRecord, serviceName: string): boolean {
     const { step } = task
     const conditions = this.options.getConditions(serviceName)
-    const mayUsePaused = conditions.now - task.waitingSince >= PAUSED_WORKER_WAIT_MILLISECONDS
+    const waitMilliseconds = conditions.now - task.waitingSince
+    const mayUsePaused = waitMilliseconds >= PAUSED_WORKER_WAIT_MILLISECONDS
     if (!step.specification.gang) {
-      return this.placeTask(task, serviceName) || (mayUsePaused && this.placeTask(task, serviceName, true))
+      const acceptsInterference = step.specification.fills && waitMilliseconds >= PREFERENCE_WAIT_MILLISECONDS &&
+        this.isIdle(serviceName)
+      return this.placeTask(task, serviceName) ||
+        (acceptsInterference && this.placeTask(task, serviceName, { acceptsInterference })) ||
+        (mayUsePaused && this.placeTask(task, serviceName, { acceptsInterference, includesPaused: true }))
     }
     if (this.restartedGangs.has(step)) return task.runs.length > 0
     this.restartedGangs.add(step)
@@ -126,17 +146,50 @@
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
-    if (this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) return
-    for (const task of step.tasks.getWaiting(this.options.mayStart)) {
-      if (this.isFull || !this.placeTask(task, serviceName)) return
+    if (!this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) {
+      let isComplete = true
+      for (const task of step.tasks.getWaiting(this.options.mayStart)) {
+        isComplete = !this.isFull && this.placeTask(task, serviceName)
+        if (!isComplete) break
+      }
+      if (isComplete) return this.options.getConditions(serviceName).costs.forget(step)
     }
-    this.options.getConditions(serviceName).costs.forget(step)
+    this.placeOverdue(step, serviceName)
+  }
+
+  /**
+   * Places a task that finds no worker by preference and has waited for long, if no other task of its step runs. So the
+   * step goes on, while its other tasks wait for better workers. Each long-running task has to run, whether others do
+   * or not; its restarts are placed by `placeRestart`.
+   */
+  private placeOverdue (step: StepRecord, serviceName: string): void {
+    const { specification: { fills, longRunning }, tasks } = step
+    if (!fills || (!longRunning && tasks.hasBusy()) || !this.isIdle(serviceName)) return
+    const { now } = this.options.getConditions(serviceName)
+    for (const task of tasks.getAllCreated()) {
+      if (this.isFull) return
+      if (task.runs.length > 0 || now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
+      if (isRestart(task) || !this.options.mayStart(task)) continue
+      const isPlaced = this.placeTask(task, serviceName, { acceptsInterference: true })
+      if (!isPlaced || !longRunning) return
+    }
+  }
+
+  /** Returns whether so little of a service is in use that tasks should not wait for preferred workers. */
+  private isIdle (serviceName: string): boolean {
+    const existing = this.idleServices.get(serviceName)
+    if (existing !== undefined) return existing
+    const { dataCentresOut } = this.options.getConditions(serviceName)
+    const isIdle = getUsedShare(
+      this.options.workers.filter(worker => isInService(worker, serviceName, dataCentresOut))) < IDLE_SHARE
+    this.idleServices.set(serviceName, isIdle)
+    return isIdle
   }
 
   /** Returns whether the task got a worker. */
-  private placeTask (task: TaskRecord, serviceName: string, includesPaused = false): boolean {
+  private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
     if (this.mustWaitForStore(task.step)) return false
-    const candidates = this.getCandidates(serviceName, includesPaused)
+    const candidates = this.getCandidates(serviceName, relaxation)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
     const worker = candidates.choose(task)
@@ -155,13 +208,25 @@
     this.options.start(task, worker, attempt)
   }
 
-  private getCandidates (serviceName: string, includesPaused = false): StartCandidates {
-    const cache = includesPaused ? this.pausedCandidates : this.candidates
-    const existing = cache.get(serviceName)
+  private getCandidates (serviceName: string, relaxation: Relaxation = {}): StartCandidates {
+    const { includesPaused = false, acceptsInterference = false } = relaxation
+    const key = `${includesPaused} ${acceptsInterference} ${serviceName}`
+    const existing = this.candidates.get(key)
     if (existing !== undefined) return existing
-    const conditions = { ...this.options.getConditions(serviceName), includesPaused }
+    const conditions = { ...this.options.getConditions(serviceName), includesPaused, acceptsInterference }
     const candidates = StartCandidates.create(this.options.workers, conditions)
-    cache.set(serviceName, candidates)
+    this.candidates.set(key, candidates)
     return candidates
   }
 }
+
+/** Returns the share of the processors of workers that is reserved. */
+function getUsedShare (workers: readonly WorkerRecord[]): number {
+  let used = 0
+  let total = 0
+  for (const { reserved, entry: { capacity } } of workers) {
+    used += reserved.processorsMilli
+    total += capacity.processorsMilli
+  }
+  return used / Math.max(1, total)
+}
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -1,7 +1,7 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ColocationAdvisor } from './ColocationAdvisor.js'
 import { hasPersistentViolation } from './decidePace.js'
-import { getBestEffortProcessors, getEmptyWorkerCost } from './getWorkerCost.js'
+import { getBestEffortProcessors, getCostDespiteInterference, getEmptyWorkerCost } from './getWorkerCost.js'
 import type { WorkerCosts } from './WorkerCosts.js'
 import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
@@ -20,6 +20,9 @@
 const UNSTEADY_PENALTY = 5
 /** Ranks workers of a data centre that responds unsteadily between these and all others. */
 const UNSTEADY_DATA_CENTRE_PENALTY = 3
+/** Ranks workers on which a serving task is above its target behind all others, for tasks that start despite that. */
+const TARGET_EXCEEDED_PENALTY = 20
+
 /** The conditions of a choice other than the task and the workers. */
 export interface ChoiceConditions {
   /** The service whose workers may run the task. */
@@ -37,6 +40,8 @@
   excludedWorkerId?: string
   /** Whether workers may be chosen that are paused after failures; false by default. */
   includesPaused?: boolean
+  /** Whether best-effort tasks may start where they interfere with serving tasks; false by default. */
+  acceptsInterference?: boolean
 }
 
 /**
@@ -112,16 +117,23 @@
   task: TaskRecord, eligible: readonly WorkerRecord[], emptyWorkerCost: number, conditions: ChoiceConditions
 ): WorkerRecord | null {
   const { requiredLabel, maximumPerWorker, fills } = task.step.specification
+  const { costs, advisor, now, acceptsInterference = false } = conditions
   let best: WorkerRecord | null = null
   let bestCost = Infinity
   for (const worker of eligible) {
-    let cost = conditions.costs.getCost(worker, task, emptyWorkerCost, conditions.advisor)
+    let cost = fills && acceptsInterference
+      ? getCostDespiteInterference(worker, task, advisor)
+      : costs.getCost(worker, task, emptyWorkerCost, advisor)
     if (task.failedWorkerIds.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
     cost += getUnsteadinessCost(worker, conditions)
     if (cost >= bestCost || !fits(worker, task)) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
     if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
-    if (fills && hasPersistentViolation(worker, conditions.now)) continue
+    if (fills && hasPersistentViolation(worker, now)) {
+      if (!acceptsInterference) continue
+      cost += TARGET_EXCEEDED_PENALTY
+      if (cost >= bestCost) continue
+    }
     best = worker
     bestCost = cost
   }
--- a/src/dispatch/getWorkerCost.ts
+++ b/src/dispatch/getWorkerCost.ts
@@ -59,6 +59,23 @@
   return cost
 }
 
+/**
+ * Returns the cost of a worker for a best-effort task that starts although it interferes with serving tasks, whose
+ * targets the pace of the task then keeps.
+ * @param worker The worker.
+ * @param task The best-effort task.
+ * @param advisor The learned interference.
+ * @returns The cost, which is always finite.
+ */
+export function getCostDespiteInterference (
+  worker: WorkerRecord, task: TaskRecord, advisor: ColocationAdvisor
+): number {
+  const { preferredRack } = task.step.specification
+  const rackPenalty = preferredRack !== '' && !worker.entry.labels.includes(preferredRack) ? OTHER_RACK_PENALTY : 0
+  return getCapacityCost(worker, task, 0, advisor) + rackPenalty +
+    advisor.getInterferenceExcess(worker, task) * INTERFERENCE_PRESSURE_WEIGHT
+}
+
 /**
  * Returns the cost of a worker without serving tasks for a serving task.
  * @param workers All workers.
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -72,6 +72,11 @@
     return this.nextIndex < this.count || this.busyCount < (this.records?.size ?? 0)
   }
 
+  /** Returns whether a task that is not done has a run. */
+  hasBusy (): boolean {
+    return this.busyCount > 0
+  }
+
   /** Records that a task that had no run has one now. */
   addBusy (task: TaskRecord): void {
     if (!task.done) this.busyCount++
