Blame a step, not the workers, for tasks that fail everywhere

Cause: three failed runs in a row pause a worker, whatever job they belong to. When little else ends in success, one job that fails wherever it runs pauses all workers, for 3 to 12 s at a time.

Change: once tasks of a step have failed on two workers, and none has succeeded, further failures of the step count for no worker. A worker on which each job fails is still found: by the first success of the step elsewhere, its failures count again. Failures of long-running tasks count as before, as these never succeed.

--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -8,6 +8,8 @@
 const MAXIMUM_LISTED_COMPLETIONS = 500
 /** This many failed runs in a row, without a success between them, point to a fault of the worker, not of the tasks. */
 const QUARANTINE_STREAK = 3
+/** A step whose tasks have failed on this many workers, and succeeded on none, says nothing about further workers. */
+const SUSPECT_STEP_WORKERS = 2
 const FIRST_QUARANTINE_MILLISECONDS = 3000
 const LONGEST_QUARANTINE_MILLISECONDS = 12_000
 
@@ -185,14 +187,8 @@
 function applyFailure (
   worker: WorkerRecord, task: TaskRecord, attempt: number, isLive: boolean, context: ReportContext
 ): void {
-  worker.failureStreak++
-  if (worker.failureStreak >= QUARANTINE_STREAK) {
-    worker.quarantineMilliseconds =
-      Math.min(LONGEST_QUARANTINE_MILLISECONDS, worker.quarantineMilliseconds * 2 || FIRST_QUARANTINE_MILLISECONDS)
-    worker.quarantinedUntil = context.now + worker.quarantineMilliseconds
-    // The first task after the quarantine is a probe: if it fails, the quarantine starts again.
-    worker.failureStreak = QUARANTINE_STREAK - 1
-  }
+  task.step.tasks.addFailedWorker(worker.entry.workerId)
+  if (!isStepSuspect(task)) countFailure(worker, context.now)
   task.failedWorkerIds.add(worker.entry.workerId)
   if (!isLive || task.step.specification.longRunning) return
   // The members of a gang fail together, with the same attempt number.
@@ -205,6 +201,26 @@
   if (task.failedAttempts.size >= job.submission.attemptLimit) context.failJob(job)
 }
 
+/** Counts a failed run of a worker, and pauses the worker after several in a row. */
+function countFailure (worker: WorkerRecord, now: number): void {
+  worker.failureStreak++
+  if (worker.failureStreak < QUARANTINE_STREAK) return
+  worker.quarantineMilliseconds =
+    Math.min(LONGEST_QUARANTINE_MILLISECONDS, worker.quarantineMilliseconds * 2 || FIRST_QUARANTINE_MILLISECONDS)
+  worker.quarantinedUntil = now + worker.quarantineMilliseconds
+  // The first task after the quarantine is a probe: if it fails, the quarantine starts again.
+  worker.failureStreak = QUARANTINE_STREAK - 1
+}
+
+/**
+ * Returns whether the failures of a step point to a fault of its tasks rather than of the workers: they have failed on
+ * several workers, and none has succeeded. Long-running tasks never succeed.
+ */
+function isStepSuspect ({ step: { tasks, specification } }: TaskRecord): boolean {
+  return !specification.longRunning && tasks.remainingCount === tasks.count &&
+    tasks.failedWorkerCount >= SUSPECT_STEP_WORKERS
+}
+
 /** Marks confirmed runs as lost that a later report lists neither as running nor as ended. */
 function removeMissingRuns (worker: WorkerRecord, listed: Set<string>, context: ReportContext): boolean {
   let changed = false
--- /dev/null
+++ b/src/dispatch/pausedWorkers.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import type { JobSubmission, RunRecord, StepSpecification } from '../jobs/index.js'
+import { DispatchEngine } from './DispatchEngine.js'
+import type { ListedCompletion } from './WorkerProtocol.js'
+
+const RUN_MILLISECONDS = 300
+const STEP_MILLISECONDS = 100
+
+/** Creates a site on which each run ends soon, failed if `hasFailed` says so. */
+function createSite (workerCount: number, hasFailed: (run: RunRecord) => boolean) {
+  const engine = DispatchEngine.create({ epoch: 1 })
+  let now = 1000
+  const starts: Array<{ task: string, worker: string, at: number }> = []
+  const endCounts = new Map<string, number>()
+  for (let index = 0; index < workerCount; index++) {
+    engine.setWorker(createWorkerEntry({ workerId: `worker-${index}` })).registered = true
+  }
+  const report = (): void => {
+    for (const worker of engine.workers.values()) {
+      const { workerId } = worker.entry
+      const runs = [...worker.runs.values()]
+      const isOver = (run: RunRecord): boolean => now - run.startedAt >= RUN_MILLISECONDS
+      let number = endCounts.get(workerId) ?? 0
+      const ended = runs.filter(isOver).map((run): ListedCompletion => ({
+        number: ++number, taskName: run.task.name, attempt: run.attempt, end: hasFailed(run) ? 'failed' : 'done', checkpoint: ''
+      }))
+      endCounts.set(workerId, number)
+      const running = runs.filter(run => !isOver(run)).map(({ task, attempt }) =>
+        ({ taskName: task.name, attempt, checkpoint: '', percent: 5, usageFigure: 10 }))
+      engine.applyReport(worker, { workerMilliseconds: now, bornAtMilliseconds: 1, running, ended }, now - 1, now)
+    }
+  }
+  const advance = (milliseconds: number): void => {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
+      now += STEP_MILLISECONDS
+      report()
+      engine.markDirty()
+      engine.plan(now, now, true)
+      for (const order of engine.takeOrders()) {
+        if (order.kind !== 'start') continue
+        starts.push({ task: order.run.task.name, worker: order.worker.entry.workerId, at: now })
+        engine.applyStartOutcome(order.worker, order.run, { kind: 'accepted', workerMilliseconds: now }, now)
+      }
+    }
+  }
+  const submit = (jobId: string, step: Partial<StepSpecification>, submission: Partial<JobSubmission> = {}): number => {
+    const job = createSubmission([step], { jobId, acceptedAtMilliseconds: now, ...submission })
+    engine.jobs.add({ submission: job, progress: [], recovered: false }, now)
+    return now
+  }
+  const countPaused = (): number =>
+    [...engine.workers.values()].filter(({ quarantinedUntil }) => quarantinedUntil > now).length
+  return { starts, advance, submit, countPaused }
+}
+
+test('a job that fails wherever it runs pauses no worker', () => {
+  const site = createSite(4, run => run.task.name.startsWith('failing'))
+  site.submit('failing', { taskCount: 8 }, { attemptLimit: 20 })
+  let mostPaused = 0
+  for (let step = 0; step < 50; step++) {
+    site.advance(STEP_MILLISECONDS)
+    mostPaused = Math.max(mostPaused, site.countPaused())
+  }
+  assert.ok(site.starts.length > 40, `${site.starts.length} starts`)
+  assert.equal(mostPaused, 0)
+})
+
+test('a worker on which each job fails is paused, and a wide job does not hide its fault', () => {
+  const site = createSite(4, run => run.workerId === 'worker-0')
+  site.submit('wide', { taskCount: 200, estimateMilliseconds: RUN_MILLISECONDS }, { attemptLimit: 20 })
+  site.advance(1500)
+  assert.equal(site.countPaused(), 1)
+  const before = site.starts.length
+  site.advance(1000)
+  assert.ok(site.starts.slice(before).every(({ worker }) => worker !== 'worker-0'))
+})
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -17,6 +17,8 @@
   private busyCount = 0
   /** No task with a higher index was created by a search for waiting tasks. */
   private nextIndex = 0
+  /** The workers on which a run of a task has failed under this owner. */
+  private failedWorkerIds: Set<string> | null = null
   /** The record that the last search created. */
   private lastCreated: TaskRecord | null = null
 
@@ -77,6 +79,17 @@
     return this.busyCount > 0
   }
 
+  /** The number of workers on which a run of a task has failed under this owner. */
+  get failedWorkerCount (): number {
+    return this.failedWorkerIds?.size ?? 0
+  }
+
+  /** Records that a run of a task has failed on a worker. */
+  addFailedWorker (workerId: string): void {
+    this.failedWorkerIds ??= new Set()
+    this.failedWorkerIds.add(workerId)
+  }
+
   /** Records that a task that had no run has one now. */
   addBusy (task: TaskRecord): void {
     if (!task.done) this.busyCount++
