Bound the wait of tasks that find only paused workers

Cause: only restarts of long-running tasks may use a paused worker, after 3 s. For all others the end of the pause is the only event that ends the wait.

Change: when most of the workers that could run a task are paused, no task of its step runs and one has waited for 1.5 s, it starts on a paused worker; a gang that does not fit on the others does so too. One task of a step at a time tries such a worker, so that a job keeps most of its attempts where all fail, and its success ends the pause. While no more than half of them are paused, tasks wait for the others: when these are full, at least half of the room is in use. Like the bound for interference this holds below 55% of the processors in use. Restarts keep their bound of 3 s.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -23,6 +23,12 @@
  */
 const IDLE_SHARE = 0.55
 
+/**
+ * While no more workers than this are paused, tasks wait for the other ones: a start on a paused worker may cost an
+ * attempt. When the others are full, at least half of the room is in use.
+ */
+const PAUSED_SHARE = 0.5
+
 /** What a choice permits that it does not by preference, see `ChoiceConditions`. */
 type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference'>
 
@@ -49,6 +55,8 @@
   /** The candidates of each service, with and without each relaxation. */
   private readonly candidates = new Map<string, StartCandidates>()
   private readonly idleServices = new Map<string, boolean>()
+  /** Whether most of the workers are paused that could run tasks of a size, by the size and the service. */
+  private readonly pausedSizes = new Map<string, boolean>()
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -104,8 +112,8 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
-    if (step.specification.gang) this.placeGang(step, this.options.getConditions(serviceName))
-    else this.placeTasks(step, serviceName)
+    if (!step.specification.gang) this.placeTasks(step, serviceName)
+    else if (!this.placeGang(step, this.options.getConditions(serviceName))) this.placeOverdue(step, serviceName)
   }
 
   /**
@@ -163,18 +171,34 @@
    * or not; its restarts are placed by `placeRestart`.
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
-    const { specification: { fills, longRunning }, tasks } = step
-    if (!fills || (!longRunning && tasks.hasBusy()) || !this.isIdle(serviceName)) return
-    const { now } = this.options.getConditions(serviceName)
+    const { specification: { longRunning }, tasks } = step
+    if (!longRunning && tasks.hasBusy()) return
+    const conditions = this.options.getConditions(serviceName)
+    const relaxation = this.getRelaxation(step, conditions)
+    if (relaxation === null) return
     for (const task of tasks.getAllCreated()) {
       if (this.isFull) return
-      if (task.runs.length > 0 || now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
+      if (task.runs.length > 0 || conditions.now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
       if (isRestart(task) || !this.options.mayStart(task)) continue
-      const isPlaced = this.placeTask(task, serviceName, { acceptsInterference: true })
+      const isPlaced = this.placeDespitePreference(task, conditions, relaxation)
       if (!isPlaced || !longRunning) return
     }
   }
 
+  /** Returns whether the task, or its gang, got workers that it does not get by preference. */
+  private placeDespitePreference (task: TaskRecord, conditions: ChoiceConditions, relaxation: Relaxation): boolean {
+    if (task.step.specification.gang) return this.placeGang(task.step, { ...conditions, ...relaxation })
+    return this.placeTask(task, conditions.serviceName, relaxation)
+  }
+
+  /** Returns what is permitted to tasks of a step that have waited for long; null for nothing. */
+  private getRelaxation (step: StepRecord, conditions: ChoiceConditions): Relaxation | null {
+    if (!this.isIdle(conditions.serviceName)) return null
+    const { gang, fills } = step.specification
+    const includesPaused = gang || this.areMostPaused(step, conditions)
+    return fills || includesPaused ? { acceptsInterference: fills, includesPaused } : null
+  }
+
   /** Returns whether so little of a service is in use that tasks should not wait for preferred workers. */
   private isIdle (serviceName: string): boolean {
     const existing = this.idleServices.get(serviceName)
@@ -186,6 +210,23 @@
     return isIdle
   }
 
+  /** Returns whether most of the workers that could run the tasks of a step are paused after failures. */
+  private areMostPaused (step: StepRecord, { serviceName, dataCentresOut, now }: ChoiceConditions): boolean {
+    const key = `${getSizeKey(step)} ${serviceName}`
+    const existing = this.pausedSizes.get(key)
+    if (existing !== undefined) return existing
+    let count = 0
+    let pausedCount = 0
+    for (const worker of this.options.workers) {
+      if (!isInService(worker, serviceName, dataCentresOut) || !isLargeEnough(worker, step)) continue
+      count++
+      if (worker.quarantinedUntil > now) pausedCount++
+    }
+    const areMostPaused = pausedCount > count * PAUSED_SHARE
+    this.pausedSizes.set(key, areMostPaused)
+    return areMostPaused
+  }
+
   /** Returns whether the task got a worker. */
   private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
     if (this.mustWaitForStore(task.step)) return false
@@ -220,6 +261,13 @@
   }
 }
 
+/** Returns whether a worker could run tasks of a step if it ran nothing else. */
+function isLargeEnough ({ entry: { capacity, labels } }: WorkerRecord, { specification }: StepRecord): boolean {
+  return (specification.fills || capacity.processorsMilli >= specification.processorsMilli) &&
+    capacity.memoryMegabytes >= specification.memoryMegabytes && capacity.accelerators >= specification.accelerators &&
+    (specification.requiredLabel === '' || labels.includes(specification.requiredLabel))
+}
+
 /** Returns the share of the processors of workers that is reserved. */
 function getUsedShare (workers: readonly WorkerRecord[]): number {
   let used = 0
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -155,8 +155,7 @@
   const isLive = job.finalState === null && !task.done
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
   if (ended.end === 'done') {
-    worker.failureStreak = 0
-    worker.quarantineMilliseconds = 0
+    endQuarantine(worker, run)
     if (isLive) finishTask(task, context)
     return
   }
@@ -212,6 +211,15 @@
   worker.failureStreak = QUARANTINE_STREAK - 1
 }
 
+/** Handles a successful run; one that has started in a quarantine shows that the worker is sound again. */
+function endQuarantine (worker: WorkerRecord, run: RunRecord | undefined): void {
+  const hasStartedPaused = worker.quarantineMilliseconds > 0 && run !== undefined &&
+    run.startedAt >= worker.quarantinedUntil - worker.quarantineMilliseconds
+  if (hasStartedPaused) worker.quarantinedUntil = Math.min(worker.quarantinedUntil, run.startedAt)
+  worker.failureStreak = 0
+  worker.quarantineMilliseconds = 0
+}
+
 /**
  * Returns whether the failures of a step point to a fault of its tasks rather than of the workers: they have failed on
  * several workers, and none has succeeded. Long-running tasks never succeed.
--- a/src/dispatch/pausedWorkers.test.ts
+++ b/src/dispatch/pausedWorkers.test.ts
@@ -8,6 +8,8 @@
 
 const RUN_MILLISECONDS = 300
 const STEP_MILLISECONDS = 100
+/** A task should not wait for longer beside free room. */
+const LONGEST_WAIT_MILLISECONDS = 3000
 
 /** Creates a site on which each run ends soon, failed if `hasFailed` says so. */
 function createSite (workerCount: number, hasFailed: (run: RunRecord) => boolean) {
@@ -51,9 +53,15 @@
     engine.jobs.add({ submission: job, progress: [], recovered: false }, now)
     return now
   }
+  const pause = (count: number, milliseconds: number): void => {
+    for (const worker of [...engine.workers.values()].slice(0, count)) {
+      worker.quarantinedUntil = now + milliseconds
+      worker.quarantineMilliseconds = milliseconds
+    }
+  }
   const countPaused = (): number =>
     [...engine.workers.values()].filter(({ quarantinedUntil }) => quarantinedUntil > now).length
-  return { starts, advance, submit, countPaused }
+  return { starts, advance, submit, pause, countPaused }
 }
 
 test('a job that fails wherever it runs pauses no worker', () => {
@@ -77,3 +85,39 @@
   site.advance(1000)
   assert.ok(site.starts.slice(before).every(({ worker }) => worker !== 'worker-0'))
 })
+
+test('a task that finds only paused workers starts in time, and its success ends the pause', () => {
+  const site = createSite(4, () => false)
+  site.pause(4, 12_000)
+  const submittedAt = site.submit('short', { taskCount: 12 })
+  site.advance(LONGEST_WAIT_MILLISECONDS)
+  assert.ok(site.starts.length > 0)
+  assert.ok(site.starts[0].at - submittedAt < LONGEST_WAIT_MILLISECONDS)
+  assert.ok(site.countPaused() < 4)
+})
+
+test('a gang that finds only paused workers starts in time', () => {
+  const site = createSite(4, () => false)
+  site.pause(4, 12_000)
+  const submittedAt = site.submit('gang', { taskCount: 4, gang: true, processorsMilli: 3000 })
+  site.advance(LONGEST_WAIT_MILLISECONDS)
+  assert.equal(site.starts.length, 4)
+  assert.ok(site.starts[0].at - submittedAt < LONGEST_WAIT_MILLISECONDS)
+})
+
+test('one task of a step at a time tries paused workers on which all fail, so that its job keeps most attempts', () => {
+  const site = createSite(4, () => true)
+  site.pause(4, 60_000)
+  site.submit('short', { taskCount: 12 }, { attemptLimit: 20 })
+  site.advance(10_000)
+  assert.ok(site.starts.length >= 2 && site.starts.length <= 10, `${site.starts.length} starts`)
+})
+
+test('a task waits for the workers that are not paused when these are most of those that can run it', () => {
+  const site = createSite(4, () => false)
+  site.pause(1, 60_000)
+  site.submit('short', { taskCount: 40 })
+  site.advance(LONGEST_WAIT_MILLISECONDS * 2)
+  assert.ok(site.starts.length >= 40)
+  assert.ok(site.starts.every(({ worker }) => worker !== 'worker-0'))
+})
