Plan starts while stops wait for a worker that does not respond

Cause: no start is planned while 64 orders are queued, of any kind. Two stops at a time are in flight to a worker. When workers report but leave their orders without a response, 64 stops or pace changes for them keep all tasks on all other workers waiting, for as long as that lasts.

Change: stops and pace changes count only while their worker is below its own limit of orders in flight, that is, while they wait for the limit of the owner. Starts count as before.

--- a/src/dispatch/OrderGate.test.ts
+++ b/src/dispatch/OrderGate.test.ts
@@ -124,3 +124,18 @@
     assert.equal(gate.inFlight, 0)
   }), { seed: getTestSeed(), numRuns: 200 })
 })
+
+test('stops and pace changes that wait for a worker that does not respond do not count as delays of starts', async () => {
+  const gate = OrderGate.create({ perWorkerLimit: 2, totalLimit: 4 })
+  const outcomes: string[] = []
+  for (let index = 0; index < 100; index++) requestOrder(gate, outcomes, `stop ${index}`, 'silent', 'stop')
+  for (let index = 0; index < 100; index++) requestOrder(gate, outcomes, `pace ${index}`, 'silent', 'pace')
+  assert.equal(gate.waiting, 198)
+  assert.equal(gate.countDelayingStarts(), 0)
+  for (let index = 0; index < 3; index++) requestOrder(gate, outcomes, `start ${index}`, 'silent')
+  for (const workerId of ['a', 'b', 'c', 'd']) requestOrder(gate, outcomes, workerId, workerId, 'stop')
+  await flushPromises()
+  assert.deepEqual(outcomes, ['stop 0 send', 'stop 1 send', 'a send', 'b send'])
+  // The starts on the silent worker, and the stops that wait for the limit of all workers.
+  assert.equal(gate.countDelayingStarts(), 5)
+})
--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -69,6 +69,20 @@
     return this.waitingCount
   }
 
+  /**
+   * Counts the queued orders that delay further starts: all starts, and other orders to workers below their own limit.
+   * Those that wait for earlier orders to the same worker, which may not respond, delay no start on another one.
+   * @returns The number of orders.
+   */
+  countDelayingStarts (): number {
+    let count = 0
+    for (const { limit, waiting } of this.queues.values()) {
+      count += waiting.start.length
+      if (limit.getUsed() < limit.getLimit()) count += waiting.stop.length + waiting.pace.length
+    }
+    return count
+  }
+
   /**
    * Waits until an order may be sent.
    * @param request The order.
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -73,9 +73,9 @@
     this.gate.withdrawUnneeded()
   }
 
-  /** The number of queued orders. */
-  get queuedCount (): number {
-    return this.gate.waiting
+  /** The number of queued orders that delay further starts, see `OrderGate`. */
+  get delayingCount (): number {
+    return this.gate.countDelayingStarts()
   }
 
   /** The number of starts whose assignments are being stored. */
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -61,7 +61,7 @@
 
 /** Changes that occur within this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
-/** No further starts are planned while this many orders are queued: about 0.2 s of them at 300 starts a second. */
+/** No further starts are planned while this many orders delay them: about 0.2 s of them at 300 starts a second. */
 const QUEUED_ORDER_LIMIT = 64
 /** No further starts of long-running tasks are planned while the assignments of this many are being stored. */
 const STORED_START_LIMIT = 32
@@ -366,7 +366,7 @@
     const { clock } = this.options
     const now = clock.monotonicMilliseconds()
     this.sender.withdrawUnneeded()
-    const startLimit = QUEUED_ORDER_LIMIT - this.sender.queuedCount
+    const startLimit = QUEUED_ORDER_LIMIT - this.sender.delayingCount
     const storedStartLimit = STORED_START_LIMIT - this.sender.storingCount
     this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), startLimit, storedStartLimit)
     for (const order of this.engine.takeOrders()) {
