Complete a gang that was stored as done in part

What callers saw: an accepted job that never runs and never completes, after a takeover.

Cause: the members of a gang are done together, and one end stands for all. A gang whose tasks are in several segments of the progress has several rows, which may be in different writes. When the owner ends between these, the next one loads a gang of which some members are done: it starts only as a whole, so it never does, and the repeated end of a member that is done changes nothing.

Change: a load completes each gang of which a member is done, the occurrence with its last task and the job with its last occurrence.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,7 +1,7 @@
 import {
   createJobRecord, findTask, getOccurrence, getOccurrenceCount, getOccurrenceSegment, getProgressSegment,
   getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord, type JobState,
-  type JobSubmission, type ProgressSegment, type StoredProgressRow, type TaskRecord
+  type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { isNextOccurrenceDue } from './hasWaitingTask.js'
@@ -64,6 +64,7 @@
     if (job.finalState !== null) return this.setFinalState(submission.jobId, job.finalState, now)
     this.jobs.set(submission.jobId, job)
     for (const segment of moved) this.markChanged(segment)
+    this.completeRestored(job)
     this.waitingRestarts.addJob(job)
   }
 
@@ -160,14 +161,9 @@
     if (task.done) return
     const { step } = task
     const { occurrence } = step
-    const { job } = occurrence
     step.tasks.markDone(task.index)
     this.markChanged(getTaskSegment(task))
-    if (occurrence.steps.some(other => other.tasks.remainingCount > 0)) return
-    job.occurrences.delete(occurrence.number)
-    job.finishedOccurrences.add(occurrence.number)
-    this.markChanged(getOccurrenceSegment(job, occurrence.number))
-    if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) this.finish(job, 'completed')
+    this.finishIfComplete(occurrence)
   }
 
   /** Sets the final state of a job, which is reported to the submitter once it is durable. */
@@ -257,6 +253,32 @@
     return expired
   }
 
+  /**
+   * Completes what the stored progress implies: the members of a gang are done together, but are stored in several
+   * rows, not all of which may have been written.
+   */
+  private completeRestored (job: JobRecord): void {
+    for (const occurrence of [...job.occurrences.values()]) {
+      for (const { tasks, specification } of occurrence.steps) {
+        if (!specification.gang || tasks.remainingCount === tasks.count) continue
+        for (const member of tasks.createAll()) {
+          tasks.markDone(member.index)
+          this.markChanged(getTaskSegment(member))
+        }
+      }
+      this.finishIfComplete(occurrence)
+    }
+  }
+
+  /** Finishes an occurrence all of whose tasks are done, and with the last occurrence the job. */
+  private finishIfComplete ({ job, number, steps }: OccurrenceRecord): void {
+    if (steps.some(({ tasks }) => tasks.remainingCount > 0)) return
+    job.occurrences.delete(number)
+    job.finishedOccurrences.add(number)
+    this.markChanged(getOccurrenceSegment(job, number))
+    if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) this.finish(job, 'completed')
+  }
+
   /** Marks all segments of a job that hold assignments, or hold in the store that these are unknown. */
   private markAssignmentsChanged (job: JobRecord): void {
     for (const { steps } of job.occurrences.values()) {
