Complete jobs without tasks

What callers saw: a job whose steps all have a count of 0, which is a valid submission, stays pending for ever.

Cause: a job is completed by the end of its last task only.

Change: an occurrence without tasks is finished when it is due.

Result: emptySteps.test.ts, the tests of a job and of a scheduled job without tasks failed before and pass now. That of steps without tasks beside others passed before too: such a step counts as done, and the last end completes the job.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -135,8 +135,8 @@
   }
 
   /**
-   * Creates occurrences that are due. All occurrences of a job have steps of the same sizes, so while some find no
-   * worker for any task, later ones find none either and are not created yet.
+   * Creates occurrences that are due, and finishes those without tasks. All occurrences of a job have steps of the same
+   * sizes, so while some find no worker for any task, later ones find none either and are not created yet.
    * @param job The job.
    * @param wallMilliseconds The time of day.
    * @param now The monotonic time.
@@ -148,7 +148,8 @@
     let unstarted = 0
     for (const occurrence of job.occurrences.values()) if (!hasStartedOccurrence(occurrence)) unstarted++
     while (unstarted < limit && isNextOccurrenceDue(job, wallMilliseconds)) {
-      getOccurrence(job, job.nextOccurrenceNumber, this.firstAttempt, now)
+      const occurrence = getOccurrence(job, job.nextOccurrenceNumber, this.firstAttempt, now)
+      if (occurrence !== undefined) this.finishIfComplete(occurrence)
       unstarted++
     }
   }
