Store the end of an occurrence before rows without its tasks

After a takeover at a certain moment, tasks of a scheduled job would run again although their ends had been acknowledged.

Cause: the progress of a finished occurrence is one number in the row of its first task; the rows of its other tasks no longer list them. The row of the last task was written first. When the owner ends between the two writes, the next one finds neither the number nor the tasks.

Change: the row with the number comes before all other rows of the occurrence that are to be written.

Result: the new test in storedOccurrences.test.ts failed before and passes now.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,7 +1,8 @@
 import {
-  createJobRecord, findTask, getOccurrence, getOccurrenceCount, getOccurrenceSegment, getProgressSegment,
-  getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord, type JobState,
-  type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow, type TaskRecord
+  createJobRecord, findTask, getLastSegmentIndex, getOccurrence, getOccurrenceCount, getOccurrenceSegment,
+  getProgressSegment, getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord,
+  type JobState, type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow,
+  type TaskRecord
 } from '../jobs/index.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { isNextOccurrenceDue } from './hasWaitingTask.js'
@@ -276,10 +277,24 @@
     if (steps.some(({ tasks }) => tasks.remainingCount > 0)) return
     job.occurrences.delete(number)
     job.finishedOccurrences.add(number)
-    this.markChanged(getOccurrenceSegment(job, number))
+    this.markOccurrenceFinished(job, number)
     if (job.finishedOccurrences.size === getOccurrenceCount(job.submission)) this.finish(job, 'completed')
   }
 
+  /**
+   * Marks the segment that holds that an occurrence is done. It is stored before the other ones of the occurrence,
+   * whose rows no longer list its done tasks.
+   */
+  private markOccurrenceFinished (job: JobRecord, number: number): void {
+    const segment = getOccurrenceSegment(job, number)
+    const lastIndex = getLastSegmentIndex(job, number)
+    this.markChanged(segment)
+    for (let index = segment.index + 1; index <= lastIndex; index++) {
+      const other = job.progressSegments.get(index)
+      if (other !== undefined && this.changed.delete(other)) this.changed.add(other)
+    }
+  }
+
   /** Marks all segments of a job that hold assignments, or hold in the store that these are unknown. */
   private markAssignmentsChanged (job: JobRecord): void {
     for (const { steps } of job.occurrences.values()) {
--- a/src/dispatch/storedOccurrences.test.ts
+++ b/src/dispatch/storedOccurrences.test.ts
@@ -35,3 +35,29 @@
   assert.equal(successor.unreconciled.getExpiries().has('worker-0'), true)
   assert.deepEqual(successor.takeOrders().flatMap(order => order.kind === 'start' ? [order.run.task.name] : []), [])
 })
+
+test('no task of an occurrence starts again when only a part of the rows was stored at its end', () => {
+  const taskCount = 200
+  const submission = createSubmission([{ taskCount }])
+  Object.assign(submission.specification, { repeatCount: 3, intervalMilliseconds: 1 })
+  const engine = DispatchEngine.create({ epoch: 1 })
+  engine.jobs.add({ submission, progress: [], recovered: false }, 0)
+  const job = engine.jobs.getJob('job')!
+  engine.jobs.createDueOccurrences(job, 10, 0)
+  const rows = new Map<number, JsonValue>()
+  const store = (count: number): void => {
+    for (const segment of engine.jobs.takeChanged(count)) {
+      rows.set(segment.index, encodeProgress(segment, 0) as unknown as JsonValue)
+    }
+  }
+  const tasks = job.occurrences.get(1)!.steps[0].tasks.createAll()
+  const last = tasks.pop()!
+  for (const task of tasks) engine.jobs.markDone(task)
+  store(100)
+  engine.jobs.markDone(last)
+  store(1)
+  const successor = DispatchEngine.create({ epoch: 2 })
+  const progress = [...rows].map(([index, value]) => ({ key: index === 0 ? 'job' : `job.${index}`, version: index + 1, value }))
+  successor.jobs.add({ submission, progress, recovered: false }, 0)
+  for (const { name } of tasks) assert.equal(successor.jobs.findTask(name, 0), undefined, name)
+})
--- a/src/jobs/ProgressSegment.ts
+++ b/src/jobs/ProgressSegment.ts
@@ -64,6 +64,16 @@
   return getProgressSegment(job, Math.floor(firstTaskNumber / TASKS_PER_SEGMENT))
 }
 
+/**
+ * Returns the index of the last segment with tasks of an occurrence.
+ * @param job The job.
+ * @param occurrenceNumber The number of the occurrence.
+ * @returns The index of the segment.
+ */
+export function getLastSegmentIndex (job: JobRecord, occurrenceNumber: number): number {
+  return Math.floor(((occurrenceNumber + 1) * getOccurrenceTaskCount(job) - 1) / TASKS_PER_SEGMENT)
+}
+
 /**
  * Returns by how much the task numbers of an occurrence exceed those of the one before.
  * @param job The job.
