--- /dev/null
+++ b/src/dispatch/rejectedStarts.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { PlannedSite } from '../../stand-ins/platform/PlannedSite.js'
+
+const CAPACITY = { processorsMilli: 4000, memoryMegabytes: 16_000, accelerators: 0 }
+const TASK_COUNT = 6
+
+test('tasks start on other workers when one rejects each start for lack of room that the owner does not know of', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 3,
+    capacity: CAPACITY,
+    getStartOutcome: ({ workerId }) => workerId === 'worker-0'
+      ? { kind: 'rejected', reason: 'room' }
+      : { kind: 'accepted', workerMilliseconds: 0 }
+  })
+  site.submit('short', [{ taskCount: TASK_COUNT, estimateMilliseconds: 60_000 }])
+  site.advance(1000)
+  const runs = site.workers.flatMap(({ runs }) => [...runs.values()])
+  assert.equal(runs.filter(({ state }) => state === 'running').length, TASK_COUNT)
+  // Each task may try the worker once.
+  assert.ok(site.startCounts.get('short')! <= TASK_COUNT * 2, `${site.startCounts.get('short')} starts`)
+})
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -60,7 +60,7 @@
   earlierRuns: EarlierRunScope
   /** Whether a worker has executed a start of the task, or may have executed one without a response. */
   hasRun: boolean
-  /** Workers on which a run of the task failed or stalled; the next run avoids them. */
+  /** Workers on which a run of the task failed or stalled, or that rejected its start; the next run avoids them. */
   failedWorkerIds: Set<string>
   /** The number of runs that were stopped because they made no visible progress. */
   stallCount: number
