Count stops without a response against the worker's steadiness

Cause: stops precede starts in the queue of a worker. While a worker reports and leaves stops without a response, starts behind them are withdrawn after 1 s and planned again, on the same worker, which has the most free capacity. Only starts without a response made the owner choose the worker last.

Change: a stop without a response or a connection counts as such a start does.

--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -241,6 +241,8 @@
         if (run !== null) engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
         return
       }
+      // Starts queue behind the stops to a worker, so its tasks should start elsewhere.
+      if (isPathFailure(outcome)) recordFailure(worker, this.now())
       if (outcome.kind === 'withdrawn' || outcome.kind === 'not-sent') await this.pauseUntilReport(worker, retryMilliseconds)
       else await this.pause(retryMilliseconds)
       retryMilliseconds = Math.min(LONGEST_STOP_RETRY_MILLISECONDS, retryMilliseconds * 2)
@@ -282,3 +284,8 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
+
+/** Returns whether an order got no response or no connection. */
+function isPathFailure (outcome: SendOutcome): boolean {
+  return outcome.kind === 'unknown' || (outcome.kind === 'not-sent' && outcome.hasConnectionFailed === true)
+}
--- a/src/instance/failingOrders.test.ts
+++ b/src/instance/failingOrders.test.ts
@@ -82,3 +82,60 @@
 test('starts that expire in the queue of the owner do not affect the choice of workers', async () => {
   assert.deepEqual(new Set(await placeAfterFailures([QUEUE_TIMEOUT])), new Set(['north', 'south']))
 })
+
+/** Plays an owner of two workers, of which the given one responds to no stop while it reports. */
+async function placeBesideFailingStops (stopOutcome: OrderOutcome): Promise<{ stopped: string, later: string[] }> {
+  const clock = VirtualClock.create(1000)
+  const engine = DispatchEngine.create({ epoch: 1 })
+  for (const workerId of ['worker-0', 'worker-1']) {
+    const worker = engine.setWorker(createWorkerEntry({ workerId }))
+    worker.registered = true
+    engine.applyReport(worker, REPORT, 990, 1000)
+  }
+  const sender = OrderSender.create({
+    engine,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    metrics: createTestMetrics(true),
+    mayStart: () => true,
+    onChange: () => {},
+    storeAssignment: async () => true,
+    onDeposed: () => {}
+  })
+  const client: WorkerClient = {
+    start: async () => ACCEPTED,
+    stop: async () => stopOutcome,
+    setPace: async () => ACCEPTED,
+    hold: async () => NO_RESPONSE,
+    close: () => {}
+  }
+  const sendOrders = async (): Promise<string[]> => {
+    engine.markDirty()
+    engine.plan(clock.monotonicMilliseconds(), clock.wallMilliseconds(), true)
+    const orders = engine.takeOrders()
+    for (const order of orders) sender.send(order, client)
+    await clock.advance(1)
+    return orders.flatMap(order => order.kind === 'start' ? [order.worker.entry.workerId] : [])
+  }
+  const add = (jobId: string, taskCount: number): void => engine.jobs.add(
+    { submission: createSubmission([{ taskCount, processorsMilli: 500 }], { jobId }), progress: [], recovered: false },
+    clock.monotonicMilliseconds())
+  add('stopped', 1)
+  const [stopped] = await sendOrders()
+  engine.cancelJob('stopped')
+  await sendOrders()
+  await clock.advance(2000)
+  add('later', 4)
+  const later = await sendOrders()
+  sender.stop()
+  return { stopped, later }
+}
+
+test('tasks start elsewhere when stops get no response or no connection while the worker reports', async () => {
+  for (const outcome of [NO_RESPONSE, NOT_CONNECTED]) {
+    const { stopped, later } = await placeBesideFailingStops(outcome)
+    assert.equal(later.length, 4)
+    assert.ok(later.every(workerId => workerId !== stopped), later.join())
+  }
+})
