Place gangs on workers that are not likely to fail

Cause: a gang is placed on the first workers with room, in the same order each time, whatever happened there. One worker that rejects starts or leaves them without a response ends the whole gang again and again, while others have room.

Change: a gang is placed on workers that respond steadily and on which no member has failed or was rejected, if it fits there, otherwise on all as before.

--- a/src/dispatch/selectGangPlacement.ts
+++ b/src/dispatch/selectGangPlacement.ts
@@ -1,12 +1,13 @@
 import type { StepRecord } from '../jobs/index.js'
 import { isEligible, type ChoiceConditions } from './chooseWorker.js'
-import { getFreeCapacity, type WorkerRecord } from './WorkerRecord.js'
+import { getFreeCapacity, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Places all members of a gang at once, on one rack when the gang prefers that and a rack has the capacity.
  *
  * Either all members get a worker or none does: on a nearly full site, members that wait for the others would reserve
- * capacity without making progress.
+ * capacity without making progress. One worker that fails ends the whole gang, so the gang uses only sound workers if
+ * it fits there.
  * @param step The step.
  * @param workers All workers.
  * @param conditions The conditions of the choice.
@@ -21,6 +22,22 @@
   const label = step.specification.requiredLabel
   const eligible = [...workers].filter(worker =>
     isEligible(worker, conditions) && (label === '' || worker.entry.labels.includes(label)))
+  const failedWorkerIds = new Set<string>()
+  for (const task of tasks.getAllCreated()) for (const workerId of task.failedWorkerIds) failedWorkerIds.add(workerId)
+  const sound = eligible.filter(worker =>
+    !failedWorkerIds.has(worker.entry.workerId) && !isLikelyToFail(worker, conditions))
+  const placement = placeMembers(step, sound)
+  return placement.length > 0 || sound.length === eligible.length ? placement : placeMembers(step, eligible)
+}
+
+/** Returns whether a start on a worker is likely to get no response. */
+function isLikelyToFail (worker: WorkerRecord, { now, unsteadyDataCentres }: ChoiceConditions): boolean {
+  return isUnsteady(worker, now) || unsteadyDataCentres?.has(worker.entry.dataCentre) === true
+}
+
+/** Returns the worker of each member, or an empty list when not all fit. */
+function placeMembers (step: StepRecord, eligible: WorkerRecord[]): WorkerRecord[] {
+  const { tasks } = step
   const { preferredRack, rackSensitive } = step.specification
   const racks = rackSensitive || preferredRack !== '' ? getRacks(eligible) : []
   racks.sort((left, right) => Number(right.name === preferredRack) - Number(left.name === preferredRack))
