--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -392,7 +392,9 @@
 
   private markRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
     this.observer.onRunLost(worker, run, cause, now)
-    removeRun(worker, run, now)
+    // A start that never ran does not end the wait of its task.
+    const hasNeverRun = cause === 'start-refused' || cause === 'not-sent'
+    removeRun(worker, run, now, hasNeverRun ? run.task.waitingSince : now)
     this.jobs.waitingRestarts.add(run.task)
   }
 
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -194,13 +194,14 @@
  * Removes a run that is over and releases its resources.
  * @param worker The worker.
  * @param run The run.
- * @param now The monotonic time, from which the task counts as waiting.
+ * @param now The monotonic time.
+ * @param waitingSince The monotonic time from which the task counts as waiting; now by default.
  */
-export function removeRun (worker: WorkerRecord, run: RunRecord, now: number): void {
+export function removeRun (worker: WorkerRecord, run: RunRecord, now: number, waitingSince = now): void {
   if (!worker.runs.delete(getRunKey(run.task.name, run.attempt))) return
   run.task.runs = run.task.runs.filter(other => other !== run)
   if (run.task.runs.length === 0) run.task.step.tasks.removeBusy(run.task)
-  run.task.waitingSince = now
+  run.task.waitingSince = waitingSince
   if (run.task.step.specification.fills) worker.bestEffortChangedAt = now
   reserve(worker, run.task.step, -1)
 }
--- a/src/dispatch/rejectedStarts.test.ts
+++ b/src/dispatch/rejectedStarts.test.ts
@@ -21,3 +21,15 @@
   // Each task may try the worker once.
   assert.ok(site.startCounts.get('short')! <= TASK_COUNT * 2, `${site.startCounts.get('short')} starts`)
 })
+
+test('a task whose starts are refused counts as waiting from its first one on', () => {
+  const site = PlannedSite.create({
+    seed: 1, workerCount: 1, capacity: CAPACITY, getStartOutcome: () => ({ kind: 'rejected', reason: 'room' })
+  })
+  site.submit('short', [{}])
+  site.advance(20)
+  const { waitingSince } = site.engine.jobs.findTask('short-0.0.0.0', 0)!
+  site.advance(1000)
+  assert.ok(site.startCounts.get('short')! > 1)
+  assert.equal(site.engine.jobs.findTask('short-0.0.0.0', 0)!.waitingSince, waitingSince)
+})
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -64,7 +64,9 @@
   failedWorkerIds: Set<string>
   /** The number of runs that were stopped because they made no visible progress. */
   stallCount: number
-  /** Monotonic time at which the last run ended, or at which the task was created. */
+  /**
+   * Monotonic time at which the last run ended, or at which the task was created; starts that never ran do not count.
+   */
   waitingSince: number
 }
 
