Bound waits of tasks that workers refuse and of those on paused ones

The placement by preference counts as a success, so the bounds take no effect. A worker on which the task failed and one that refused it ranked alike. - The bound for paused workers held only while most of the workers that could run the task were paused. With others that are full, as in a small group with a label or accelerators, a task waited for up to 12 s.

Change: a refusing worker ranks behind one on which the task failed, and a paused one between that and all others. A task that was refused and is overdue is placed with these ranks before it is placed by preference, and so is a gang. The share of paused workers no longer matters; that the service is idle does, now below half of its processors in use, as is the target, rather than 55%. Still one task of a step without runs at a time tries paused workers.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -19,15 +19,9 @@
 const PREFERENCE_WAIT_MILLISECONDS = 1500
 /**
  * Above this share of the processors in use, tasks wait for preferred workers however long that takes: there is other
- * work for the room. A task should not wait while half of the room is free; the rest is a margin for runs that end.
+ * work for the room.
  */
-const IDLE_SHARE = 0.55
-
-/**
- * While no more workers than this are paused, tasks wait for the other ones: a start on a paused worker may cost an
- * attempt. When the others are full, at least half of the room is in use.
- */
-const PAUSED_SHARE = 0.5
+const IDLE_SHARE = 0.5
 
 /** What a choice permits that it does not by preference, see `ChoiceConditions`. */
 type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference'>
@@ -55,8 +49,6 @@
   /** The candidates of each service, with and without each relaxation. */
   private readonly candidates = new Map<string, StartCandidates>()
   private readonly idleServices = new Map<string, boolean>()
-  /** Whether most of the workers are paused that could run tasks of a size, by the size and the service. */
-  private readonly pausedSizes = new Map<string, boolean>()
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -112,8 +104,10 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
-    if (!step.specification.gang) this.placeTasks(step, serviceName)
-    else if (!this.placeGang(step, this.options.getConditions(serviceName))) this.placeOverdue(step, serviceName)
+    if (!step.specification.gang) return this.placeTasks(step, serviceName)
+    // By preference, the gang would go back to workers that refuse it rather than to paused ones.
+    if (hasRefusedTask(step)) this.placeOverdue(step, serviceName)
+    if (!this.placeGang(step, this.options.getConditions(serviceName))) this.placeOverdue(step, serviceName)
   }
 
   /**
@@ -157,7 +151,9 @@
     if (!this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) {
       let isComplete = true
       for (const task of step.tasks.getWaiting(this.options.mayStart)) {
-        isComplete = !this.isFull && this.placeTask(task, serviceName)
+        // By preference, the task would go back to a worker that refuses it rather than to a paused one.
+        if (task.refusingWorkerIds.size > 0) this.placeOverdue(step, serviceName)
+        isComplete = !this.isFull && (task.runs.length > 0 || this.placeTask(task, serviceName))
         if (!isComplete) break
       }
       if (isComplete) return this.options.getConditions(serviceName).costs.forget(step)
@@ -171,15 +167,15 @@
    * or not; its restarts are placed by `placeRestart`.
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
-    const { specification: { longRunning }, tasks } = step
+    const { specification: { longRunning, fills }, tasks } = step
     if (!longRunning && tasks.hasBusy()) return
+    if (!this.isIdle(serviceName)) return
     const conditions = this.options.getConditions(serviceName)
-    const relaxation = this.getRelaxation(step, conditions)
-    if (relaxation === null) return
     for (const task of tasks.getAllCreated()) {
       if (this.isFull) return
       if (task.runs.length > 0 || conditions.now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
       if (isRestart(task) || !this.options.mayStart(task)) continue
+      const relaxation = { acceptsInterference: fills, includesPaused: true }
       const isPlaced = this.placeDespitePreference(task, conditions, relaxation)
       if (!isPlaced || !longRunning) return
     }
@@ -191,14 +187,6 @@
     return this.placeTask(task, conditions.serviceName, relaxation)
   }
 
-  /** Returns what is permitted to tasks of a step that have waited for long; null for nothing. */
-  private getRelaxation (step: StepRecord, conditions: ChoiceConditions): Relaxation | null {
-    if (!this.isIdle(conditions.serviceName)) return null
-    const { gang, fills } = step.specification
-    const includesPaused = gang || this.areMostPaused(step, conditions)
-    return fills || includesPaused ? { acceptsInterference: fills, includesPaused } : null
-  }
-
   /** Returns whether so little of a service is in use that tasks should not wait for preferred workers. */
   private isIdle (serviceName: string): boolean {
     const existing = this.idleServices.get(serviceName)
@@ -210,23 +198,6 @@
     return isIdle
   }
 
-  /** Returns whether most of the workers that could run the tasks of a step are paused after failures. */
-  private areMostPaused (step: StepRecord, { serviceName, dataCentresOut, now }: ChoiceConditions): boolean {
-    const key = `${getSizeKey(step)} ${serviceName}`
-    const existing = this.pausedSizes.get(key)
-    if (existing !== undefined) return existing
-    let count = 0
-    let pausedCount = 0
-    for (const worker of this.options.workers) {
-      if (!isInService(worker, serviceName, dataCentresOut) || !isLargeEnough(worker, step)) continue
-      count++
-      if (worker.quarantinedUntil > now) pausedCount++
-    }
-    const areMostPaused = pausedCount > count * PAUSED_SHARE
-    this.pausedSizes.set(key, areMostPaused)
-    return areMostPaused
-  }
-
   /** Returns whether the task got a worker. */
   private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
     if (this.mustWaitForStore(task.step)) return false
@@ -261,13 +232,6 @@
   }
 }
 
-/** Returns whether a worker could run tasks of a step if it ran nothing else. */
-function isLargeEnough ({ entry: { capacity, labels } }: WorkerRecord, { specification }: StepRecord): boolean {
-  return (specification.fills || capacity.processorsMilli >= specification.processorsMilli) &&
-    capacity.memoryMegabytes >= specification.memoryMegabytes && capacity.accelerators >= specification.accelerators &&
-    (specification.requiredLabel === '' || labels.includes(specification.requiredLabel))
-}
-
 /** Returns the share of the processors of workers that is reserved. */
 function getUsedShare (workers: readonly WorkerRecord[]): number {
   let used = 0
@@ -278,3 +242,11 @@
   }
   return used / Math.max(1, total)
 }
+
+/** Returns whether a worker has refused a start of a waiting task of a step. */
+function hasRefusedTask ({ tasks }: StepRecord): boolean {
+  for (const { runs, refusingWorkerIds } of tasks.getAllCreated()) {
+    if (runs.length === 0 && refusingWorkerIds.size > 0) return true
+  }
+  return false
+}
--- a/src/dispatch/applyStartOutcome.ts
+++ b/src/dispatch/applyStartOutcome.ts
@@ -50,6 +50,6 @@
   // The worker executed an earlier sending of this start, or confirmed a stop; reports show when the run is over.
   if (run.confirmedAt !== null) return
   // The reason may last, such as less free capacity than the owner knows of.
-  if (outcome.kind === 'rejected' || outcome.kind === 'replaced') run.task.failedWorkerIds.add(run.workerId)
+  if (outcome.kind !== 'not-sent') run.task.refusingWorkerIds.add(run.workerId)
   context.markRunLost(run, outcome.kind === 'not-sent' ? 'not-sent' : 'start-refused')
 }
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -16,10 +16,14 @@
 
 /** Ranks workers on which the task failed before last; outweighs all other differences of cost. */
 const FAILED_BEFORE_PENALTY = 10
+/** Ranks workers that refused a start of the task behind all others. */
+const REFUSED_BEFORE_PENALTY = 30
 /** Ranks workers that respond unsteadily behind all others on which the task has not failed. */
 const UNSTEADY_PENALTY = 5
 /** Ranks workers of a data centre that responds unsteadily between these and all others. */
 const UNSTEADY_DATA_CENTRE_PENALTY = 3
+/** Ranks workers that are paused after failures behind all others on which the task has not failed. */
+const PAUSED_PENALTY = 8
 /** Ranks workers on which a serving task is above its target behind all others, for tasks that start despite that. */
 const TARGET_EXCEEDED_PENALTY = 20
 
@@ -125,6 +129,8 @@
       ? getCostDespiteInterference(worker, task, advisor)
       : costs.getCost(worker, task, emptyWorkerCost, advisor)
     if (task.failedWorkerIds.has(worker.entry.workerId)) cost += FAILED_BEFORE_PENALTY
+    if (task.refusingWorkerIds.has(worker.entry.workerId)) cost += REFUSED_BEFORE_PENALTY
+    if (worker.quarantinedUntil > now) cost += PAUSED_PENALTY
     cost += getUnsteadinessCost(worker, conditions)
     if (cost >= bestCost || !fits(worker, task)) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
--- a/src/dispatch/selectGangPlacement.ts
+++ b/src/dispatch/selectGangPlacement.ts
@@ -22,12 +22,16 @@
   const label = step.specification.requiredLabel
   const eligible = [...workers].filter(worker =>
     isEligible(worker, conditions) && (label === '' || worker.entry.labels.includes(label)))
-  const failedWorkerIds = new Set<string>()
-  for (const task of tasks.getAllCreated()) for (const workerId of task.failedWorkerIds) failedWorkerIds.add(workerId)
-  const sound = eligible.filter(worker =>
-    !failedWorkerIds.has(worker.entry.workerId) && !isLikelyToFail(worker, conditions))
+  const members = [...tasks.getAllCreated()]
+  const refusing = new Set(members.flatMap(({ refusingWorkerIds }) => [...refusingWorkerIds]))
+  const failed = new Set(members.flatMap(({ failedWorkerIds }) => [...failedWorkerIds]))
+  const accepting = eligible.filter(({ entry: { workerId } }) => !refusing.has(workerId))
+  const sound = accepting.filter(worker =>
+    !failed.has(worker.entry.workerId) && !isLikelyToFail(worker, conditions))
   const placement = placeMembers(step, sound)
-  return placement.length > 0 || sound.length === eligible.length ? placement : placeMembers(step, eligible)
+  if (placement.length > 0 || sound.length === eligible.length) return placement
+  const other = placeMembers(step, accepting)
+  return other.length > 0 || accepting.length === eligible.length ? other : placeMembers(step, eligible)
 }
 
 /** Returns whether a start on a worker is likely to get no response. */
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -60,8 +60,10 @@
   earlierRuns: EarlierRunScope
   /** Whether a worker has executed a start of the task, or may have executed one without a response. */
   hasRun: boolean
-  /** Workers on which a run of the task failed or stalled, or that rejected its start; the next run avoids them. */
+  /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
+  /** Workers that refused a start of the task; the next run avoids them even more. */
+  refusingWorkerIds: Set<string>
   /** The number of runs that were stopped because they made no visible progress. */
   stallCount: number
   /**
@@ -209,6 +211,7 @@
     runs: [],
     hasRun: false,
     failedWorkerIds: new Set(),
+    refusingWorkerIds: new Set(),
     stallCount: 0,
     waitingSince
   }
