--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,8 +1,9 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
-import type { ChoiceConditions } from './chooseWorker.js'
+import { isInService, type ChoiceConditions } from './chooseWorker.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
+import { isRestart } from './WaitingRestarts.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
 /**
@@ -11,6 +12,20 @@
  */
 const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
 
+/**
+ * A task of a step without runs that has waited this long may start where it would not by preference, see
+ * `placeOverdue`. A task should not wait for 3 s beside free room; half of that leaves time for the start to arrive.
+ */
+const PREFERENCE_WAIT_MILLISECONDS = 1500
+/**
+ * Above this share of the processors in use, tasks wait for preferred workers however long that takes: there is other
+ * work for the room.
+ */
+const IDLE_SHARE = 0.5
+
+/** What a choice permits that it does not by preference, see `ChoiceConditions`. */
+type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference'>
+
 /** Options of a plan. */
 export interface StartPlanOptions {
   workers: readonly WorkerRecord[]
@@ -31,9 +46,9 @@
  * stops at the number of starts that can be sent soon, and once a task does not fit, others of its size are skipped.
  */
 export class StartPlan {
+  /** The candidates of each service, with and without each relaxation. */
   private readonly candidates = new Map<string, StartCandidates>()
-  /** The candidates that include paused workers. */
-  private readonly pausedCandidates = new Map<string, StartCandidates>()
+  private readonly idleServices = new Map<string, boolean>()
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -89,8 +104,10 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
-    if (step.specification.gang) this.placeGang(step, this.options.getConditions(serviceName))
-    else this.placeTasks(step, serviceName)
+    if (!step.specification.gang) return this.placeTasks(step, serviceName)
+    // By preference, the gang would go back to workers that refuse it rather than to paused ones.
+    if (hasRefusedTask(step)) this.placeOverdue(step, serviceName)
+    if (!this.placeGang(step, this.options.getConditions(serviceName))) this.placeOverdue(step, serviceName)
   }
 
   /**
@@ -103,9 +120,14 @@
   placeRestart (task: TaskRecord, serviceName: string): boolean {
     const { step } = task
     const conditions = this.options.getConditions(serviceName)
-    const mayUsePaused = conditions.now - task.waitingSince >= PAUSED_WORKER_WAIT_MILLISECONDS
+    const waitMilliseconds = conditions.now - task.waitingSince
+    const mayUsePaused = waitMilliseconds >= PAUSED_WORKER_WAIT_MILLISECONDS
     if (!step.specification.gang) {
-      return this.placeTask(task, serviceName) || (mayUsePaused && this.placeTask(task, serviceName, true))
+      const acceptsInterference = step.specification.fills && waitMilliseconds >= PREFERENCE_WAIT_MILLISECONDS &&
+        this.isIdle(serviceName)
+      return this.placeTask(task, serviceName) ||
+        (acceptsInterference && this.placeTask(task, serviceName, { acceptsInterference })) ||
+        (mayUsePaused && this.placeTask(task, serviceName, { acceptsInterference, includesPaused: true }))
     }
     if (this.restartedGangs.has(step)) return task.runs.length > 0
     this.restartedGangs.add(step)
@@ -126,17 +148,60 @@
   }
 
   private placeTasks (step: StepRecord, serviceName: string): void {
-    if (this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) return
-    for (const task of step.tasks.getWaiting(this.options.mayStart)) {
-      if (this.isFull || !this.placeTask(task, serviceName)) return
+    if (!this.getCandidates(serviceName).unplaceableSizes.has(getSizeKey(step))) {
+      let isComplete = true
+      for (const task of step.tasks.getWaiting(this.options.mayStart)) {
+        // By preference, the task would go back to a worker that refuses it rather than to a paused one.
+        if (task.refusingWorkerIds.size > 0) this.placeOverdue(step, serviceName)
+        isComplete = !this.isFull && (task.runs.length > 0 || this.placeTask(task, serviceName))
+        if (!isComplete) break
+      }
+      if (isComplete) return this.options.getConditions(serviceName).costs.forget(step)
+    }
+    this.placeOverdue(step, serviceName)
+  }
+
+  /**
+   * Places a task that finds no worker by preference and has waited for long, if no other task of its step runs. So the
+   * step goes on, while its other tasks wait for better workers. Each long-running task has to run, whether others do
+   * or not; its restarts are placed by `placeRestart`.
+   */
+  private placeOverdue (step: StepRecord, serviceName: string): void {
+    const { specification: { longRunning, fills }, tasks } = step
+    if (!longRunning && tasks.hasBusy()) return
+    if (!this.isIdle(serviceName)) return
+    const conditions = this.options.getConditions(serviceName)
+    for (const task of tasks.getAllCreated()) {
+      if (this.isFull) return
+      if (task.runs.length > 0 || conditions.now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
+      if (isRestart(task) || !this.options.mayStart(task)) continue
+      const relaxation = { acceptsInterference: fills, includesPaused: true }
+      const isPlaced = this.placeDespitePreference(task, conditions, relaxation)
+      if (!isPlaced || !longRunning) return
     }
-    this.options.getConditions(serviceName).costs.forget(step)
+  }
+
+  /** Returns whether the task, or its gang, got workers that it does not get by preference. */
+  private placeDespitePreference (task: TaskRecord, conditions: ChoiceConditions, relaxation: Relaxation): boolean {
+    if (task.step.specification.gang) return this.placeGang(task.step, { ...conditions, ...relaxation })
+    return this.placeTask(task, conditions.serviceName, relaxation)
+  }
+
+  /** Returns whether so little of a service is in use that tasks should not wait for preferred workers. */
+  private isIdle (serviceName: string): boolean {
+    const existing = this.idleServices.get(serviceName)
+    if (existing !== undefined) return existing
+    const { dataCentresOut } = this.options.getConditions(serviceName)
+    const isIdle = getUsedShare(
+      this.options.workers.filter(worker => isInService(worker, serviceName, dataCentresOut))) < IDLE_SHARE
+    this.idleServices.set(serviceName, isIdle)
+    return isIdle
   }
 
   /** Returns whether the task got a worker. */
-  private placeTask (task: TaskRecord, serviceName: string, includesPaused = false): boolean {
+  private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
     if (this.mustWaitForStore(task.step)) return false
-    const candidates = this.getCandidates(serviceName, includesPaused)
+    const candidates = this.getCandidates(serviceName, relaxation)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
     const worker = candidates.choose(task)
@@ -155,13 +220,33 @@
     this.options.start(task, worker, attempt)
   }
 
-  private getCandidates (serviceName: string, includesPaused = false): StartCandidates {
-    const cache = includesPaused ? this.pausedCandidates : this.candidates
-    const existing = cache.get(serviceName)
+  private getCandidates (serviceName: string, relaxation: Relaxation = {}): StartCandidates {
+    const { includesPaused = false, acceptsInterference = false } = relaxation
+    const key = `${includesPaused} ${acceptsInterference} ${serviceName}`
+    const existing = this.candidates.get(key)
     if (existing !== undefined) return existing
-    const conditions = { ...this.options.getConditions(serviceName), includesPaused }
+    const conditions = { ...this.options.getConditions(serviceName), includesPaused, acceptsInterference }
     const candidates = StartCandidates.create(this.options.workers, conditions)
-    cache.set(serviceName, candidates)
+    this.candidates.set(key, candidates)
     return candidates
   }
 }
+
+/** Returns the share of the processors of workers that is reserved. */
+function getUsedShare (workers: readonly WorkerRecord[]): number {
+  let used = 0
+  let total = 0
+  for (const { reserved, entry: { capacity } } of workers) {
+    used += reserved.processorsMilli
+    total += capacity.processorsMilli
+  }
+  return used / Math.max(1, total)
+}
+
+/** Returns whether a worker has refused a start of a waiting task of a step. */
+function hasRefusedTask ({ tasks }: StepRecord): boolean {
+  for (const { runs, refusingWorkerIds } of tasks.getAllCreated()) {
+    if (runs.length === 0 && refusingWorkerIds.size > 0) return true
+  }
+  return false
+}
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -73,9 +73,9 @@
     this.gate.withdrawUnneeded()
   }
 
-  /** The number of queued orders. */
-  get queuedCount (): number {
-    return this.gate.waiting
+  /** The number of queued orders that delay further starts, see `OrderGate`. */
+  get delayingCount (): number {
+    return this.gate.countDelayingStarts()
   }
 
   /** The number of starts whose assignments are being stored. */
@@ -242,6 +242,8 @@
         return
       }
       if (run !== null && outcome.kind !== 'withdrawn') run.isStopUnanswered = true
+      // Starts queue behind the stops to a worker, so its tasks should start elsewhere.
+      if (isPathFailure(outcome)) recordFailure(worker, this.now())
       if (outcome.kind === 'withdrawn' || outcome.kind === 'not-sent') await this.pauseUntilReport(worker, retryMilliseconds)
       else await this.pause(retryMilliseconds)
       retryMilliseconds = Math.min(LONGEST_STOP_RETRY_MILLISECONDS, retryMilliseconds * 2)
@@ -283,3 +285,8 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
+
+/** Returns whether an order got no response or no connection. */
+function isPathFailure (outcome: SendOutcome): boolean {
+  return outcome.kind === 'unknown' || (outcome.kind === 'not-sent' && outcome.hasConnectionFailed === true)
+}
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -23,6 +23,7 @@
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import { ShardRowLoader } from './ShardRowLoader.js'
 import { SiteUpdater, type ChangedWorkers, type SiteState } from './SiteUpdater.js'
+import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -60,7 +61,7 @@
 
 /** Changes that occur within this time are planned together. */
 const PLAN_DELAY_MILLISECONDS = 8
-/** No further starts are planned while this many orders are queued: about 0.2 s of them at 300 starts a second. */
+/** No further starts are planned while this many orders delay them: about 0.2 s of them at 300 starts a second. */
 const QUEUED_ORDER_LIMIT = 64
 /** No further starts of long-running tasks are planned while the assignments of this many are being stored. */
 const STORED_START_LIMIT = 32
@@ -86,6 +87,7 @@
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
   private readonly recoveryMonitor: RecoveryMonitor
+  private readonly waitMonitor: WaitMonitor
   private readonly loops: WorkerLeaseLoops
   private readonly jobRows: JobRowReader
   private readonly siteUpdater: SiteUpdater
@@ -106,6 +108,9 @@
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.earlierLeasesEndAt = options.earlierLeasesEndAt
+    this.waitMonitor = WaitMonitor.create({
+      ...options, engine: this.engine, getStartObstacle: () => this.getStartObstacle()
+    })
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.rowLoader = ShardRowLoader.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
@@ -331,6 +336,7 @@
   private runPeriodicTasks (now: number): void {
     this.engine.jobs.expireFinalStates(now)
     this.recoveryMonitor.check()
+    this.waitMonitor.check()
     const removedWorkerIds = this.loops.getWorkerIds().filter(workerId => !this.engine.workers.has(workerId))
     for (const workerId of removedWorkerIds) this.loops.stop(workerId)
     this.registry.unregister(removedWorkerIds)
@@ -371,7 +377,7 @@
     const { clock } = this.options
     const now = clock.monotonicMilliseconds()
     this.sender.withdrawUnneeded()
-    const startLimit = QUEUED_ORDER_LIMIT - this.sender.queuedCount
+    const startLimit = QUEUED_ORDER_LIMIT - this.sender.delayingCount
     const storedStartLimit = STORED_START_LIMIT - this.sender.storingCount
     this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), startLimit, storedStartLimit)
     for (const order of this.engine.takeOrders()) {
@@ -381,8 +387,15 @@
   }
 
   private mayStart (): boolean {
-    return !this.draining && this.loaded && this.options.site.getConfiguration() !== null &&
-      this.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS
+    return this.getStartObstacle() === null
+  }
+
+  /** Returns why no task may start now, null when tasks may. */
+  private getStartObstacle (): string | null {
+    if (this.draining) return 'owner-draining'
+    if (!this.loaded) return 'not-loaded'
+    if (this.options.site.getConfiguration() === null) return 'no-configuration'
+    return this.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS ? null : 'renewal-too-old'
   }
 
   private getRenewalAge (): number {
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -64,9 +64,13 @@
   hasRun: boolean
   /** Workers on which a run of the task failed or stalled; the next run avoids them. */
   failedWorkerIds: Set<string>
+  /** Workers that refused a start of the task; the next run avoids them even more. */
+  refusingWorkerIds: Set<string>
   /** The number of runs that were stopped because they made no visible progress. */
   stallCount: number
-  /** Monotonic time at which the last run ended, or at which the task was created. */
+  /**
+   * Monotonic time at which the last run ended, or at which the task was created; starts that never ran do not count.
+   */
   waitingSince: number
 }
 
@@ -209,6 +213,7 @@
     runs: [],
     hasRun: false,
     failedWorkerIds: new Set(),
+    refusingWorkerIds: new Set(),
     stallCount: 0,
     waitingSince
   }
