Start long-running tasks on paused workers in a busy service too

Cause: a task that finds only paused workers starts on one of them after 1.5 s only while less than half of the service is in use. A long-running task is judged however full its service is, and loses no attempts by a failure.

Change: long-running tasks that have waited for 1.5 s may use paused workers however much is in use. Restarts keep their own bound.

The new test failed before with no start and passes now.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -164,12 +164,11 @@
   /**
    * Places a task that finds no worker by preference and has waited for long, if no other task of its step runs. So the
    * step goes on, while its other tasks wait for better workers. Each long-running task has to run, whether others do
-   * or not; its restarts are placed by `placeRestart`.
+   * or not, and has no limit of attempts; its restarts are placed by `placeRestart`.
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
     const { specification: { longRunning, fills }, tasks } = step
-    if (!longRunning && tasks.hasBusy()) return
-    if (!this.isIdle(serviceName)) return
+    if (!longRunning && (tasks.hasBusy() || !this.isIdle(serviceName))) return
     const conditions = this.options.getConditions(serviceName)
     for (const task of tasks.getAllCreated()) {
       if (this.isFull) return
--- a/src/dispatch/waitsBesideServing.test.ts
+++ b/src/dispatch/waitsBesideServing.test.ts
@@ -24,8 +24,9 @@
   const latencies = new Map(tailLatencies.map((latency, index) => [`worker-${index}`, latency]))
   let now = 1000
   const starts: Array<{ task: string, worker: string, at: number }> = []
-  const report = (): void => {
+  const report = (prefix: string): void => {
     for (const worker of engine.workers.values()) {
+      if (!worker.entry.workerId.startsWith(prefix)) continue
       const running = [...worker.runs.values()].map(({ task, attempt }) => ({
         taskName: task.name,
         attempt,
@@ -36,10 +37,11 @@
       engine.applyReport(worker, { workerMilliseconds: now, bornAtMilliseconds: 1, running, ended: [] }, now - 1, now)
     }
   }
-  const advance = (milliseconds: number): void => {
+  /** Advances the clock while the workers report whose names begin with a prefix. */
+  const advance = (milliseconds: number, prefix = ''): void => {
     for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
       now += STEP_MILLISECONDS
-      report()
+      report(prefix)
       engine.markDirty()
       engine.plan(now, now, true)
       for (const order of engine.takeOrders()) {
@@ -119,3 +121,14 @@
   advance(LONGEST_WAIT_MILLISECONDS * 2)
   assert.deepEqual(starts, [])
 })
+
+test('a long-running task that finds only paused workers starts in time although most of the service is in use', () => {
+  const { engine, starts, advance, submit } = createSite(NO_HEADROOM)
+  submit('reserving', { taskCount: 4, processorsMilli: 2000, estimateMilliseconds: 60_000 })
+  advance(200)
+  for (const worker of engine.workers.values()) worker.quarantinedUntil = Infinity
+  starts.length = 0
+  submit('watch', { longRunning: true, taskCount: 2, processorsMilli: 500 })
+  advance(LONGEST_WAIT_MILLISECONDS)
+  assert.equal(starts.length, 2)
+})
