Count workers that do not respond as part of a service

Cause: tasks start despite interference while less than half of the service is in use. Workers that do not respond did not count, so the rest of the service seemed to be in use although less than half of all its capacity is.

Change: all listed workers that are ready count, with the runs that the owner believes in.

The new test failed before with no start and passes now.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,5 +1,5 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
-import { isInService, type ChoiceConditions } from './chooseWorker.js'
+import type { ChoiceConditions } from './chooseWorker.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
@@ -191,8 +191,10 @@
     const existing = this.idleServices.get(serviceName)
     if (existing !== undefined) return existing
     const { dataCentresOut } = this.options.getConditions(serviceName)
-    const isIdle = getUsedShare(
-      this.options.workers.filter(worker => isInService(worker, serviceName, dataCentresOut))) < IDLE_SHARE
+    // Workers that do not respond are part of the service: what they run counts as in use until it is over.
+    const isIdle = getUsedShare(this.options.workers.filter(({ listed, entry }) =>
+      listed && entry.state === 'ready' && entry.serviceName === serviceName && !dataCentresOut.has(entry.dataCentre)
+    )) < IDLE_SHARE
     this.idleServices.set(serviceName, isIdle)
     return isIdle
   }
--- a/src/dispatch/waitsBesideServing.test.ts
+++ b/src/dispatch/waitsBesideServing.test.ts
@@ -132,3 +132,18 @@
   advance(LONGEST_WAIT_MILLISECONDS)
   assert.equal(starts.length, 2)
 })
+
+test('workers that do not respond count as part of a service that is not in use', () => {
+  const { engine, starts, advance, submit } = createSite(NO_HEADROOM)
+  for (let index = 0; index < 4; index++) {
+    const worker = engine.setWorker(createWorkerEntry({ workerId: `silent-${index}` }))
+    worker.registered = true
+    worker.syncState = 'unreachable'
+  }
+  submit('reserving', { taskCount: 4, processorsMilli: 1200, estimateMilliseconds: 60_000 })
+  advance(200, 'worker')
+  starts.length = 0
+  submit('filling', FILLING)
+  advance(LONGEST_WAIT_MILLISECONDS, 'worker')
+  assert.equal(starts.length, 1)
+})
