Judge a step as ready only when the owner can know it

LostJobJudge took a step for ready once the tasks before it had completed, also where their ends were on workers that no instance reaches (search), so that a job counted as lost whose earlier tasks had to run again first. A task that is done now counts for the next step once its end was acknowledged, or while its worker is affected by no fault. Whether the tasks of a step have to start is judged as before.

--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -203,14 +203,26 @@
   }
 
   private isReady (job: ObservedJob, occurrence: number, { afterSteps }: StepSpecification): boolean {
-    return afterSteps.every(step => this.isStepDone(job, occurrence, step))
+    return afterSteps.every(step => this.isEveryTask(job, occurrence, step, name => this.isKnownToBeDone(name)))
   }
 
-  private isStepDone ({ jobId, specification }: ObservedJob, occurrence: number, step: number): boolean {
-    const { judge } = this.options.site
+  private isStepDone (job: ObservedJob, occurrence: number, step: number): boolean {
+    return this.isEveryTask(job, occurrence, step, name => this.options.site.judge.isDone(name))
+  }
+
+  /** Returns whether a task is done and the owner could learn of it. */
+  private isKnownToBeDone (taskName: string): boolean {
+    const { site: { judge }, isWorkerAffected } = this.options
+    if (judge.isAcknowledged(taskName)) return true
+    return judge.isDone(taskName) && !isWorkerAffected(judge.lastRunWorkerIds.get(taskName)!)
+  }
+
+  private isEveryTask (
+    { jobId, specification }: ObservedJob, occurrence: number, step: number, isMet: (taskName: string) => boolean
+  ): boolean {
     const { taskCount } = specification.steps[step]
     for (let index = 0; index < taskCount; index++) {
-      if (!judge.isDone(`${jobId}.${occurrence}.${step}.${index}`)) return false
+      if (!isMet(`${jobId}.${occurrence}.${step}.${index}`)) return false
     }
     return true
   }
