Settle starts without a response by raising the fencing token

Callers saw a job wait for up to 17 s while most workers had room: a start got no response, nor did its stops over either connection, while reports arrived and renewed the lease. Neither a response nor the end of the lease settled the start, so the wait had no bound.

3 s after the last send of such a start, the owner raises its fencing token for that worker by one, with the next report call. The worker does nothing for a lower token, so no earlier order takes effect after that call, however late it is carried out; the report to the call lists the run or its end, or the run is over. It is the argument on which takeovers rely. The lease and the other runs of the worker are not touched, so nothing is thrown away and no service loses tasks; letting the lease end would do both. An order in flight that is refused for the raised token counts as not sent. A log line names the worker, the token and the runs.

Epochs of successive owners are 64 apart, so that a raised token stays below that of any successor; an owner raises it up to 63 times for each worker. The election test requires exactly that difference in place of 1.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,6 +1,7 @@
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { isInService, type ChoiceConditions } from './chooseWorker.js'
+import { settleFencedStarts } from './fenceUncertainStarts.js'
 import { findRunsToDrain } from './findRunsToMove.js'
 import { findUnsteadyDataCentres } from './findUnsteadyDataCentres.js'
 import { findStalledRuns, pauseStalledWorker } from './findStalledRuns.js'
@@ -193,6 +194,7 @@
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
+    settleFencedStarts(worker, sentAt)
     const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
     worker.syncState = 'synchronized'
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -76,6 +76,10 @@
   exitConfirmedAt: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
+  /** How often this owner has raised its fencing token for the worker, see `raiseFencingToken`. */
+  tokenRaiseCount: number
+  /** Monotonic time of the last raise: the calls since then carry the higher token. */
+  tokenRaisedAt: number
   /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
   leaseDeadline: number
   /** The highest number of an applied completion. */
@@ -139,6 +143,8 @@
     reportAwaitedUntil: -Infinity,
     exitConfirmedAt: -Infinity,
     failureTimes: [-Infinity, -Infinity],
+    tokenRaiseCount: 0,
+    tokenRaisedAt: -Infinity,
     leaseDeadline: 0,
     appliedCompletion: 0,
     durableCompletion: 0,
--- /dev/null
+++ b/src/dispatch/fenceUncertainStarts.ts
@@ -0,0 +1,63 @@
+import type { RunRecord } from '../jobs/index.js'
+import type { OrderOutcome } from './WorkerProtocol.js'
+import type { WorkerRecord } from './WorkerRecord.js'
+
+/** The distance between the epochs of two owners, so that an owner may raise its fencing token this often less one. */
+export const EPOCH_STEP = 64
+/** Time after the last send of a start without a response in which a response to its stop usually settles it. */
+const UNSETTLED_START_LIMIT_MILLISECONDS = 3000
+
+/**
+ * Returns the fencing token for calls of an owner to a worker.
+ * @param worker The worker.
+ * @param epoch The epoch of the owner.
+ * @returns The token, which is lower than the epoch of any successor.
+ */
+export function getFencingToken (worker: WorkerRecord, epoch: number): number {
+  return epoch + worker.tokenRaiseCount
+}
+
+/**
+ * Raises the fencing token for a worker when a start and its stops got no response for too long. The worker then
+ * executes no earlier order any more, so a report to a call with the new token settles the start.
+ * @param worker The worker, to which no report call is in flight.
+ * @param now The monotonic time, at which the next report call is sent.
+ * @returns The runs that the next report settles; none when the token was not raised.
+ */
+export function raiseFencingToken (worker: WorkerRecord, now: number): RunRecord[] {
+  if (worker.tokenRaiseCount >= EPOCH_STEP - 1 || worker.syncState !== 'synchronized') return []
+  const unsettled = [...worker.runs.values()].filter(run => isUnsettledStart(run) && run.sentAt >= worker.tokenRaisedAt)
+  if (!unsettled.some(run => now - run.sentAt >= UNSETTLED_START_LIMIT_MILLISECONDS)) return []
+  worker.tokenRaiseCount++
+  worker.tokenRaisedAt = now
+  return unsettled.filter(run => run.sentAt < now)
+}
+
+/**
+ * Marks the starts without a response as known to the worker that it refuses since it has seen a higher token, so that
+ * they are over unless its report lists them.
+ * @param worker The worker.
+ * @param sentAt Monotonic time at which the call was sent to which the worker has responded.
+ */
+export function settleFencedStarts (worker: WorkerRecord, sentAt: number): void {
+  if (sentAt < worker.tokenRaisedAt) return
+  for (const run of worker.runs.values()) {
+    if (isUnsettledStart(run) && run.sentAt < worker.tokenRaisedAt) run.confirmedAt = run.sentAt
+  }
+}
+
+/**
+ * Replaces the refusal of an order whose fencing token this owner has raised since, which shows no newer owner.
+ * @param outcome The outcome of the order.
+ * @param token The token of the order.
+ * @param currentToken The current token for the worker.
+ * @returns The outcome, `not-sent` for a refusal of that kind.
+ */
+export function replaceOwnFence (outcome: OrderOutcome, token: number, currentToken: number): OrderOutcome {
+  if (outcome.kind !== 'fenced' || token >= currentToken) return outcome
+  return { kind: 'not-sent', reason: 'refused for a higher fencing token of this owner' }
+}
+
+function isUnsettledStart (run: RunRecord): boolean {
+  return run.state === 'stopping' && run.startUncertain && run.confirmedAt === null
+}
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -1,6 +1,6 @@
 import {
-  getEarliestWorkerTime, isReached, isSent, OrderGate, recordFailure, type DispatchEngine, type DispatchOrder,
-  type OrderOutcome, type OrderRequest, type WorkerClient, type WorkerRecord
+  getEarliestWorkerTime, getFencingToken, isReached, isSent, OrderGate, recordFailure, replaceOwnFence,
+  type DispatchEngine, type DispatchOrder, type OrderOutcome, type OrderRequest, type WorkerClient, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
 import { BatchedLog } from '../shared/BatchedLog.js'
@@ -122,7 +122,7 @@
       workerId: worker.entry.workerId,
       priority: 'pace',
       isNeeded: () => run.state === 'running' && run.pacePercent === percent && worker.syncState === 'synchronized'
-    }, () => client.setPace(run.task.name, run.attempt, percent, this.options.engine.epoch))
+    }, () => this.callWithToken(worker, token => client.setPace(run.task.name, run.attempt, percent, token)))
     // The worker may not have received the pace, so the next report leads to a new decision.
     if (outcome.kind !== 'accepted' && run.pacePercent === percent) run.pacePercent = -1
   }
@@ -189,14 +189,14 @@
     run.sentAt = now
     const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
     worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
-    const outcome = await client.start({
+    const outcome = await this.callWithToken(worker, token => client.start({
       taskName: run.task.name,
       attempt: run.attempt,
       taskDescription: run.task.step.occurrence.job.submission.specification.taskDescription,
       checkpoint: run.task.checkpoint,
-      epoch: this.options.engine.epoch,
+      epoch: token,
       leaseDeadline
-    })
+    }))
     if (outcome.kind === 'not-sent') run.sentAt = sentAt
     return outcome
   }
@@ -234,7 +234,7 @@
     while (!this.stopped && isRunning()) {
       const outcome = await this.sendWhenAdmitted(
         { workerId: worker.entry.workerId, priority: 'stop', isNeeded },
-        () => client.stop(taskName, attempt, engine.epoch))
+        () => this.callWithToken(worker, token => client.stop(taskName, attempt, token)))
       if (this.stopped) return
       if (outcome.kind === 'fenced') return onDeposed('a worker rejected a stop with an old epoch')
       if (isStopAnswered(outcome)) {
@@ -250,6 +250,15 @@
     }
   }
 
+  /** Makes a call with the current fencing token; a refusal for a higher token of this owner leads to another call. */
+  private async callWithToken (
+    worker: WorkerRecord, call: (token: number) => Promise<OrderOutcome>
+  ): Promise<OrderOutcome> {
+    const { epoch } = this.options.engine
+    const token = getFencingToken(worker, epoch)
+    return replaceOwnFence(await call(token), token, getFencingToken(worker, epoch))
+  }
+
   /** Queues a call and makes it when the gate admits it and it is still needed. */
   private async sendWhenAdmitted (request: OrderRequest, call: () => Promise<OrderOutcome>): Promise<SendOutcome> {
     const { workerId, isNeeded } = request
--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { LimitedStore } from '../../stand-ins/platform/LimitedStore.js'
+import { EPOCH_STEP } from '../dispatch/index.js'
 import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, type HeartbeatRow, type ShardRow } from '../leases/ShardLease.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import { silentLogger } from '../shared/Logger.js'
@@ -52,7 +53,7 @@
   await clock.advance(10_000)
   assert.equal(election.isOwner(), true)
   const row = store.getRow({ table: SHARD_TABLE, key: 'site' })?.value as unknown as ShardRow
-  assert.deepEqual([row.owner, row.epoch, row.earlier], ['b', epoch + 1, []])
+  assert.deepEqual([row.owner, row.epoch, row.earlier], ['b', epoch + EPOCH_STEP, []])
   await election.stop()
 })
 
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -1,3 +1,4 @@
+import { EPOCH_STEP } from '../dispatch/index.js'
 import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type EarlierOwner, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
@@ -101,6 +102,7 @@
       tableService,
       clock,
       rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
+      epochStep: EPOCH_STEP,
       selectStoredOwners: () => this.activeOwners
     })
   }
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -1,6 +1,6 @@
 import {
-  getEarliestWorkerTime, hasFailedRecently, type DispatchEngine, type HoldOutcome, type WorkerClient,
-  type WorkerRecord, type WorkerReport
+  getEarliestWorkerTime, getFencingToken, hasFailedRecently, raiseFencingToken, type DispatchEngine, type HoldOutcome,
+  type WorkerClient, type WorkerRecord, type WorkerReport
 } from '../dispatch/index.js'
 import type { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
@@ -57,6 +57,8 @@
   private hasLateReport = false
   /** Whether the next report settles starts without a response, so that the call for it should not wait. */
   private hasAnsweredStops = false
+  /** Whether the next report settles starts by a raised fencing token, so that the call for it should not wait. */
+  private mustSettleStarts = false
 
   private constructor (private readonly options: WorkerLeaseLoopOptions) {}
 
@@ -104,15 +106,17 @@
     this.hasLateReport = false
     const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
     if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
+    this.fenceUncertainStarts(sentAt)
+    const token = getFencingToken(worker, engine.epoch)
     const outcome = await client.hold({
-      epoch: engine.epoch,
+      epoch: token,
       // A new incarnation of the worker, which numbers its ended runs from 1, may respond after failed calls.
       acknowledgedCompletion: hasResponded ? worker.durableCompletion : 0,
       leaseDeadline,
       waitMilliseconds: this.getWaitMilliseconds(leaseDeadline)
     }, {
       milliseconds: leaseMilliseconds,
-      onOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, sentAt)) }
+      onOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, sentAt, token)) }
     })
     if (this.stopped) return
     this.recordOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
@@ -134,11 +138,24 @@
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
+  /** Raises the fencing token when orders have had no response for long; the report to the next call settles starts. */
+  private fenceUncertainStarts (now: number): void {
+    const { worker, engine, logger } = this.options
+    const runs = raiseFencingToken(worker, now)
+    this.mustSettleStarts = runs.length > 0
+    if (!this.mustSettleStarts) return
+    logger.info('fencing token raised for starts without a response', {
+      worker: worker.entry.workerId,
+      token: getFencingToken(worker, engine.epoch),
+      runs: runs.map(run => `${run.task.name}#${run.attempt}`)
+    })
+  }
+
   /** Applies the response to a call that has timed out, which may list the ends of runs. */
-  private async handleLateOutcome (outcome: HoldOutcome, sentAt: number): Promise<void> {
+  private async handleLateOutcome (outcome: HoldOutcome, sentAt: number, token: number): Promise<void> {
     const { worker, engine, clock, logger, metrics } = this.options
     if (this.stopped) return
-    if (outcome.kind === 'fenced') return this.handleFence()
+    if (outcome.kind === 'fenced' && token === getFencingToken(worker, engine.epoch)) return this.handleFence()
     if (outcome.kind !== 'reported' || sentAt < worker.exitConfirmedAt) return
     metrics.lateReports.inc()
     const ageMilliseconds = Math.round(clock.monotonicMilliseconds() - sentAt)
@@ -217,7 +234,8 @@
   private getWaitMilliseconds (leaseDeadline: number | null): number {
     const { worker } = this.options
     const mustNotWait = leaseDeadline === null || this.lastCallFailed || worker.syncState !== 'synchronized' ||
-      worker.appliedCompletion > worker.durableCompletion || this.hasAnsweredStops
+      worker.appliedCompletion > worker.durableCompletion || this.hasAnsweredStops ||
+      this.mustSettleStarts
     if (mustNotWait) return 0
     if (hasFailedRecently(worker, this.options.clock.monotonicMilliseconds())) return UNSTEADY_WAIT_MILLISECONDS
     return worker.servingReserved > 0 && worker.bestEffortDemand > 0
--- a/src/instance/stopUncertainStarts.ts
+++ b/src/instance/stopUncertainStarts.ts
@@ -1,4 +1,4 @@
-import type { DispatchEngine, WorkerClient, WorkerRecord } from '../dispatch/index.js'
+import { getFencingToken, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { isStopAnswered } from './isStopAnswered.js'
 
@@ -30,7 +30,8 @@
     run.state === 'stopping' && (run.isStopUnanswered || (run.startUncertain && run.confirmedAt === null)))
   let answeredCount = 0
   for (const run of uncertain.slice(0, STOPS_PER_REPORT)) {
-    const outcome = await client.stop(run.task.name, run.attempt, engine.epoch, 'reports')
+    const token = getFencingToken(worker, engine.epoch)
+    const outcome = await client.stop(run.task.name, run.attempt, token, 'reports')
     if (outcome.kind === 'fenced') return 'fenced'
     // The connection is likely to fail for the other stops too.
     if (!isStopAnswered(outcome)) break
--- a/src/instance/uncertainStarts.test.ts
+++ b/src/instance/uncertainStarts.test.ts
@@ -4,7 +4,7 @@
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import {
-  DispatchEngine, type ListedRun, type OrderOutcome, type StopConnection, type WorkerClient
+  DispatchEngine, type HoldRequest, type ListedRun, type OrderOutcome, type StopConnection, type WorkerClient
 } from '../dispatch/index.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 
@@ -12,15 +12,18 @@
   taskCount?: number
   /** The runs that the worker reports as running. */
   running?: ListedRun[]
+  /** How long the play lasts; two seconds by default. */
+  milliseconds?: number
   stop (): Promise<OrderOutcome>
 }
 
-/** Plays a worker for two seconds that has reported, and then has not responded to the starts of all tasks. */
-async function play ({ taskCount = 1, running = [], stop }: PlayOptions) {
+/** Plays a worker that has reported, and then has not responded to the starts of all tasks. */
+async function play ({ taskCount = 1, running = [], milliseconds = 2000, stop }: PlayOptions) {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
   const calls: string[] = []
   let isFenced = false
+  let highestToken = 0
   const worker = engine.setWorker(createWorkerEntry())
   worker.registered = true
   const report = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
@@ -35,8 +38,9 @@
     engine.applyStartOutcome(worker, order.run, { kind: 'unknown', reason: 'timeout' }, 1000)
   }
   const client = {
-    hold: async ({ waitMilliseconds }: { waitMilliseconds: number }) => {
+    hold: async ({ epoch, waitMilliseconds }: HoldRequest) => {
       calls.push('report')
+      highestToken = Math.max(highestToken, epoch)
       await new Promise<void>(resolve => { clock.setTimer(20 + waitMilliseconds, resolve) })
       return {
         kind: 'reported', report: { ...report, workerMilliseconds: clock.monotonicMilliseconds(), running }
@@ -49,9 +53,9 @@
   } as unknown as WorkerClient
   const loop = createLeaseLoop({ worker, engine, client, clock, onFenced: () => { isFenced = true } })
   loop.run()
-  await clock.advance(2000)
+  await clock.advance(milliseconds)
   loop.stop()
-  return { calls, runCount: worker.runs.size, isFenced }
+  return { calls, runCount: worker.runs.size, isFenced, highestToken }
 }
 
 test('a start without a response is settled over the connection for reports while orders get no response', async () => {
@@ -82,3 +86,20 @@
   assert.equal(isFenced, true)
   assert.equal(runCount, 1)
 })
+
+test('starts whose stops get no response for seconds are settled by a report to a call with a higher token', async () => {
+  const { runCount, highestToken, isFenced } = await play({
+    taskCount: 3, milliseconds: 8000, stop: async () => ({ kind: 'unknown', reason: 'timeout' })
+  })
+  assert.equal(runCount, 0)
+  assert.equal(highestToken, 2)
+  assert.equal(isFenced, false)
+})
+
+test('a run that is reported to a call with a higher token is not over', async () => {
+  const listed = { taskName: 'job.0.0.0', attempt: 1, checkpoint: '', percent: 10, usageFigure: 100 }
+  const { runCount } = await play({
+    taskCount: 3, running: [listed], milliseconds: 8000, stop: async () => ({ kind: 'unknown', reason: 'timeout' })
+  })
+  assert.equal(runCount, 1)
+})
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -45,6 +45,8 @@
   tableService: TableService
   clock: Clock
   rules?: Partial<ShardLeaseRules>
+  /** The difference to the epoch of the preceding owner; 1 by default. */
+  epochStep?: number
   /**
    * Returns which of the owners that did not release the shard are stored for a successor, the earliest first; all by
    * default. The row grows with each one.
@@ -221,7 +223,8 @@
     const sentAtWallTime = this.options.clock.wallMilliseconds()
     if (earliestTakeover === null || sentAt < earliestTakeover || !this.advance('acquire')) return false
     const { shardId, owner, address, region } = this.options
-    const epoch = (this.getObservedOwner()?.epoch ?? 0) + 1
+    const observedEpoch = this.getObservedOwner()?.epoch
+    const epoch = observedEpoch === undefined ? 1 : observedEpoch + (this.options.epochStep ?? 1)
     const writeId = createIdentifier()
     const assignmentsStoredSince = getAssignmentsStoredSince(this.observedShard)
     const row: ShardRow = {
