Expect the difference between epochs in the test of a suspended owner

The successor's epoch is EPOCH_STEP higher instead of 1, so the test failed with the epoch 2 in its text; it requires exactly the new epoch.

--- a/src/instance/suspendedOwner.test.ts
+++ b/src/instance/suspendedOwner.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
+import { EPOCH_STEP } from '../dispatch/index.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 
 /** Longer than an owner that could not renew its ownership starts tasks and renews leases. */
@@ -42,7 +43,7 @@
   const epochs = new Set(orders.map(({ epoch }) => epoch))
   const late = orders.filter(({ epoch, at }) => epoch === 1 && at >= suspendedAt + SUSPENDED_MILLISECONDS)
   for (const worker of site.workers.values()) worker.shutDown()
-  assert.ok(epochs.has(2), 'another process has taken over')
+  assert.ok(epochs.has(1 + EPOCH_STEP), 'another process has taken over')
   assert.deepEqual(late, [])
   assert.deepEqual(site.judge.violations, [])
 })
