Blame workers for failures while runs of the step last on others

What callers saw: a wide job that could be done was failed, after a task had lost its three attempts on the three of eight workers on which all runs fail at once.

Where the tasks take long, nothing succeeds for that long, so workers on which all runs fail are not paused; they are always free, so each waiting task goes there.

Change: the failures of a step count for its workers while, on two others on which no task of it has failed, runs have lasted twice as long as the one that failed.

--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -13,6 +13,15 @@
 const FIRST_QUARANTINE_MILLISECONDS = 3000
 const LONGEST_QUARANTINE_MILLISECONDS = 12_000
 
+/** A run shows that its worker is sound if it has lasted this many times as long as the failed run of another one. */
+const SOUND_RUN_FACTOR = 2
+
+/** A run that has failed; the monotonic time of its start is null for one that this owner has not started. */
+interface FailedRun {
+  attempt: number
+  startedAt: number | null
+}
+
 /** The state and callbacks for applying a report. */
 export interface ReportContext {
   jobs: JobTable
@@ -163,7 +172,8 @@
     task.checkpoint = ended.checkpoint
     if (isLive) context.jobs.markTaskChanged(task)
   }
-  if (ended.end === 'failed') applyFailure(worker, task, ended.attempt, isLive, context)
+  const startedAt = run?.startedAt ?? null
+  if (ended.end === 'failed') applyFailure(worker, task, { attempt: ended.attempt, startedAt }, isLive, context)
 }
 
 function getIgnoredReason (ended: ListedCompletion, context: ReportContext): IgnoredCompletionReason {
@@ -184,10 +194,11 @@
 }
 
 function applyFailure (
-  worker: WorkerRecord, task: TaskRecord, attempt: number, isLive: boolean, context: ReportContext
+  worker: WorkerRecord, task: TaskRecord, { attempt, startedAt }: FailedRun, isLive: boolean, context: ReportContext
 ): void {
+  const { now } = context
   task.step.tasks.addFailedWorker(worker.entry.workerId)
-  if (!isStepSuspect(task)) countFailure(worker, context.now)
+  if (!isStepSuspect(task, startedAt === null ? Infinity : now - startedAt, now)) countFailure(worker, now)
   task.failedWorkerIds.add(worker.entry.workerId)
   if (!isLive || task.step.specification.longRunning) return
   // The members of a gang fail together, with the same attempt number.
@@ -222,11 +233,21 @@
 
 /**
  * Returns whether the failures of a step point to a fault of its tasks rather than of the workers: they have failed on
- * several workers, and none has succeeded. Long-running tasks never succeed.
+ * several workers, none has succeeded, and there are not as many other workers on which runs last clearly longer than
+ * the one that has failed. Long-running tasks never succeed.
  */
-function isStepSuspect ({ step: { tasks, specification } }: TaskRecord): boolean {
-  return !specification.longRunning && tasks.remainingCount === tasks.count &&
-    tasks.failedWorkerCount >= SUSPECT_STEP_WORKERS
+function isStepSuspect ({ step: { tasks, specification } }: TaskRecord, failedAfter: number, now: number): boolean {
+  if (specification.longRunning || tasks.remainingCount < tasks.count) return false
+  if (tasks.failedWorkerCount < SUSPECT_STEP_WORKERS) return false
+  const soundWorkers = new Set<string>()
+  for (const { runs } of tasks.getAllCreated()) {
+    for (const { workerId, confirmedAt } of runs) {
+      if (confirmedAt === null || tasks.hasFailedOn(workerId)) continue
+      if (now - confirmedAt >= failedAfter * SOUND_RUN_FACTOR) soundWorkers.add(workerId)
+    }
+    if (soundWorkers.size >= SUSPECT_STEP_WORKERS) return false
+  }
+  return true
 }
 
 /** Marks confirmed runs as lost that a later report lists neither as running nor as ended. */
--- a/src/dispatch/pausedWorkers.test.ts
+++ b/src/dispatch/pausedWorkers.test.ts
@@ -12,7 +12,10 @@
 const LONGEST_WAIT_MILLISECONDS = 3000
 
 /** Creates a site on which each run ends soon, failed if `hasFailed` says so. */
-function createSite (workerCount: number, hasFailed: (run: RunRecord) => boolean) {
+function createSite (
+  workerCount: number, hasFailed: (run: RunRecord) => boolean,
+  getRunMilliseconds: (run: RunRecord) => number = () => RUN_MILLISECONDS
+) {
   const engine = DispatchEngine.create({ epoch: 1 })
   let now = 1000
   const starts: Array<{ task: string, worker: string, at: number }> = []
@@ -24,7 +27,7 @@
     for (const worker of engine.workers.values()) {
       const { workerId } = worker.entry
       const runs = [...worker.runs.values()]
-      const isOver = (run: RunRecord): boolean => now - run.startedAt >= RUN_MILLISECONDS
+      const isOver = (run: RunRecord): boolean => now - run.startedAt >= getRunMilliseconds(run)
       let number = endCounts.get(workerId) ?? 0
       const ended = runs.filter(isOver).map((run): ListedCompletion => ({
         number: ++number, taskName: run.task.name, attempt: run.attempt, end: hasFailed(run) ? 'failed' : 'done', checkpoint: ''
@@ -61,7 +64,7 @@
   }
   const countPaused = (): number =>
     [...engine.workers.values()].filter(({ quarantinedUntil }) => quarantinedUntil > now).length
-  return { starts, advance, submit, pause, countPaused }
+  return { engine, starts, advance, submit, pause, countPaused }
 }
 
 test('a job that fails wherever it runs pauses no worker', () => {
@@ -121,3 +124,15 @@
   assert.ok(site.starts.length >= 40)
   assert.ok(site.starts.every(({ worker }) => worker !== 'worker-0'))
 })
+
+test('a wide job of long tasks keeps its attempts although all runs fail at once on three of eight workers', () => {
+  const failingWorkers = ['worker-0', 'worker-1', 'worker-2']
+  const isFailing = ({ workerId }: RunRecord): boolean => failingWorkers.includes(workerId)
+  const site = createSite(8, isFailing, run => isFailing(run) ? STEP_MILLISECONDS : 6000)
+  site.submit('wide', { taskCount: 60, estimateMilliseconds: 6000 }, { attemptLimit: 3 })
+  site.advance(5000)
+  assert.equal(site.engine.jobs.getJob('wide')!.finalState, null)
+  // Each of them is filled with four tasks, is paused for 3 s after their failures, and is filled once more.
+  const failedCount = site.starts.filter(({ worker }) => failingWorkers.includes(worker)).length
+  assert.ok(failedCount <= 24, `${failedCount} of ${site.starts.length} starts failed`)
+})
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -90,6 +90,11 @@
     this.failedWorkerIds.add(workerId)
   }
 
+  /** Returns whether a run of a task has failed on a worker under this owner. */
+  hasFailedOn (workerId: string): boolean {
+    return this.failedWorkerIds?.has(workerId) === true
+  }
+
   /** Records that a task that had no run has one now. */
   addBusy (task: TaskRecord): void {
     if (!task.done) this.busyCount++
