Start overdue tasks beside runs on workers that do not respond

Found in the review: a best-effort job has nothing running until the lease of a lost worker is over, with most of the room free, as its other task interferes on each worker.

Cause: one task of a step at a time starts despite interference or on a paused worker. A run on a worker that has stopped responding, or one whose start got no response, counted as that task until the lease of its worker had ended.

Change: only runs whose start got a response, on workers that respond, count.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -49,6 +49,7 @@
   /** The candidates of each service, with and without each relaxation. */
   private readonly candidates = new Map<string, StartCandidates>()
   private readonly idleServices = new Map<string, boolean>()
+  private respondingWorkers: ReadonlySet<string> | null = null
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
@@ -162,13 +163,13 @@
   }
 
   /**
-   * Places a task that finds no worker by preference and has waited for long, if no other task of its step runs. So the
-   * step goes on, while its other tasks wait for better workers. Each long-running task has to run, whether others do
-   * or not, and has no limit of attempts; its restarts are placed by `placeRestart`.
+   * Places a task that finds no worker by preference and has waited for long, if no other task of its step runs on a
+   * worker that responds. So the step goes on, while its other tasks wait for better workers. Each long-running task
+   * has to run, whether others do or not, and has no limit of attempts; its restarts are placed by `placeRestart`.
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
     const { specification: { longRunning, fills }, tasks } = step
-    if (!longRunning && (tasks.hasBusy() || !this.isIdle(serviceName))) return
+    if (!longRunning && (!this.isIdle(serviceName) || this.isAtWork(step))) return
     const conditions = this.options.getConditions(serviceName)
     for (const task of tasks.getAllCreated()) {
       if (this.isFull) return
@@ -180,6 +181,19 @@
     }
   }
 
+  /** Returns whether a task of a step has a run whose start got a response, on a worker that responds. */
+  private isAtWork ({ tasks }: StepRecord): boolean {
+    if (!tasks.hasBusy()) return false
+    this.respondingWorkers ??= new Set(this.options.workers
+      .filter(({ syncState }) => syncState === 'synchronized').map(({ entry }) => entry.workerId))
+    for (const { runs } of tasks.getAllCreated()) {
+      for (const { workerId, startUncertain } of runs) {
+        if (!startUncertain && this.respondingWorkers.has(workerId)) return true
+      }
+    }
+    return false
+  }
+
   /** Returns whether the task, or its gang, got workers that it does not get by preference. */
   private placeDespitePreference (task: TaskRecord, conditions: ChoiceConditions, relaxation: Relaxation): boolean {
     if (task.step.specification.gang) return this.placeGang(task.step, { ...conditions, ...relaxation })
--- a/src/dispatch/waitsBesideServing.test.ts
+++ b/src/dispatch/waitsBesideServing.test.ts
@@ -147,3 +147,16 @@
   advance(LONGEST_WAIT_MILLISECONDS, 'worker')
   assert.equal(starts.length, 1)
 })
+
+test('a best-effort task waits for no run of its step on a worker that does not respond', () => {
+  const { engine, starts, advance, submit } = createSite(NO_HEADROOM)
+  submit('filling', { ...FILLING, taskCount: 2 })
+  advance(LONGEST_WAIT_MILLISECONDS)
+  assert.deepEqual(starts.map(({ worker }) => worker), ['worker-0'])
+  engine.workers.get('worker-0')!.syncState = 'unreachable'
+  for (let elapsed = 0; elapsed < LONGEST_WAIT_MILLISECONDS; elapsed += STEP_MILLISECONDS) {
+    advance(STEP_MILLISECONDS, 'worker-1')
+    advance(STEP_MILLISECONDS, 'worker-2')
+  }
+  assert.equal(starts.length, 2)
+})
