Do not count processors of best-effort tasks in the judge of waits

The users' pages say that the processors of a best-effort step do not count against the capacity of a worker. The judge of lost jobs counted them for other best-effort steps, so it took jobs as waiting for room that users may see as lost.

--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -227,36 +227,26 @@
     return true
   }
 
-  /** Returns how many more tasks of a step the workers can run, with its label and within its limit per worker. */
+  /**
+   * Returns how many more tasks of a step the workers can run, with its label and within its limit per worker. The
+   * processors of best-effort tasks do not count against the capacity of a worker.
+   */
   private countRoom (
     workers: readonly ListedWorker[], jobId: string, occurrence: number, step: number, specification: StepSpecification
   ): number {
-    const { requiredLabel, maximumPerWorker, fills, processorsMilli } = specification
+    const { requiredLabel, maximumPerWorker } = specification
     const prefix = `${jobId}.${occurrence}.${step}.`
     let count = 0
-    for (const { worker, entry: { labels, capacity } } of workers) {
+    for (const { worker, entry: { labels } } of workers) {
       if (requiredLabel !== '' && !labels.includes(requiredLabel)) continue
       const runs = worker.getRuns()
       const runCount = runs.filter(({ taskName }) => taskName.startsWith(prefix)).length
       const limit = maximumPerWorker === 0 ? Infinity : maximumPerWorker - runCount
-      const used = worker.getUsedCapacity().processorsMilli + this.getBestEffortDemand(runs)
-      const fitting = fills ? Math.floor((capacity.processorsMilli - used) / processorsMilli) : Infinity
-      count += Math.max(0, Math.min(limit, fitting, worker.countRoom(specification)))
+      count += Math.max(0, Math.min(limit, worker.countRoom(specification)))
     }
     return count
   }
 
-  /** Returns the processors that best-effort runs ask for, in thousandths. */
-  private getBestEffortDemand (runs: ReadonlyArray<{ taskName: string }>): number {
-    let sum = 0
-    for (const { taskName } of runs) {
-      const [jobId, , step] = taskName.split('.')
-      const { fills, processorsMilli } = this.options.site.specifications.get(jobId)!.steps[Number(step)]
-      if (fills) sum += processorsMilli
-    }
-    return sum
-  }
-
   private recordWait (milliseconds: number): void {
     this.longestWaitMilliseconds = Math.max(this.longestWaitMilliseconds, milliseconds)
   }
