Test that best-effort tasks do not wait for those of other jobs

Best-effort tasks of other jobs ask for all processors that nothing else reserves. Found in the review.

The test fails and is in KNOWN-RED.txt.

--- a/src/dispatch/waitsBesideServing.test.ts
+++ b/src/dispatch/waitsBesideServing.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import { isKnownRed } from '../../tools/demo/isKnownRed.js'
 import type { StepSpecification } from '../jobs/index.js'
 import type { LearnedEffects } from './ColocationAdvisor.js'
 import { DispatchEngine } from './DispatchEngine.js'
@@ -160,3 +161,16 @@
   }
   assert.equal(starts.length, 2)
 })
+
+const SHARED_PROCESSORS = 'a best-effort task starts in time although best-effort runs of other jobs ask for all processors'
+
+test(SHARED_PROCESSORS, { todo: isKnownRed(SHARED_PROCESSORS) }, () => {
+  const { starts, advance, submit } = createSite([4, 4, 4, 4])
+  submit('wide', { ...FILLING, image: 'light', taskCount: 100, memoryMegabytes: 100 })
+  advance(2000)
+  starts.length = 0
+  const submittedAt = submit('filling', { ...FILLING, image: 'light', memoryMegabytes: 100 })
+  advance(LONGEST_WAIT_MILLISECONDS)
+  assert.equal(starts.length, 1)
+  assert.ok(starts[0].at - submittedAt < LONGEST_WAIT_MILLISECONDS)
+})
