Let the broken variant of the search leave out the raised fencing token too

The search did not find the variant in which the answer to a stop settles nothing any more, because the raised token settles the same starts. The variant now leaves both out, as one that settles no start; it is found as before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -194,7 +194,7 @@
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
-    settleFencedStarts(worker, sentAt)
+    this.settleFencedStarts(worker, sentAt)
     const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
     worker.syncState = 'synchronized'
@@ -343,6 +343,10 @@
     }
   }
 
+  private settleFencedStarts (worker: WorkerRecord, sentAt: number): void {
+    settleFencedStarts(worker, sentAt)
+  }
+
   /** Returns whether a lease of this owner or an earlier one may have lasted at a monotonic time. */
   private mayBeLeasedAt (worker: WorkerRecord, at: number): boolean {
     const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(worker.entry.workerId) ?? -Infinity
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -60,8 +60,11 @@
     rule: 'twice'
   },
   {
-    name: 'the answer to a stop settles nothing',
-    breakOwner: () => { mock.method(DispatchEngine.prototype, 'applyStopOutcome', () => {}) },
+    name: 'neither the answer to a stop nor a raised fencing token settles a start',
+    breakOwner: () => {
+      mock.method(DispatchEngine.prototype, 'applyStopOutcome', () => {})
+      mock.method(DispatchEngine.prototype as unknown as { settleFencedStarts (): void }, 'settleFencedStarts', () => {})
+    },
     rule: 'lost'
   },
   {
