Let tasks wait for all workers while an earlier owner may start them again

What callers saw: a task that ran twice at the same time.

The new owner had seen the run in a report, after which the task waited for no other worker, so it started the task elsewhere as well.

Change: a reported run is taken for the only one of its task only if the earlier owners could start nothing any more when the report was called for. After the loss of an owner that has stopped that is always so.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -61,6 +61,8 @@
 
   /** The workers that this owner does not reach, as stored for its successor. */
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
+  /** Monotonic time until which an earlier owner may start tasks. */
+  earlierStartsEndAt = -Infinity
   private queueServices: ReadonlyMap<string, string> = new Map()
   private readonly restartShare = RestartShare.create()
   private readonly reservations = RestartReservations.create({ orders: this.orders, getObserver: () => this.observer })
@@ -358,6 +360,7 @@
       jobs: this.jobs,
       sentAt,
       now,
+      mayEarlierOwnersStart: sentAt < this.earlierStartsEndAt,
       stop: run => this.orders.stop(worker, run),
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -29,6 +29,8 @@
   sentAt: number
   /** The monotonic time. */
   now: number
+  /** Whether an earlier owner may have started tasks elsewhere after the call was sent. */
+  mayEarlierOwnersStart: boolean
   stop (run: RunRecord): void
   /** Stops a run without a live task. */
   stopOrphaned (taskName: string, attempt: number): void
@@ -92,8 +94,9 @@
       return
     }
     run = adoptRun(worker, task, row, now)
-    // No other run of the task exists. A dependent step may have been started after an end that is not durable.
-    task.earlierRuns = 'none'
+    // No other run of the task exists. A dependent step may have been started after an end that is not durable, and the
+    // task itself again by an earlier owner that learns of its end.
+    if (!context.mayEarlierOwnersStart) task.earlierRuns = 'none'
     recordAssignment(worker, task, context)
     if (task.runs.length > 1 && !task.step.specification.speculative) context.stop(run)
   }
--- a/src/dispatch/earlierRuns.test.ts
+++ b/src/dispatch/earlierRuns.test.ts
@@ -112,3 +112,14 @@
   const [segment] = engine.jobs.takeChanged(1)
   assert.deepEqual(encodeProgress(segment, 0), { assigned: { '0.0.0': 'worker-1' } })
 })
+
+test('a task that an earlier owner may start again after its run has ended waits for the other workers', () => {
+  const engine = recover({ steps: [{ taskCount: 1 }] })
+  engine.earlierStartsEndAt = 2000
+  report(engine, 'worker-1', [createRow('job.0.0.0')])
+  const ended = [{ ...createRow('job.0.0.0'), number: 1, end: 'failed' as const }]
+  engine.applyReport(engine.workers.get('worker-1')!, { ...EMPTY_REPORT, ended }, 21, 25)
+  assert.deepEqual(planTasks(engine), [])
+  report(engine, 'worker-0')
+  assert.deepEqual(planTasks(engine), ['job.0.0.0'])
+})
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -111,6 +111,7 @@
     this.waitMonitor = WaitMonitor.create({
       ...options, engine: this.engine, getStartObstacle: () => this.getStartObstacle()
     })
+    this.engine.earlierStartsEndAt = options.earlierStartsEndAt ?? -Infinity
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.rowLoader = ShardRowLoader.create(options)
     this.cleaner = FinishedJobCleaner.create(options)
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -18,7 +18,9 @@
   { seed: 100577, cause: 'a job that fails wherever it runs paused workers, and tasks waited for the end of the pauses' },
   { seed: 100231, cause: 'best-effort tasks that interfere everywhere waited while workers did not respond' },
   { seed: 100787, cause: 'best-effort tasks that interfere everywhere waited for the load of serving tasks to change' },
-  { seed: 101051, cause: 'long-running tasks waited for paused workers, because most of the service was in use' }
+  { seed: 101051, cause: 'long-running tasks waited for paused workers, because most of the service was in use' },
+  { seed: 102046, cause: 'a start and its stops got no response, while reports renewed the lease of the worker' },
+  { seed: 300062, cause: 'an earlier owner started a task again that the new owner had seen running elsewhere (TWICE)' }
 ]
 
 async function findViolations (seed: number): Promise<string[]> {
