--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -12,10 +12,7 @@
  */
 const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
 
-/**
- * A task of a step without runs that has waited this long may start where it would not by preference, see
- * `placeOverdue`. A task should not wait for 3 s beside free room; half of that leaves time for the start to arrive.
- */
+/** A task of a step without runs that has waited this long may start against preferences, see `placeOverdue`. */
 const PREFERENCE_WAIT_MILLISECONDS = 1500
 /**
  * Above this share of the processors in use, tasks wait for preferred workers however long that takes: there is other
