Limit how often a long-running task tries workers that refuse it

Change: a long-running task, and a restart, tries a paused worker at the earliest 1 s after the latest refusal.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -403,6 +403,7 @@
     this.observer.onRunLost(worker, run, cause, now)
     // A start that never ran does not end the wait of its task.
     const hasNeverRun = cause === 'start-refused' || cause === 'not-sent'
+    if (hasNeverRun) run.task.startRefusedAt = now
     removeRun(worker, run, now, hasNeverRun ? run.task.waitingSince : now)
     this.jobs.waitingRestarts.add(run.task)
   }
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -8,7 +8,7 @@
 
 /**
  * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
- * time in which a long-running task must run again. It also bounds how often a task tries such workers.
+ * time in which a long-running task must run again.
  */
 const PAUSED_WORKER_WAIT_MILLISECONDS = 3000
 
@@ -20,6 +20,9 @@
  */
 const IDLE_SHARE = 0.5
 
+/** A long-running task tries a paused worker no sooner than this after the latest refusal of its start. */
+const REFUSED_START_RETRY_MILLISECONDS = 1000
+
 /** What a choice permits that it does not by preference, see `ChoiceConditions`. */
 type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference'>
 
@@ -119,7 +122,7 @@
     const { step } = task
     const conditions = this.options.getConditions(serviceName)
     const waitMilliseconds = conditions.now - task.waitingSince
-    const mayUsePaused = waitMilliseconds >= PAUSED_WORKER_WAIT_MILLISECONDS
+    const mayUsePaused = waitMilliseconds >= PAUSED_WORKER_WAIT_MILLISECONDS && isRetryDue(task, conditions.now)
     if (!step.specification.gang) {
       const acceptsInterference = step.specification.fills && waitMilliseconds >= PREFERENCE_WAIT_MILLISECONDS &&
         this.isIdle(serviceName)
@@ -172,6 +175,7 @@
       if (this.isFull) return
       if (task.runs.length > 0 || conditions.now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
       if (isRestart(task) || !this.options.mayStart(task)) continue
+      if (longRunning && !isRetryDue(task, conditions.now)) continue
       const relaxation = { acceptsInterference: fills, includesPaused: true }
       const isPlaced = this.placeDespitePreference(task, conditions, relaxation)
       if (!isPlaced || !longRunning) return
@@ -255,6 +259,11 @@
   return used / Math.max(1, total)
 }
 
+/** Returns whether the latest refusal of a start of a task is long ago. */
+function isRetryDue ({ startRefusedAt }: TaskRecord, now: number): boolean {
+  return now - startRefusedAt >= REFUSED_START_RETRY_MILLISECONDS
+}
+
 /** Returns whether a worker has refused a start of a waiting task of a step. */
 function hasRefusedTask ({ tasks }: StepRecord): boolean {
   for (const { runs, refusingWorkerIds } of tasks.getAllCreated()) {
--- a/src/dispatch/rejectedStarts.test.ts
+++ b/src/dispatch/rejectedStarts.test.ts
@@ -33,3 +33,15 @@
   assert.ok(site.startCounts.get('short')! > 1)
   assert.equal(site.engine.jobs.findTask('short-0.0.0.0', 0)!.waitingSince, waitingSince)
 })
+
+test('a long-running task tries paused workers that refuse all of its starts once a second at most', () => {
+  const seconds = 20
+  const site = PlannedSite.create({
+    seed: 1, workerCount: 4, capacity: CAPACITY, getStartOutcome: () => ({ kind: 'unhealthy' })
+  })
+  site.submit('serving', [{ longRunning: true, taskCount: 2 }])
+  site.advance(seconds * 1000)
+  // Beside that, each task may try a worker whose pause is over.
+  const startCount = site.startCounts.get('serving')!
+  assert.ok(startCount >= seconds && startCount <= 2 * 2 * seconds, `${startCount} starts in ${seconds} s`)
+})
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -66,6 +66,8 @@
   failedWorkerIds: Set<string>
   /** Workers that refused a start of the task; the next run avoids them even more. */
   refusingWorkerIds: Set<string>
+  /** Monotonic time at which the latest start that never ran was refused or not sent; -Infinity for none. */
+  startRefusedAt: number
   /** The number of runs that were stopped because they made no visible progress. */
   stallCount: number
   /**
@@ -214,6 +216,7 @@
     hasRun: false,
     failedWorkerIds: new Set(),
     refusingWorkerIds: new Set(),
+    startRefusedAt: -Infinity,
     stallCount: 0,
     waitingSince
   }
