--- a/src/instance/failingOrders.test.ts
+++ b/src/instance/failingOrders.test.ts
@@ -15,6 +15,20 @@
 const QUEUE_TIMEOUT: OrderOutcome = { kind: 'not-sent', reason: 'queue-timeout', hasConnectionFailed: false }
 const REPORT = { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }
 
+function createSender (engine: DispatchEngine, clock: VirtualClock): OrderSender {
+  return OrderSender.create({
+    engine,
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    metrics: createTestMetrics(true),
+    mayStart: () => true,
+    onChange: () => {},
+    storeAssignment: async () => true,
+    onDeposed: () => {}
+  })
+}
+
 /**
  * Plays an owner of two workers in each of two data centres, all of which report. The sends of each start to the north
  * have the given outcomes in turn. Returns the data centres of four later starts.
@@ -27,17 +41,7 @@
     worker.registered = true
     engine.applyReport(worker, REPORT, 990, 1000)
   }
-  const sender = OrderSender.create({
-    engine,
-    clock,
-    logger: silentLogger,
-    errors: createTestErrors(clock),
-    metrics: createTestMetrics(true),
-    mayStart: () => true,
-    onChange: () => {},
-    storeAssignment: async () => true,
-    onDeposed: () => {}
-  })
+  const sender = createSender(engine, clock)
   const createClient = (dataCentre: string): WorkerClient => {
     const sendCounts = new Map<string, number>()
     return {
@@ -92,17 +96,7 @@
     worker.registered = true
     engine.applyReport(worker, REPORT, 990, 1000)
   }
-  const sender = OrderSender.create({
-    engine,
-    clock,
-    logger: silentLogger,
-    errors: createTestErrors(clock),
-    metrics: createTestMetrics(true),
-    mayStart: () => true,
-    onChange: () => {},
-    storeAssignment: async () => true,
-    onDeposed: () => {}
-  })
+  const sender = createSender(engine, clock)
   const client: WorkerClient = {
     start: async () => ACCEPTED,
     stop: async () => stopOutcome,
