--- /dev/null
+++ b/src/shared/repeatCall.ts
@@ -0,0 +1,61 @@
+import type { Clock } from './Clock.js'
+
+/** Options of a call that is repeated while it gets no response. */
+export interface RepeatedCallOptions<Outcome> {
+  clock: Clock
+  /**
+   * Sends the call once more and resolves to the outcome of this send; it must be safe to repeat.
+   * @param sendIndex The number of earlier sends.
+   */
+  send (sendIndex: number): Promise<Outcome>
+  /** Returns whether the outcome of one send is that of the call: false for sends without a response. */
+  isSettled (outcome: Outcome): boolean
+  /** Returns the time after a send, in milliseconds, at which the call is repeated beside it. */
+  getDelayMilliseconds (): number
+  /** Returns whether the call is sent once more, after the delay of the last send or after all sends have failed. */
+  mayRepeat (): boolean
+  /** The maximum number of sends. */
+  sendLimit: number
+}
+
+/**
+ * Sends a call, and sends it again beside the earlier sends while none of them has a response.
+ * @param options The call, and when it may be repeated.
+ * @returns The first outcome that settles the call, otherwise the outcome of the last send that ended.
+ */
+export async function repeatCall<Outcome> (options: RepeatedCallOptions<Outcome>): Promise<Outcome> {
+  const { clock, send, isSettled, getDelayMilliseconds, mayRepeat, sendLimit } = options
+  return await new Promise((resolve, reject) => {
+    let sendCount = 0
+    let pendingCount = 0
+    let isOver = false
+    let cancelTimer = () => {}
+    const finish = (settle: () => void) => {
+      if (isOver) return
+      isOver = true
+      cancelTimer()
+      settle()
+    }
+    const repeat = () => {
+      if (!isOver && sendCount < sendLimit && mayRepeat()) sendOnce()
+    }
+    const handleOutcome = (outcome: Outcome) => {
+      pendingCount--
+      if (isOver) return
+      if (isSettled(outcome)) return finish(() => resolve(outcome))
+      if (pendingCount > 0) return
+      cancelTimer()
+      repeat()
+      if (pendingCount === 0) finish(() => resolve(outcome))
+    }
+    const sendOnce = () => {
+      const sendIndex = sendCount
+      sendCount++
+      pendingCount++
+      cancelTimer()
+      cancelTimer = clock.setTimer(getDelayMilliseconds(), repeat)
+      send(sendIndex).then(handleOutcome, error => finish(() => reject(error)))
+    }
+    sendOnce()
+  })
+}
