Count the repeats of calls to workers, and limit those of an owner

The owner's repeats have one budget, which is empty while its event loop is late, and each worker has an estimate of its response times.

--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -1,4 +1,5 @@
 import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
+import { ResponseTimeEstimate, type ResponseTimeEstimateOptions } from '../shared/ResponseTimeEstimate.js'
 
 /** Resources of a worker. */
 export interface WorkerCapacity {
@@ -60,6 +61,8 @@
   servingReserved: number
   /** The latest reading of the worker's clock and the monotonic time at which it was received. */
   clockReading: { workerMilliseconds: number, receivedAt: number } | null
+  /** The time that orders and report calls without a wait take until their response arrives. */
+  responseTime: ResponseTimeEstimate
   /** Monotonic time at which the call was sent whose response was the latest report. */
   reportedAt: number
   /** Monotonic time at which the latest report arrived whose call had timed out; -Infinity if there is none. */
@@ -105,6 +108,10 @@
 /** No resources. */
 export const NO_CAPACITY: Readonly<WorkerCapacity> = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
 
+/** A round trip between regions takes 24 ms, one that opens a connection twice as long. */
+const RESPONSE_TIME_LIMITS: ResponseTimeEstimateOptions = {
+  initialMilliseconds: 150, shortestMilliseconds: 80, longestMilliseconds: 350
+}
 /** Time after the lease deadline, on the worker's clock, by which the worker has stopped all its runs. */
 const EXPIRY_MARGIN_MILLISECONDS = 100
 /**
@@ -140,6 +147,7 @@
     excessDemand: 0,
     servingReserved: 0,
     clockReading: null,
+    responseTime: ResponseTimeEstimate.create(RESPONSE_TIME_LIMITS),
     reportedAt: -Infinity,
     lateReportAt: -Infinity,
     unansweredCallSentAt: null,
--- a/src/instance/EventLoopDelayMonitor.ts
+++ b/src/instance/EventLoopDelayMonitor.ts
@@ -31,6 +31,11 @@
     return new EventLoopDelayMonitor(options)
   }
 
+  /** Whether an episode of delays lasts, so that responses may wait to be read. */
+  get isLate (): boolean {
+    return this.lateSince !== null
+  }
+
   /**
    * Records a run of the timer.
    * @param dueAt Monotonic time at which the run was due.
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -23,6 +23,7 @@
   reconciledWorkers: Counter<'cause'>
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
+  workerCallRepeats: Counter<'call'>
   lateReports: Counter
   loopDelaySeconds: Histogram
   unexpectedErrors: Counter<'activity'>
@@ -135,6 +136,12 @@
       buckets: WAIT_BUCKETS_SECONDS,
       registers
     }),
+    workerCallRepeats: new Counter({
+      name: 'papayamoor_instance_worker_call_repeats_total',
+      help: 'Calls to workers that were sent again because they had no response, by call: start, stop or renewal.',
+      labelNames: ['call'],
+      registers
+    }),
     workerCallFailures: new Counter({
       name: 'papayamoor_instance_worker_call_failures_total',
       help: 'Renewals of leases that got no list back, by reason.',
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
+import { RepeatBudget } from '../shared/RepeatBudget.js'
 import type { TableFeed } from '../table/TableFeed.js'
 import { TableFollower } from '../table/TableFollower.js'
 import type { TableLimits } from '../table/TableLimits.js'
@@ -65,6 +66,8 @@
 const QUEUED_ORDER_LIMIT = 64
 /** No further starts of long-running tasks are planned while the assignments of this many are being stored. */
 const STORED_START_LIMIT = 32
+/** The repeats of calls to workers that an owner with 0.7 of a core can make beside its other work. */
+const WORKER_CALL_REPEATS_PER_SECOND = 400
 /** Interval at which expired leases and due occurrences are handled. */
 const TICK_MILLISECONDS = 200
 /** Bounds the detection of a dead connection, as a cancelled job must stop within 3 s. */
@@ -86,6 +89,8 @@
   private readonly sender: OrderSender
   private readonly registry: WorkerRegistry
   private readonly eventLoopDelay: EventLoopDelayMonitor
+  /** The repeats of all calls to workers. */
+  readonly workerCallRepeats: RepeatBudget
   private readonly recoveryMonitor: RecoveryMonitor
   private readonly waitMonitor: WaitMonitor
   private readonly loops: WorkerLeaseLoops
@@ -106,6 +111,12 @@
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
+    this.workerCallRepeats = RepeatBudget.create({
+      clock: options.clock,
+      repeatsPerSecond: WORKER_CALL_REPEATS_PER_SECOND,
+      reserve: WORKER_CALL_REPEATS_PER_SECOND,
+      isOverloaded: () => this.eventLoopDelay.isLate
+    })
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
     this.earlierLeasesEndAt = options.earlierLeasesEndAt
     this.waitMonitor = WaitMonitor.create({
