Repeat starts and stops without a response beside their earlier sends

Callers saw accepted jobs without a run while most workers had room: with 80% of the orders unanswered, a start was sent three times, one every 350 ms, so that half of all starts ended as unknown, and a stop was sent once and again after a pause of 300 ms and more.

repeatOrder sends an order again when the time is over that responses of its worker usually take (WorkerRecord.responseTime), for up to 700 ms and within the budget of the owner (RepeatBudget). All sends of a start carry the same attempt and the same deadline, which is computed once. While the budget is empty or the owner is late, orders are sent in turn as before. Responses such as 429, 503 and 409 are not repeated, nor is an order after a send for which no connection opened. A lost send that is made good within its time limit no longer counts as a failure of its worker.

RunRecord.openSendCount counts the sends without a response. If one is open, a refusal of another send does not free the room, and a run does not start again at once when its worker process has restarted: the new process may still receive the open send. This was possible before too, with a lost first send and an accepted second one.

Connections for orders to a worker: 12 at most instead of 2, because a lost response blocks its connection until its time limit.

--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -40,6 +40,8 @@
     state: 'running',
     startedAt: -10_000,
     sentAt: -10_000,
+    startDeadline: Infinity,
+    openSendCount: 0,
     exceedsUnusedProcessors: false,
     startUncertain: false,
     isStopUnanswered: false,
--- a/src/dispatch/endEarlierIncarnation.ts
+++ b/src/dispatch/endEarlierIncarnation.ts
@@ -11,16 +11,18 @@
 /**
  * Handles a new incarnation of a worker, which runs nothing of the earlier one. A start that was sent after the last
  * report of the earlier incarnation, or got no response, may still reach the new one, so its run is stopped and is over
- * only when a later report does not list it.
+ * only when a later report does not list it. The same holds for a start of which one of several sends got no response.
  * @param worker The worker.
  * @param context The callbacks.
  */
 export function endEarlierIncarnation (worker: WorkerRecord, context: EarlierIncarnationContext): void {
   for (const run of [...worker.runs.values()]) {
-    if (run.sentAt <= worker.reportedAt && !run.startUncertain) {
+    if (run.sentAt <= worker.reportedAt && !run.startUncertain && run.openSendCount === 0) {
       context.markRunLost(run)
     } else {
       run.startUncertain = true
+      // The clock of the new incarnation starts anew.
+      run.startDeadline = Infinity
       context.stop(run)
     }
   }
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -7,8 +7,10 @@
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
+import type { RepeatBudget } from '../shared/RepeatBudget.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { isStopAnswered } from './isStopAnswered.js'
+import { repeatOrder } from './repeatOrder.js'
 
 /** Options of a sender. */
 export interface OrderSenderOptions {
@@ -17,6 +19,8 @@
   logger: Logger
   metrics: InstanceMetrics
   errors: ErrorBoundary
+  /** The budget of orders that are sent again beside earlier sends. */
+  repeats: RepeatBudget
   /** Returns whether this process may start tasks now. */
   mayStart (): boolean
   /** Stores the assignment of a run of a long-running task; resolves to whether it is durable. */
@@ -26,7 +30,7 @@
   onDeposed (reason: string): void
 }
 
-/** A worker's client has two connections for orders; further ones would queue there and could not be withdrawn. */
+/** A worker's client has connections for two orders; further ones would queue there and could not be withdrawn. */
 const ORDERS_PER_WORKER = 2
 /** A process with a quarter of a core handles this many responses in a third of an order's time limit. */
 const ORDERS_IN_FLIGHT = 32
@@ -34,13 +38,17 @@
 const LONGEST_START_WAIT_MILLISECONDS = 1000
 /** A worker rejects a start that arrives later than this, so a delayed order has no effect. */
 const START_WINDOW_MILLISECONDS = 1800
-/** A start without a response is sent up to this many times, as one attempt, which a worker runs at most once. */
+/** A start without a response is sent this many times in turn, as one attempt, which a worker runs at most once. */
 const START_SEND_LIMIT = 3
+/** A stop without a response is sent in turn with pauses between, see `FIRST_STOP_RETRY_MILLISECONDS`. */
+const STOP_SEND_LIMIT = 1
 /** Delay before a stop without a response is sent again; it doubles with each retry. */
 const FIRST_STOP_RETRY_MILLISECONDS = 300
 /** Limit of that delay: the lease ends the run in any case, so late retries hold its capacity only this much longer. */
 const LONGEST_STOP_RETRY_MILLISECONDS = 1200
 
+type StopOrder = DispatchOrder & { kind: 'stop' }
+
 /** The outcome of an order, or `withdrawn` when the order was no longer needed before it was sent. */
 type SendOutcome = OrderOutcome | { kind: 'withdrawn' }
 
@@ -145,20 +153,23 @@
       isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
         (isSent(run) || this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS)
     }
-    const send = async () => await this.sendWhenAdmitted(request, () => this.callStart(worker, run, client))
-    let outcome = await send()
-    for (let sendCount = 1; outcome.kind === 'unknown'; sendCount++) {
-      run.startUncertain = true
-      // The engine records the failure of the last send when it applies the outcome.
-      if (sendCount === START_SEND_LIMIT) break
-      recordFailure(worker, this.now())
-      outcome = await send()
-    }
+    const outcome = await this.sendWhenAdmitted(request, async () => await repeatOrder({
+      ...this.options,
+      worker,
+      serialSendLimit: START_SEND_LIMIT,
+      send: async () => await this.callStart(worker, run, client),
+      isNeeded: () => !this.stopped && request.isNeeded(),
+      onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'start' })
+    }))
     if (this.stopped) return
-    if (outcome.kind === 'fenced') return this.options.onDeposed('a worker rejected a start with an old epoch')
+    // A report that lists the run has settled its start.
+    const isListed = run.state === 'running'
+    if (run.openSendCount > 0 && !isListed) run.startUncertain = true
+    const { engine, onDeposed } = this.options
+    if (outcome.kind === 'fenced') return onDeposed('a worker rejected a start with an old epoch')
     this.recordStart(run, outcome, orderedAt)
     if (outcome.kind === 'withdrawn') this.withdrawStart(worker, run)
-    else this.options.engine.applyStartOutcome(worker, run, outcome, this.now())
+    else if (!isListed || outcome.kind !== 'unknown') engine.applyStartOutcome(worker, run, outcome, this.now())
     this.options.onChange()
   }
 
@@ -187,7 +198,9 @@
     if (workerTime === null) return { kind: 'not-sent', reason: 'worker clock unknown' }
     const { sentAt } = run
     run.sentAt = now
-    const leaseDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
+    run.openSendCount++
+    if (run.startDeadline === Infinity) run.startDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
+    const leaseDeadline = run.startDeadline
     worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
     const outcome = await this.callWithToken(worker, token => client.start({
       taskName: run.task.name,
@@ -197,7 +210,9 @@
       epoch: token,
       leaseDeadline
     }))
-    if (outcome.kind === 'not-sent') run.sentAt = sentAt
+    if (outcome.kind !== 'unknown') run.openSendCount--
+    // A later send keeps its own time.
+    if (outcome.kind === 'not-sent' && run.sentAt === now) run.sentAt = sentAt
     return outcome
   }
 
@@ -224,24 +239,37 @@
   }
 
   /** Sends a stop until the worker responds or the run is known to have ended. */
-  private async sendStop (order: DispatchOrder & { kind: 'stop' }, client: WorkerClient): Promise<void> {
+  private async sendStop (order: StopOrder, client: WorkerClient): Promise<void> {
     const { worker, taskName, attempt, run } = order
     const { engine, onDeposed } = this.options
     const isRunning = () => run === null ? worker.orphanedRuns.size > 0 : run.task.runs.includes(run)
     // Runs on an unresponsive worker end with its lease; stops sent to it would only delay other orders.
     const isNeeded = () => isRunning() && isReached(worker, this.now())
+    let isAnswered = false
+    const call = async (): Promise<OrderOutcome> => {
+      const outcome = await this.callWithToken(worker, token => client.stop(taskName, attempt, token))
+      isAnswered ||= isStopAnswered(outcome)
+      if (run !== null && !isAnswered) run.isStopUnanswered = true
+      return outcome
+    }
     let retryMilliseconds = FIRST_STOP_RETRY_MILLISECONDS
     while (!this.stopped && isRunning()) {
       const outcome = await this.sendWhenAdmitted(
         { workerId: worker.entry.workerId, priority: 'stop', isNeeded },
-        () => this.callWithToken(worker, token => client.stop(taskName, attempt, token)))
+        async () => await repeatOrder({
+          ...this.options,
+          worker,
+          serialSendLimit: STOP_SEND_LIMIT,
+          send: call,
+          isNeeded: () => !this.stopped && isNeeded(),
+          onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'stop' })
+        }))
       if (this.stopped) return
       if (outcome.kind === 'fenced') return onDeposed('a worker rejected a stop with an old epoch')
       if (isStopAnswered(outcome)) {
         if (run !== null) engine.applyStopOutcome(run, { kind: 'accepted', workerMilliseconds: null }, this.now())
         return
       }
-      if (run !== null && outcome.kind !== 'withdrawn') run.isStopUnanswered = true
       // Starts queue behind the stops to a worker, so its tasks should start elsewhere.
       if (isPathFailure(outcome)) recordFailure(worker, this.now())
       if (outcome.kind === 'withdrawn' || outcome.kind === 'not-sent') await this.pauseUntilReport(worker, retryMilliseconds)
@@ -256,7 +284,10 @@
   ): Promise<OrderOutcome> {
     const { epoch } = this.options.engine
     const token = getFencingToken(worker, epoch)
-    return replaceOwnFence(await call(token), token, getFencingToken(worker, epoch))
+    const sentAt = this.now()
+    const outcome = await call(token)
+    if (outcome.kind !== 'unknown' && outcome.kind !== 'not-sent') worker.responseTime.record(this.now() - sentAt)
+    return replaceOwnFence(outcome, token, getFencingToken(worker, epoch))
   }
 
   /** Queues a call and makes it when the gate admits it and it is still needed. */
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -136,6 +136,7 @@
     this.sender = OrderSender.create({
       ...options,
       engine: this.engine,
+      repeats: this.workerCallRepeats,
       mayStart: () => this.mayStart(),
       storeAssignment: run => this.writer.waitForTask(run.task),
       onChange: () => this.schedulePlan()
--- a/src/instance/failingOrders.test.ts
+++ b/src/instance/failingOrders.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createTestBudget } from '../../stand-ins/platform/createTestBudget.js'
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
@@ -22,6 +23,7 @@
     logger: silentLogger,
     errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
+    repeats: createTestBudget(clock),
     mayStart: () => true,
     onChange: () => {},
     storeAssignment: async () => true,
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestBudget } from '../../stand-ins/platform/createTestBudget.js'
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
@@ -51,6 +52,7 @@
   const common = { engine, clock, logger: silentLogger, metrics, errors: createTestErrors(clock) }
   const sender = OrderSender.create({
     ...common,
+    repeats: createTestBudget(clock),
     mayStart: () => true,
     onChange: () => engine.markDirty(),
     storeAssignment: async () => true,
--- a/src/instance/queuedOrders.test.ts
+++ b/src/instance/queuedOrders.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { createTestBudget } from '../../stand-ins/platform/createTestBudget.js'
 import { createTestErrors } from '../../stand-ins/platform/createTestErrors.js'
 import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
@@ -22,6 +23,7 @@
     logger: silentLogger,
     errors: createTestErrors(clock),
     metrics,
+    repeats: createTestBudget(clock),
     mayStart: () => true,
     onChange: () => {},
     storeAssignment: async () => true,
@@ -141,6 +143,7 @@
     logger: silentLogger,
     errors: createTestErrors(clock),
     metrics: createTestMetrics(true),
+    repeats: createTestBudget(clock),
     mayStart: () => true,
     onChange: () => {},
     storeAssignment: async () => await new Promise(resolve => answers.push(resolve)),
--- /dev/null
+++ b/src/instance/repeatOrder.ts
@@ -0,0 +1,78 @@
+import { recordFailure, type OrderOutcome, type WorkerRecord } from '../dispatch/index.js'
+import type { Clock } from '../shared/Clock.js'
+import { repeatCall } from '../shared/repeatCall.js'
+import type { RepeatBudget } from '../shared/RepeatBudget.js'
+
+/** Options of an order that is repeated while it gets no response. */
+export interface RepeatedOrderOptions {
+  worker: WorkerRecord
+  clock: Clock
+  /** The budget of the sends beside earlier ones. */
+  repeats: RepeatBudget
+  /** The number of sends one after another, of which each but the first follows when no earlier one is in flight. */
+  serialSendLimit: number
+  /** Sends the order once more; all sends are the same order. */
+  send (): Promise<OrderOutcome>
+  /** Returns whether the order may be sent again. */
+  isNeeded (): boolean
+  /** Called before each send after the first. */
+  onRepeat (): void
+}
+
+/** The maximum number of sends of one order. */
+const SEND_LIMIT = 10
+/** An order is sent beside earlier sends for this time, so that it ends no later than after three sends in turn. */
+const REPEAT_WINDOW_MILLISECONDS = 700
+
+/**
+ * Sends an order to a worker, and sends it again while it gets no response: beside the earlier sends when the time is
+ * over that responses of the worker usually take, and otherwise when they have timed out.
+ *
+ * Each lost send that is not made good within its time limit counts as a failure of the worker, except for the last
+ * one: whoever applies the outcome counts that.
+ * @param options The order, and when it may be repeated.
+ * @returns The first response, or the outcome of the last send that ended.
+ */
+export async function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
+  const { worker, clock, repeats, serialSendLimit, send, isNeeded, onRepeat } = options
+  const firstSentAt = clock.monotonicMilliseconds()
+  let inFlightCount = 0
+  let sendCount = 0
+  let failureAt = -Infinity
+  let isFailureUncounted = false
+  let isUnsendable = false
+  const sendOnce = async (): Promise<OrderOutcome> => {
+    const sentAt = clock.monotonicMilliseconds()
+    sendCount++
+    if (sendCount > 1) onRepeat()
+    if (isFailureUncounted) recordFailure(worker, sentAt)
+    isFailureUncounted = false
+    inFlightCount++
+    try {
+      const outcome = await send()
+      if (outcome.kind === 'not-sent') isUnsendable = true
+      // Sends that were in flight at the same time are lost together and count as one failure.
+      if (outcome.kind === 'unknown' && sentAt >= failureAt) {
+        failureAt = clock.monotonicMilliseconds()
+        isFailureUncounted = true
+      }
+      return outcome
+    } finally {
+      inFlightCount--
+    }
+  }
+  const mayRepeat = (): boolean => {
+    if (isUnsendable || !isNeeded()) return false
+    if (inFlightCount === 0) return sendCount < serialSendLimit
+    return clock.monotonicMilliseconds() - firstSentAt <= REPEAT_WINDOW_MILLISECONDS && repeats.tryWithdraw()
+  }
+  return await repeatCall({
+    clock,
+    send: sendOnce,
+    // An order that was not sent says nothing about earlier sends, which may still get a response.
+    isSettled: ({ kind }) => kind !== 'unknown' && (kind !== 'not-sent' || inFlightCount === 0),
+    getDelayMilliseconds: () => worker.responseTime.milliseconds,
+    mayRepeat,
+    sendLimit: SEND_LIMIT
+  })
+}
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -17,6 +17,13 @@
   startedAt: number
   /** Monotonic time at which the start order was last sent; -Infinity before it is sent for the first time. */
   sentAt: number
+  /**
+   * The deadline that all sends of the start order carry, on the clock of the worker, which rejects later ones;
+   * Infinity when it is not known.
+   */
+  startDeadline: number
+  /** The number of sends of the start order without a response, which the worker may still receive. */
+  openSendCount: number
   /** Whether a best-effort run asks for more than the unused processors of its worker, see `hasUnusedProcessors`. */
   exceedsUnusedProcessors: boolean
   /** Whether the worker did not respond to the start, so that it may execute it at any time before a confirmed stop. */
@@ -256,6 +263,8 @@
     state: 'starting',
     startedAt: now,
     sentAt: -Infinity,
+    startDeadline: Infinity,
+    openSendCount: 0,
     exceedsUnusedProcessors: false,
     startUncertain: false,
     isStopUnanswered: false,
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -62,7 +62,7 @@
 const SHARED_CONNECTION_LIMIT = 3
 const HOLD_CONNECTION_LIMIT = 1
 const LATE_CONNECTION_LIMIT = 2
-const ORDER_CONNECTION_LIMIT = 2
+const ORDER_CONNECTION_LIMIT = 12
 /** Time-out of an order, as in `platform/RunnerClient.ts`. */
 const ORDER_TIMEOUT_MILLISECONDS = 350
 /** How long the connection for reports is kept for the response to a stop, as in `platform/RunnerClient.ts`. */
