Settle a start without a response by a report after its deadline

Callers saw urgent tasks wait for tens of seconds while 80% of the orders got no response and were executed 4 s later. A start without a response kept its task and its room until a stop was answered, or for 3 s until a raised fencing token, which also ends other orders on their way.

A worker rejects a start that arrives after its deadline. So a report whose clock reading is past the deadline, with a margin of 100 ms, and that lists the run neither as running nor as ended shows that the run cannot begin any more: settleExpiredStarts marks the start as known, and removeMissingRuns ends the run. This needs the deadline in RunRecord.startDeadline; after a restart of the worker process, whose clock starts anew, it is not known. Reports with 500 ends, overtaken reports and starts that are still being sent settle nothing, as before. The raised token remains as a fallback.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -21,6 +21,7 @@
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
 import type { SizeClassShares } from './SizeClassShares.js'
+import { settleExpiredStarts } from './settleExpiredStarts.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -197,7 +198,8 @@
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
-    this.settleFencedStarts(worker, sentAt)
+    settleFencedStarts(worker, sentAt)
+    settleExpiredStarts(worker, report.workerMilliseconds)
     const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
     worker.syncState = 'synchronized'
@@ -346,10 +348,6 @@
     }
   }
 
-  private settleFencedStarts (worker: WorkerRecord, sentAt: number): void {
-    settleFencedStarts(worker, sentAt)
-  }
-
   /** Returns whether a lease of this owner or an earlier one may have lasted at a monotonic time. */
   private mayBeLeasedAt (worker: WorkerRecord, at: number): boolean {
     const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(worker.entry.workerId) ?? -Infinity
--- a/src/dispatch/fenceUncertainStarts.ts
+++ b/src/dispatch/fenceUncertainStarts.ts
@@ -58,6 +58,11 @@
   return { kind: 'not-sent', reason: 'refused for a higher fencing token of this owner' }
 }
 
-function isUnsettledStart (run: RunRecord): boolean {
+/**
+ * Returns whether a start had no response and neither a stop nor a report has settled it yet.
+ * @param run The run.
+ * @returns Whether its worker may still begin it.
+ */
+export function isUnsettledStart (run: RunRecord): boolean {
   return run.state === 'stopping' && run.startUncertain && run.confirmedAt === null
 }
