Repeat lease renewals that get no response

With 80% of the renewals without a response, each lost response took its worker out of service, withdrew its queued starts and ended the renewals until the next report; leases ended although their workers were sound.

A renewal is now repeated beside its earlier sends when its wait and the usual response time are over, under the budget of the owner. It fails when the first send fails, as before, so a worker that is away is marked unreachable no later. After a failure, each call repeats the latest lease deadline while it lasts, which extends nothing. A later deadline is granted within half a lease of the latest report only if the path has failed twice of late, so the lease of a calm worker that is cut off ends as before. Calls that fail at once and calls over slow paths are not repeated. Calls to a worker without a lease are repeated once.

The loop's test of the intervals between calls now says whether the budget allows repeats: its expected intervals hold without them, and for calls that fail at once also with them. The emulated connections have the limit of the client.

--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -345,7 +345,17 @@
  * @returns Whether stops and renewals are likely to arrive; false before the first report.
  */
 export function isReached (worker: WorkerRecord, now: number): boolean {
-  return worker.syncState === 'synchronized' || now - worker.lateReportAt < SLOW_PATH_MILLISECONDS
+  return worker.syncState === 'synchronized' || hasSlowPath(worker, now)
+}
+
+/**
+ * Returns whether responses of a worker have arrived late until recently.
+ * @param worker The worker.
+ * @param now The monotonic time.
+ * @returns Whether further responses are likely to arrive late rather than to be lost.
+ */
+export function hasSlowPath (worker: WorkerRecord, now: number): boolean {
+  return now - worker.lateReportAt < SLOW_PATH_MILLISECONDS
 }
 
 /**
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -150,6 +150,7 @@
     this.loops = WorkerLeaseLoops.create({
       ...options,
       engine: this.engine,
+      repeats: this.workerCallRepeats,
       mayRenewLeases: () => this.getRenewalAge() < LEASE_RENEWAL_LIMIT_MILLISECONDS,
       prepareReport: async worker => await this.readJobsBeforeReport(worker),
       onReport: worker => {
--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createLeaseLoop } from '../../stand-ins/platform/createLeaseLoop.js'
+import { createLeaseLoop, type LeaseLoopOptions } from '../../stand-ins/platform/createLeaseLoop.js'
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine, type HoldRequest, type WorkerClient } from '../dispatch/index.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import type { WorkerLeaseLoop } from './WorkerLeaseLoop.js'
 
-function createLoop (engine: DispatchEngine, clock: VirtualClock, client: WorkerClient): WorkerLeaseLoop {
-  return createLeaseLoop({ worker: engine.setWorker(createWorkerEntry()), engine, client, clock })
+function createLoop (
+  engine: DispatchEngine, clock: VirtualClock, client: WorkerClient, repeats?: LeaseLoopOptions['repeats']
+): WorkerLeaseLoop {
+  return createLeaseLoop({ worker: engine.setWorker(createWorkerEntry()), engine, client, clock, repeats })
 }
 
 test('does not renew the lease of a worker that a stored record names as unreached', async () => {
@@ -65,8 +67,10 @@
 })
 
 test('a worker that is not reached is called more often while its lease lasts, unless its calls fail at once', async () => {
-  for (const { failureMilliseconds, leasedInterval } of [
-    { failureMilliseconds: 300, leasedInterval: 350 }, { failureMilliseconds: 5, leasedInterval: 200 }
+  for (const { failureMilliseconds, mayRepeat, leasedInterval } of [
+    { failureMilliseconds: 300, mayRepeat: false, leasedInterval: 350 },
+    { failureMilliseconds: 5, mayRepeat: false, leasedInterval: 200 },
+    { failureMilliseconds: 5, mayRepeat: true, leasedInterval: 200 }
   ]) {
     const clock = VirtualClock.create(1000)
     const engine = DispatchEngine.create({ epoch: 1 })
@@ -81,7 +85,7 @@
         return { kind: 'reported', report: { workerMilliseconds: at, bornAtMilliseconds: 1, running: [], ended: [] } }
       }
     } as unknown as WorkerClient
-    const loop = createLoop(engine, clock, client)
+    const loop = createLoop(engine, clock, client, { tryWithdraw: () => mayRepeat })
     loop.run()
     await clock.advance(20_000)
     loop.stop()
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -1,12 +1,14 @@
 import {
-  getEarliestWorkerTime, getFencingToken, hasFailedRecently, raiseFencingToken, type DispatchEngine, type HoldOutcome,
-  type WorkerClient, type WorkerRecord, type WorkerReport
+  getEarliestWorkerTime, getFencingToken, hasFailedRecently, hasSlowPath, isUnsteady, raiseFencingToken,
+  type DispatchEngine, type HoldOutcome, type WorkerClient, type WorkerRecord, type WorkerReport
 } from '../dispatch/index.js'
 import type { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
+import type { RepeatBudget } from '../shared/RepeatBudget.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
+import { sendRenewal, type LateOutcome } from './sendRenewal.js'
 import { stopUncertainStarts } from './stopUncertainStarts.js'
 
 /** Options of the lease loop of one worker. */
@@ -19,7 +21,9 @@
   logger: Logger
   /** Logs the ended runs of all workers. */
   endedRuns: BatchedLog
-  metrics: Pick<InstanceMetrics, 'workerCallFailures' | 'lateReports'>
+  metrics: Pick<InstanceMetrics, 'workerCallFailures' | 'workerCallRepeats' | 'lateReports'>
+  /** Limits the repeats of calls without a response. */
+  repeats: Pick<RepeatBudget, 'tryWithdraw'>
   errors: ErrorBoundary
   /** Returns whether this process may still renew leases. */
   mayRenewLeases (): boolean
@@ -48,6 +52,10 @@
  * path that loses packets, few calls fit into that time. Calls that fail at once are not repeated more often.
  */
 const SHORTEST_RETRY_MILLISECONDS = 50
+/** The sends of one renewal, each of which occupies a connection until its time limit. */
+const SEND_LIMIT = 6
+/** The sends of one call to a worker that has no lease, which has no run to lose. */
+const UNLEASED_SEND_LIMIT = 2
 
 /** Renews the lease of one worker and reads its reports, as long as this process owns the shard. */
 export class WorkerLeaseLoop {
@@ -102,33 +110,37 @@
     // A report that arrives late shows only that the worker could be reached some time ago.
     const hasResponded = !this.lastCallFailed ||
       (this.hasLateReport && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
-    const mayRenew = workerTime !== null && hasResponded && !worker.isRecordedUnreached
     this.hasLateReport = false
-    const leaseDeadline = mayRenew ? Math.floor(workerTime + leaseMilliseconds) : null
-    if (leaseDeadline !== null) worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
+    const leaseDeadline = this.getLeaseDeadline(workerTime, sentAt, hasResponded)
     this.fenceUncertainStarts(sentAt)
     const token = getFencingToken(worker, engine.epoch)
-    const outcome = await client.hold({
-      epoch: token,
-      // A new incarnation of the worker, which numbers its ended runs from 1, may respond after failed calls.
-      acknowledgedCompletion: hasResponded ? worker.durableCompletion : 0,
-      leaseDeadline,
-      waitMilliseconds: this.getWaitMilliseconds(leaseDeadline)
-    }, {
-      milliseconds: leaseMilliseconds,
-      onOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, sentAt, token)) }
+    const waitMilliseconds = this.getWaitMilliseconds(hasResponded ? leaseDeadline : null)
+    const renewal = await sendRenewal({
+      worker,
+      client,
+      clock,
+      request: {
+        epoch: token,
+        // A new incarnation of the worker, which numbers its ended runs from 1, may respond after failed calls.
+        acknowledgedCompletion: hasResponded ? worker.durableCompletion : 0,
+        leaseDeadline,
+        waitMilliseconds
+      },
+      lateMilliseconds: leaseMilliseconds,
+      sendLimit: this.isLeased(sentAt) ? SEND_LIMIT : UNLEASED_SEND_LIMIT,
+      mayRepeat: () => this.mayRepeat(),
+      onLateOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token)) }
     })
+    const { outcome } = renewal
     if (this.stopped) return
     this.recordOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
     if (outcome.kind === 'fenced') return this.handleFence()
     if (outcome.kind !== 'reported') {
-      const isAwaited = outcome.kind === 'unknown' && outcome.isAwaited === true
-      const awaitedUntil = isAwaited ? sentAt + leaseMilliseconds : -Infinity
-      engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : sentAt, awaitedUntil)
+      engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : renewal.sentAt, renewal.awaitedUntil)
       await this.pause(this.getRetryMilliseconds(sentAt))
       return
     }
-    if (!await this.applyReport(outcome.report, sentAt)) return
+    if (!await this.applyReport(outcome.report, renewal.sentAt)) return
     const stops = await stopUncertainStarts(this.options)
     if (this.stopped) return
     if (stops === 'fenced') return this.handleFence()
@@ -138,6 +150,37 @@
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
   }
 
+  /**
+   * Returns the lease deadline of a call, or null for none. Calls that may not grant a later one repeat the latest one
+   * while it lasts, which may not have arrived.
+   */
+  private getLeaseDeadline (workerTime: number | null, sentAt: number, hasResponded: boolean): number | null {
+    const { worker, leaseMilliseconds } = this.options
+    if (workerTime === null || worker.isRecordedUnreached) return null
+    // A path that has failed and recovered of late is likely to lose the response rather than the worker.
+    const mayExtend = hasResponded ||
+      (isUnsteady(worker, sentAt) && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
+    if (mayExtend) worker.leaseDeadline = Math.max(worker.leaseDeadline, Math.floor(workerTime + leaseMilliseconds))
+    return worker.leaseDeadline > workerTime ? worker.leaseDeadline : null
+  }
+
+  /** Returns whether the latest lease that was granted to the worker may last. */
+  private isLeased (now: number): boolean {
+    const { worker } = this.options
+    const workerTime = getEarliestWorkerTime(worker, now)
+    return workerTime !== null && workerTime < worker.leaseDeadline
+  }
+
+  /** Returns whether a call without a response is sent once more, and counts it. */
+  private mayRepeat (): boolean {
+    const { worker, clock, repeats, metrics } = this.options
+    // The responses over a slow path arrive late, and repeats would delay them further.
+    if (hasSlowPath(worker, clock.monotonicMilliseconds())) return false
+    if (this.stopped || !this.options.mayRenewLeases() || !repeats.tryWithdraw()) return false
+    metrics.workerCallRepeats.inc({ call: 'renewal' })
+    return true
+  }
+
   /** Raises the fencing token when orders have had no response for long; the report to the next call settles starts. */
   private fenceUncertainStarts (now: number): void {
     const { worker, engine, logger } = this.options
@@ -151,19 +194,21 @@
     })
   }
 
-  /** Applies the response to a call that has timed out, which may list the ends of runs. */
-  private async handleLateOutcome (outcome: HoldOutcome, sentAt: number, token: number): Promise<void> {
+  /** Applies a response that arrives after the outcome of its renewal, which may list the ends of runs. */
+  private async handleLateOutcome ({ outcome, sentAt, hasTimedOut }: LateOutcome, token: number): Promise<void> {
     const { worker, engine, clock, logger, metrics } = this.options
     if (this.stopped) return
     if (outcome.kind === 'fenced' && token === getFencingToken(worker, engine.epoch)) return this.handleFence()
     if (outcome.kind !== 'reported' || sentAt < worker.exitConfirmedAt) return
-    metrics.lateReports.inc()
-    const ageMilliseconds = Math.round(clock.monotonicMilliseconds() - sentAt)
-    logger.info('late report of a worker', { worker: worker.entry.workerId, ageMilliseconds })
+    if (hasTimedOut) {
+      metrics.lateReports.inc()
+      const ageMilliseconds = Math.round(clock.monotonicMilliseconds() - sentAt)
+      logger.info('late report of a worker', { worker: worker.entry.workerId, ageMilliseconds })
+    }
     if (this.isOutdated(sentAt)) return this.applyEnds(outcome.report, sentAt)
     if (!await this.applyReport(outcome.report, sentAt)) return
     this.hasLateReport = true
-    worker.lateReportAt = clock.monotonicMilliseconds()
+    if (hasTimedOut) worker.lateReportAt = clock.monotonicMilliseconds()
     // The latest call has failed, so the worker gets no new work before it responds in time.
     if (this.lastCallFailed) engine.markUnreachable(worker, null)
   }
@@ -245,10 +290,8 @@
 
   /** Returns the pause after a failed call that was sent at the given monotonic time. */
   private getRetryMilliseconds (sentAt: number): number {
-    const { worker, clock } = this.options
-    const now = clock.monotonicMilliseconds()
-    const workerTime = getEarliestWorkerTime(worker, now)
-    if (workerTime === null || workerTime >= worker.leaseDeadline) return RETRY_MILLISECONDS
+    const now = this.options.clock.monotonicMilliseconds()
+    if (!this.isLeased(now)) return RETRY_MILLISECONDS
     return Math.max(SHORTEST_RETRY_MILLISECONDS, RETRY_MILLISECONDS - (now - sentAt))
   }
 
--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -71,6 +71,7 @@
       worker,
       client,
       leaseMilliseconds: LEASE_MILLISECONDS,
+      repeats: { tryWithdraw: () => true },
       mayRenewLeases: () => true,
       prepareReport: async () => {},
       onReport: () => {},
--- a/stand-ins/platform/EmulatedConnections.ts
+++ b/stand-ins/platform/EmulatedConnections.ts
@@ -60,7 +60,7 @@
 
 /** Limits of shared and of separate connections for holds and orders, as in `platform/RunnerClient.ts`. */
 const SHARED_CONNECTION_LIMIT = 3
-const HOLD_CONNECTION_LIMIT = 1
+const HOLD_CONNECTION_LIMIT = 6
 const LATE_CONNECTION_LIMIT = 2
 const ORDER_CONNECTION_LIMIT = 2
 /** Time-out of an order, as in `platform/RunnerClient.ts`. */
--- a/stand-ins/platform/createLeaseLoop.ts
+++ b/stand-ins/platform/createLeaseLoop.ts
@@ -2,6 +2,7 @@
 import { WorkerLeaseLoop } from '../../src/instance/WorkerLeaseLoop.js'
 import { BatchedLog } from '../../src/shared/BatchedLog.js'
 import { silentLogger } from '../../src/shared/Logger.js'
+import type { RepeatBudget } from '../../src/shared/RepeatBudget.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
 import { createTestErrors } from './createTestErrors.js'
 import { createTestMetrics } from './createTestMetrics.js'
@@ -12,6 +13,8 @@
   worker: WorkerRecord
   clock: VirtualClock
   client: WorkerClient
+  /** Limits the repeats of calls without a response; by default, nothing does. */
+  repeats?: Pick<RepeatBudget, 'tryWithdraw'>
   /** Called when the worker has a newer owner; does nothing by default. */
   onFenced? (): void
 }
@@ -21,10 +24,13 @@
  * @param options The worker, its client and the engine.
  * @returns The loop, which has not been run.
  */
-export function createLeaseLoop ({ onFenced = () => {}, ...options }: LeaseLoopOptions): WorkerLeaseLoop {
+export function createLeaseLoop ({
+  onFenced = () => {}, repeats = { tryWithdraw: () => true }, ...options
+}: LeaseLoopOptions): WorkerLeaseLoop {
   const { clock } = options
   return WorkerLeaseLoop.create({
     ...options,
+    repeats,
     onFenced,
     leaseMilliseconds: 6000,
     logger: silentLogger,
