Limit the time for which stops delay the next lease renewal

The next renewal now waits for the stops for the usual response time at most. Later responses are handled as they arrive, and no further stops are sent beside them.

--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -65,6 +65,8 @@
   private hasLateReport = false
   /** Whether the next report settles starts without a response, so that the call for it should not wait. */
   private hasAnsweredStops = false
+  /** Whether stops over the connection for reports are not over yet. */
+  private isStopping = false
   /** Whether the next report settles starts by a raised fencing token, so that the call for it should not wait. */
   private mustSettleStarts = false
 
@@ -115,6 +117,7 @@
     this.fenceUncertainStarts(sentAt)
     const token = getFencingToken(worker, engine.epoch)
     const waitMilliseconds = this.getWaitMilliseconds(hasResponded ? leaseDeadline : null)
+    this.hasAnsweredStops = false
     const renewal = await sendRenewal({
       worker,
       client,
@@ -141,10 +144,8 @@
       return
     }
     if (!await this.applyReport(outcome.report, renewal.sentAt)) return
-    const stops = await stopUncertainStarts(this.options)
+    await this.stopUncertainStarts()
     if (this.stopped) return
-    if (stops === 'fenced') return this.handleFence()
-    this.hasAnsweredStops = stops === 'answered'
     if (worker.appliedCompletion > worker.durableCompletion) await this.options.waitForDurability()
     else if (worker.isRecordedUnreached) await this.pause(RETRY_MILLISECONDS)
     else if (workerTime !== null) await this.pause(CALL_PAUSE_MILLISECONDS)
@@ -181,6 +182,26 @@
     return true
   }
 
+  /** Stops runs without a response for the time that responses usually take; later ones are handled as they arrive. */
+  private async stopUncertainStarts (): Promise<void> {
+    const { clock, errors, worker } = this.options
+    if (this.isStopping) return
+    this.isStopping = true
+    const stops = errors.runAsync('uncertain-stops', async () => {
+      const outcome = await stopUncertainStarts(this.options)
+      if (this.stopped) return
+      if (outcome === 'fenced') return this.handleFence()
+      if (outcome === 'answered') this.hasAnsweredStops = true
+    }).finally(() => { this.isStopping = false })
+    await new Promise<void>(resolve => {
+      const cancel = clock.setTimer(worker.responseTime.milliseconds, resolve)
+      stops.finally(() => {
+        cancel()
+        resolve()
+      })
+    })
+  }
+
   /** Raises the fencing token when orders have had no response for long; the report to the next call settles starts. */
   private fenceUncertainStarts (now: number): void {
     const { worker, engine, logger } = this.options
--- a/src/instance/uncertainStarts.test.ts
+++ b/src/instance/uncertainStarts.test.ts
@@ -14,7 +14,7 @@
   running?: ListedRun[]
   /** How long the play lasts; two seconds by default. */
   milliseconds?: number
-  stop (): Promise<OrderOutcome>
+  stop (clock: VirtualClock): Promise<OrderOutcome>
 }
 
 /** Plays a worker that has reported, and then has not responded to the starts of all tasks. */
@@ -22,6 +22,7 @@
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
   const calls: string[] = []
+  const reportedAt: number[] = []
   let isFenced = false
   let highestToken = 0
   const worker = engine.setWorker(createWorkerEntry())
@@ -37,9 +38,11 @@
     order.run.sentAt = 1000
     engine.applyStartOutcome(worker, order.run, { kind: 'unknown', reason: 'timeout' }, 1000)
   }
+  const stopTimes: number[] = []
   const client = {
     hold: async ({ epoch, waitMilliseconds }: HoldRequest) => {
       calls.push('report')
+      reportedAt.push(clock.monotonicMilliseconds())
       highestToken = Math.max(highestToken, epoch)
       await new Promise<void>(resolve => { clock.setTimer(20 + waitMilliseconds, resolve) })
       return {
@@ -47,15 +50,16 @@
       }
     },
     stop: async (taskName: string, attempt: number, _epoch: number, connection: StopConnection) => {
+      stopTimes.push(clock.monotonicMilliseconds())
       calls.push(`stop ${taskName}#${attempt} ${connection}`)
-      return await stop()
+      return await stop(clock)
     }
   } as unknown as WorkerClient
   const loop = createLeaseLoop({ worker, engine, client, clock, onFenced: () => { isFenced = true } })
   loop.run()
   await clock.advance(milliseconds)
   loop.stop()
-  return { calls, runCount: worker.runs.size, isFenced, highestToken }
+  return { calls, runCount: worker.runs.size, isFenced, highestToken, reportedAt, stopTimes }
 }
 
 test('a start without a response is settled over the connection for reports while orders get no response', async () => {
@@ -103,3 +107,20 @@
   })
   assert.equal(runCount, 1)
 })
+
+test('a stop without a response delays the next renewal by no more than the time that responses usually take', async () => {
+  const { reportedAt, stopTimes } = await play({
+    taskCount: 3,
+    milliseconds: 1500,
+    stop: async clock => {
+      await new Promise<void>(resolve => { clock.setTimer(350, resolve) })
+      return { kind: 'unknown', reason: 'timeout' }
+    }
+  })
+  assert.ok(stopTimes.length >= 2)
+  for (const stoppedAt of stopTimes) {
+    const next = reportedAt.find(at => at > stoppedAt) ?? Infinity
+    // The initial estimate of the response time, and the pause between two calls.
+    assert.ok(next - stoppedAt <= 150 + 30, `called ${next - stoppedAt} ms after the stop`)
+  }
+})
