--- a/src/instance/ownerOverload.test.ts
+++ b/src/instance/ownerOverload.test.ts
@@ -73,6 +73,7 @@
       worker,
       client,
       leaseMilliseconds: LEASE_MILLISECONDS,
+      repeats: { tryWithdraw: () => true },
       mayRenewLeases: () => true,
       prepareReport: async () => {},
       onReport: () => {},
