--- a/src/table/SettledWriter.ts
+++ b/src/table/SettledWriter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../shared/Clock.js'
 import type { RowKey, TableService, Transaction, TransactionOutcome } from './TableService.js'
+import type { RepeatedOutcome, RepeatedWrite, TransactionRepeater } from './TransactionRepeater.js'
 
 /** An immutable row that the transaction writes; reading it back shows whether the transaction took effect. */
 export interface Marker extends RowKey {
@@ -7,6 +8,14 @@
   writeId: string
 }
 
+/** Options of a writer. */
+export interface SettledWriterOptions {
+  tableService: TableService
+  clock: Clock
+  /** Repeats transactions while their responses are overdue; each is sent once at a time by default. */
+  repeats?: { repeater: TransactionRepeater, write: RepeatedWrite }
+}
+
 /** Options of a settled write. */
 export interface SettleOptions {
   /** How long to retry, in milliseconds. */
@@ -24,18 +33,21 @@
  * the same transaction is then safe, because it can take effect at most once.
  */
 export class SettledWriter {
-  private constructor (
-    private readonly tableService: TableService,
-    private readonly clock: Clock
-  ) {}
+  private readonly tableService: TableService
+  private readonly clock: Clock
+
+  private constructor (private readonly options: SettledWriterOptions) {
+    this.tableService = options.tableService
+    this.clock = options.clock
+  }
 
   /**
    * Creates a writer.
-   * @param options The table service and the clock.
+   * @param options The table service, the clock, and how overdue transactions are repeated.
    * @returns The writer.
    */
-  static create (options: { tableService: TableService, clock: Clock }): SettledWriter {
-    return new SettledWriter(options.tableService, options.clock)
+  static create (options: SettledWriterOptions): SettledWriter {
+    return new SettledWriter(options)
   }
 
   /**
@@ -55,11 +67,11 @@
     let delay = RETRY_DELAY_MILLISECONDS
     let mayHaveTakenEffect = false
     for (;;) {
-      const outcome = await this.tableService.transact(transaction)
+      const { outcome, hasUnansweredSend } = await this.send(transaction, endAt)
+      mayHaveTakenEffect ||= hasUnansweredSend
       if (outcome.kind === 'committed') return outcome
       if (outcome.kind === 'unavailable' && outcome.isPermanent === true) return outcome
       if (outcome.kind === 'conflict') return await this.settleConflict(outcome, marker, mayHaveTakenEffect, endAt)
-      mayHaveTakenEffect ||= outcome.kind === 'unknown'
       if (outcome.kind === 'unknown') {
         const written = await this.isMarkerWritten(marker)
         if (written === true) return { kind: 'committed', versions: [] }
@@ -72,6 +84,21 @@
     }
   }
 
+  private async send (transaction: Transaction, endAt: number): Promise<RepeatedOutcome> {
+    const { repeats } = this.options
+    const send = async () => await this.tableService.transact(transaction)
+    if (repeats === undefined) {
+      const outcome = await send()
+      return { outcome, hasUnansweredSend: outcome.kind === 'unknown' }
+    }
+    return await repeats.repeater.transact({
+      write: repeats.write,
+      transaction,
+      send,
+      mayRepeat: () => this.clock.monotonicMilliseconds() < endAt
+    })
+  }
+
   /** After a lost response, a conflict may be caused by an earlier attempt of the same transaction. */
   private async settleConflict (
     conflict: TransactionOutcome,
