Repeat the owner's renewals, takeovers and progress writes without a response

A renewal was sent once in 1.7 s, and a progress write once in a second or more.

Renewals, takeovers and progress are repeated within a budget of 40 writes per second. Each send of a heartbeat has its own beat and the time at which it was sent; without any response, a read of the row shows which of them has taken effect. A renewal that was not confirmed is followed by the next one without a pause. A conflict still deposes at once, and a heartbeat is not repeated after its release has begun. An unanswered repeat that takes effect late only delays a successor. The repeats are counted in papayamoor_instance_store_call_repeats_total.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -7,6 +7,7 @@
 import type { TableFeed } from '../table/TableFeed.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { TableService } from '../table/TableService.js'
+import { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { getPublishingDelay } from './getPublishingDelay.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
@@ -46,6 +47,8 @@
 const SHARD_ID = 'site'
 /** A process whose last contact with the operators' table is older is not ready: its configuration may be outdated. */
 const READY_CONTACT_AGE_LIMIT_MILLISECONDS = 4000
+/** The repeats of the owner's writes: all instances together may make 800 writes per second. */
+const OWNER_WRITE_REPEATS_PER_SECOND = 40
 /** Worker clocks may be 2% slow; the remaining 3% covers the network delay of the last renewal. */
 const LEASE_MARGIN_SHARE = 0.05
 
@@ -56,6 +59,8 @@
   /** Confines unexpected errors, and counts them in the metrics of this instance. */
   readonly errors: ErrorBoundary
   private readonly metrics: InstanceMetrics
+  /** Repeats the owner's writes. */
+  private readonly ownerRepeater: TransactionRepeater
   private readonly election: OwnerElection
   private readonly site: SiteWatch
   private dispatcher: ShardDispatcher | null = null
@@ -88,12 +93,14 @@
       random: options.random,
       onChange: changed => this.updateDispatcher(changed)
     })
+    this.ownerRepeater = this.createRepeater(OWNER_WRITE_REPEATS_PER_SECOND)
     this.election = OwnerElection.create({
       shardId: SHARD_ID,
       instanceId,
       address: peerAddress,
       region,
       tableService: ownerTable,
+      repeater: this.ownerRepeater,
       peer,
       clock,
       logger,
@@ -165,6 +172,7 @@
       shardId: SHARD_ID,
       fence,
       tableService: options.ownerTable,
+      repeater: this.ownerRepeater,
       tableLimits: options.tableLimits,
       feed: options.feed,
       site: this.site,
@@ -187,6 +195,15 @@
     this.errors.runAsync('dispatch', async () => await dispatcher.run())
   }
 
+  private createRepeater (repeatsPerSecond: number): TransactionRepeater {
+    return TransactionRepeater.create({
+      clock: this.options.clock,
+      repeatsPerSecond,
+      isOverloaded: () => this.dispatcher?.isLate ?? false,
+      onRepeat: write => this.metrics.storeCallRepeats.inc({ write })
+    })
+  }
+
   private getLeasesEnd (renewalsEndAt: number): number {
     return renewalsEndAt + this.options.leaseMilliseconds * (1 + LEASE_MARGIN_SHARE)
   }
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -24,6 +24,7 @@
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
   workerCallRepeats: Counter<'call'>
+  storeCallRepeats: Counter<'write'>
   lateReports: Counter
   loopDelaySeconds: Histogram
   unexpectedErrors: Counter<'activity'>
@@ -142,6 +143,12 @@
       labelNames: ['call'],
       registers
     }),
+    storeCallRepeats: new Counter({
+      name: 'papayamoor_instance_store_call_repeats_total',
+      help: 'Writes to the store that were sent again because they had no response, by what they write.',
+      labelNames: ['write'],
+      registers
+    }),
     workerCallFailures: new Counter({
       name: 'papayamoor_instance_worker_call_failures_total',
       help: 'Renewals of leases that got no list back, by reason.',
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -4,6 +4,7 @@
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import type { OwnerPeer } from './OwnerPeer.js'
 import { OwnerStopDetector } from './OwnerStopDetector.js'
 import {
@@ -36,6 +37,8 @@
   address: string
   region: string
   tableService: TableService
+  /** Repeats renewals and takeovers while their responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   peer: OwnerPeer
   clock: Clock
   logger: Logger
@@ -92,7 +95,7 @@
   private activeOwners: EarlierOwner[] = []
 
   private constructor (private readonly options: OwnerElectionOptions) {
-    const { shardId, instanceId, address, region, tableService, clock } = options
+    const { shardId, instanceId, address, region, tableService, clock, repeater } = options
     this.startedAt = clock.monotonicMilliseconds()
     this.lease = ShardLease.create({
       shardId,
@@ -101,6 +104,7 @@
       region,
       tableService,
       clock,
+      repeater,
       rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
       epochStep: EPOCH_STEP,
       selectStoredOwners: () => this.activeOwners
@@ -140,8 +144,13 @@
   async run (): Promise<void> {
     while (!this.stopped) {
       if (this.isOwner()) {
-        await this.options.errors.runAsync('ownership-renewal', async () => await this.renew())
-        await this.pause(RENEW_MILLISECONDS)
+        const { clock, errors } = this.options
+        const since = clock.monotonicMilliseconds()
+        let isConfirmed = true
+        await errors.runAsync('ownership-renewal', async () => { isConfirmed = await this.renew() })
+        // A renewal that was not confirmed has used up time of the lease.
+        const elapsed = isConfirmed ? 0 : clock.monotonicMilliseconds() - since
+        await this.pause(Math.max(0, RENEW_MILLISECONDS - elapsed))
       } else {
         await this.options.errors.runAsync('owner-check', async () => await this.checkOwner())
         await this.pause(PROBE_MILLISECONDS)
@@ -162,9 +171,11 @@
     this.options.onDeposed(reason)
   }
 
-  private async renew (): Promise<void> {
+  /** Returns whether the store has confirmed the renewal or has named another owner. */
+  private async renew (): Promise<boolean> {
     const outcome = await this.lease.renew(null)
     if (outcome === 'deposed' && !this.stopped) this.options.onDeposed('the store names another owner')
+    return outcome !== 'unsettled'
   }
 
   private async checkOwner (): Promise<void> {
--- a/src/instance/ProgressWriter.ts
+++ b/src/instance/ProgressWriter.ts
@@ -8,6 +8,7 @@
 import { SettledWriter } from '../table/SettledWriter.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { createProgressBatch, type DurabilityWaiter, type ProgressBatch } from './createProgressBatch.js'
 import { PROGRESS_HEAD_TABLE } from './jobRows.js'
 
@@ -17,6 +18,8 @@
   engine: DispatchEngine
   fence: Fence
   tableService: TableService
+  /** Repeats writes while their responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   tableLimits: TableLimits
   clock: Clock
   logger: Logger
@@ -67,7 +70,9 @@
   private currentWrite: Promise<boolean> = Promise.resolve(true)
 
   private constructor (private readonly options: ProgressWriterOptions) {
-    this.writer = SettledWriter.create(options)
+    const { tableService, clock, repeater } = options
+    const repeats = repeater === undefined ? undefined : { repeater, write: 'progress' as const }
+    this.writer = SettledWriter.create({ tableService, clock, repeats })
   }
 
   /**
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -10,6 +10,7 @@
 import { TableFollower } from '../table/TableFollower.js'
 import type { TableLimits } from '../table/TableLimits.js'
 import type { Row, TableService } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { createDispatchObserver } from './createDispatchObserver.js'
 import { EarlierStarts } from './EarlierStarts.js'
 import { FinishedJobCleaner } from './FinishedJobCleaner.js'
@@ -33,6 +34,8 @@
   shardId: string
   fence: Fence
   tableService: TableService
+  /** Repeats writes to the store while their responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   tableLimits: TableLimits
   feed: TableFeed
   site: SiteState
@@ -187,6 +190,11 @@
     return new ShardDispatcher(options)
   }
 
+  /** Whether the event loop is late, so that responses may be waiting to be read. */
+  get isLate (): boolean {
+    return this.eventLoopDelay.isLate
+  }
+
   /** Whether the jobs are loaded, so that queries about them get complete answers. */
   get isLoaded (): boolean {
     return this.loaded
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -3,7 +3,8 @@
 import type { Clock } from '../shared/Clock.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import { SettledWriter } from '../table/SettledWriter.js'
-import type { Condition, Row, TableService, Transaction } from '../table/TableService.js'
+import type { Condition, Row, TableService, Transaction, TransactionOutcome } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { MAX_CLOCK_DRIFT_RATIO } from '../workers/WorkerProtocol.js'
 import { shardLeaseMachine, type ShardLeaseEvent, type ShardLeaseState } from './shardLeaseMachine.js'
 import type { EarlierOwner, HeartbeatRow, ShardRow, ShardSummary } from './shardRows.js'
@@ -23,6 +24,18 @@
 /** A takeover whose outcome is still unknown after this time is abandoned, and observation starts again. */
 const ACQUIRE_DEADLINE_MILLISECONDS = 5000
 
+/** How long a release without a response is repeated; the process may exit soon after. */
+const RELEASE_REPEAT_LIMIT_MILLISECONDS = 400
+
+/** One send of a heartbeat. */
+interface HeartbeatSend {
+  beat: number
+  /** The monotonic time and the time of day before the send. */
+  sentAt: number
+  sentAtWallTime: number
+  transaction: Transaction
+}
+
 /** Proves ownership in a transaction: the version of the row `shards/<shard>` changes only with a takeover. */
 export interface Fence {
   epoch: number
@@ -45,6 +58,8 @@
   tableService: TableService
   clock: Clock
   rules?: Partial<ShardLeaseRules>
+  /** Repeats renewals and takeovers while their responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   /** The difference to the epoch of the preceding owner; 1 by default. */
   epochStep?: number
   /**
@@ -88,7 +103,9 @@
    */
   static create (options: ShardLeaseOptions): ShardLease {
     const rules = { checkHeartbeat: true, takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS, ...options.rules }
-    const writer = SettledWriter.create({ tableService: options.tableService, clock: options.clock })
+    const { tableService, clock, repeater } = options
+    const repeats = repeater === undefined ? undefined : { repeater, write: 'takeover' as const }
+    const writer = SettledWriter.create({ tableService, clock, repeats })
     return new ShardLease(options, rules, writer)
   }
 
@@ -315,9 +332,41 @@
   ): Promise<'renewed' | 'deposed' | 'unsettled'> {
     const fence = this.fence
     if (fence === null) return 'deposed'
-    const { shardId, owner } = this.options
-    const sentAt = this.options.clock.monotonicMilliseconds()
-    const sentAtWallTime = this.options.clock.wallMilliseconds()
+    const { repeater } = this.options
+    const sends: HeartbeatSend[] = []
+    const createNext = (): HeartbeatSend => {
+      const send = this.createHeartbeatSend(fence, summary, released)
+      sends.push(send)
+      return send
+    }
+    const first = createNext()
+    const send = async (sendIndex: number): Promise<TransactionOutcome> => {
+      const heartbeat = sendIndex === 0 ? first : createNext()
+      const outcome = await this.options.tableService.transact(heartbeat.transaction)
+      // While the write was in flight, this process may have been deposed and may have become owner again.
+      if (this.fence === fence && outcome.kind === 'committed') this.recordRenewal(heartbeat)
+      return outcome
+    }
+    const { outcome } = repeater === undefined
+      ? { outcome: await send(0) }
+      : await repeater.transact({
+        write: 'renewal',
+        transaction: first.transaction,
+        send,
+        mayRepeat: () => this.fence === fence && this.state === (released ? 'releasing' : 'held'),
+        limitMilliseconds: released ? RELEASE_REPEAT_LIMIT_MILLISECONDS : undefined
+      })
+    if (this.fence !== fence) return 'deposed'
+    if (outcome.kind === 'committed') return 'renewed'
+    if (outcome.kind !== 'conflict') return await this.confirmByRead(fence, sends)
+    if (!released) this.depose()
+    return 'deposed'
+  }
+
+  private createHeartbeatSend (fence: Fence, summary: ShardSummary | null, released: boolean): HeartbeatSend {
+    const { shardId, owner, clock } = this.options
+    const sentAt = clock.monotonicMilliseconds()
+    const sentAtWallTime = clock.wallMilliseconds()
     const value: HeartbeatRow = { owner, epoch: fence.epoch, beat: ++this.beat, summary, released }
     const transaction: Transaction = {
       operations: [
@@ -331,19 +380,27 @@
         }
       ]
     }
-    const outcome = await this.options.tableService.transact(transaction)
-    // While the write was in flight, this process may have been deposed and may have become owner again.
+    return { beat: value.beat, sentAt, sentAtWallTime, transaction }
+  }
+
+  /** Records a heartbeat that has taken effect; a successor that observes it does so after it was sent. */
+  private recordRenewal ({ sentAt, sentAtWallTime }: HeartbeatSend): void {
+    if (sentAt < this.renewedAt) return
+    this.renewedAt = sentAt
+    this.renewedAtWallTime = sentAtWallTime
+  }
+
+  /** Reads which of the sends without a response has taken effect; each has a beat of its own. */
+  private async confirmByRead (fence: Fence, sends: HeartbeatSend[]): Promise<'renewed' | 'deposed' | 'unsettled'> {
+    const read = await this.options.tableService.read({ table: SHARD_HEARTBEAT_TABLE, key: this.shardId })
     if (this.fence !== fence) return 'deposed'
-    if (outcome.kind === 'committed') {
-      if (sentAt >= this.renewedAt) {
-        this.renewedAt = sentAt
-        this.renewedAtWallTime = sentAtWallTime
-      }
-      return 'renewed'
-    }
-    if (outcome.kind !== 'conflict') return 'unsettled'
-    if (!released) this.depose()
-    return 'deposed'
+    if (read.kind !== 'ok' || read.value === null) return 'unsettled'
+    const { owner, epoch, beat } = read.value.value as unknown as HeartbeatRow
+    if (owner !== this.options.owner || epoch !== fence.epoch) return 'unsettled'
+    const confirmed = sends.find(send => send.beat === beat)
+    if (confirmed === undefined) return 'unsettled'
+    this.recordRenewal(confirmed)
+    return 'renewed'
   }
 
   private async readOwnVersion (writeId: string): Promise<number | null> {
