Wait for the answers of earlier sends when a repeat of a transaction is refused

A refusal of one send ended the call, although an earlier send could still be answered, and a call none of whose sends had reached the store was reported as uncertain: a submission would have been told 504 instead of 503. A refusal now ends only the repeats. A renewal that was refused is not looked up by a read.

The tests of TransactionRepeater for both cases fail before.

--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -358,7 +358,8 @@
       })
     if (this.fence !== fence) return 'deposed'
     if (outcome.kind === 'committed') return 'renewed'
-    if (outcome.kind !== 'conflict') return await this.confirmByRead(fence, sends)
+    if (outcome.kind === 'unavailable') return 'unsettled'
+    if (outcome.kind === 'unknown') return await this.confirmByRead(fence, sends)
     if (!released) this.depose()
     return 'deposed'
   }
--- a/src/table/TransactionRepeater.ts
+++ b/src/table/TransactionRepeater.ts
@@ -76,10 +76,10 @@
   }
 
   /**
-   * Sends a transaction, and sends it again while its response is overdue.
+   * Sends a transaction, and sends it again while its response is overdue. A refusal ends the repeats.
    * @param repeated The transaction, which must be safe to repeat.
-   * @returns The outcome of the first send that gets a response; `unknown` instead of a refusal when another send may
-   * have taken effect.
+   * @returns The outcome of the first send that was applied or has conflicted; otherwise `unavailable` when all sends
+   * were refused, and `unknown` when some got no response.
    */
   async transact (repeated: RepeatedTransaction): Promise<RepeatedOutcome> {
     const { write, transaction, mayRepeat, limitMilliseconds = REPEAT_LIMIT_MILLISECONDS } = repeated
@@ -88,6 +88,7 @@
     const transferMilliseconds = getTransferMilliseconds(bytes)
     const endAt = clock.monotonicMilliseconds() + limitMilliseconds
     let unansweredCount = 0
+    let isRefused = false
     const outcome = await repeatCall({
       clock,
       send: async sendIndex => {
@@ -97,14 +98,13 @@
         const outcome = await repeated.send(sendIndex)
         if (outcome.kind === 'unknown') return outcome
         unansweredCount--
-        if (outcome.kind !== 'unavailable') {
-          this.estimate.record(Math.max(0, clock.monotonicMilliseconds() - sentAt - transferMilliseconds))
-        }
+        if (outcome.kind === 'unavailable') isRefused = true
+        else this.estimate.record(Math.max(0, clock.monotonicMilliseconds() - sentAt - transferMilliseconds))
         return outcome
       },
-      isSettled: outcome => outcome.kind !== 'unknown',
+      isSettled,
       getDelayMilliseconds: () => this.estimate.milliseconds * OVERDUE_FACTOR + transferMilliseconds,
-      mayRepeat: () => clock.monotonicMilliseconds() < endAt && mayRepeat() && this.budget.tryWithdraw(),
+      mayRepeat: () => !isRefused && clock.monotonicMilliseconds() < endAt && mayRepeat() && this.budget.tryWithdraw(),
       sendLimit: Infinity
     })
     const hasUnansweredSend = unansweredCount > 0
@@ -112,3 +112,8 @@
     return { outcome: isUncertain ? { kind: 'unknown', reason: outcome.reason } : outcome, hasUnansweredSend }
   }
 }
+
+/** Returns whether an outcome is final; after a refusal, an earlier send may still be answered. */
+function isSettled (outcome: TransactionOutcome): boolean {
+  return outcome.kind === 'unavailable' ? outcome.isPermanent === true : outcome.kind !== 'unknown'
+}
