Repeat the registration of workers while its response is overdue

A repeat is safe: it writes the same rows, on condition that this process is the owner. The removal of rows is not repeated, because a remaining row costs a successor one call.

The new test of WorkerRegistry fails before: the worker is not registered after 0.4 s.

--- a/src/instance/WorkerRegistry.test.ts
+++ b/src/instance/WorkerRegistry.test.ts
@@ -9,6 +9,7 @@
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 import type { Operation, TableService, Transaction } from '../table/TableService.js'
+import { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { HOLDING_TABLE } from './jobRows.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
 
@@ -63,3 +64,33 @@
   await clock.advance(100)
   assert.deepEqual(tables.getTable(HOLDING_TABLE).rows.map(({ key }) => key), ['worker-1'])
 })
+
+test('a worker is registered although the first write of its registration gets no response', async () => {
+  const clock = VirtualClock.create()
+  const tables = EmulatedTables.create({ clock })
+  let randomNumber = 0
+  const client = tables.createClient(() => randomNumber)
+  client.faults.lateShare = 0.5
+  const registry = WorkerRegistry.create({
+    shardId: 'site',
+    fence: { epoch: 1, rowVersion: tables.apply({ operations: [OWNER] }).kind === 'committed' ? 1 : 0 },
+    tableService: client,
+    repeater: TransactionRepeater.create({
+      clock, repeatsPerSecond: 40, isOverloaded: () => false, onRepeat: () => {}
+    }),
+    clock,
+    logger: silentLogger,
+    errors: createTestErrors(clock),
+    onRegistered: () => {},
+    onDeposed: () => {}
+  })
+  const engine = DispatchEngine.create({ epoch: 1 })
+  engine.setWorker(createWorkerEntry({ workerId: 'worker-0' }))
+  const worker = engine.workers.get('worker-0')!
+  engine.applyReport(worker, { workerMilliseconds: 1000, bornAtMilliseconds: 1, running: [], ended: [] }, 0, 1)
+  registry.register(engine.workers)
+  await clock.advance(100)
+  randomNumber = 0.9
+  await clock.advance(300)
+  assert.equal(worker.registered, true)
+})
--- a/src/instance/WorkerRegistry.ts
+++ b/src/instance/WorkerRegistry.ts
@@ -5,6 +5,7 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { Logger } from '../shared/Logger.js'
 import type { Operation, TableService, TransactionOutcome } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { HOLDING_TABLE } from './jobRows.js'
 
 /** Options of a registry. */
@@ -12,6 +13,8 @@
   shardId: string
   fence: Fence
   tableService: TableService
+  /** Repeats registrations while their responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   clock: Clock
   logger: Logger
   errors: ErrorBoundary
@@ -65,7 +68,7 @@
       value: worker.entry as unknown as JsonValue,
       condition: { kind: 'any' }
     }))
-    const outcome = await this.transact(operations)
+    const outcome = await this.transact(operations, this.options.repeater)
     this.registering = false
     if (this.stopped) return
     if (outcome?.kind === 'committed') {
@@ -97,11 +100,15 @@
   }
 
   /** Writes as the owner; returns null after an unexpected error, which leaves open whether the write took effect. */
-  private async transact (operations: Operation[]): Promise<TransactionOutcome | null> {
+  private async transact (operations: Operation[], repeater?: TransactionRepeater): Promise<TransactionOutcome | null> {
     const { errors, tableService } = this.options
+    const transaction = { operations: [...operations, this.createOwnerCheck()] }
     let outcome: TransactionOutcome | null = null
     await errors.runAsync('worker-registration', async () => {
-      outcome = await tableService.transact({ operations: [...operations, this.createOwnerCheck()] })
+      const send = async () => await tableService.transact(transaction)
+      outcome = repeater === undefined
+        ? await send()
+        : (await repeater.transact({ write: 'registration', transaction, send, mayRepeat: () => !this.stopped })).outcome
     })
     return outcome
   }
