Repeat submissions and cancellations while their responses are overdue

A submission or cancellation without a response waited 1 s before the owner was asked to store it. It is now repeated for 0.3 s, on further connections that are opened on demand, at most 20 times per second and process. A submission is written only if there is none with its identifier, and a cancellation only to the version of the job that was read, so a repeat is safe. A submission counts as rejected only when all sends were refused. Writes on behalf of a peer are sent once.

The new test of JobGateway fails before: neither has been confirmed after 0.6 s.

--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -27,6 +27,8 @@
   ownerTable: TableService
   /** Client for the calls of callers and peers. */
   callerTable: TableService
+  /** Client for the repeats of the writes of callers, on other connections; `callerTable` by default. */
+  callerRepeatTable?: TableService
   tableLimits: TableLimits
   feed: TableFeed
   objects: ListedObjectStore
@@ -49,6 +51,8 @@
 const READY_CONTACT_AGE_LIMIT_MILLISECONDS = 4000
 /** The repeats of the owner's writes: all instances together may make 800 writes per second. */
 const OWNER_WRITE_REPEATS_PER_SECOND = 40
+/** The repeats of the writes of callers and peers. */
+const CALLER_WRITE_REPEATS_PER_SECOND = 20
 /** Worker clocks may be 2% slow; the remaining 3% covers the network delay of the last renewal. */
 const LEASE_MARGIN_SHARE = 0.05
 
@@ -114,6 +118,8 @@
     this.ownerApi = this.createOwnerApi()
     this.gateway = JobGateway.create({
       tableService: callerTable,
+      repeatTable: options.callerRepeatTable,
+      repeater: this.createRepeater(CALLER_WRITE_REPEATS_PER_SECOND),
       tableLimits: options.tableLimits,
       peer,
       metrics: this.metrics,
--- a/src/instance/JobGateway.test.ts
+++ b/src/instance/JobGateway.test.ts
@@ -6,6 +6,9 @@
 import { VirtualClock } from '../shared/VirtualClock.js'
 import { DEFAULT_TABLE_LIMITS } from '../table/TableLimits.js'
 import { createTestMetrics } from '../../stand-ins/platform/createTestMetrics.js'
+import { EmulatedTables } from '../../stand-ins/platform/EmulatedTables.js'
+import { TransactionRepeater } from '../table/TransactionRepeater.js'
+import { JOB_TABLE } from './jobRows.js'
 import { JobGateway, type CallerWait } from './JobGateway.js'
 
 const OWNER_MILLISECONDS = 400
@@ -91,3 +94,58 @@
   assert.deepEqual(await outcome, { kind: 'unknown' })
   assert.deepEqual(calls, ['write'])
 })
+
+/** Creates a gateway without an owner, whose writes to the store get no response while the client has faults. */
+function createStoringGateway () {
+  const clock = VirtualClock.create()
+  const tables = EmulatedTables.create({ clock })
+  const client = tables.createClient(() => 0)
+  const repeatClient = tables.createClient(() => 0)
+  const gateway = JobGateway.create({
+    tableLimits: DEFAULT_TABLE_LIMITS,
+    tableService: client,
+    repeatTable: repeatClient,
+    repeater: TransactionRepeater.create({
+      clock, repeatsPerSecond: 20, isOverloaded: () => false, onRepeat: () => {}
+    }),
+    peer: {} as never,
+    metrics: createTestMetrics(false),
+    ownerApi: absentOwnerAnswers,
+    isOwner: () => false,
+    getOwnerAddress: () => null,
+    clock,
+    logger: silentLogger
+  })
+  const submit = () => gateway.submit('a', SPECIFICATION, EMULATED_QUEUE, createWait(3000))
+  return { clock, tables, client, repeatClient, gateway, submit }
+}
+
+test('a submission and a cancellation without a response are repeated before the first send has timed out', async () => {
+  const { clock, client, gateway, submit } = createStoringGateway()
+  client.faults.lateShare = 1
+  const outcomes: string[] = []
+  submit().then(({ kind }) => outcomes.push(kind))
+  await clock.advance(300)
+  gateway.cancel('a', createWait(3000)).then(({ kind }) => outcomes.push(kind))
+  await clock.advance(300)
+  assert.deepEqual(outcomes, ['accepted', 'cancelled'])
+})
+
+test('a submission of which one send has no response is not rejected although its repeats are refused', async () => {
+  const { clock, tables, client, repeatClient, submit } = createStoringGateway()
+  client.faults.lateShare = 1
+  repeatClient.faults.isRefusing = true
+  const submission = submit()
+  await clock.advance(10_000)
+  assert.deepEqual(await submission, { kind: 'unknown' })
+  assert.equal(tables.getTable(JOB_TABLE).rows.length, 1)
+})
+
+test('a submission that the store refuses is rejected', async () => {
+  const { clock, tables, client, submit } = createStoringGateway()
+  client.faults.isRefusing = true
+  const submission = submit()
+  await clock.advance(10_000)
+  assert.equal((await submission).kind, 'rejected')
+  assert.deepEqual(tables.getTable(JOB_TABLE).rows, [])
+})
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -3,7 +3,8 @@
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableLimits } from '../table/TableLimits.js'
-import type { TableService } from '../table/TableService.js'
+import type { TableService, Transaction, TransactionOutcome } from '../table/TableService.js'
+import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import type { OwnerApi, OwnerJobState, OwnerPeer, StoreOutcome } from './OwnerPeer.js'
@@ -39,6 +40,10 @@
 /** Options of a gateway. */
 export interface JobGatewayOptions {
   tableService: TableService
+  /** Sends the repeats, on other connections than the first sends; `tableService` by default. */
+  repeatTable?: TableService
+  /** Repeats submissions and cancellations while responses are overdue; each is sent once at a time by default. */
+  repeater?: TransactionRepeater
   tableLimits: TableLimits
   peer: OwnerPeer
   metrics: InstanceMetrics
@@ -60,6 +65,9 @@
 /** Time that the last attempt leaves for the response to reach the caller. */
 const ANSWER_MARGIN_MILLISECONDS = 250
 
+/** How long a write without a response is repeated before the owner is asked to store it. */
+const REPEAT_LIMIT_MILLISECONDS = 300
+
 /** Accepts, cancels and looks up jobs for callers, in any process of the system. */
 export class JobGateway {
   /** Monotonic time of the first failed submission since the last one that was stored. */
@@ -135,7 +143,7 @@
     const end = clock.monotonicMilliseconds() + wait.milliseconds - ANSWER_MARGIN_MILLISECONDS
     do {
       if (isExpired()) break
-      let outcome = await this.storeCancellation(jobId)
+      let outcome = await this.storeCancellation(jobId, () => !isExpired())
       const address = this.getRemoteOwnerAddress()
       if ((outcome === 'unknown' || outcome === 'not-stored') && address !== null && !isExpired()) {
         outcome = await this.options.peer.storeCancellation(address, jobId)
@@ -187,7 +195,7 @@
         logger.info('submission abandoned', { job: jobId, reason: 'the caller has stopped waiting' })
         return { kind: 'unknown' }
       }
-      let outcome = await this.storeSubmission(submission)
+      let outcome = await this.storeSubmission(submission, () => !isExpired())
       const address = this.getRemoteOwnerAddress()
       if (outcome !== 'stored' && address !== null && !isExpired()) {
         // The store may be unavailable to this process and still respond to the owner.
@@ -229,37 +237,56 @@
   }
 
   /**
-   * Stores a submission, without a retry.
+   * Stores a submission; it is repeated only while a response is overdue. A repeat is safe, because the row is written
+   * only if the store has none of this job, and stays there when the job has ended.
    * @param submission The submission.
+   * @param mayRepeat Returns whether the write may be repeated; by default it is sent once, as for a peer that waits.
    * @returns The outcome, which is also `stored` when an earlier copy is stored.
    */
-  async storeSubmission (submission: JobSubmission): Promise<StoreOutcome> {
-    const { tableService, tableLimits } = this.options
-    const outcome = await tableService.transact({ operations: createSubmissionOperations(submission, tableLimits) })
+  async storeSubmission (submission: JobSubmission, mayRepeat: () => boolean = () => false): Promise<StoreOutcome> {
+    const operations = createSubmissionOperations(submission, this.options.tableLimits)
+    const outcome = await this.transact('submission', { operations }, mayRepeat)
     if (outcome.kind === 'committed' || outcome.kind === 'conflict') return 'stored'
     return outcome.kind === 'unavailable' ? 'not-stored' : 'unknown'
   }
 
   /**
-   * Stores a cancellation, without a retry.
+   * Stores a cancellation; it is repeated only while a response is overdue. A repeat is safe, because it is written
+   * only to the version of the job that was read.
    * @param jobId The job.
+   * @param mayRepeat Returns whether the write may be repeated; by default it is sent once, as for a peer that waits.
    * @returns The outcome: also `stored` when the job has ended, and `missing` when there is no such job.
    */
-  async storeCancellation (jobId: string): Promise<StoreOutcome> {
+  async storeCancellation (jobId: string, mayRepeat: () => boolean = () => false): Promise<StoreOutcome> {
     const { tableService } = this.options
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return 'not-stored'
     if (job.value === null) return 'missing'
     if (isFinishedJob(job.value.value)) return 'stored'
-    const outcome = await tableService.transact({
+    const outcome = await this.transact('cancellation', {
       operations: [
         { kind: 'check', table: JOB_TABLE, key: jobId, condition: { kind: 'version', version: job.value.version } },
         { kind: 'put', table: JOB_TABLE, key: getCancelKey(jobId), value: {}, condition: { kind: 'any' } }
       ]
-    })
+    }, mayRepeat)
     return outcome.kind === 'committed' ? 'stored' : 'unknown'
   }
 
+  private async transact (
+    write: 'submission' | 'cancellation', transaction: Transaction, mayRepeat: () => boolean
+  ): Promise<TransactionOutcome> {
+    const { tableService, repeatTable = tableService, repeater } = this.options
+    if (repeater === undefined) return await tableService.transact(transaction)
+    const { outcome } = await repeater.transact({
+      write,
+      transaction,
+      send: async sendIndex => await (sendIndex === 0 ? tableService : repeatTable).transact(transaction),
+      mayRepeat,
+      limitMilliseconds: REPEAT_LIMIT_MILLISECONDS
+    })
+    return outcome
+  }
+
   private createExpiryCheck (wait: CallerWait): () => boolean {
     const { clock } = this.options
     const end = clock.monotonicMilliseconds() + wait.milliseconds
