--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -19,6 +19,8 @@
   onRepeat (): void
 }
 
+/** The share of the budget that is left to renewals of leases, since a lost lease ends all runs of its worker. */
+const KEPT_FOR_RENEWALS = 0.5
 /** The maximum number of sends of one order. */
 const SEND_LIMIT = 12
 /** An order is sent beside earlier sends for this time; a worker rejects starts that arrive after 1.8 s. */
@@ -64,7 +66,8 @@
   const mayRepeat = (): boolean => {
     if (isUnsendable || !isNeeded()) return false
     if (inFlightCount === 0) return sendCount < serialSendLimit
-    return clock.monotonicMilliseconds() - firstSentAt <= REPEAT_WINDOW_MILLISECONDS && repeats.tryWithdraw()
+    if (clock.monotonicMilliseconds() - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
+    return repeats.tryWithdraw(KEPT_FOR_RENEWALS)
   }
   return await repeatCall({
     clock,
--- a/src/shared/RepeatBudget.ts
+++ b/src/shared/RepeatBudget.ts
@@ -37,14 +37,15 @@
 
   /**
    * Withdraws one repeat from the budget.
+   * @param keptShare The share of the reserve, from 0 to 1, that is left to more important repeats.
    * @returns Whether the repeat may be made.
    */
-  tryWithdraw (): boolean {
+  tryWithdraw (keptShare = 0): boolean {
     const { clock, repeatsPerSecond, reserve, isOverloaded } = this.options
     const now = clock.monotonicMilliseconds()
     this.tokens = Math.min(reserve, this.tokens + (now - this.updatedAt) / 1000 * repeatsPerSecond)
     this.updatedAt = now
-    if (this.tokens < 1 || isOverloaded()) return false
+    if (this.tokens < 1 + keptShare * reserve || isOverloaded()) return false
     this.tokens--
     return true
   }
