Handle responses that have arrived before a call is repeated

An owner that is short of processor time runs its timers before it reads the responses that have arrived. Its calls were therefore repeated although their responses were there, before the event loop counted as late.

--- a/src/shared/repeatCall.ts
+++ b/src/shared/repeatCall.ts
@@ -53,7 +53,10 @@
       sendCount++
       pendingCount++
       cancelTimer()
-      cancelTimer = clock.setTimer(getDelayMilliseconds(), repeat)
+      cancelTimer = clock.setTimer(getDelayMilliseconds(), () => {
+        // A late event loop runs its timers first: a response that has arrived by now is handled before the repeat.
+        cancelTimer = clock.setTimer(0, repeat)
+      })
       send(sendIndex).then(handleOutcome, error => finish(() => reject(error)))
     }
     sendOnce()
