--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -116,7 +116,7 @@
     const leaseDeadline = this.getLeaseDeadline(workerTime, sentAt, hasResponded)
     this.fenceUncertainStarts(sentAt)
     const token = getFencingToken(worker, engine.epoch)
-    const waitMilliseconds = this.getWaitMilliseconds(leaseDeadline)
+    const waitMilliseconds = this.getWaitMilliseconds(hasResponded ? leaseDeadline : null)
     this.hasAnsweredStops = false
     const renewal = await sendRenewal({
       worker,
