Let overdue orders leave the total limit, and scale the budget of repeats with the processors

An order that is being repeated leaves the total limit, which bounds the responses to handle soon; repeats have a budget of their own, now 1,000 a second for each processor, and none while the event loop is late.

--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -102,12 +102,22 @@
     })
   }
 
+  /**
+   * Lets another order in for one whose response is overdue. The total limit bounds the responses that this process has
+   * to handle soon, and an overdue one is likely to be lost; the order still counts for its worker.
+   */
+  markOverdue (): void {
+    this.total.release()
+    this.admitWaiting()
+  }
+
   /**
    * Releases the permit of an order that is no longer in flight.
    * @param workerId The worker to which the order was sent.
+   * @param isOverdue Whether `markOverdue` was called for the order; false by default.
    */
-  release (workerId: string): void {
-    this.total.release()
+  release (workerId: string, isOverdue = false): void {
+    if (!isOverdue) this.total.release()
     const queue = this.getQueue(workerId)
     queue.limit.release()
     if (countWaiting(queue) > 0) this.readyQueues.add(queue)
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -180,6 +180,7 @@
       tableService: options.ownerTable,
       repeater: this.ownerRepeater,
       tableLimits: options.tableLimits,
+      processors: options.resources.processors,
       feed: options.feed,
       site: this.site,
       clock: options.clock,
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -153,9 +153,10 @@
       isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
         (isSent(run) || this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS)
     }
-    const outcome = await this.sendWhenAdmitted(request, async () => await repeatOrder({
+    const outcome = await this.sendWhenAdmitted(request, async markOverdue => await repeatOrder({
       ...this.options,
       worker,
+      onOverdue: markOverdue,
       serialSendLimit: START_SEND_LIMIT,
       send: async () => await this.callStart(worker, run, client),
       isNeeded: () => !this.stopped && request.isNeeded(),
@@ -256,9 +257,10 @@
     while (!this.stopped && isRunning()) {
       const outcome = await this.sendWhenAdmitted(
         { workerId: worker.entry.workerId, priority: 'stop', isNeeded },
-        async () => await repeatOrder({
+        async markOverdue => await repeatOrder({
           ...this.options,
           worker,
+          onOverdue: markOverdue,
           serialSendLimit: STOP_SEND_LIMIT,
           send: call,
           isNeeded: () => !this.stopped && isNeeded(),
@@ -291,14 +293,22 @@
   }
 
   /** Queues a call and makes it when the gate admits it and it is still needed. */
-  private async sendWhenAdmitted (request: OrderRequest, call: () => Promise<OrderOutcome>): Promise<SendOutcome> {
+  private async sendWhenAdmitted (
+    request: OrderRequest, call: (markOverdue: () => void) => Promise<OrderOutcome>
+  ): Promise<SendOutcome> {
     const { workerId, isNeeded } = request
     const admission = await this.gate.acquire({ ...request, isNeeded: () => !this.stopped && isNeeded() })
     if (admission === 'withdrawn') return { kind: 'withdrawn' }
+    let isOverdue = false
+    const markOverdue = () => {
+      if (isOverdue) return
+      isOverdue = true
+      this.gate.markOverdue()
+    }
     try {
-      return await call()
+      return await call(markOverdue)
     } finally {
-      this.gate.release(workerId)
+      this.gate.release(workerId, isOverdue)
     }
   }
 
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -55,6 +55,8 @@
   earlierStartsEndAt: number | null
   /** The row version since which all owners have stored assignments, see `ShardLease`; null when some have not. */
   assignmentsStoredSince: number | null
+  /** The number of processors of this process, which may be a fraction. */
+  processors: number
   createWorkerClient (entry: WorkerEntry): WorkerClient
   /** Returns a number from 0 to 1 for the random part of retry delays. */
   random (): number
@@ -69,8 +71,8 @@
 const QUEUED_ORDER_LIMIT = 64
 /** No further starts of long-running tasks are planned while the assignments of this many are being stored. */
 const STORED_START_LIMIT = 32
-/** The repeats of calls to workers that an owner with 0.7 of a core can make beside its other work. */
-const WORKER_CALL_REPEATS_PER_SECOND = 400
+/** The most repeats of calls to workers that an owner makes per second with one processor. */
+const WORKER_CALL_REPEATS_PER_PROCESSOR = 1000
 /** Interval at which expired leases and due occurrences are handled. */
 const TICK_MILLISECONDS = 200
 /** Bounds the detection of a dead connection, as a cancelled job must stop within 3 s. */
@@ -114,10 +116,11 @@
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
+    const repeatsPerSecond = WORKER_CALL_REPEATS_PER_PROCESSOR * options.processors
     this.workerCallRepeats = RepeatBudget.create({
       clock: options.clock,
-      repeatsPerSecond: WORKER_CALL_REPEATS_PER_SECOND,
-      reserve: WORKER_CALL_REPEATS_PER_SECOND,
+      repeatsPerSecond,
+      reserve: repeatsPerSecond,
       isOverloaded: () => this.eventLoopDelay.isLate
     })
     this.recoveryMonitor = RecoveryMonitor.create({ ...options, engine: this.engine })
--- a/src/instance/jobsDuringLoad.test.ts
+++ b/src/instance/jobsDuringLoad.test.ts
@@ -74,6 +74,7 @@
     livenessSource: { listLiveWorkers: async () => ({ kind: 'ok', value: new Set(workers.keys()) }) },
     metrics: createTestMetrics(true),
     leaseMilliseconds: 6000,
+    processors: 1,
     earlierLeasesEndAt: EARLIER_LEASES_END_AT,
     earlierStartsEndAt: EARLIER_STARTS_END_AT,
     assignmentsStoredSince: 0,
--- a/src/instance/relistedWorker.test.ts
+++ b/src/instance/relistedWorker.test.ts
@@ -36,6 +36,7 @@
       livenessSource: { listLiveWorkers: async () => ({ kind: 'ok', value: new Set() }) },
       metrics: createTestMetrics(true),
       leaseMilliseconds: 6000,
+      processors: 1,
       random: createRandom(1),
       earlierLeasesEndAt: 0,
       earlierStartsEndAt: null,
--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -15,6 +15,8 @@
   send (): Promise<OrderOutcome>
   /** Returns whether the order may be sent again. */
   isNeeded (): boolean
+  /** Called when the order is sent beside earlier sends, whose responses are overdue. */
+  onOverdue (): void
   /** Called before each send after the first. */
   onRepeat (): void
 }
@@ -36,7 +38,7 @@
  * @returns The first response, or the outcome of the last send that ended.
  */
 export async function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
-  const { worker, clock, repeats, serialSendLimit, send, isNeeded, onRepeat } = options
+  const { worker, clock, repeats, serialSendLimit, send, isNeeded, onOverdue, onRepeat } = options
   const firstSentAt = clock.monotonicMilliseconds()
   let inFlightCount = 0
   let sendCount = 0
@@ -67,7 +69,9 @@
     if (isUnsendable || !isNeeded()) return false
     if (inFlightCount === 0) return sendCount < serialSendLimit
     if (clock.monotonicMilliseconds() - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
-    return repeats.tryWithdraw(KEPT_FOR_RENEWALS)
+    if (!repeats.tryWithdraw(KEPT_FOR_RENEWALS)) return false
+    onOverdue()
+    return true
   }
   return await repeatCall({
     clock,
--- a/src/instance/workerAddress.test.ts
+++ b/src/instance/workerAddress.test.ts
@@ -37,6 +37,7 @@
     livenessSource: { listLiveWorkers: async () => ({ kind: 'ok', value: new Set() }) },
     metrics: createTestMetrics(true),
     leaseMilliseconds: 6000,
+    processors: 1,
     earlierLeasesEndAt: 0,
     earlierStartsEndAt: null,
     assignmentsStoredSince: 0,
