Let the search disable the settling of starts by their deadline as well

The test of the search that no start is settled replaces a method of the engine, which the settling by the deadline had removed, so it failed in the whole suite. The method is back, settles by the fencing token and by the deadline, and the variant disables both: with the deadline alone the owner would not be broken. The test passes again.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -198,8 +198,7 @@
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
-    settleFencedStarts(worker, sentAt)
-    settleExpiredStarts(worker, report.workerMilliseconds)
+    this.settleUncertainStarts(worker, report, sentAt)
     const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
     worker.syncState = 'synchronized'
@@ -348,6 +347,11 @@
     }
   }
 
+  private settleUncertainStarts (worker: WorkerRecord, report: WorkerReport, sentAt: number): void {
+    settleFencedStarts(worker, sentAt)
+    settleExpiredStarts(worker, report.workerMilliseconds)
+  }
+
   /** Returns whether a lease of this owner or an earlier one may have lasted at a monotonic time. */
   private mayBeLeasedAt (worker: WorkerRecord, at: number): boolean {
     const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(worker.entry.workerId) ?? -Infinity
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -64,10 +64,10 @@
     rule: 'twice'
   },
   {
-    name: 'neither the answer to a stop nor a raised fencing token settles a start',
+    name: 'neither the answer to a stop, a raised fencing token nor a deadline settles a start',
     breakOwner: () => {
       mock.method(DispatchEngine.prototype, 'applyStopOutcome', () => {})
-      mock.method(DispatchEngine.prototype as unknown as { settleFencedStarts (): void }, 'settleFencedStarts', () => {})
+      mock.method(DispatchEngine.prototype as unknown as { settleUncertainStarts (): void }, 'settleUncertainStarts', () => {})
     },
     rule: 'lost'
   },
