Overload the emulated connections with more calls than their new limit

A worker's client has 12 connections for orders instead of 2, so the 15 calls of the test, of which 7 expired in the queue, were all sent. The test now makes 90 calls at once, 15 for two connections as before, and expects six times the figures: 48 calls are sent over 12 connections, 42 expire.

--- a/stand-ins/platform/EmulatedConnections.test.ts
+++ b/stand-ins/platform/EmulatedConnections.test.ts
@@ -55,9 +55,9 @@
 })
 
 /** Sends more calls at once than can be answered within the time-out, and then a few more. */
-async function overload (expiredCalls: ExpiredCalls) {
+async function overload (expiredCalls: ExpiredCalls, count: number) {
   const { clock, counts, stopped, sendStops } = createConnections(expiredCalls)
-  const first = sendStops(15)
+  const first = sendStops(count)
   await clock.advance(1000)
   const kinds = countKinds(await first)
   const sentCount = stopped.length
@@ -68,7 +68,7 @@
 }
 
 test('with destroys-connection, a queued call that expires is not sent and destroys its assigned connection', async () => {
-  assert.deepEqual(await overload('destroys-connection'), {
+  assert.deepEqual(await overload('destroys-connection', 15), {
     kinds: { accepted: 9, unknown: 6 },
     sentCount: 12,
     counts: { opened: 9, calls: 15, expiredUnsent: 3, expiredSent: 3 }
@@ -76,8 +76,10 @@
 })
 
 test('with leaves-queue, expired calls use no connection and sent calls have their full time-out', async () => {
-  assert.deepEqual(await overload('leaves-queue'), {
-    kinds: { accepted: 8, 'not-sent': 7 }, sentCount: 8, counts: { opened: 2, calls: 11, expiredUnsent: 7, expiredSent: 0 }
+  assert.deepEqual(await overload('leaves-queue', 90), {
+    kinds: { accepted: 48, 'not-sent': 42 },
+    sentCount: 48,
+    counts: { opened: 12, calls: 51, expiredUnsent: 42, expiredSent: 0 }
   })
 })
 
