Do not repeat renewals to workers without a lease

A new owner reconciled a worker that is cut off later than before, so its long-running tasks came back late: a repeat of the call that is still pending counts as a response that is awaited. Calls to a worker without a lease are now sent once.

The other tests of the instance were last run before this change.

--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -54,8 +54,8 @@
 const SHORTEST_RETRY_MILLISECONDS = 50
 /** The sends of one renewal, each of which occupies a connection until its time limit. */
 const SEND_LIMIT = 6
-/** The sends of one call to a worker that has no lease, which has no run to lose. */
-const UNLEASED_SEND_LIMIT = 2
+/** The sends of one call to a worker without a lease: a pending repeat would delay its reconciliation. */
+const UNLEASED_SEND_LIMIT = 1
 
 /** Renews the lease of one worker and reads its reports, as long as this process owns the shard. */
 export class WorkerLeaseLoop {
