Let emulated workers lose responses to report calls

Until now, only orders lost their responses, or were executed late, by share. Report calls now do so too, each drawn by itself: executed at once with the response lost, or without a response and executed later. Late calls to a worker and late writes of the store may be spread over a time, and a share of the calls may fail because their connection is reset. The emulator counts the calls by kind, the calls to the store and the lapses of leases.

--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -17,6 +17,8 @@
    */
   lateShare: number
   lateMilliseconds: number
+  /** Late transactions are applied up to this much later than after `lateMilliseconds`, each by itself. */
+  latenessSpreadMilliseconds: number
   /** Calls are refused at once and have no effect. */
   isRefusing: boolean
   /** The factor by which calls take longer; 1 is the usual speed. */
@@ -35,6 +37,7 @@
     lostAnswerShare: 0,
     lateShare: 0,
     lateMilliseconds: 3000,
+    latenessSpreadMilliseconds: 0,
     isRefusing: false,
     slowdown: 1,
     losesRenewals: false
@@ -175,6 +178,8 @@
 export class EmulatedTableClient implements TableService, TableFeed {
   readonly faults = createTableClientFaults()
   writeCount = 0
+  /** Number of calls of any kind; a call that waits for changes counts again for each change of another table. */
+  callCount = 0
   /** The time of the last write that was applied, on the clock of the site. */
   lastWriteAt = -Infinity
   /** Called when a renewal of the ownership has been applied, before its response arrives. */
@@ -203,7 +208,9 @@
       return { kind: 'unknown', reason: 'no answer' }
     }
     if (this.random() < this.faults.lateShare) {
-      this.clock.setTimer(this.faults.lateMilliseconds, () => { this.tables.apply(transaction) })
+      const { lateMilliseconds, latenessSpreadMilliseconds } = this.faults
+      const spread = latenessSpreadMilliseconds > 0 ? this.random() * latenessSpreadMilliseconds : 0
+      this.clock.setTimer(lateMilliseconds + spread, () => { this.tables.apply(transaction) })
       await this.wait(TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
     }
@@ -257,6 +264,7 @@
   }
 
   private async waitForRoundTrip (): Promise<boolean> {
+    this.callCount++
     if (this.faults.cutOff) {
       await this.wait(TIMEOUT_MILLISECONDS)
       return false
--- a/stand-ins/platform/EmulatedWorker.test.ts
+++ b/stand-ins/platform/EmulatedWorker.test.ts
@@ -298,3 +298,95 @@
   await settle(hold(worker, 500))
   assert.equal((await report(worker)).ended.length, 100)
 })
+
+const RENEWAL = { epoch: EPOCH, acknowledgedCompletion: 0, leaseDeadline: 105_000, waitMilliseconds: 0 }
+
+test('a report call whose response is lost has all of its effects', async () => {
+  const { workers: [worker], settle, start, listEnds, shutDown } = createWorkers({ taskCount: 1 })
+  await start(worker, 0, { leaseDeadline: 102_000 })
+  await settle(Promise.resolve(), 1000)
+  assert.deepEqual(await listEnds(worker), ['job.0.0.0#1 done'])
+  worker.faults.lostReportShare = 1
+  const outcome = await settle(worker.hold({ ...RENEWAL, epoch: 2, acknowledgedCompletion: 1 }))
+  assert.equal(outcome.kind, 'unknown')
+  worker.faults.lostReportShare = 0
+  assert.ok(worker.leaseRemainingMilliseconds > 3000)
+  assert.deepEqual(await settle(worker.hold(RENEWAL)), { kind: 'fenced' })
+  const report = await settle(worker.hold({ ...RENEWAL, epoch: 2 }))
+  assert.deepEqual(report.kind === 'reported' && report.report.ended, [])
+  shutDown()
+})
+
+test('a late report call gets no response, and renews the lease and acknowledges ends when it is executed', async () => {
+  const { workers: [worker], settle, start, listEnds, shutDown } = createWorkers({ taskCount: 1 })
+  await start(worker, 0, { leaseDeadline: 102_000 })
+  await settle(Promise.resolve(), 1000)
+  Object.assign(worker.faults, { lateReportShare: 1, lateMilliseconds: 1000 })
+  const late = await settle(worker.hold({ ...RENEWAL, leaseDeadline: 110_000, acknowledgedCompletion: 1 }))
+  assert.equal(late.kind, 'unknown')
+  worker.faults.lateReportShare = 0
+  assert.deepEqual(await listEnds(worker), ['job.0.0.0#1 done'])
+  await settle(worker.hold({ ...RENEWAL, leaseDeadline: 103_000 }))
+  assert.ok(worker.leaseRemainingMilliseconds < 2000)
+  await settle(Promise.resolve(), 1000)
+  assert.ok(worker.leaseRemainingMilliseconds > 6000)
+  assert.deepEqual(await listEnds(worker), [])
+  shutDown()
+})
+
+test('a late report call neither shortens a lease nor has an effect after a higher fencing token', async () => {
+  const { workers: [worker], settle, shutDown } = createWorkers()
+  Object.assign(worker.faults, { lateReportShare: 1, lateMilliseconds: 1000 })
+  await settle(worker.hold({ ...RENEWAL, leaseDeadline: 102_000 }))
+  worker.faults.lateReportShare = 0
+  await settle(worker.hold(RENEWAL))
+  await settle(Promise.resolve(), 1000)
+  assert.ok(worker.leaseRemainingMilliseconds > 2000)
+  worker.faults.lateReportShare = 1
+  await settle(worker.hold({ ...RENEWAL, leaseDeadline: 120_000 }))
+  worker.faults.lateReportShare = 0
+  await settle(worker.hold({ ...RENEWAL, epoch: 2 }))
+  await settle(Promise.resolve(), 1000)
+  assert.ok(worker.leaseRemainingMilliseconds < 3000)
+  shutDown()
+})
+
+test('late calls are executed at times of their own within the spread', async () => {
+  const task = { durationMilliseconds: Infinity }
+  const { clock, workers: [worker], start, shutDown } = createWorkers({ taskCount: 20 }, task)
+  Object.assign(worker.faults, { lateShare: 1, lateMilliseconds: 2000, latenessSpreadMilliseconds: 10_000 })
+  for (let index = 0; index < 20; index++) start(worker, index)
+  await clock.advance(2000)
+  assert.equal(worker.getRuns().length, 0)
+  await clock.advance(5000)
+  const count = worker.getRuns().length
+  assert.ok(count > 0 && count < 20)
+  await clock.advance(5010)
+  assert.equal(worker.getRuns().length, 20)
+  shutDown()
+})
+
+test('a call whose connection is reset fails at once and has no effect', async () => {
+  const { workers: [worker], settle, start, shutDown } = createWorkers()
+  worker.faults.resetShare = 1
+  assert.deepEqual(await start(worker, 0), { kind: 'unknown', reason: 'connection reset' })
+  assert.deepEqual(await settle(worker.hold(RENEWAL), 2), { kind: 'unknown', reason: 'connection reset' })
+  assert.deepEqual(worker.getRuns(), [])
+  assert.ok(worker.leaseRemainingMilliseconds < 0)
+  shutDown()
+})
+
+test('calls are counted by kind, and each lapse of a lease counts once', async () => {
+  const { workers: [worker], settle, start, shutDown } = createWorkers()
+  await start(worker, 0, { leaseDeadline: 102_000 })
+  await settle(worker.stop('job.0.0.0', 1, EPOCH))
+  await settle(worker.hold({ ...RENEWAL, leaseDeadline: 102_000 }))
+  assert.deepEqual(worker.callCounts, { start: 1, stop: 1, setPace: 0, hold: 1 })
+  assert.equal(worker.lapseCount, 0)
+  await settle(Promise.resolve(), 2000)
+  assert.equal(worker.lapseCount, 1)
+  await settle(worker.hold(RENEWAL))
+  await settle(Promise.resolve(), 4000)
+  assert.equal(worker.lapseCount, 2)
+  shutDown()
+})
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -39,6 +39,7 @@
 const ROUND_TRIP_MILLISECONDS = 2
 /** A completion under an unbroken lease counts as acknowledged this long after a report has listed it. */
 const LISTING_DELAY_MILLISECONDS = 100
+const CONNECTION_RESET = { kind: 'unknown', reason: 'connection reset' } as const
 const CONNECT_TIMED_OUT = { kind: 'not-sent', reason: 'connect-timeout', hasConnectionFailed: true } as const
 /** Offset of the clock of a worker from the clock of the site. */
 const CLOCK_OFFSET_MILLISECONDS = 100_000
@@ -46,7 +47,12 @@
 /** An emulated worker that follows the platform's rules on leases, epoch fencing, attempts and listed ended runs. */
 export class EmulatedWorker implements WorkerClient {
   readonly faults: WorkerFaults
+  /** Number of calls that instances have sent, whether or not they arrived. */
+  readonly callCounts = { start: 0, stop: 0, setPace: 0, hold: 0 }
+  /** Number of times that the lease has lapsed. */
+  lapseCount = 0
 
+  private isLapsed = true
   private readonly runs: EmulatedRuns
   private epoch = 0
   private leaseDeadline = 0
@@ -116,25 +122,36 @@
   }
 
   async start (order: StartOrder): Promise<OrderOutcome> {
+    this.callCounts.start++
     this.options.judge.recordOrder(order.taskName, this.options.workerId)
     return await this.deliverOrder(isLate => this.executeStart(order, isLate))
   }
 
   async stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome> {
+    this.callCounts.stop++
     return await this.deliverOrder(() => this.executeStop(taskName, attempt, epoch))
   }
 
   async setPace (taskName: string, attempt: number, percent: number, epoch: number): Promise<OrderOutcome> {
+    this.callCounts.setPace++
     return await this.deliverOrder(() => this.executePace(taskName, attempt, percent, epoch))
   }
 
   async hold (request: HoldRequest): Promise<HoldOutcome> {
+    this.callCounts.hold++
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
       return await this.failHold()
     }
-    const outcome = await this.executeHold(request)
-    if (!this.faults.isMute) return outcome
+    if (this.isDrawn(this.faults.resetShare)) return CONNECTION_RESET
+    if (this.isDrawn(this.faults.lateReportShare)) {
+      this.executeLate(() => { this.applyHold(request) })
+      await this.wait(request.waitMilliseconds + CALL_TIMEOUT_MILLISECONDS)
+      return { kind: 'unknown', reason: 'no answer' }
+    }
+    const isLost = this.isDrawn(this.faults.lostReportShare)
+    const outcome = await this.executeHold(request, isLost)
+    if (!this.faults.isMute && !isLost) return outcome
     await this.wait(CALL_TIMEOUT_MILLISECONDS)
     return { kind: 'unknown', reason: 'no answer' }
   }
@@ -160,20 +177,21 @@
     this.runs.reset()
     this.epoch = 0
     this.leaseDeadline = 0
+    this.isLapsed = true
     this.cancelLeaseCheck()
     this.scheduleLeaseCheck()
   }
 
   private async deliverOrder (execute: (isLate: boolean) => OrderOutcome): Promise<OrderOutcome> {
-    const { random, clock } = this.options
+    const { random } = this.options
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return this.isUnableToConnect() ? CONNECT_TIMED_OUT : { kind: 'unknown', reason: 'no answer' }
     }
+    if (this.isDrawn(this.faults.resetShare)) return CONNECTION_RESET
     if (random() < this.faults.lateShare) {
-      const { bornAt } = this
-      clock.setTimer(this.faults.lateMilliseconds, () => { if (this.alive && this.bornAt === bornAt) execute(true) })
+      this.executeLate(() => { execute(true) })
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
     }
@@ -202,20 +220,40 @@
     return { kind: 'unknown', reason: 'connect-timeout' }
   }
 
+  /** Draws whether a fault affects a call; faults with a share of 0 draw no number. */
+  private isDrawn (share: number): boolean {
+    return share > 0 && this.options.random() < share
+  }
+
+  /** Executes a call later, unless the worker process has ended by then. */
+  private executeLate (execute: () => void): void {
+    const { bornAt, faults: { lateMilliseconds, latenessSpreadMilliseconds } } = this
+    const spread = latenessSpreadMilliseconds > 0 ? this.options.random() * latenessSpreadMilliseconds : 0
+    this.options.clock.setTimer(lateMilliseconds + spread, () => {
+      if (this.alive && this.bornAt === bornAt) execute()
+    })
+  }
+
   private isUnableToConnect (): boolean {
     return this.faults.cutOff && this.faults.failsToConnect
   }
 
-  private async executeHold (request: HoldRequest): Promise<HoldOutcome> {
+  /** Applies what a hold says, unless a higher fencing token has been used; returns whether it was applied. */
+  private applyHold ({ epoch, leaseDeadline, acknowledgedCompletion }: HoldRequest): boolean {
+    if (epoch < this.epoch) return false
+    this.epoch = epoch
+    this.extendLease(leaseDeadline)
+    this.runs.acknowledge(acknowledgedCompletion)
+    return true
+  }
+
+  private async executeHold (request: HoldRequest, isLost: boolean): Promise<HoldOutcome> {
     const { bornAt } = this
-    if (request.epoch < this.epoch) return { kind: 'fenced' }
-    this.epoch = request.epoch
-    this.extendLease(request.leaseDeadline)
-    this.runs.acknowledge(request.acknowledgedCompletion)
+    if (!this.applyHold(request)) return { kind: 'fenced' }
     if (request.waitMilliseconds > 0 && this.runs.ended.length === 0) await this.waitForRunEnd(request.waitMilliseconds)
     const isCut = this.faults.cutOff || !this.alive || this.bornAt !== bornAt
     if (isCut) return { kind: 'unknown', reason: 'no answer' }
-    if (!this.faults.isMute) this.scheduleListedCompletions()
+    if (!this.faults.isMute && !isLost) this.scheduleListedCompletions()
     return {
       kind: 'reported',
       report: {
@@ -275,7 +313,10 @@
 
   private scheduleLeaseCheck (): void {
     this.cancelLeaseCheck = this.options.clock.setTimer(100, () => {
-      if (this.now() > this.leaseDeadline) this.runs.lapse()
+      const isLapsed = this.now() > this.leaseDeadline
+      if (isLapsed) this.runs.lapse()
+      if (isLapsed && !this.isLapsed) this.lapseCount++
+      this.isLapsed = isLapsed
       this.scheduleLeaseCheck()
     })
   }
--- a/stand-ins/platform/WorkerFaults.ts
+++ b/stand-ins/platform/WorkerFaults.ts
@@ -9,6 +9,14 @@
   /** Share of the orders, 0 to 1, that get no response and are executed `lateMilliseconds` later. */
   lateShare: number
   lateMilliseconds: number
+  /** Late calls are executed up to this much later than after `lateMilliseconds`, each by itself. */
+  latenessSpreadMilliseconds: number
+  /** Share of the report calls, 0 to 1, that the worker executes while its response is lost. */
+  lostReportShare: number
+  /** Share of the report calls, 0 to 1, that get no response and are executed late, as orders are. */
+  lateReportShare: number
+  /** Share of all calls, 0 to 1, whose connection is reset before the worker executes them. */
+  resetShare: number
   /** The worker receives all calls and executes them, and none of its responses arrives. */
   isMute: boolean
   /** Runs make no progress and do not end, while the worker responds to calls. */
@@ -32,6 +40,10 @@
     lostAnswerShare: 0,
     lateShare: 0,
     lateMilliseconds: 4000,
+    latenessSpreadMilliseconds: 0,
+    lostReportShare: 0,
+    lateReportShare: 0,
+    resetShare: 0,
     isMute: false,
     isHanging: false,
     failingShare: 0,
