Play faults of all workers and of the store in the search

The search chose one to four workers for each fault, and a share of 0.3 of the writes of the store. With the new kinds, all workers or the store for all instances lose the responses to a share of 0.3 to 0.9 of the calls (executed at once or late; orders, reports or both), connections are reset, or a share of the workers is mute or slow.

The kinds are added to the play of a seed from a random source of their own (--site-wide); the plays of earlier seeds stay as they are.

--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { mock, test } from 'node:test'
-import { createSearchSchedule, SEARCH_JOB_KINDS, SearchPlay } from '../../stand-ins/search/index.js'
+import { addSiteWideFaults, createSearchSchedule, SEARCH_JOB_KINDS, SearchPlay } from '../../stand-ins/search/index.js'
 import { SITE_FAULT_KINDS } from '../../stand-ins/platform/SiteFaults.js'
 import { UnreconciledWorkers } from '../dispatch/UnreconciledWorkers.js'
 import { DispatchEngine } from '../dispatch/index.js'
@@ -25,6 +25,11 @@
   { seed: 300062, cause: 'an earlier owner started a task again that the new owner had seen running elsewhere (TWICE)' }
 ]
 
+/** Plays with faults of all workers or of the store in a run of the tests; `npm run search` plays more. */
+const SITE_WIDE_PLAY_COUNT = 100
+/** Seeds of such plays that broke a rule before. */
+const SITE_WIDE_REGRESSIONS = [17, 27, 35, 41, 44, 50, 54, 55, 62, 64, 70]
+
 async function findViolations (seed: number): Promise<string[]> {
   const { violations } = await SearchPlay.run(createSearchSchedule(seed))
   return violations.map(violation => `seed ${seed}: ${violation}`)
@@ -43,8 +48,30 @@
   assert.deepEqual(failures, [])
 })
 
+async function findSiteWideViolations (seed: number): Promise<string[]> {
+  const { violations } = await SearchPlay.run(addSiteWideFaults(createSearchSchedule(seed)))
+  return violations.map(violation => `seed ${seed}: ${violation}`)
+}
+
+for (const seed of SITE_WIDE_REGRESSIONS) {
+  const seedTitle = `no accepted job is lost in play ${seed} with faults of all workers or of the store`
+  test(seedTitle, { todo: isKnownRed(seedTitle) }, async () => {
+    assert.deepEqual(await findSiteWideViolations(seed), [])
+  })
+}
+
+const siteWideTitle = 'no accepted job is lost and no rule is broken under faults of all workers or of the store'
+test(siteWideTitle, { todo: isKnownRed(siteWideTitle) }, async () => {
+  const failures: string[] = []
+  for (let index = 0; index < SITE_WIDE_PLAY_COUNT; index++) {
+    failures.push(...await findSiteWideViolations(getTestSeed() + index))
+  }
+  assert.deepEqual(failures, [])
+})
+
 test('a search plays all kinds of jobs and of faults', () => {
-  const schedules = Array.from({ length: PLAY_COUNT }, (_, index) => createSearchSchedule(getTestSeed() + index))
+  const schedules = Array.from({ length: PLAY_COUNT }, (_, index) =>
+    addSiteWideFaults(createSearchSchedule(getTestSeed() + index)))
   const jobKinds = new Set(schedules.flatMap(({ jobs }) => jobs.map(({ kind }) => kind)))
   const faultKinds = new Set(schedules.flatMap(({ faults }) => faults.map(({ kind }) => kind)))
   assert.deepEqual([...jobKinds].sort(), [...SEARCH_JOB_KINDS].sort())
--- a/stand-ins/platform/PlatformDisruptions.test.ts
+++ b/stand-ins/platform/PlatformDisruptions.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createFaultySite } from './createFaultySite.js'
+import { createTableClientFaults } from './EmulatedTables.js'
 import { WORKER_TABLE } from './EmulatedSite.js'
 
 const ROW = { table: WORKER_TABLE, key: 'worker-0' }
@@ -70,6 +71,44 @@
   assert.equal(faults.calmSince, Math.max(6000, 5000 + lateMilliseconds))
 })
 
+for (const { kind, expected, latenessMilliseconds } of [
+  { kind: 'store-loses-responses', expected: { lostAnswerShare: 0.8 }, latenessMilliseconds: 0 },
+  {
+    kind: 'store-writes-late',
+    expected: { lateShare: 0.8, lateMilliseconds: 1000, latenessSpreadMilliseconds: 5000 },
+    latenessMilliseconds: 6000
+  }
+] as const) {
+  test(`${kind} affects a share of the writes of all instances`, async () => {
+    const { clock, site, faults, start } = await createFaultySite()
+    start(kind, { variant: 5 })
+    for (const { tables: { faults: changed } } of site.instances) {
+      assert.deepEqual(changed, { ...createTableClientFaults(), ...expected })
+    }
+    await clock.advance(3000)
+    for (const { tables } of site.instances) assert.deepEqual(tables.faults, createTableClientFaults())
+    await clock.advance(latenessMilliseconds)
+    assert.equal(faults.calmSince, 6000 + latenessMilliseconds)
+  })
+}
+
+test('late writes are applied at times of their own within the spread', async () => {
+  const { clock, site } = await createFaultySite()
+  const { tables } = site.instances[0]
+  Object.assign(tables.faults, { lateShare: 1, lateMilliseconds: 1000, latenessSpreadMilliseconds: 5000 })
+  const written = Array.from({ length: 20 }, (_, index) => tables.transact({
+    operations: [{ kind: 'put', table: 'other', key: String(index), value: 1, condition: { kind: 'any' } }]
+  }))
+  const count = () => site.tables.getTable('other').rows.length
+  await clock.advance(1000)
+  assert.equal(count(), 0)
+  await clock.advance(2500)
+  assert.ok(count() > 0 && count() < 20)
+  await clock.advance(2510)
+  assert.equal(count(), 20)
+  for (const outcome of await Promise.all(written)) assert.equal(outcome.kind, 'unknown')
+})
+
 test('only the renewals of the owner are lost, so that another instance takes over', async () => {
   const { clock, site, start } = await createFaultySite()
   const owner = site.getOwner()!
--- a/stand-ins/platform/PlatformDisruptions.ts
+++ b/stand-ins/platform/PlatformDisruptions.ts
@@ -3,6 +3,7 @@
 import { OverlappingSettings } from './OverlappingSettings.js'
 import type { SiteFault } from './SiteFaultKind.js'
 import { chooseForm, type FaultStarters, type SiteFaultContext } from './SiteFaultContext.js'
+import { chooseShare, createStoreLoss, WRITE_LATENESS_LIMIT_MILLISECONDS } from './siteWideFaults.js'
 import { getDataCentre, type WorkerDisruptions } from './WorkerDisruptions.js'
 
 /** Options of the faults. */
@@ -82,6 +83,13 @@
       const change = { lateShare: LOST_WRITE_SHARE, lateMilliseconds }
       this.setTables(this.getAll(), fault, change, () => this.options.context.lasting.disturb(lateMilliseconds))
     },
+    'store-loses-responses': fault =>
+      this.setTables(this.getAll(), fault, createStoreLoss('lost', chooseShare(fault.variant))),
+    'store-writes-late': fault => {
+      const { lasting } = this.options.context
+      this.setTables(this.getAll(), fault, createStoreLoss('late', chooseShare(fault.variant)),
+        () => lasting.disturb(WRITE_LATENESS_LIMIT_MILLISECONDS))
+    },
     'store-compaction': fault => this.compact(fault),
     'store-lost-renewals': fault => {
       const [owner] = this.options.instances.choose(fault, ['owner'])
--- a/stand-ins/platform/SiteFaultKind.ts
+++ b/stand-ins/platform/SiteFaultKind.ts
@@ -1,5 +1,11 @@
-/** The kinds of faults that can be played on an emulated site. */
-export const SITE_FAULT_KINDS = [
+/** The kinds of faults of all workers, or of the store for all instances, by share; each may last for a whole play. */
+export const SITE_WIDE_FAULT_KINDS = [
+  'workers-lose-responses', 'workers-execute-late', 'workers-mute', 'workers-reset', 'workers-slow',
+  'store-loses-responses', 'store-writes-late'
+] as const
+
+/** The kinds of faults of some workers, of instances, of the platform and of operators. */
+export const LOCAL_FAULT_KINDS = [
   // The kinds that affect workers.
   'worker-crash', 'worker-loss', 'rack-crash', 'data-centre-crash', 'worker-dark', 'worker-drain', 'worker-addition',
   'worker-rolling-release', 'worker-flap', 'worker-hang', 'worker-failures', 'worker-unhealthy', 'worker-mute',
@@ -16,6 +22,9 @@
   'data-centre-out', 'configuration-change'
 ] as const
 
+/** The kinds of faults that can be played on an emulated site. */
+export const SITE_FAULT_KINDS = [...LOCAL_FAULT_KINDS, ...SITE_WIDE_FAULT_KINDS] as const
+
 export type SiteFaultKind = typeof SITE_FAULT_KINDS[number]
 
 /** A fault of an emulated site. */
--- a/stand-ins/platform/SiteFaults.ts
+++ b/stand-ins/platform/SiteFaults.ts
@@ -7,7 +7,9 @@
 import type { SiteFault } from './SiteFaultKind.js'
 import { WorkerDisruptions } from './WorkerDisruptions.js'
 
-export { SITE_FAULT_KINDS, type SiteFault, type SiteFaultKind } from './SiteFaultKind.js'
+export {
+  LOCAL_FAULT_KINDS, SITE_FAULT_KINDS, SITE_WIDE_FAULT_KINDS, type SiteFault, type SiteFaultKind
+} from './SiteFaultKind.js'
 
 /** Options of the faults of a site. */
 export interface SiteFaultsOptions {
--- a/stand-ins/platform/WorkerDisruptions.test.ts
+++ b/stand-ins/platform/WorkerDisruptions.test.ts
@@ -5,6 +5,8 @@
 import { getPathId } from './PathFaults.js'
 import { createWorkerFaults } from './WorkerFaults.js'
 
+const LATENESS = { lateMilliseconds: 2000, latenessSpreadMilliseconds: 10_000 }
+
 function isAlive (site: EmulatedSite, workerId: string): boolean {
   return site.workers.get(workerId)!.isAlive
 }
@@ -54,6 +56,48 @@
   })
 }
 
+for (const { kind, variant, expected } of [
+  { kind: 'workers-lose-responses', variant: 0, expected: { lostAnswerShare: 0.3 } },
+  { kind: 'workers-lose-responses', variant: 8, expected: { lostReportShare: 0.4 } },
+  { kind: 'workers-lose-responses', variant: 20, expected: { lostAnswerShare: 0.9, lostReportShare: 0.9 } },
+  { kind: 'workers-execute-late', variant: 1, expected: { lateShare: 0.4, ...LATENESS } },
+  { kind: 'workers-execute-late', variant: 7, expected: { lateReportShare: 0.3, ...LATENESS } },
+  { kind: 'workers-execute-late', variant: 19, expected: { lateShare: 0.8, lateReportShare: 0.8, ...LATENESS } },
+  { kind: 'workers-reset', variant: 5, expected: { resetShare: 0.8 } }
+] as const) {
+  test(`${kind}, variant ${variant}, affects calls to all workers, which still count as unaffected`, async () => {
+    const { clock, site, faults, start } = await createFaultySite()
+    const workers = [...site.workers]
+    start(kind, { variant })
+    for (const [workerId, worker] of workers) {
+      assert.deepEqual(worker.faults, { ...createWorkerFaults(), ...expected })
+      assert.equal(faults.isWorkerAffected(workerId), false)
+    }
+    assert.equal(faults.calmSince, null)
+    await clock.advance(3000)
+    for (const [, worker] of workers) assert.deepEqual(worker.faults, createWorkerFaults())
+    const lastsFor = kind === 'workers-execute-late' ? 12_000 : 0
+    await clock.advance(lastsFor)
+    assert.equal(faults.calmSince, 6000 + lastsFor)
+  })
+}
+
+for (const { kind, expected } of [
+  { kind: 'workers-mute', expected: { isMute: true } }, { kind: 'workers-slow', expected: { slowdown: 4 } }
+] as const) {
+  test(`${kind} affects a share of all workers`, async () => {
+    const { clock, site, faults, start } = await createFaultySite()
+    start(kind, { variant: 2, target: 4 })
+    const changed = [...site.workers].filter(([workerId]) => faults.isWorkerAffected(workerId))
+    assert.deepEqual(changed.map(([workerId]) => workerId), ['worker-0', 'worker-4', 'worker-5'])
+    for (const [, worker] of changed) assert.deepEqual(worker.faults, { ...createWorkerFaults(), ...expected })
+    assert.deepEqual(site.workers.get('worker-1')!.faults, createWorkerFaults())
+    await clock.advance(3000)
+    for (const worker of site.workers.values()) assert.deepEqual(worker.faults, createWorkerFaults())
+    assert.equal(faults.calmSince, 6000)
+  })
+}
+
 test('orders are late, which disturbs a site until the last of them has arrived', async () => {
   const { clock, site, faults, start } = await createFaultySite()
   const worker = site.workers.get('worker-0')!
--- a/stand-ins/platform/WorkerDisruptions.ts
+++ b/stand-ins/platform/WorkerDisruptions.ts
@@ -5,6 +5,9 @@
 import { OverlappingSettings } from './OverlappingSettings.js'
 import { getPathId, type PathFault } from './PathFaults.js'
 import type { SiteFault } from './SiteFaultKind.js'
+import {
+  CALL_LATENESS_LIMIT_MILLISECONDS, chooseCalls, chooseShare, createWorkerLoss, type LossForm
+} from './siteWideFaults.js'
 import { chooseForm, chooseNeighbours, type FaultStarters, type SiteFaultContext } from './SiteFaultContext.js'
 import { createWorkerFaults, type WorkerFaults } from './WorkerFaults.js'
 
@@ -43,6 +46,8 @@
 const FLAP_INTERVAL_MILLISECONDS = 900
 const SHORTEST_LATENESS_MILLISECONDS = 2000
 const LONGEST_LATENESS_MILLISECONDS = 12_000
+/** The factor by which runs take longer while a share of all workers is slow. */
+const SITE_WIDE_SLOWDOWN = 4
 const FIRST_ADDED_NUMBER = 100
 
 /** The faults of the workers of a site: their processes, their paths, their work and their rows in the list. */
@@ -132,7 +137,13 @@
     },
     'worker-unlisted': fault => this.lapse({
       workerIds: this.choose(fault), afterMilliseconds: 0, durationMilliseconds: fault.durationMilliseconds
-    })
+    }),
+    'workers-lose-responses': fault => this.loseResponses(fault, 'lost'),
+    'workers-execute-late': fault => this.loseResponses(fault, 'late'),
+    'workers-mute': fault => this.set(this.chooseByShare(fault), fault.durationMilliseconds, { isMute: true }),
+    'workers-reset': fault => this.setAll(fault, { resetShare: chooseShare(fault.variant) }),
+    'workers-slow': fault =>
+      this.set(this.chooseByShare(fault), fault.durationMilliseconds, { slowdown: SITE_WIDE_SLOWDOWN })
   }
 
   /** Returns whether a worker is gone, about to leave, or down. */
@@ -163,6 +174,32 @@
     return chooseNeighbours(workerIds, target, count)
   }
 
+  /** Chooses the share of the workers that stay which the variant says. */
+  private chooseByShare (fault: SiteFault): string[] {
+    return this.choose({ ...fault, count: Math.round(chooseShare(fault.variant) * this.countStaying()) })
+  }
+
+  private loseResponses (fault: SiteFault, form: LossForm): void {
+    const { variant } = fault
+    const latenessMilliseconds = form === 'late' ? CALL_LATENESS_LIMIT_MILLISECONDS : 0
+    this.setAll(fault, createWorkerLoss(form, chooseCalls(variant), chooseShare(variant)), latenessMilliseconds)
+  }
+
+  /** Changes settings of all workers, each of which still executes calls and counts as unaffected. */
+  private setAll (fault: SiteFault, change: Partial<WorkerSettings>, latenessMilliseconds = 0): void {
+    const { lasting } = this.context
+    const workerIds = this.choose({ ...fault, count: this.countStaying() })
+    const ends = workerIds.map(workerId => this.settings.add(workerId, { ...change }))
+    lasting.begin({
+      affected: [],
+      durationMilliseconds: fault.durationMilliseconds,
+      end: () => {
+        for (const end of ends) end()
+        if (latenessMilliseconds > 0) lasting.disturb(latenessMilliseconds)
+      }
+    })
+  }
+
   private countStaying (): number {
     return [...this.context.site.workers.keys()].filter(workerId => !this.leaving.has(workerId)).length
   }
--- a/stand-ins/search/createSearchSchedule.ts
+++ b/stand-ins/search/createSearchSchedule.ts
@@ -1,5 +1,5 @@
 import type { EmulatedWorkerDescription } from '../platform/EmulatedWorkerDescription.js'
-import { SITE_FAULT_KINDS, type SiteFault, type SiteFaultKind } from '../platform/SiteFaults.js'
+import { LOCAL_FAULT_KINDS, type SiteFault, type SiteFaultKind } from '../platform/SiteFaults.js'
 import { createSearchJob } from './createSearchJob.js'
 import { CLOSING_FAULT_KINDS, LASTING_FAULT_KINDS } from './closingFaults.js'
 import { SearchRandom } from './SearchRandom.js'
@@ -31,7 +31,7 @@
   })
   const faultCount = random.integer(0, 9)
   const faults = Array.from({ length: faultCount }, (): ScheduledFault => ({
-    ...createFault(random, SITE_FAULT_KINDS), atMilliseconds: random.integer(START_MILLISECONDS, endAt - 200)
+    ...createFault(random, LOCAL_FAULT_KINDS), atMilliseconds: random.integer(START_MILLISECONDS, endAt - 200)
   }))
   faults.sort((left, right) => left.atMilliseconds - right.atMilliseconds)
   return {
--- a/stand-ins/search/index.ts
+++ b/stand-ins/search/index.ts
@@ -1,3 +1,4 @@
+export { addSiteWideFaults } from './addSiteWideFaults.js'
 export { createSearchSchedule } from './createSearchSchedule.js'
 export { reduceSchedule } from './reduceSchedule.js'
 export { SearchPlay, type SearchResult } from './SearchPlay.js'
--- a/tools/search/search.ts
+++ b/tools/search/search.ts
@@ -2,7 +2,9 @@
 import { fileURLToPath } from 'node:url'
 import { parseArgs } from 'node:util'
 import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads'
-import { createSearchSchedule, reduceSchedule, SearchPlay, type SearchSchedule } from '../../stand-ins/search/index.js'
+import {
+  addSiteWideFaults, createSearchSchedule, reduceSchedule, SearchPlay, type SearchSchedule
+} from '../../stand-ins/search/index.js'
 
 const SIGNATURE_LENGTH = 60
 
@@ -15,9 +17,20 @@
   longestWaitMilliseconds: number
 }
 
-async function play (seed: number): Promise<PlayReport> {
+/** The plays of a thread. */
+interface PlayBatch {
+  seeds: number[]
+  isSiteWide: boolean
+}
+
+function createSchedule (seed: number, isSiteWide: boolean): SearchSchedule {
+  const schedule = createSearchSchedule(seed)
+  return isSiteWide ? addSiteWideFaults(schedule) : schedule
+}
+
+async function play (seed: number, isSiteWide: boolean): Promise<PlayReport> {
   try {
-    return { seed, ...await SearchPlay.run(createSearchSchedule(seed)) }
+    return { seed, ...await SearchPlay.run(createSchedule(seed, isSiteWide)) }
   } catch (error) {
     const text = error instanceof Error ? error.stack ?? error.message : String(error)
     return { seed, violations: [`error: ${text}`], acceptedCount: 0, startCount: 0, longestWaitMilliseconds: 0 }
@@ -33,13 +46,13 @@
   return violation.replace(/\S*\d\S*/g, 'N').slice(0, SIGNATURE_LENGTH)
 }
 
-async function playAll (seeds: readonly number[], parallel: number): Promise<void> {
+async function playAll (seeds: readonly number[], parallel: number, isSiteWide: boolean): Promise<void> {
   const startedAt = performance.now()
   const totals = { plays: 0, failed: 0, jobs: 0, starts: 0, longestWaitMilliseconds: 0 }
   const kinds = new Map<string, number>()
   await Promise.all(Array.from({ length: parallel }, (_, index) => new Promise<void>((resolve, reject) => {
-    const workerSeeds = seeds.filter((_, position) => position % parallel === index)
-    const worker = new Worker(fileURLToPath(import.meta.url), { workerData: workerSeeds })
+    const batch: PlayBatch = { seeds: seeds.filter((_, position) => position % parallel === index), isSiteWide }
+    const worker = new Worker(fileURLToPath(import.meta.url), { workerData: batch })
     worker.on('message', (report: PlayReport) => {
       totals.plays++
       totals.jobs += report.acceptedCount
@@ -59,8 +72,8 @@
 }
 
 /** Returns the smallest schedule with the first failure of the play of a seed, or null when it has none. */
-async function findSmallest (seed: number): Promise<SearchSchedule | null> {
-  const schedule = createSearchSchedule(seed)
+async function findSmallest (seed: number, isSiteWide: boolean): Promise<SearchSchedule | null> {
+  const schedule = createSchedule(seed, isSiteWide)
   const { violations } = await SearchPlay.run(schedule)
   const [signature] = violations.map(getSignature)
   if (signature === undefined) {
@@ -72,16 +85,16 @@
 }
 
 /** Prints the smallest schedule with the first failure of the play of a seed. */
-async function reduce (seed: number): Promise<void> {
-  const schedule = await findSmallest(seed)
+async function reduce (seed: number, isSiteWide: boolean): Promise<void> {
+  const schedule = await findSmallest(seed, isSiteWide)
   if (schedule === null) return
   console.log(JSON.stringify(schedule, null, 1))
   console.log(JSON.stringify((await SearchPlay.run(schedule)).violations, null, 1))
 }
 
 /** Prints the log lines of the smallest schedule with the first failure of the play of a seed. */
-async function printLog (seed: number): Promise<void> {
-  const schedule = await findSmallest(seed)
+async function printLog (seed: number, isSiteWide: boolean): Promise<void> {
+  const schedule = await findSmallest(seed, isSiteWide)
   if (schedule === null) return
   console.log(JSON.stringify(schedule))
   const { violations } = await SearchPlay.run(schedule, (atMilliseconds, instanceId, message, fields) => {
@@ -96,18 +109,21 @@
       plays: { type: 'string', default: '100' },
       seed: { type: 'string', default: '1' },
       parallel: { type: 'string', default: String(Math.max(1, Math.floor(availableParallelism() / 2))) },
+      'site-wide': { type: 'boolean', default: false },
       reduce: { type: 'string' },
       log: { type: 'string' }
     }
   })
+  const isSiteWide = values['site-wide']
   if (values.reduce !== undefined) {
-    await reduce(Number(values.reduce))
+    await reduce(Number(values.reduce), isSiteWide)
   } else if (values.log !== undefined) {
-    await printLog(Number(values.log))
+    await printLog(Number(values.log), isSiteWide)
   } else {
     const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
-    await playAll(seeds, Number(values.parallel))
+    await playAll(seeds, Number(values.parallel), isSiteWide)
   }
 } else {
-  for (const seed of workerData as number[]) parentPort!.postMessage(await play(seed))
+  const { seeds, isSiteWide } = workerData as PlayBatch
+  for (const seed of seeds) parentPort!.postMessage(await play(seed, isSiteWide))
 }
