--- a/stand-ins/search/index.ts
+++ b/stand-ins/search/index.ts
@@ -1,5 +1,6 @@
 export { addSiteWideFaults } from './addSiteWideFaults.js'
 export { createSearchSchedule } from './createSearchSchedule.js'
+export { LOSS_KINDS, LossPlay, type LossFigures, type LossKind, type LossPlayOptions } from './LossPlay.js'
 export { reduceSchedule } from './reduceSchedule.js'
 export { SearchPlay, type SearchResult } from './SearchPlay.js'
 export { SEARCH_JOB_KINDS, type SearchJob, type SearchJobKind, type SearchSchedule } from './SearchSchedule.js'
--- a/tools/search/search.ts
+++ b/tools/search/search.ts
@@ -5,6 +5,7 @@
 import {
   addSiteWideFaults, createSearchSchedule, reduceSchedule, SearchPlay, type SearchSchedule
 } from '../../stand-ins/search/index.js'
+import { playCurve } from './playCurve.js'
 
 const SIGNATURE_LENGTH = 60
 
@@ -109,18 +110,21 @@
       plays: { type: 'string', default: '100' },
       seed: { type: 'string', default: '1' },
       parallel: { type: 'string', default: String(Math.max(1, Math.floor(availableParallelism() / 2))) },
+      curve: { type: 'boolean', default: false },
       'site-wide': { type: 'boolean', default: false },
       reduce: { type: 'string' },
       log: { type: 'string' }
     }
   })
   const isSiteWide = values['site-wide']
-  if (values.reduce !== undefined) {
+  const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
+  if (values.curve) {
+    await playCurve(seeds, Number(values.parallel))
+  } else if (values.reduce !== undefined) {
     await reduce(Number(values.reduce), isSiteWide)
   } else if (values.log !== undefined) {
     await printLog(Number(values.log), isSiteWide)
   } else {
-    const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
     await playAll(seeds, Number(values.parallel), isSiteWide)
   }
 } else {
