Do not move restored tasks before their worker is listed

The outage outlasts the lease of the shard, so that an owner acquires the shard anew and restores the runs. The first answer of a worker carries a usage report, and arrives before the worker is listed in the placement engine. The capacity of a worker that was never listed is 0, so no commitment could be raised to the reported use: one task that used 1,107 MB of a reserved 1,000 MB was moved away from a worker with 54 GB of free memory.

Reports on workers that were never listed are still learned from, but no action follows from them. The new test failed before.

--- a/src/placement/UsageLearner.ts
+++ b/src/placement/UsageLearner.ts
@@ -85,6 +85,8 @@
       })
     }
     const band = this.learnInterference(worker, reported, now)
+    // Until a restored worker is listed, its capacity is unknown, and no commitment covers any use beyond it.
+    if (!ledger.workers.hasBeenListed(worker)) return []
     const age = workerTime === undefined ? DEFAULT_REPORT_AGE_MILLISECONDS : Math.max(0, workerTime - report.measuredAt)
     return mitigation.decide(workerId, reported, band, now - age, now)
   }
--- a/src/placement/WorkerTable.ts
+++ b/src/placement/WorkerTable.ts
@@ -106,6 +106,15 @@
     return slot
   }
 
+  /**
+   * Returns whether a worker has been listed since it got its slot; until then, its capacity is unknown.
+   * @param slot The slot of the worker.
+   * @returns Whether the worker has been listed.
+   */
+  hasBeenListed (slot: number): boolean {
+    return this.dataCentre[slot] !== NO_SLOT
+  }
+
   private setWorker (worker: WorkerDescription): void {
     let slot = this.find(worker.workerId)
     if (slot === NO_SLOT) slot = this.addSlot(worker.workerId)
--- a/src/placement/interferenceActions.test.ts
+++ b/src/placement/interferenceActions.test.ts
@@ -103,6 +103,23 @@
   assert.deepEqual(engine.getCommitted('w'), capacity)
 })
 
+test('moves and throttles no restored task for overuse before its worker is listed, and does so afterwards', () => {
+  const engine = ColocationPlacementEngine.create()
+  engine.setPolicy(CompiledPolicy.create(rules))
+  const size = { processors: 2, memoryMegabytes: 2000, accelerators: 0 }
+  const run = { taskId: 'draft-0', attempt: 1 }
+  engine.restore({ ...run, kind: 'draft', team: 'permits', size, dataCentre: null, jobId: 'j' }, 'w', size, 0)
+  const reportUse = (processors: number, memoryMegabytes: number, time: number) => engine.recordUsage('w', {
+    measuredAt: time, tasks: [{ ...run, processors, memoryMegabytes, slowdown: 1 }]
+  }, time, time)
+  assert.deepEqual(reportUse(2, 2100, 1000), [])
+  assert.deepEqual(reportUse(3, 2000, 2000), [])
+  engine.setWorkers([{ workerId: 'w', dataCentre: 'south-a', rack: 'r', capacity }])
+  assert.deepEqual(reportUse(3, 2100, 3000), [])
+  assert.deepEqual(engine.getCommitted('w'), { processors: 3, memoryMegabytes: 2100, accelerators: 0 })
+  assert.deepEqual(reportUse(3, 20_000, 4000), [{ ...run, action: 'move', workerId: 'w' }])
+})
+
 /** Checks that actions are at least 10 s apart, and that none follows a report measured before the last action. */
 function checkActionSpacing (getWorkerTime: (measuredAt: number, arrivedAt: number) => number): void {
   const kinds = ['check', 'noisy', 'draft']
