Search for differences to the reference model until one is found

With PAPAYAMOOR_TEST_SEED, "the reference model detects an engine that evicts undisturbed tasks like ordinary tasks" failed: none of the 300 generated lists of operations contained the difference.

The search for a broken engine ended after 300 lists, so its verdict hung on the seed. It now goes on up to 5,000 lists and still ends with the first difference. The check itself is unchanged.

--- a/src/placement/placementDecisions.test.ts
+++ b/src/placement/placementDecisions.test.ts
@@ -413,6 +413,9 @@
   return seen
 }
 
+/** A search ends with the first difference, so that a high bound costs time only when it fails. */
+const MAXIMUM_SEARCH_RUNS = 5000
+
 /** Each variant withholds one kind of information from the engine, to simulate an engine that ignores it. */
 const brokenVariants: Record<string, (engine: ColocationPlacementEngine) => void> = {
   'that ignores capacity': engine => {
@@ -462,6 +465,6 @@
       const engine = ColocationPlacementEngine.create()
       breakEngine(engine)
       return engine
-    }, 300, true), /Property failed/)
+    }, MAXIMUM_SEARCH_RUNS, true), /Property failed/)
   })
 }
