--- a/src/scheduler/brokenVariants.test.ts
+++ b/src/scheduler/brokenVariants.test.ts
@@ -18,7 +18,7 @@
   schedules: fastCheck.Arbitrary<FaultSchedule>
 }
 
-/** A search ends with the first schedule that shows the violation, so that a high bound costs time only when it fails. */
+/** A search ends with the first schedule that shows the violation, so a high bound costs time only when it fails. */
 const MAXIMUM_SCHEDULES = 5000
 
 /** Variants of the scheduler with one safety rule switched off, whose violations the invariant checker must detect. */
