Do not repeat starts to workers that do not respond to renewals

A worker that is really away would get a second of repeats for each start on its way, so this part is reverted.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -31,7 +31,7 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseExpired, isSent, isOverWithLease, recordFailure, removeRun, updateClockReading,
+  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, removeRun, updateClockReading,
   type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
@@ -262,16 +262,14 @@
   }
 
   /**
-   * Returns whether a decided start should still be sent. One that was sent before is repeated also while the worker
-   * does not respond, because the responses may be lost.
+   * Returns whether a decided start should still be sent.
    * @param worker The worker.
    * @param run The run.
    * @returns Whether the run is still wanted and the worker may still get new work.
    */
   isStartNeeded (worker: WorkerRecord, run: RunRecord): boolean {
     return run.state === 'starting' && run.task.runs.includes(run) &&
-      isInService(
-        worker, this.getServiceName(run.task.step.occurrence.job), this.dataCentresOut, isSent(run))
+      isInService(worker, this.getServiceName(run.task.step.occurrence.job), this.dataCentresOut)
   }
 
   /**
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -55,14 +55,12 @@
  * @param worker The worker.
  * @param serviceName The service whose workers may run the task.
  * @param dataCentresOut The data centres whose workers get no new work.
- * @param mayBeUnreachable Whether a worker is in service that has responded before and does not now; false by default.
  * @returns Whether starts may be sent to the worker.
  */
 export function isInService (
-  worker: WorkerRecord, serviceName: string, dataCentresOut: ReadonlySet<string>, mayBeUnreachable = false
+  worker: WorkerRecord, serviceName: string, dataCentresOut: ReadonlySet<string>
 ): boolean {
-  const isResponding = worker.syncState === 'synchronized' || (mayBeUnreachable && worker.syncState === 'unreachable')
-  return worker.listed && worker.registered && !worker.isRecordedUnreached && isResponding &&
+  return worker.listed && worker.registered && !worker.isRecordedUnreached && worker.syncState === 'synchronized' &&
     worker.entry.state === 'ready' && worker.entry.serviceName === serviceName &&
     !dataCentresOut.has(worker.entry.dataCentre)
 }
