--- a/src/dispatch/OrderGate.test.ts
+++ b/src/dispatch/OrderGate.test.ts
@@ -139,3 +139,42 @@
   // The starts on the silent worker, and the stops that wait for the limit of all workers.
   assert.equal(gate.countDelayingStarts(), 5)
 })
+
+test('an overdue order lets an order to another worker in, but none to its own worker beyond the limit', async () => {
+  const gate = OrderGate.create({ perWorkerLimit: 1, totalLimit: 1 })
+  const outcomes: string[] = []
+  requestOrder(gate, outcomes, 'a1', 'a')
+  requestOrder(gate, outcomes, 'a2', 'a')
+  requestOrder(gate, outcomes, 'b1', 'b')
+  requestOrder(gate, outcomes, 'c1', 'c')
+  gate.markOverdue()
+  await flushPromises()
+  assert.deepEqual(outcomes, ['a1 send', 'b1 send'])
+  gate.release('a', true)
+  await flushPromises()
+  assert.deepEqual(outcomes, ['a1 send', 'b1 send'])
+  gate.release('b')
+  await flushPromises()
+  gate.release('c')
+  await flushPromises()
+  assert.deepEqual(outcomes.slice(2).sort(), ['a2 send', 'c1 send'])
+  gate.release('a')
+  assert.equal(gate.inFlight, 0)
+})
+
+test('the queue of an overdue order may be emptied by the withdrawal of unneeded orders', async () => {
+  const gate = OrderGate.create({ perWorkerLimit: 1, totalLimit: 1 })
+  const outcomes: string[] = []
+  let isNeeded = true
+  requestOrder(gate, outcomes, 'a1', 'a')
+  requestOrder(gate, outcomes, 'a2', 'a', 'start', () => isNeeded)
+  gate.markOverdue()
+  isNeeded = false
+  gate.withdrawUnneeded()
+  gate.release('a', true)
+  requestOrder(gate, outcomes, 'a3', 'a')
+  await flushPromises()
+  assert.deepEqual(outcomes, ['a1 send', 'a2 withdrawn', 'a3 send'])
+  gate.release('a')
+  assert.equal(gate.inFlight, 0)
+})
--- a/src/shared/repeatCall.test.ts
+++ b/src/shared/repeatCall.test.ts
@@ -81,6 +81,14 @@
   assert.deepEqual(counts, [5, 3, 0, 5])
 })
 
+test('the budget leaves a share of its reserve to more important repeats', () => {
+  const clock = VirtualClock.create()
+  const budget = RepeatBudget.create({ clock, repeatsPerSecond: 10, reserve: 10, isOverloaded: () => false })
+  const count = (keptShare: number) =>
+    Array.from({ length: 20 }, () => budget.tryWithdraw(keptShare)).filter(isAllowed => isAllowed).length
+  assert.deepEqual([count(0.5), count(0)], [5, 5])
+})
+
 test('the estimate follows the response times within its limits', () => {
   const estimate = ResponseTimeEstimate.create({
     initialMilliseconds: 150, shortestMilliseconds: 80, longestMilliseconds: 350
