Renew leases only up to the length of a lease after a takeover

Tasks ran twice (TWICE) after two takeovers within the length of a lease. An owner takes the latest time at which leases of earlier owners may end for the lease deadline of a worker. Since renewals repeat the latest deadline, it sent that time to the workers, up to 9.2 s ahead. The next owner, which knows that renewals grant 6 s, started the tasks of these workers elsewhere while they still ran.

A renewal now carries only what a renewal of this owner has granted.

The new tests in WorkerLeaseLoop.test.ts failed before (8,700 ms after the call) and pass.

--- a/src/instance/WorkerLeaseLoop.test.ts
+++ b/src/instance/WorkerLeaseLoop.test.ts
@@ -36,6 +36,31 @@
   loop.stop()
 })
 
+for (const reportCount of [1, Infinity]) {
+  test(`no renewal extends a lease to the latest end of an earlier owner's lease, after ${reportCount} reports`, async () => {
+    const clock = VirtualClock.create(1000)
+    const engine = DispatchEngine.create({ epoch: 2 })
+    const requests: Array<HoldRequest & { at: number }> = []
+    const client = {
+      hold: async (request: HoldRequest) => {
+        const at = clock.monotonicMilliseconds()
+        requests.push({ ...request, at })
+        await new Promise<void>(resolve => { clock.setTimer(300, resolve) })
+        if (requests.length > reportCount) return { kind: 'unknown', reason: 'no answer' }
+        return { kind: 'reported', report: { workerMilliseconds: at, bornAtMilliseconds: 1, running: [], ended: [] } }
+      }
+    } as unknown as WorkerClient
+    const loop = createLoop(engine, clock, client)
+    engine.unreconciled.add('worker-0', clock.monotonicMilliseconds() + 9000)
+    loop.run()
+    await clock.advance(8000)
+    loop.stop()
+    assert.ok(requests.length > 10)
+    const latest = Math.max(...requests.map(({ leaseDeadline, at }) => (leaseDeadline ?? -Infinity) - at))
+    assert.ok(latest <= 6000, `the lease ends ${latest} ms after the call`)
+  })
+}
+
 test('calls to a worker wait less for ten seconds after one that failed, so that the next failure is noticed sooner', async () => {
   const clock = VirtualClock.create(1000)
   const engine = DispatchEngine.create({ epoch: 1 })
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -69,6 +69,8 @@
   private isStopping = false
   /** Whether the next report settles starts by a raised fencing token, so that the call for it should not wait. */
   private mustSettleStarts = false
+  /** The latest deadline of a renewal on the clock of the worker; earlier owners may have granted later ones. */
+  private renewedDeadline = 0
 
   private constructor (private readonly options: WorkerLeaseLoopOptions) {}
 
@@ -161,8 +163,13 @@
     // A path that has failed and recovered of late is likely to lose the response rather than the worker.
     const mayExtend = hasResponded ||
       (isUnsteady(worker, sentAt) && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
-    if (mayExtend) worker.leaseDeadline = Math.max(worker.leaseDeadline, Math.floor(workerTime + leaseMilliseconds))
-    return worker.leaseDeadline > workerTime ? worker.leaseDeadline : null
+    if (mayExtend) {
+      this.renewedDeadline = Math.floor(workerTime + leaseMilliseconds)
+      worker.leaseDeadline = Math.max(worker.leaseDeadline, this.renewedDeadline)
+    }
+    // A new incarnation of the worker has got no lease yet.
+    const deadline = Math.min(this.renewedDeadline, worker.leaseDeadline)
+    return deadline > workerTime ? deadline : null
   }
 
   /** Returns whether the latest lease that was granted to the worker may last. */
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -29,7 +29,9 @@
   { seed: 100459, cause: 'starts of a job without a response were settled one after another, 4 s each (LOST)' },
   { seed: 400349, cause: 'starts of long-running tasks without a response were settled one after another (LOST)' },
   { seed: 500710, cause: 'starts of a step without a response were settled one after another (LOST)' },
-  { seed: 101864, cause: 'starts were carried out later than their stops, and their task waited after each (LOST)' }
+  { seed: 101864, cause: 'starts were carried out later than their stops, and their task waited after each (LOST)' },
+  { seed: 32453671, cause: 'renewals extended leases to the latest end of the leases of an earlier owner (TWICE)' },
+  { seed: 32453831, cause: 'renewals extended leases to the latest end of the leases of an earlier owner (TWICE)' }
 ]
 
 /** Plays with faults of all workers or of the store in a run of the tests; `npm run search` plays more. */
