Give long-running tasks without a record their first start behind restarts

The loop over the waiting tasks of a step ends at the first that finds no worker, and tasks that have run before precede those without a record, so that the next task got no record. placeOverdue, which may use paused workers, goes over records only.

For long-running steps, placeOverdue now creates the record of the next task when only restarts wait in the step, one in a plan.

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -173,6 +173,8 @@
     const { specification: { longRunning, fills }, tasks } = step
     if (!longRunning && (!this.isIdle(serviceName) || this.isAtWork(step))) return
     const conditions = this.options.getConditions(serviceName)
+    // The next task would get no record while tasks wait that have run before.
+    if (longRunning) tasks.createBehindRestarts(this.options.mayStart)
     for (const task of tasks.getAllCreated()) {
       if (this.isFull) return
       if (task.runs.length > 0 || conditions.now - task.waitingSince < PREFERENCE_WAIT_MILLISECONDS) continue
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -133,6 +133,20 @@
     }
   }
 
+  /**
+   * Creates the record of the next task if only tasks that have run before wait for a start, so that they precede it.
+   * @param mayStart Returns whether a task may start now, which is the same for all tasks without a record.
+   */
+  createBehindRestarts (mayStart: (task: TaskRecord) => boolean): void {
+    let hasRestart = false
+    for (const { hasRun, runs } of this.getAllCreated()) {
+      if (runs.length > 0) continue
+      if (!hasRun) return
+      hasRestart = true
+    }
+    if (hasRestart) this.createNext(mayStart)
+  }
+
   /** Returns all tasks that are not done, and creates their records. */
   createAll (): TaskRecord[] {
     const tasks: TaskRecord[] = []
