Judge the states of jobs whose completions were lost with their workers by room

A completion may be lost when it was not acknowledged and no worker process lists it. A job with such a task may be shown as not completed while LostJobJudge finds no room to run it again, or for up to 3 s with room. All other jobs must be shown as before.

--- a/stand-ins/platform/EmulatedRuns.ts
+++ b/stand-ins/platform/EmulatedRuns.ts
@@ -197,6 +197,10 @@
 
   /** Removes all runs without listing their ends, as when the worker process crashes. */
   clear (): void {
+    const { judge, workerId } = this.options
+    for (const { end, taskName, attempt } of this.endedRuns) {
+      if (end === 'done') judge.recordDroppedCompletion(taskName, attempt, workerId)
+    }
     for (const run of this.getAll()) {
       if (!this.isCurrent(run)) continue
       this.removeRun(run)
@@ -277,6 +281,7 @@
     if (outcome === 'lapsed') judge.recordLapse(workerId)
     if (outcome === 'alone') judge.recordAloneEnd(run.taskName, run.attempt, workerId)
     if (isListed) {
+      if (outcome === 'done') judge.recordHeldCompletion(run.taskName, run.attempt, workerId)
       this.endedRunCount++
       this.endedRuns.push({
         number: this.endedRunCount,
--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -62,6 +62,8 @@
 export class LostJobJudge {
   private readonly jobs = new Map<string, ObservedJob>()
   private readonly waits = new Map<string, Wait>()
+  /** Since when each job could repeat its lost completions and has nothing running. */
+  private readonly repeatWaits = new Map<string, number>()
   private readonly lost = new Map<string, LostWork>()
   private finishAt = Infinity
   /** The longest wait of a job that ends, with room for it, which ended or was judged after the finish. */
@@ -83,6 +85,18 @@
     return [...this.lost.values()]
   }
 
+  /**
+   * Returns whether a job rightly has tasks to run again whose completions were lost with their worker processes.
+   * @param jobId The job, which must have been accepted.
+   * @returns False if there is no such task, or if nothing has run for the bound although there was room for each.
+   */
+  mayHaveToRepeat (jobId: string): boolean {
+    const job = this.jobs.get(jobId)
+    if (job === undefined || this.getStepsToRepeat(job).length === 0) return false
+    const since = this.repeatWaits.get(jobId) ?? Infinity
+    return this.options.clock.monotonicMilliseconds() - since < WAIT_LIMIT_MILLISECONDS
+  }
+
   /** Records that a job was accepted and is not to be cancelled. */
   recordAcceptedJob (jobId: string): void {
     this.jobs.set(jobId, { jobId, specification: this.options.site.specifications.get(jobId)! })
@@ -124,6 +138,7 @@
         usedShares.set(serviceName, getUsedShare(listed.filter(({ entry }) => entry.serviceName === serviceName)))
       }
       this.checkJob(job, ofService, usedShares.get(serviceName)!, now)
+      this.observeRepeats(job, ofService, usedShares.get(serviceName)!, now)
       this.checkLongRunningTasks(job, ofService, usedShares.get(serviceName)!, running, now)
     }
   }
@@ -158,6 +173,34 @@
     if (now - wait.since >= WAIT_LIMIT_MILLISECONDS) this.report(job.jobId, startable, wait.since, now)
   }
 
+  private observeRepeats (job: ObservedJob, workers: ListedWorker[], usedShare: number, now: number): void {
+    const steps = this.getStepsToRepeat(job)
+    const couldRepeat = steps.length > 0 && usedShare < USED_SHARE_LIMIT &&
+      !this.options.site.judge.hasRunning(job.jobId) &&
+      steps.every(({ occurrence, step }) => this.hasRoom(job, workers, occurrence, step))
+    if (!couldRepeat) this.repeatWaits.delete(job.jobId)
+    else if (!this.repeatWaits.has(job.jobId)) this.repeatWaits.set(job.jobId, now)
+  }
+
+  /** Returns the steps with a completion that was lost, unless the owner has noted it before. */
+  private getStepsToRepeat ({ jobId, specification }: ObservedJob): Array<{ occurrence: number, step: number }> {
+    const { site: { judge } } = this.options
+    const found: Array<{ occurrence: number, step: number }> = []
+    for (let occurrence = 0; occurrence < Math.max(1, specification.repeatCount); occurrence++) {
+      for (const [step, { taskCount }] of specification.steps.entries()) {
+        const names = Array.from({ length: taskCount }, (_, index) => `${jobId}.${occurrence}.${step}.${index}`)
+        if (names.some(name => judge.mayBeLostCompletion(name))) found.push({ occurrence, step })
+      }
+    }
+    return found
+  }
+
+  private hasRoom (job: ObservedJob, workers: ListedWorker[], occurrence: number, step: number): boolean {
+    const specification = job.specification.steps[step]
+    const needed = (specification.gang ? specification.taskCount : 1) * ROOM_FACTOR
+    return this.countRoom(workers, job.jobId, occurrence, step, specification) >= needed
+  }
+
   private checkLongRunningTasks (
     job: ObservedJob, workers: ListedWorker[], usedShare: number, running: ReadonlySet<string>, now: number
   ): void {
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -15,6 +15,8 @@
   private readonly acknowledged = new Set<string>()
   /** Tasks with a listed completion, whether or not it was acknowledged. */
   private readonly listedTasks = new Set<string>()
+  /** The completions that worker processes hold until they are acknowledged, by the name of the task or gang. */
+  private readonly heldCompletions = new Map<string, Set<string>>()
   /** Starts that followed a completion which was not noted by then, by task name and completed attempt. */
   private readonly startsAfterCompletion = new Map<string, Map<number, string[]>>()
   private readonly submittedJobs = new Set<string>()
@@ -109,6 +111,27 @@
     this.startsAfterCompletion.set(taskName, startsByAttempt.set(attempt, []))
   }
 
+  /** Records that a worker process lists a completion until the owner acknowledges it or the process ends. */
+  recordHeldCompletion (taskName: string, attempt: number, workerId: string): void {
+    const unitName = this.getUnitName(taskName)
+    const held = this.heldCompletions.get(unitName) ?? new Set()
+    this.heldCompletions.set(unitName, held.add(`${taskName}#${attempt} ${workerId}`))
+  }
+
+  /** Records that the worker process that listed a completion has ended. */
+  recordDroppedCompletion (taskName: string, attempt: number, workerId: string): void {
+    this.heldCompletions.get(this.getUnitName(taskName))?.delete(`${taskName}#${attempt} ${workerId}`)
+  }
+
+  /**
+   * Returns whether a task is done, but each worker process that could report it ended before its completion was
+   * acknowledged, so that the owner may have to run it again.
+   */
+  mayBeLostCompletion (taskName: string): boolean {
+    const held = this.heldCompletions.get(this.getUnitName(taskName))
+    return this.isDone(taskName) && !this.isAcknowledged(taskName) && (held === undefined || held.size === 0)
+  }
+
   /**
    * Records that the owner has acknowledged a completion.
    * @param taskName The task.
--- a/stand-ins/search/SearchPlay.ts
+++ b/stand-ins/search/SearchPlay.ts
@@ -202,9 +202,9 @@
   private async checkStates (): Promise<void> {
     const accepted = this.clients.filter(({ isAccepted }) => isAccepted)
     const { judge } = this.site
-    // A task whose completion was lost with its worker must have run again by now, so that its job has ended as well.
-    const wereDone = accepted.map(({ job }) =>
-      !judge.hasRunning(job.jobId) && getTaskNames(job).every(name => judge.isDone(name)))
+    // Tasks whose completions were lost with their workers must run again when there is room, and wait otherwise.
+    const wereDone = accepted.map(({ job }) => !judge.hasRunning(job.jobId) &&
+      getTaskNames(job).every(name => judge.isDone(name)) && !this.lostJobs.mayHaveToRepeat(job.jobId))
     await this.lostJobs.advance(DURABILITY_MILLISECONDS)
     const { instance, process } = this.site.chooseInstance()
     const states = Promise.all(accepted.map(async ({ job: { jobId } }) => {
