Repeat calls to workers whose connections fail at once

Cause: a renewal ended with its first send when that failed, so that one reset marked the worker unreachable, withdrew its queued starts, and was followed by a call 200 ms later that extended no lease. An order whose connection was reset was sent three times within a few milliseconds (a stop once) and then had an unknown outcome; one whose connection was refused was not sent again at all.

Change: such a renewal is repeated every 200 ms for 0.6 s, with the same lease deadline and from the same budget, and ends then; calls to a worker that does not respond are as frequent as before (5 per second). An order is repeated at the intervals that apply to orders without a response, within the same window and budget; one whose connection is refused is sent three times. Only failures before the response is overdue are treated so.

The tests of this commit were seen to fail before, except for the bound on the calls to a worker whose connections are all reset, which held already.

--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -131,6 +131,8 @@
       },
       lateMilliseconds: leaseMilliseconds,
       sendLimit: this.isLeased(sentAt) ? SEND_LIMIT : UNLEASED_SEND_LIMIT,
+      // Calls to a worker whose process has ended fail at once, and are not made more often.
+      repeatsFailures: !this.lastCallFailed,
       mayRepeat: () => this.mayRepeat(),
       onLateOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token)) }
     })
@@ -140,7 +142,7 @@
     if (outcome.kind === 'fenced') return this.handleFence()
     if (outcome.kind !== 'reported') {
       engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : renewal.sentAt, renewal.awaitedUntil)
-      await this.pause(this.getRetryMilliseconds(sentAt))
+      await this.pause(this.getRetryMilliseconds(renewal.sentAt))
       return
     }
     if (!await this.applyReport(outcome.report, renewal.sentAt)) return
--- a/src/instance/lostRenewals.test.ts
+++ b/src/instance/lostRenewals.test.ts
@@ -17,10 +17,13 @@
 /** The time limit of a call beyond its wait, as in RunnerClient. */
 const CALL_MARGIN_MILLISECONDS = 600
 
-/** Which share of the calls gets no response, and whether the worker executes them at once or 2 to 12 s later. */
+/**
+ * Which share of the calls gets no response, and whether the worker executes them at once or 2 to 12 s later. Of calls
+ * that are `reset`, the connection fails at once, and they are not executed.
+ */
 interface Fault {
   lostShare: number
-  execution: 'at-once' | 'late' | 'never'
+  execution: 'at-once' | 'late' | 'never' | 'reset'
 }
 
 const NO_FAULT: Fault = { lostShare: 0, execution: 'at-once' }
@@ -61,6 +64,10 @@
       const workerMilliseconds = clock.monotonicMilliseconds()
       return { kind: 'reported', report: { workerMilliseconds, bornAtMilliseconds: 1, running: [], ended: [] } }
     }
+    if (fault.execution === 'reset') {
+      await this.sleep(ROUND_TRIP_MILLISECONDS)
+      return { kind: 'unknown', reason: 'connection reset', isAwaited: false }
+    }
     if (fault.execution === 'at-once') this.extendLease(request)
     if (fault.execution === 'late') clock.setTimer(2000 + random() * 10_000, () => this.extendLease(request))
     await this.sleep(request.waitMilliseconds + CALL_MARGIN_MILLISECONDS)
@@ -183,3 +190,24 @@
   assert.equal(highestPendingCount, 1)
   assert.equal(inServiceShare, 1)
 })
+
+for (const { lostShare, inServiceLimit } of [
+  { lostShare: 0.5, inServiceLimit: 0.9 }, { lostShare: 0.8, inServiceLimit: 0.5 }
+]) {
+  for (const seed of [1, 2, 3]) {
+    const title = `${lostShare * 100}% of the connections for renewals are reset at once, seed ${seed}`
+    test(`workers stay in service most of the time while ${title}`, async () => {
+      const { inServiceShare, callsPerSecond } = await play({ lostShare, execution: 'reset' }, seed)
+      assert.ok(inServiceShare >= inServiceLimit, `in service for ${inServiceShare} of the time`)
+      assert.ok(callsPerSecond <= 7, `${callsPerSecond} calls per second`)
+    })
+  }
+}
+
+test('a worker whose connections are all reset is soon marked unreachable, and is called five times a second', async () => {
+  const measures = await play({ lostShare: 1, execution: 'reset' }, 1)
+  // The call in flight gets its response, and the next one is repeated for 0.6 s.
+  const limit = 1500 + ROUND_TRIP_MILLISECONDS + 30 + 600 + SAMPLE_MILLISECONDS
+  assert.ok(measures.longestDetectionMilliseconds <= limit, `after ${measures.longestDetectionMilliseconds} ms`)
+  assert.ok(measures.callsPerSecond <= 5, `${measures.callsPerSecond} calls per second`)
+})
--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -30,7 +30,8 @@
 
 /**
  * Sends an order to a worker, and sends it again while it gets no response: beside the earlier sends when the time is
- * over that responses of the worker usually take, and otherwise when they have timed out.
+ * over that responses of the worker usually take, and otherwise when they have timed out. A send that fails before that
+ * time, because its connection has failed, is repeated when it is over.
  *
  * Each lost send that is not made good within its time limit counts as a failure of the worker, except for the last
  * one: whoever applies the outcome counts that.
@@ -45,6 +46,9 @@
   let failureAt = -Infinity
   let isFailureUncounted = false
   let isUnsendable = false
+  // Of the latest send that ended.
+  let hasFailedEarly = false
+  let isUnconnected = false
   const sendOnce = async (): Promise<OrderOutcome> => {
     const sentAt = clock.monotonicMilliseconds()
     sendCount++
@@ -54,9 +58,11 @@
     inFlightCount++
     try {
       const outcome = await send()
-      if (outcome.kind === 'not-sent') isUnsendable = true
+      hasFailedEarly = clock.monotonicMilliseconds() - sentAt < worker.responseTime.milliseconds
+      isUnconnected = outcome.kind === 'not-sent' && outcome.hasConnectionFailed === true
+      if (outcome.kind === 'not-sent' && !(isUnconnected && hasFailedEarly)) isUnsendable = true
       // Sends that were in flight at the same time are lost together and count as one failure.
-      if (outcome.kind === 'unknown' && sentAt >= failureAt) {
+      if (outcome.kind === 'unknown' && sentAt >= failureAt && !hasFailedEarly) {
         failureAt = clock.monotonicMilliseconds()
         isFailureUncounted = true
       }
@@ -67,7 +73,11 @@
   }
   const mayRepeat = (): boolean => {
     if (isUnsendable || !isNeeded()) return false
-    if (inFlightCount === 0) return sendCount < serialSendLimit
+    if (inFlightCount === 0) {
+      if (sendCount < serialSendLimit) return true
+      // A connection that cannot be opened is likely to be refused again.
+      if (!hasFailedEarly || isUnconnected) return false
+    }
     if (clock.monotonicMilliseconds() - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
     if (!repeats.tryWithdraw(KEPT_FOR_RENEWALS)) return false
     onOverdue()
@@ -77,8 +87,9 @@
     clock,
     send: sendOnce,
     // An order that was not sent says nothing about earlier sends, which may still get a response.
-    isSettled: ({ kind }) => kind !== 'unknown' && (kind !== 'not-sent' || inFlightCount === 0),
+    isSettled: ({ kind }) => kind !== 'unknown' && (kind !== 'not-sent' || (isUnsendable && inFlightCount === 0)),
     getDelayMilliseconds: () => worker.responseTime.milliseconds,
+    getFailureDelayMilliseconds: () => worker.responseTime.milliseconds,
     mayRepeat,
     sendLimit: SEND_LIMIT
   })
--- a/src/instance/sendRenewal.ts
+++ b/src/instance/sendRenewal.ts
@@ -12,6 +12,8 @@
   lateMilliseconds: number
   /** The maximum number of sends. */
   sendLimit: number
+  /** Whether the renewal is repeated also after its first send has failed before its response was overdue. */
+  repeatsFailures: boolean
   /** Returns whether the call may be sent once more. */
   mayRepeat (): boolean
   /** Handles the response to a send that arrives after the outcome of the renewal. */
@@ -43,16 +45,27 @@
   outcome: HoldOutcome | null
 }
 
+/** The time after a first send that failed before its response was overdue in which the renewal is repeated. */
+const FAILURE_WINDOW_MILLISECONDS = 600
+/** The time between sends that fail before their responses are overdue, as those to a process that has ended do. */
+const FAILURE_DELAY_MILLISECONDS = 200
+const SHORTEST_DELAY_MILLISECONDS = 100
+
 /**
  * Sends a renewal, and repeats it without a wait beside the earlier sends while none of them has a response. It ends
- * with the first response, and at the latest when the first send has failed.
+ * with the first response, and at the latest when the first send has failed. If that fails before its response is
+ * overdue, because its connection has failed, the renewal is repeated for a further time.
  * @param options The worker, the request and when it may be repeated.
  * @returns The outcome.
  */
 export async function sendRenewal (options: RenewalOptions): Promise<RenewalResult> {
-  const { worker, client, clock, request, lateMilliseconds, sendLimit, mayRepeat, onLateOutcome } = options
+  const { worker, client, clock, request, lateMilliseconds, sendLimit, onLateOutcome } = options
   const sends: RenewalSend[] = []
   let isOver = false
+  let failedAt: number | null = null
+  const getDelayMilliseconds = () => Math.max(SHORTEST_DELAY_MILLISECONDS, worker.responseTime.milliseconds)
+  const isWindowOver = () =>
+    failedAt !== null && clock.monotonicMilliseconds() - failedAt >= FAILURE_WINDOW_MILLISECONDS
   const sendOnce = async (index: number): Promise<RenewalSend> => {
     const sentAt = clock.monotonicMilliseconds()
     const send: RenewalSend = { index, sentAt, outcome: null }
@@ -64,6 +77,8 @@
       onOutcome: late => onLateOutcome({ outcome: late, sentAt, hasTimedOut: true })
     })
     send.outcome = outcome
+    const isOverdue = clock.monotonicMilliseconds() - sentAt >= sent.waitMilliseconds + getDelayMilliseconds()
+    if (index === 0 && options.repeatsFailures && !isOverdue) failedAt = clock.monotonicMilliseconds()
     if (outcome.kind === 'reported' && sent.waitMilliseconds === 0) {
       worker.responseTime.record(clock.monotonicMilliseconds() - sentAt)
     }
@@ -73,10 +88,11 @@
   const last = await repeatCall({
     clock,
     send: sendOnce,
-    isSettled: ({ index, outcome }) => index === 0 || isResponse(outcome),
-    getDelayMilliseconds: () =>
-      Math.max(100, worker.responseTime.milliseconds) + (sends.length === 0 ? request.waitMilliseconds : 0),
-    mayRepeat,
+    isSettled: ({ index, outcome }) =>
+      isResponse(outcome) || (failedAt === null ? index === 0 : isWindowOver()),
+    getDelayMilliseconds: () => getDelayMilliseconds() + (sends.length === 0 ? request.waitMilliseconds : 0),
+    getFailureDelayMilliseconds: () => FAILURE_DELAY_MILLISECONDS,
+    mayRepeat: () => !isWindowOver() && options.mayRepeat(),
     sendLimit
   })
   isOver = true
--- a/src/shared/repeatCall.ts
+++ b/src/shared/repeatCall.ts
@@ -12,6 +12,11 @@
   isSettled (outcome: Outcome): boolean
   /** Returns the time after a send, in milliseconds, at which the call is repeated beside it. */
   getDelayMilliseconds (): number
+  /**
+   * Returns the time after a send, in milliseconds, before which the call is not repeated when all sends have failed;
+   * by default, it is repeated at once.
+   */
+  getFailureDelayMilliseconds? (): number
   /** Returns whether the call is sent once more, after the delay of the last send or after all sends have failed. */
   mayRepeat (): boolean
   /** The maximum number of sends. */
@@ -24,11 +29,12 @@
  * @returns The first outcome that settles the call, otherwise the outcome of the last send that ended.
  */
 export async function repeatCall<Outcome> (options: RepeatedCallOptions<Outcome>): Promise<Outcome> {
-  const { clock, send, isSettled, getDelayMilliseconds, mayRepeat, sendLimit } = options
+  const { clock, send, isSettled, getDelayMilliseconds, getFailureDelayMilliseconds, mayRepeat, sendLimit } = options
   return await new Promise((resolve, reject) => {
     let sendCount = 0
     let pendingCount = 0
     let isOver = false
+    let lastSentAt = 0
     let cancelTimer = () => {}
     const finish = (settle: () => void) => {
       if (isOver) return
@@ -45,6 +51,12 @@
       if (isSettled(outcome)) return finish(() => resolve(outcome))
       if (pendingCount > 0) return
       cancelTimer()
+      const repeatAt = lastSentAt + (getFailureDelayMilliseconds?.() ?? 0)
+      const waitMilliseconds = repeatAt - clock.monotonicMilliseconds()
+      if (waitMilliseconds <= 0 || sendCount >= sendLimit) return repeatOrFinish(outcome)
+      cancelTimer = clock.setTimer(waitMilliseconds, () => repeatOrFinish(outcome))
+    }
+    const repeatOrFinish = (outcome: Outcome) => {
       repeat()
       if (pendingCount === 0) finish(() => resolve(outcome))
     }
@@ -52,6 +64,7 @@
       const sendIndex = sendCount
       sendCount++
       pendingCount++
+      lastSentAt = clock.monotonicMilliseconds()
       cancelTimer()
       cancelTimer = clock.setTimer(getDelayMilliseconds(), () => {
         // A late event loop runs its timers first: a response that has arrived by now is handled before the repeat.
