Mend what the review of the repeated calls has found

Callers could have seen, on the merged code: an owner that deposes itself because a stop is refused for its own raised fencing token; stops of cancelled jobs that wait 1.2 s for the permit of a start without a response; a store call whose connection is reset sent 44 times in 150 ms; a call that is not repeated any more after its budget was empty once; and more orders over a path whose responses arrive late.

A refusal of a stop over the connection for reports is compared with the present token. An overdue order leaves the limit of its worker for stops too. Calls that have failed are sent again when their delay is over, and a refused repeat is asked for again.

The part of that repeats orders after failed connections is taken back: starts went back to workers with failing connections (failingOrders, three tests).

--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -29,7 +29,10 @@
 
 interface WorkerQueue {
   workerId: string
+  /** Limits the orders in flight whose responses are not overdue. */
   limit: ConcurrencyLimit
+  /** The orders in flight whose responses are overdue; they count for further starts, and not for stops. */
+  overdueCount: number
   waiting: Record<OrderPriority, WaitingOrder[]>
 }
 
@@ -103,11 +106,16 @@
   }
 
   /**
-   * Lets another order in for one whose response is overdue. The total limit bounds the responses that this process has
-   * to handle soon, and an overdue one is likely to be lost; the order still counts for its worker.
+   * Lets another order in for one whose response is overdue. The limits bound the responses that this process has to
+   * handle soon, and an overdue one is likely to be lost. To the same worker only stops are let in.
+   * @param workerId The worker to which the order was sent.
    */
-  markOverdue (): void {
+  markOverdue (workerId: string): void {
     this.total.release()
+    const queue = this.getQueue(workerId)
+    queue.limit.release()
+    queue.overdueCount++
+    if (countWaiting(queue) > 0) this.readyQueues.add(queue)
     this.admitWaiting()
   }
 
@@ -117,9 +125,13 @@
    * @param isOverdue Whether `markOverdue` was called for the order; false by default.
    */
   release (workerId: string, isOverdue = false): void {
-    if (!isOverdue) this.total.release()
     const queue = this.getQueue(workerId)
-    queue.limit.release()
+    if (isOverdue) {
+      queue.overdueCount--
+    } else {
+      this.total.release()
+      queue.limit.release()
+    }
     if (countWaiting(queue) > 0) this.readyQueues.add(queue)
     this.removeIfIdle(queue)
     this.admitWaiting()
@@ -145,7 +157,7 @@
       this.readyQueues.delete(queue)
       // A queue at its limit becomes ready again with the next release.
       if (queue.limit.getUsed() >= queue.limit.getLimit()) continue
-      const order = takeNextNeeded(queue)
+      const order = takeNextNeeded(queue, this.getAdmittedPriorities(queue))
       if (order === null) {
         this.removeIfIdle(queue)
         continue
@@ -157,9 +169,14 @@
     }
   }
 
+  /** Returns the priorities of the orders that may be sent to a worker below its limit. */
+  private getAdmittedPriorities ({ limit, overdueCount }: WorkerQueue): readonly OrderPriority[] {
+    return limit.getUsed() + overdueCount < limit.getLimit() ? PRIORITIES : ['stop']
+  }
+
   /** Removes a queue from both collections, because a queue that is created later for the worker replaces it. */
   private removeIfIdle (queue: WorkerQueue): void {
-    if (queue.limit.getUsed() > 0 || countWaiting(queue) > 0) return
+    if (queue.limit.getUsed() + queue.overdueCount > 0 || countWaiting(queue) > 0) return
     this.queues.delete(queue.workerId)
     this.readyQueues.delete(queue)
   }
@@ -170,6 +187,7 @@
     const queue: WorkerQueue = {
       workerId,
       limit: ConcurrencyLimit.create({ limit: this.options.perWorkerLimit }),
+      overdueCount: 0,
       waiting: { stop: [], start: [], pace: [] }
     }
     this.queues.set(workerId, queue)
@@ -182,8 +200,8 @@
 }
 
 /** Removes and returns the next order that is still needed, and withdraws the unneeded ones before it. */
-function takeNextNeeded (queue: WorkerQueue): WaitingOrder | null {
-  for (const priority of PRIORITIES) {
+function takeNextNeeded (queue: WorkerQueue, priorities: readonly OrderPriority[]): WaitingOrder | null {
+  for (const priority of priorities) {
     for (let order = queue.waiting[priority].shift(); order !== undefined; order = queue.waiting[priority].shift()) {
       if (order.isNeeded()) return order
       order.settle('withdrawn')
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -158,6 +158,7 @@
       worker,
       onOverdue: markOverdue,
       serialSendLimit: START_SEND_LIMIT,
+      repeatsOverSlowPath: false,
       send: async () => await this.callStart(worker, run, client),
       isNeeded: () => !this.stopped && request.isNeeded(),
       onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'start' })
@@ -262,6 +263,7 @@
           worker,
           onOverdue: markOverdue,
           serialSendLimit: STOP_SEND_LIMIT,
+          repeatsOverSlowPath: true,
           send: call,
           isNeeded: () => !this.stopped && isNeeded(),
           onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'stop' })
@@ -303,7 +305,7 @@
     const markOverdue = () => {
       if (isOverdue) return
       isOverdue = true
-      this.gate.markOverdue()
+      this.gate.markOverdue(workerId)
     }
     try {
       return await call(markOverdue)
--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -1,4 +1,4 @@
-import { recordFailure, type OrderOutcome, type WorkerRecord } from '../dispatch/index.js'
+import { hasSlowPath, recordFailure, type OrderOutcome, type WorkerRecord } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { repeatCall } from '../shared/repeatCall.js'
 import type { RepeatBudget } from '../shared/RepeatBudget.js'
@@ -11,6 +11,8 @@
   repeats: RepeatBudget
   /** The number of sends one after another, of which each but the first follows when no earlier one is in flight. */
   serialSendLimit: number
+  /** Whether the order is sent beside earlier sends also while the responses of the worker arrive late. */
+  repeatsOverSlowPath: boolean
   /** Sends the order once more; all sends are the same order. */
   send (): Promise<OrderOutcome>
   /** Returns whether the order may be sent again. */
@@ -30,8 +32,7 @@
 
 /**
  * Sends an order to a worker, and sends it again while it gets no response: beside the earlier sends when the time is
- * over that responses of the worker usually take, and otherwise when they have timed out. A send that fails before that
- * time, because its connection has failed, is repeated when it is over.
+ * over that responses of the worker usually take, and otherwise when they have timed out.
  *
  * Each lost send that is not made good within its time limit counts as a failure of the worker, except for the last
  * one: whoever applies the outcome counts that.
@@ -39,16 +40,13 @@
  * @returns The first response, or the outcome of the last send that ended.
  */
 export async function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
-  const { worker, clock, repeats, serialSendLimit, send, isNeeded, onOverdue, onRepeat } = options
+  const { worker, clock, repeats, serialSendLimit, repeatsOverSlowPath, send, isNeeded, onOverdue, onRepeat } = options
   const firstSentAt = clock.monotonicMilliseconds()
   let inFlightCount = 0
   let sendCount = 0
   let failureAt = -Infinity
   let isFailureUncounted = false
   let isUnsendable = false
-  // Of the latest send that ended.
-  let hasFailedEarly = false
-  let isUnconnected = false
   const sendOnce = async (): Promise<OrderOutcome> => {
     const sentAt = clock.monotonicMilliseconds()
     sendCount++
@@ -58,11 +56,9 @@
     inFlightCount++
     try {
       const outcome = await send()
-      hasFailedEarly = clock.monotonicMilliseconds() - sentAt < worker.responseTime.milliseconds
-      isUnconnected = outcome.kind === 'not-sent' && outcome.hasConnectionFailed === true
-      if (outcome.kind === 'not-sent' && !(isUnconnected && hasFailedEarly)) isUnsendable = true
+      if (outcome.kind === 'not-sent') isUnsendable = true
       // Sends that were in flight at the same time are lost together and count as one failure.
-      if (outcome.kind === 'unknown' && sentAt >= failureAt && !hasFailedEarly) {
+      if (outcome.kind === 'unknown' && sentAt >= failureAt) {
         failureAt = clock.monotonicMilliseconds()
         isFailureUncounted = true
       }
@@ -73,12 +69,10 @@
   }
   const mayRepeat = (): boolean => {
     if (isUnsendable || !isNeeded()) return false
-    if (inFlightCount === 0) {
-      if (sendCount < serialSendLimit) return true
-      // A connection that cannot be opened is likely to be refused again.
-      if (!hasFailedEarly || isUnconnected) return false
-    }
-    if (clock.monotonicMilliseconds() - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
+    if (inFlightCount === 0) return sendCount < serialSendLimit
+    const now = clock.monotonicMilliseconds()
+    if (now - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
+    if (!repeatsOverSlowPath && hasSlowPath(worker, now)) return false
     if (!repeats.tryWithdraw(KEPT_FOR_RENEWALS)) return false
     onOverdue()
     return true
@@ -87,9 +81,8 @@
     clock,
     send: sendOnce,
     // An order that was not sent says nothing about earlier sends, which may still get a response.
-    isSettled: ({ kind }) => kind !== 'unknown' && (kind !== 'not-sent' || (isUnsendable && inFlightCount === 0)),
+    isSettled: ({ kind }) => kind !== 'unknown' && (kind !== 'not-sent' || inFlightCount === 0),
     getDelayMilliseconds: () => worker.responseTime.milliseconds,
-    getFailureDelayMilliseconds: () => worker.responseTime.milliseconds,
     mayRepeat,
     sendLimit: SEND_LIMIT
   })
--- a/src/instance/stopUncertainStarts.ts
+++ b/src/instance/stopUncertainStarts.ts
@@ -1,4 +1,4 @@
-import { getFencingToken, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
+import { getFencingToken, replaceOwnFence, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { isStopAnswered } from './isStopAnswered.js'
 
@@ -31,7 +31,8 @@
   let answeredCount = 0
   for (const run of uncertain.slice(0, STOPS_PER_REPORT)) {
     const token = getFencingToken(worker, engine.epoch)
-    const outcome = await client.stop(run.task.name, run.attempt, token, 'reports')
+    const response = await client.stop(run.task.name, run.attempt, token, 'reports')
+    const outcome = replaceOwnFence(response, token, getFencingToken(worker, engine.epoch))
     if (outcome.kind === 'fenced') return 'fenced'
     // The connection is likely to fail for the other stops too.
     if (!isStopAnswered(outcome)) break
--- a/src/shared/repeatCall.ts
+++ b/src/shared/repeatCall.ts
@@ -14,7 +14,7 @@
   getDelayMilliseconds (): number
   /**
    * Returns the time after a send, in milliseconds, before which the call is not repeated when all sends have failed;
-   * by default, it is repeated at once.
+   * by default, the time of `getDelayMilliseconds`.
    */
   getFailureDelayMilliseconds? (): number
   /** Returns whether the call is sent once more, after the delay of the last send or after all sends have failed. */
@@ -43,7 +43,9 @@
       settle()
     }
     const repeat = () => {
-      if (!isOver && sendCount < sendLimit && mayRepeat()) sendOnce()
+      if (isOver || sendCount >= sendLimit) return
+      if (mayRepeat()) sendOnce()
+      else if (pendingCount > 0) cancelTimer = clock.setTimer(getDelayMilliseconds(), repeat)
     }
     const handleOutcome = (outcome: Outcome) => {
       pendingCount--
@@ -51,7 +53,7 @@
       if (isSettled(outcome)) return finish(() => resolve(outcome))
       if (pendingCount > 0) return
       cancelTimer()
-      const repeatAt = lastSentAt + (getFailureDelayMilliseconds?.() ?? 0)
+      const repeatAt = lastSentAt + (getFailureDelayMilliseconds ?? getDelayMilliseconds)()
       const waitMilliseconds = repeatAt - clock.monotonicMilliseconds()
       if (waitMilliseconds <= 0 || sendCount >= sendLimit) return repeatOrFinish(outcome)
       cancelTimer = clock.setTimer(waitMilliseconds, () => repeatOrFinish(outcome))
