Notice at once that the connections to a worker are refused

The repeats of renewals whose connection has failed delayed by 0.6 s that the process of a worker has ended. A connection that cannot be opened ends the renewal at once, as before; only connections that fail during the call are repeated.

--- a/src/dispatch/WorkerProtocol.ts
+++ b/src/dispatch/WorkerProtocol.ts
@@ -70,8 +70,11 @@
   | { kind: 'replaced' }
   /** The call was not sent, which is no evidence about the worker. */
   | { kind: 'not-sent', reason: string }
-  /** No response arrived in time; while it is awaited, it is still received and passed to the listener of the call. */
-  | { kind: 'unknown', reason: string, isAwaited?: boolean }
+  /**
+   * No response arrived in time; while it is awaited, it is still received and passed to the listener of the call. That
+   * no connection could be opened is evidence that the process of the worker has ended.
+   */
+  | { kind: 'unknown', reason: string, isAwaited?: boolean, hasConnectionFailed?: boolean }
 
 /** A call that acknowledges completions, renews the lease of a worker and reads its report. */
 export interface HoldRequest {
--- a/src/instance/sendRenewal.ts
+++ b/src/instance/sendRenewal.ts
@@ -78,7 +78,8 @@
     })
     send.outcome = outcome
     const isOverdue = clock.monotonicMilliseconds() - sentAt >= sent.waitMilliseconds + getDelayMilliseconds()
-    if (index === 0 && options.repeatsFailures && !isOverdue) failedAt = clock.monotonicMilliseconds()
+    const mayRepeatFailure = options.repeatsFailures && !hasFailedToConnect(outcome)
+    if (index === 0 && mayRepeatFailure && !isOverdue) failedAt = clock.monotonicMilliseconds()
     if (outcome.kind === 'reported' && sent.waitMilliseconds === 0) {
       worker.responseTime.record(clock.monotonicMilliseconds() - sentAt)
     }
@@ -89,7 +90,7 @@
     clock,
     send: sendOnce,
     isSettled: ({ index, outcome }) =>
-      isResponse(outcome) || (failedAt === null ? index === 0 : isWindowOver()),
+      isResponse(outcome) || hasFailedToConnect(outcome) || (failedAt === null ? index === 0 : isWindowOver()),
     getDelayMilliseconds: () => getDelayMilliseconds() + (sends.length === 0 ? request.waitMilliseconds : 0),
     getFailureDelayMilliseconds: () => FAILURE_DELAY_MILLISECONDS,
     mayRepeat: () => !isWindowOver() && options.mayRepeat(),
@@ -104,6 +105,11 @@
   return outcome !== null && outcome.kind !== 'unknown' && outcome.kind !== 'not-sent'
 }
 
+/** Returns whether no connection could be opened, as to a process that has ended. */
+function hasFailedToConnect (outcome: HoldOutcome | null): boolean {
+  return outcome !== null && outcome.kind === 'unknown' && outcome.hasConnectionFailed === true
+}
+
 /** Returns whether a response to a send may still arrive. */
 function isAwaited ({ outcome }: RenewalSend): boolean {
   return outcome === null || (outcome.kind === 'unknown' && outcome.isAwaited === true)
