Grant no lease beyond a lease's length from its renewal

A new owner takes the latest possible end of the leases of earlier owners as the deadline of a worker (27,340 ms, up to 9.8 s later). Since, renewals repeat the deadline of the worker, so that this bound was granted as a lease. A renewal now grants no more than a lease's length from the call.

--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -161,8 +161,11 @@
     // A path that has failed and recovered of late is likely to lose the response rather than the worker.
     const mayExtend = hasResponded ||
       (isUnsteady(worker, sentAt) && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
-    if (mayExtend) worker.leaseDeadline = Math.max(worker.leaseDeadline, Math.floor(workerTime + leaseMilliseconds))
-    return worker.leaseDeadline > workerTime ? worker.leaseDeadline : null
+    const latestDeadline = Math.floor(workerTime + leaseMilliseconds)
+    if (mayExtend) worker.leaseDeadline = Math.max(worker.leaseDeadline, latestDeadline)
+    if (worker.leaseDeadline <= workerTime) return null
+    // The leases of earlier owners may end later, and the next owner waits for no more than a lease after each call.
+    return Math.min(worker.leaseDeadline, latestDeadline)
   }
 
   /** Returns whether the latest lease that was granted to the worker may last. */
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -29,7 +29,9 @@
   { seed: 403460, cause: 'a job whose completion was lost with its worker was judged, without a worker that can run it' },
   { seed: 611004340, cause: 'a job whose completion was lost with its worker was judged, without an accelerator' },
   { seed: 7368788303, cause: 'a best-effort job whose completions were lost was judged, in a service mostly in use' },
-  { seed: 7368793463, cause: 'a best-effort job whose completions were lost was judged, in a service mostly in use' }
+  { seed: 7368793463, cause: 'a best-effort job whose completions were lost was judged, in a service mostly in use' },
+  { seed: 403459, cause: 'a renewal granted a lease that ended when those of earlier owners might (TWICE)' },
+  { seed: 403593, cause: 'a renewal granted a lease that ended when those of earlier owners might (TWICE)' }
 ]
 
 /** Plays with faults of all workers or of the store in a run of the tests; `npm run search` plays more. */
