--- a/src/dispatch/OrderGate.ts
+++ b/src/dispatch/OrderGate.ts
@@ -29,7 +29,10 @@
 
 interface WorkerQueue {
   workerId: string
+  /** Limits the orders in flight whose responses are not overdue. */
   limit: ConcurrencyLimit
+  /** The orders in flight whose responses are overdue; they count for further starts, and not for stops. */
+  overdueCount: number
   waiting: Record<OrderPriority, WaitingOrder[]>
 }
 
@@ -103,13 +106,32 @@
   }
 
   /**
-   * Releases the permit of an order that is no longer in flight.
+   * Lets another order in for one whose response is overdue. The limits bound the responses that this process has to
+   * handle soon, and an overdue one is likely to be lost. To the same worker only stops are let in.
    * @param workerId The worker to which the order was sent.
    */
-  release (workerId: string): void {
+  markOverdue (workerId: string): void {
     this.total.release()
     const queue = this.getQueue(workerId)
     queue.limit.release()
+    queue.overdueCount++
+    if (countWaiting(queue) > 0) this.readyQueues.add(queue)
+    this.admitWaiting()
+  }
+
+  /**
+   * Releases the permit of an order that is no longer in flight.
+   * @param workerId The worker to which the order was sent.
+   * @param isOverdue Whether `markOverdue` was called for the order; false by default.
+   */
+  release (workerId: string, isOverdue = false): void {
+    const queue = this.getQueue(workerId)
+    if (isOverdue) {
+      queue.overdueCount--
+    } else {
+      this.total.release()
+      queue.limit.release()
+    }
     if (countWaiting(queue) > 0) this.readyQueues.add(queue)
     this.removeIfIdle(queue)
     this.admitWaiting()
@@ -135,7 +157,7 @@
       this.readyQueues.delete(queue)
       // A queue at its limit becomes ready again with the next release.
       if (queue.limit.getUsed() >= queue.limit.getLimit()) continue
-      const order = takeNextNeeded(queue)
+      const order = takeNextNeeded(queue, this.getAdmittedPriorities(queue))
       if (order === null) {
         this.removeIfIdle(queue)
         continue
@@ -147,9 +169,14 @@
     }
   }
 
+  /** Returns the priorities of the orders that may be sent to a worker below its limit. */
+  private getAdmittedPriorities ({ limit, overdueCount }: WorkerQueue): readonly OrderPriority[] {
+    return limit.getUsed() + overdueCount < limit.getLimit() ? PRIORITIES : ['stop']
+  }
+
   /** Removes a queue from both collections, because a queue that is created later for the worker replaces it. */
   private removeIfIdle (queue: WorkerQueue): void {
-    if (queue.limit.getUsed() > 0 || countWaiting(queue) > 0) return
+    if (queue.limit.getUsed() + queue.overdueCount > 0 || countWaiting(queue) > 0) return
     this.queues.delete(queue.workerId)
     this.readyQueues.delete(queue)
   }
@@ -160,6 +187,7 @@
     const queue: WorkerQueue = {
       workerId,
       limit: ConcurrencyLimit.create({ limit: this.options.perWorkerLimit }),
+      overdueCount: 0,
       waiting: { stop: [], start: [], pace: [] }
     }
     this.queues.set(workerId, queue)
@@ -172,8 +200,8 @@
 }
 
 /** Removes and returns the next order that is still needed, and withdraws the unneeded ones before it. */
-function takeNextNeeded (queue: WorkerQueue): WaitingOrder | null {
-  for (const priority of PRIORITIES) {
+function takeNextNeeded (queue: WorkerQueue, priorities: readonly OrderPriority[]): WaitingOrder | null {
+  for (const priority of priorities) {
     for (let order = queue.waiting[priority].shift(); order !== undefined; order = queue.waiting[priority].shift()) {
       if (order.isNeeded()) return order
       order.settle('withdrawn')
