Reduce the processor time of calls that are not repeated

The stops after a report begin only if a start or stop had no response, and the common case of an order has fewer promises and no copy of the options.

--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -154,7 +154,8 @@
         (isSent(run) || this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS)
     }
     const outcome = await this.sendWhenAdmitted(request, async markOverdue => await repeatOrder({
-      ...this.options,
+      clock: this.options.clock,
+      repeats: this.options.repeats,
       worker,
       onOverdue: markOverdue,
       serialSendLimit: START_SEND_LIMIT,
@@ -259,7 +260,8 @@
       const outcome = await this.sendWhenAdmitted(
         { workerId: worker.entry.workerId, priority: 'stop', isNeeded },
         async markOverdue => await repeatOrder({
-          ...this.options,
+          clock: this.options.clock,
+          repeats: this.options.repeats,
           worker,
           onOverdue: markOverdue,
           serialSendLimit: STOP_SEND_LIMIT,
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -9,7 +9,7 @@
 import type { RepeatBudget } from '../shared/RepeatBudget.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 import { sendRenewal, type LateOutcome } from './sendRenewal.js'
-import { stopUncertainStarts } from './stopUncertainStarts.js'
+import { hasUncertainStarts, stopUncertainStarts } from './stopUncertainStarts.js'
 
 /** Options of the lease loop of one worker. */
 export interface WorkerLeaseLoopOptions {
@@ -194,7 +194,7 @@
   /** Stops runs without a response for the time that responses usually take; later ones are handled as they arrive. */
   private async stopUncertainStarts (): Promise<void> {
     const { clock, errors, worker } = this.options
-    if (this.isStopping) return
+    if (this.isStopping || !hasUncertainStarts(worker)) return
     this.isStopping = true
     const stops = errors.runAsync('uncertain-stops', async () => {
       const outcome = await stopUncertainStarts(this.options)
--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -39,7 +39,7 @@
  * @param options The order, and when it may be repeated.
  * @returns The first response, or the outcome of the last send that ended.
  */
-export async function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
+export function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
   const { worker, clock, repeats, serialSendLimit, repeatsOverSlowPath, send, isNeeded, onOverdue, onRepeat } = options
   const firstSentAt = clock.monotonicMilliseconds()
   let inFlightCount = 0
@@ -77,7 +77,7 @@
     onOverdue()
     return true
   }
-  return await repeatCall({
+  return repeatCall({
     clock,
     send: sendOnce,
     // An order that was not sent says nothing about earlier sends, which may still get a response.
--- a/src/instance/stopUncertainStarts.ts
+++ b/src/instance/stopUncertainStarts.ts
@@ -1,4 +1,5 @@
 import { getFencingToken, replaceOwnFence, type DispatchEngine, type WorkerClient, type WorkerRecord } from '../dispatch/index.js'
+import type { RunRecord } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { isStopAnswered } from './isStopAnswered.js'
 
@@ -26,8 +27,7 @@
  */
 export async function stopUncertainStarts (context: UncertainStartsContext): Promise<StopsOutcome> {
   const { worker, engine, client, clock } = context
-  const uncertain = [...worker.runs.values()].filter(run =>
-    run.state === 'stopping' && (run.isStopUnanswered || (run.startUncertain && run.confirmedAt === null)))
+  const uncertain = [...worker.runs.values()].filter(isUncertain)
   let answeredCount = 0
   for (const run of uncertain.slice(0, STOPS_PER_REPORT)) {
     const token = getFencingToken(worker, engine.epoch)
@@ -42,3 +42,17 @@
   }
   return answeredCount > 0 ? 'answered' : 'none-answered'
 }
+
+/**
+ * Returns whether a worker has runs whose start or stop got no response.
+ * @param worker The worker.
+ * @returns Whether `stopUncertainStarts` has something to stop.
+ */
+export function hasUncertainStarts (worker: WorkerRecord): boolean {
+  for (const run of worker.runs.values()) if (isUncertain(run)) return true
+  return false
+}
+
+function isUncertain (run: RunRecord): boolean {
+  return run.state === 'stopping' && (run.isStopUnanswered || (run.startUncertain && run.confirmedAt === null))
+}
--- a/src/shared/repeatCall.ts
+++ b/src/shared/repeatCall.ts
@@ -28,9 +28,9 @@
  * @param options The call, and when it may be repeated.
  * @returns The first outcome that settles the call, otherwise the outcome of the last send that ended.
  */
-export async function repeatCall<Outcome> (options: RepeatedCallOptions<Outcome>): Promise<Outcome> {
+export function repeatCall<Outcome> (options: RepeatedCallOptions<Outcome>): Promise<Outcome> {
   const { clock, send, isSettled, getDelayMilliseconds, getFailureDelayMilliseconds, mayRepeat, sendLimit } = options
-  return await new Promise((resolve, reject) => {
+  return new Promise((resolve, reject) => {
     let sendCount = 0
     let pendingCount = 0
     let isOver = false
