--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -24,7 +24,7 @@
 }
 
 /** The share of the budget that is left to renewals of leases, since a lost lease ends all runs of its worker. */
-const KEPT_FOR_RENEWALS = 0.5
+const KEPT_SHARE_FOR_RENEWALS = 0.5
 /** The maximum number of sends of one order. */
 const SEND_LIMIT = 12
 /** An order is sent beside earlier sends for this time; a worker rejects starts that arrive after 1.8 s. */
@@ -73,7 +73,7 @@
     const now = clock.monotonicMilliseconds()
     if (now - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
     if (!repeatsOverSlowPath && hasSlowPath(worker, now)) return false
-    if (!repeats.tryWithdraw(KEPT_FOR_RENEWALS)) return false
+    if (!repeats.tryWithdraw(KEPT_SHARE_FOR_RENEWALS)) return false
     onOverdue()
     return true
   }
