Let emulated workers execute late calls in their next process

The platform says that a call without a response may be executed seconds later, that a worker may start again under its ID with a clock that starts anew, and that a longer lease is shortened to the longest one. The emulated worker dropped late calls when it had restarted, went on with its clock and granted any lease, so no test could show what follows.

--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -41,8 +41,10 @@
 const LISTING_DELAY_MILLISECONDS = 100
 const CONNECTION_RESET = { kind: 'unknown', reason: 'connection reset' } as const
 const CONNECT_TIMED_OUT = { kind: 'not-sent', reason: 'connect-timeout', hasConnectionFailed: true } as const
-/** Offset of the clock of a worker from the clock of the site. */
-const CLOCK_OFFSET_MILLISECONDS = 100_000
+/** The reading of the clock of a worker at the start of each of its processes. */
+const INITIAL_CLOCK_MILLISECONDS = 100_000
+/** The longest lease that a worker grants, counted from the arrival of a call. */
+const LONGEST_LEASE_MILLISECONDS = 6000
 
 /** An emulated worker that follows the platform's rules on leases, epoch fencing, attempts and listed ended runs. */
 export class EmulatedWorker implements WorkerClient {
@@ -57,6 +59,8 @@
   private epoch = 0
   private leaseDeadline = 0
   private bornAt: number
+  /** Time on the clock of the site at which the clock of the worker process started. */
+  private clockStartedAt: number
   private alive = true
   private waiters: Array<() => void> = []
   private connectingUntil = -Infinity
@@ -65,7 +69,8 @@
   private constructor (private readonly options: EmulatedWorkerOptions) {
     const { workerId, capacity, labels = [], serviceName = '', clock, judge, random, getTask, steps = null } = options
     const { guardsCapacity = false } = options
-    this.bornAt = clock.monotonicMilliseconds() + 1
+    this.clockStartedAt = clock.monotonicMilliseconds()
+    this.bornAt = this.clockStartedAt + 1
     this.faults = observeChanges(createWorkerFaults(), () => this.runs.updateRates())
     this.runs = EmulatedRuns.create({
       workerId,
@@ -173,7 +178,8 @@
   /** Starts a new incarnation of the worker process, without any state of the previous one. */
   restart (): void {
     this.alive = true
-    this.bornAt = this.options.clock.monotonicMilliseconds() + 1
+    this.clockStartedAt = this.options.clock.monotonicMilliseconds()
+    this.bornAt = this.clockStartedAt + 1
     this.runs.reset()
     this.epoch = 0
     this.leaseDeadline = 0
@@ -212,7 +218,7 @@
    * during that attempt ends in the queue, as in `platform/RunnerClient.ts`.
    */
   private async failHold (): Promise<HoldOutcome> {
-    const calledAt = this.now()
+    const calledAt = this.options.clock.monotonicMilliseconds()
     await this.wait(CALL_TIMEOUT_MILLISECONDS)
     if (!this.isUnableToConnect()) return { kind: 'unknown', reason: 'no answer' }
     if (calledAt < this.connectingUntil) return { kind: 'not-sent', reason: 'queue-timeout' }
@@ -225,12 +231,12 @@
     return share > 0 && this.options.random() < share
   }
 
-  /** Executes a call later, unless the worker process has ended by then. */
+  /** Executes a call later, by whichever process of the worker lives then. */
   private executeLate (execute: () => void): void {
-    const { bornAt, faults: { lateMilliseconds, latenessSpreadMilliseconds } } = this
+    const { lateMilliseconds, latenessSpreadMilliseconds } = this.faults
     const spread = latenessSpreadMilliseconds > 0 ? this.options.random() * latenessSpreadMilliseconds : 0
     this.options.clock.setTimer(lateMilliseconds + spread, () => {
-      if (this.alive && this.bornAt === bornAt) execute()
+      if (this.alive) execute()
     })
   }
 
@@ -308,7 +314,8 @@
   }
 
   private extendLease (deadline: number | null): void {
-    if (deadline !== null) this.leaseDeadline = Math.max(this.leaseDeadline, deadline)
+    if (deadline === null) return
+    this.leaseDeadline = Math.max(this.leaseDeadline, Math.min(deadline, this.now() + LONGEST_LEASE_MILLISECONDS))
   }
 
   private scheduleLeaseCheck (): void {
@@ -339,7 +346,7 @@
 
   private now (): number {
     const { clock, clockRate } = this.options
-    return clock.monotonicMilliseconds() * (clockRate ?? 1) + CLOCK_OFFSET_MILLISECONDS
+    return (clock.monotonicMilliseconds() - this.clockStartedAt) * (clockRate ?? 1) + INITIAL_CLOCK_MILLISECONDS
   }
 
   private waitForRoundTrip (): Promise<void> {
