Close a worker's new process to the calls that were sent to its earlier one

Cause: what was learnt about one process of a worker was taken to hold for the next. A start or a renewal for the earlier process may be executed by the next one, which has seen no fencing token and whose clock starts anew, so that the deadline lies far ahead: a renewal extends the lease for the longest time from its arrival, and the owner takes runs as over that go on; a start runs a task that runs or ran elsewhere.

Change: - The fencing token for a worker is raised whenever its process may be another one: after a failed call, when another process is listed or reports, when its process has ended, when it is listed again after its removal. The first call then refuses all earlier ones. EPOCH_STEP is 4096 for that. - A new process gets work only after a report to a call with a token that was raised since it was noticed. - Its lease is taken to last the longest time from that report, and up to the lateness of calls longer before it. - No call carries a deadline of a clock whose process is known to have ended. - When another process is listed, connections and the call in flight are given up and it is called at once.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -31,8 +31,8 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, removeRun, updateClockReading,
-  type WorkerEntry, type WorkerRecord
+  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, LATE_CALL_LIMIT_MILLISECONDS, recordFailure, removeRun,
+  updateClockReading, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** Options of a dispatch engine. */
@@ -41,6 +41,16 @@
   epoch: number
   /** Receives lost runs and ignored completions; does nothing by default. */
   observer?: DispatchObserver
+  /** The longest lease that workers grant; 0 by default, as for workers that were never called before. */
+  leaseMilliseconds?: number
+}
+
+/** A call to a worker that has responded. */
+interface ReportedCall {
+  /** Monotonic time at which it was sent. */
+  sentAt: number
+  /** Whether the report is the first one of its incarnation to this owner. */
+  isFirst: boolean
 }
 
 /**
@@ -72,9 +82,13 @@
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
   private readonly acceptedStarts = AcceptedStarts.create()
+  /** The token raises for workers that were removed: a worker with the same ID may have seen their tokens. */
+  private readonly removedTokenRaises = new Map<string, number>()
   private dirty = true
 
-  private constructor (readonly epoch: number, private readonly observer: DispatchObserver) {
+  private constructor (
+    readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number
+  ) {
     this.jobs = JobTable.create({ epoch })
   }
 
@@ -84,7 +98,7 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver)
+    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver, options.leaseMilliseconds ?? 0)
   }
 
   /** Returns the decided orders and clears them. */
@@ -118,12 +132,22 @@
     this.dirty = true
     const existing = this.workers.get(entry.workerId)
     if (existing === undefined) {
-      const worker = { ...createWorkerRecord(entry), isRecordedUnreached: this.unreached.isRecorded(entry.workerId) }
+      const worker = {
+        ...createWorkerRecord(entry),
+        isRecordedUnreached: this.unreached.isRecorded(entry.workerId),
+        mayHaveRestarted: this.removedTokenRaises.has(entry.workerId),
+        tokenRaiseCount: this.removedTokenRaises.get(entry.workerId) ?? 0
+      }
+      this.removedTokenRaises.delete(entry.workerId)
       this.workers.set(entry.workerId, worker)
       return worker
     }
     // A new incarnation counts only once the worker itself reports it, together with its runs.
-    if (entry.bornAtMilliseconds > existing.entry.bornAtMilliseconds) this.markUnreachable(existing, null)
+    if (entry.bornAtMilliseconds > existing.entry.bornAtMilliseconds) {
+      this.markUnreachable(existing, null)
+      existing.mayHaveRestarted = true
+      existing.hasProcessEnded = true
+    }
     existing.changeCount++
     existing.entry = { ...entry, bornAtMilliseconds: existing.entry.bornAtMilliseconds }
     existing.listed = true
@@ -154,6 +178,8 @@
     for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'worker-gone', now)
     worker.orphanedRuns.clear()
     worker.exitConfirmedAt = now
+    worker.mayHaveRestarted = true
+    worker.hasProcessEnded = true
     this.unreconciled.markReconciled(worker, 'process-ended')
     this.dirty = true
   }
@@ -195,16 +221,15 @@
       if (entry.bornAtMilliseconds > 0) this.handleWorkerRestart(worker, now)
       worker.entry = { ...entry, bornAtMilliseconds: report.bornAtMilliseconds }
     }
+    const isFirstReport = worker.clockReading === null
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
     this.settleUncertainStarts(worker, report, sentAt)
     const changed = applyReport(worker, report, this.createReportContext(worker, sentAt, now))
     worker.changeCount++
-    worker.syncState = 'synchronized'
-    // The clock was read between the call and its response, which may have been delayed.
-    const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(entry.workerId) ?? sentAt
-    worker.leaseDeadline = Math.max(worker.leaseDeadline, report.workerMilliseconds + earlierLeaseEndsAt - sentAt)
+    worker.hasProcessEnded = false
+    this.updateFence(worker, report.workerMilliseconds, { sentAt, isFirst: isFirstReport })
     this.unreconciled.markReconciled(worker, 'reported')
     if (changed) this.dirty = true
     this.moveStalledRuns(worker, now)
@@ -240,6 +265,7 @@
     }
     if (worker.syncState !== 'synchronized') return
     worker.syncState = 'unreachable'
+    worker.mayHaveRestarted = true
     if (sentAt !== null) recordFailure(worker, sentAt)
   }
 
@@ -347,6 +373,21 @@
     }
   }
 
+  /**
+   * Updates what a report shows of calls of earlier owners, or to earlier incarnations: the worker executes none of
+   * them after one with a higher token. Before that, each may start a run, or renew the lease for the longest time.
+   */
+  private updateFence (worker: WorkerRecord, workerMilliseconds: number, call: ReportedCall): void {
+    const isNew = worker.syncState === 'unknown'
+    const isFenced = !isNew || (!worker.mayHaveRestarted && call.sentAt >= worker.tokenRaisedAt)
+    if (call.isFirst || (isNew && isFenced)) {
+      const earlierLeaseEndsAt = this.unreconciled.getExpiries().get(worker.entry.workerId) ?? call.sentAt
+      worker.leaseDeadline = workerMilliseconds + Math.max(this.leaseMilliseconds, earlierLeaseEndsAt - call.sentAt) +
+        (isFenced ? 0 : LATE_CALL_LIMIT_MILLISECONDS)
+    }
+    if (isFenced) worker.syncState = 'synchronized'
+  }
+
   private settleUncertainStarts (worker: WorkerRecord, report: WorkerReport, sentAt: number): void {
     settleFencedStarts(worker, sentAt)
     settleExpiredStarts(worker, report.workerMilliseconds)
@@ -434,6 +475,11 @@
     this.dirty = true
   }
 
+  private remove ({ entry: { workerId }, tokenRaiseCount }: WorkerRecord): void {
+    this.workers.delete(workerId)
+    this.removedTokenRaises.set(workerId, tokenRaiseCount)
+  }
+
   private expireWorkers (now: number): void {
     this.unreconciled.expire(now)
     for (const worker of this.workers.values()) {
@@ -445,7 +491,7 @@
         if (lostRuns.length > 0) this.dirty = true
       }
       const isRemovable = !worker.listed && worker.runs.size === 0 && !this.unreconciled.has(worker.entry.workerId)
-      if (isRemovable && (isExpired || worker.clockReading === null)) this.workers.delete(worker.entry.workerId)
+      if (isRemovable && (isExpired || worker.clockReading === null)) this.remove(worker)
     }
   }
 }
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -81,11 +81,18 @@
   exitConfirmedAt: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
+  /** Whether the process that reported last is known to have ended, so that its clock says nothing of the next one. */
+  hasProcessEnded: boolean
+  /**
+   * Whether the next call may reach another process than the earlier ones, so that it must carry a higher fencing
+   * token: a call has failed, or a new incarnation is listed or has reported.
+   */
+  mayHaveRestarted: boolean
   /** How often this owner has raised its fencing token for the worker, see `raiseFencingToken`. */
   tokenRaiseCount: number
   /** Monotonic time of the last raise: the calls since then carry the higher token. */
   tokenRaisedAt: number
-  /** The latest lease deadline that was sent to this incarnation, on the worker's clock. */
+  /** The time on the worker's clock by which each lease of this incarnation has expired. */
   leaseDeadline: number
   /** The highest number of an applied completion. */
   appliedCompletion: number
@@ -123,6 +130,8 @@
 const UNSTEADY_MILLISECONDS = 10_000
 /** A worker whose report arrived late within this time has a slow path: its lease is renewed, and stops reach it. */
 const SLOW_PATH_MILLISECONDS = 3000
+/** A worker executes a call without a response up to this much later. */
+export const LATE_CALL_LIMIT_MILLISECONDS = 12_000
 /** The maximum share by which a worker's clock may run slow. */
 const CLOCK_DRIFT_SHARE = 0.02
 
@@ -154,6 +163,8 @@
     reportAwaitedUntil: -Infinity,
     exitConfirmedAt: -Infinity,
     failureTimes: [-Infinity, -Infinity],
+    hasProcessEnded: false,
+    mayHaveRestarted: false,
     tokenRaiseCount: 0,
     tokenRaisedAt: -Infinity,
     leaseDeadline: 0,
--- a/src/dispatch/endEarlierIncarnation.ts
+++ b/src/dispatch/endEarlierIncarnation.ts
@@ -27,4 +27,5 @@
     }
   }
   clearProcessState(worker)
+  worker.mayHaveRestarted = true
 }
--- a/src/dispatch/fenceUncertainStarts.test.ts
+++ b/src/dispatch/fenceUncertainStarts.test.ts
@@ -4,6 +4,7 @@
 import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
 import { DispatchEngine } from './DispatchEngine.js'
 import { EPOCH_STEP, getFencingToken, raiseFencingToken, replaceOwnFence } from './fenceUncertainStarts.js'
+import { LATE_CALL_LIMIT_MILLISECONDS } from './WorkerRecord.js'
 import type { ListedCompletion, ListedRun, WorkerReport } from './WorkerProtocol.js'
 
 const BORN = 1
@@ -73,6 +74,52 @@
   assert.deepEqual(raiseFencingToken(worker, 7000), [run])
 })
 
+test('a worker whose process was replaced gets no work before it has reported to a call with a higher token', () => {
+  const { engine, worker } = createUncertainStart()
+  const report = { ...createReport(), bornAtMilliseconds: BORN + 1 }
+  engine.applyReport(worker, report, 2000, 2010)
+  assert.notEqual(worker.syncState, 'synchronized')
+  raiseFencingToken(worker, 2020)
+  assert.equal(getFencingToken(worker, engine.epoch), 66)
+  engine.applyReport(worker, report, 2015, 2025)
+  assert.notEqual(worker.syncState, 'synchronized')
+  engine.applyReport(worker, report, 2020, 2030)
+  assert.equal(worker.syncState, 'synchronized')
+  assert.equal(worker.runs.size, 0)
+})
+
+test('the lease of a new process may last the longest time from its first report with a higher token', () => {
+  const engine = DispatchEngine.create({ epoch: 65, leaseMilliseconds: 6000 })
+  const worker = engine.setWorker(createWorkerEntry())
+  engine.applyReport(worker, createReport(), 990, 1000)
+  assert.equal(worker.leaseDeadline, 7000)
+  const report = { ...createReport(), workerMilliseconds: 500, bornAtMilliseconds: BORN + 1 }
+  engine.applyReport(worker, report, 2000, 2010)
+  assert.equal(worker.leaseDeadline, 500 + 6000 + LATE_CALL_LIMIT_MILLISECONDS)
+  raiseFencingToken(worker, 2020)
+  engine.applyReport(worker, { ...report, workerMilliseconds: 540 }, 2020, 2030)
+  assert.equal(worker.leaseDeadline, 6540)
+})
+
+test('the first call after a failed one carries a higher token, and so does that to a worker that is listed again', () => {
+  const engine = DispatchEngine.create({ epoch: 65 })
+  const first = engine.setWorker(createWorkerEntry())
+  engine.applyReport(first, createReport(), 990, 1000)
+  raiseFencingToken(first, 1000)
+  assert.equal(getFencingToken(first, engine.epoch), 65)
+  engine.markUnreachable(first, 1100)
+  raiseFencingToken(first, 1500)
+  raiseFencingToken(first, 1700)
+  assert.equal(getFencingToken(first, engine.epoch), 66)
+  engine.markRemoved(first.entry.workerId)
+  engine.markUnreachable(first, 10_000)
+  engine.plan(20_000, 20_000, true)
+  assert.equal(engine.workers.size, 0)
+  const again = engine.setWorker(createWorkerEntry())
+  raiseFencingToken(again, 21_000)
+  assert.equal(getFencingToken(again, engine.epoch), 67)
+})
+
 test('a start that is still being sent is not settled by a higher token', () => {
   const { engine, worker, run } = createUncertainStart()
   raiseFencingToken(worker, 4000)
--- a/src/dispatch/fenceUncertainStarts.ts
+++ b/src/dispatch/fenceUncertainStarts.ts
@@ -3,7 +3,7 @@
 import type { WorkerRecord } from './WorkerRecord.js'
 
 /** The distance between the epochs of two owners, so that an owner may raise its fencing token this often less one. */
-export const EPOCH_STEP = 64
+export const EPOCH_STEP = 4096
 /** Time after the last send of a start without a response in which a response to its stop usually settles it. */
 const UNSETTLED_START_LIMIT_MILLISECONDS = 3000
 
@@ -18,16 +18,22 @@
 }
 
 /**
- * Raises the fencing token for a worker when a start and its stops got no response for too long. The worker then
- * executes no earlier order any more, so a report to a call with the new token settles the start.
+ * Raises the fencing token for a worker when its process may have been replaced, or when a start and its stops got no
+ * response for too long. The worker then executes no earlier call any more, so a report to a call with the new token
+ * settles the starts without a response.
+ *
+ * A call to an earlier process may be executed by any later one, which has seen no token and whose clock starts anew.
  * @param worker The worker, to which no report call is in flight.
  * @param now The monotonic time, at which the next report call is sent.
  * @returns The runs that the next report settles; none when the token was not raised.
  */
 export function raiseFencingToken (worker: WorkerRecord, now: number): RunRecord[] {
-  if (worker.tokenRaiseCount >= EPOCH_STEP - 1 || worker.syncState !== 'synchronized') return []
   const unsettled = [...worker.runs.values()].filter(run => isUnsettledStart(run) && run.sentAt >= worker.tokenRaisedAt)
-  if (!unsettled.some(run => now - run.sentAt >= UNSETTLED_START_LIMIT_MILLISECONDS)) return []
+  const isOverdue = worker.syncState === 'synchronized' &&
+    unsettled.some(run => now - run.sentAt >= UNSETTLED_START_LIMIT_MILLISECONDS)
+  if (!isOverdue && !worker.mayHaveRestarted) return []
+  worker.mayHaveRestarted = false
+  if (worker.tokenRaiseCount >= EPOCH_STEP - 1) return []
   worker.tokenRaiseCount++
   worker.tokenRaisedAt = now
   return unsettled.filter(run => run.sentAt < now)
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -114,7 +114,9 @@
 
   private constructor (private readonly options: ShardDispatcherOptions) {
     const observer = createDispatchObserver(options.logger, options.metrics)
-    this.engine = DispatchEngine.create({ epoch: options.fence.epoch, observer })
+    this.engine = DispatchEngine.create({
+      epoch: options.fence.epoch, observer, leaseMilliseconds: options.leaseMilliseconds
+    })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     const repeatsPerSecond = WORKER_CALL_REPEATS_PER_PROCESSOR * options.processors
     this.workerCallRepeats = RepeatBudget.create({
@@ -170,7 +172,7 @@
       waitForDurability: () => this.writer.waitForDurability()
     })
     this.siteUpdater = SiteUpdater.create({
-      site: options.site, engine: this.engine, follow: worker => this.loops.follow(worker)
+      site: options.site, engine: this.engine, follow: (worker, entry) => this.loops.follow(worker, entry)
     })
     this.writer = ProgressWriter.create({
       ...options,
--- a/src/instance/SiteUpdater.ts
+++ b/src/instance/SiteUpdater.ts
@@ -17,8 +17,8 @@
   site: SiteState
   engine: Pick<
     DispatchEngine, 'setQueueServices' | 'setDataCentresOut' | 'setWorker' | 'markRemoved' | 'markDirty' | 'workers'>
-  /** Called for each worker whose entry was applied. */
-  follow (worker: WorkerRecord): void
+  /** Called for each worker whose entry was applied, with the entry. */
+  follow (worker: WorkerRecord, entry: WorkerEntry): void
 }
 
 /**
@@ -72,7 +72,8 @@
     const entry = site.getWorkers().get(workerId)
     const worker = engine.workers.get(workerId)
     if (entry === undefined || worker === undefined) return false
-    const isNewer = entry.bornAtMilliseconds > worker.entry.bornAtMilliseconds && worker.syncState === 'synchronized'
+    const isNewer = entry.bornAtMilliseconds > worker.entry.bornAtMilliseconds &&
+      (worker.syncState === 'synchronized' || !worker.hasProcessEnded)
     const hasRunsToDrain = entry.state === 'draining' && findRunsToDrain(worker).length > 0
     if (isNewer || hasRunsToDrain) this.apply(workerId)
     return isNewer || hasRunsToDrain
@@ -108,7 +109,7 @@
     const entry = site.getWorkers().get(workerId)
     if (entry?.state === 'draining') this.draining.add(workerId)
     else this.draining.delete(workerId)
-    if (entry !== undefined) return follow(engine.setWorker(entry))
+    if (entry !== undefined) return follow(engine.setWorker(entry), entry)
     engine.markRemoved(workerId)
     engine.markDirty()
   }
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -54,6 +54,8 @@
 const SHORTEST_RETRY_MILLISECONDS = 50
 /** The sends of one renewal, each of which occupies a connection until its time limit. */
 const SEND_LIMIT = 6
+/** The outcome of a call whose response is no longer awaited, since the platform lists another process. */
+const REPLACED_PROCESS: HoldOutcome = { kind: 'unknown', reason: 'another process of the worker is listed' }
 /** The sends of one call to a worker without a lease: a pending repeat would delay its reconciliation. */
 const UNLEASED_SEND_LIMIT = 1
 
@@ -71,6 +73,8 @@
   private mustSettleStarts = false
   /** The latest deadline of a renewal on the clock of the worker; earlier owners may have granted later ones. */
   private renewedDeadline = 0
+  /** Ends the wait for the response to the call in flight, or the pause after a failed call. */
+  private interrupt = () => {}
 
   private constructor (private readonly options: WorkerLeaseLoopOptions) {}
 
@@ -92,6 +96,11 @@
     this.stopped = true
   }
 
+  /** Calls the worker at once, as another process of it is listed, which will not respond to the call in flight. */
+  callNow (): void {
+    this.interrupt()
+  }
+
   /** Calls the worker until the loop is stopped. */
   async run (): Promise<void> {
     const { errors, engine, worker } = this.options
@@ -107,7 +116,7 @@
   }
 
   private async callWorker (): Promise<void> {
-    const { worker, engine, client, clock, leaseMilliseconds, errors } = this.options
+    const { worker, engine, client, clock, leaseMilliseconds } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
     // Calls may still reach an unresponsive worker: renewing its lease blindly would keep the lease from expiring.
@@ -120,7 +129,8 @@
     const token = getFencingToken(worker, engine.epoch)
     const waitMilliseconds = this.getWaitMilliseconds(hasResponded ? leaseDeadline : null)
     this.hasAnsweredStops = false
-    const renewal = await sendRenewal({
+    let isAbandoned = false
+    const sending = sendRenewal({
       worker,
       client,
       clock,
@@ -135,16 +145,23 @@
       sendLimit: this.isLeased(sentAt) ? SEND_LIMIT : UNLEASED_SEND_LIMIT,
       // Calls to a worker whose process has ended fail at once, and are not made more often.
       repeatsFailures: !this.lastCallFailed,
-      mayRepeat: () => this.mayRepeat(),
-      onLateOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token)) }
+      mayRepeat: () => !isAbandoned && this.mayRepeat(),
+      onLateOutcome: late => this.receiveLateOutcome(late, token)
     })
-    const { outcome } = renewal
+    const renewal = await Promise.race([sending, this.waitForInterrupt()])
     if (this.stopped) return
+    if (renewal === 'interrupted') {
+      isAbandoned = true
+      sending.then(({ outcome, sentAt }) => this.receiveLateOutcome({ outcome, sentAt, hasTimedOut: true }, token))
+      this.recordOutcome(REPLACED_PROCESS, clock.monotonicMilliseconds() - sentAt)
+      return engine.markUnreachable(worker, null)
+    }
+    const { outcome } = renewal
     this.recordOutcome(outcome, clock.monotonicMilliseconds() - sentAt)
     if (outcome.kind === 'fenced') return this.handleFence()
     if (outcome.kind !== 'reported') {
       engine.markUnreachable(worker, outcome.kind === 'not-sent' ? null : renewal.sentAt, renewal.awaitedUntil)
-      await this.pause(this.getRetryMilliseconds(renewal.sentAt))
+      await Promise.race([this.pause(this.getRetryMilliseconds(renewal.sentAt)), this.waitForInterrupt()])
       return
     }
     if (!await this.applyReport(outcome.report, renewal.sentAt)) return
@@ -161,7 +178,7 @@
    */
   private getLeaseDeadline (workerTime: number | null, sentAt: number, hasResponded: boolean): number | null {
     const { worker, leaseMilliseconds } = this.options
-    if (workerTime === null || worker.isRecordedUnreached) return null
+    if (workerTime === null || worker.isRecordedUnreached || worker.hasProcessEnded) return null
     // A path that has failed and recovered of late is likely to lose the response rather than the worker.
     const mayExtend = hasResponded ||
       (isUnsteady(worker, sentAt) && sentAt - worker.reportedAt <= leaseMilliseconds / 2)
@@ -211,7 +228,7 @@
     })
   }
 
-  /** Raises the fencing token when orders have had no response for long; the report to the next call settles starts. */
+  /** Raises the fencing token when that is due; the report to the next call settles starts without a response. */
   private fenceUncertainStarts (now: number): void {
     const { worker, engine, logger } = this.options
     const runs = raiseFencingToken(worker, now)
@@ -224,6 +241,14 @@
     })
   }
 
+  private waitForInterrupt (): Promise<'interrupted'> {
+    return new Promise(resolve => { this.interrupt = () => resolve('interrupted') })
+  }
+
+  private receiveLateOutcome (late: LateOutcome, token: number): void {
+    this.options.errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token))
+  }
+
   /** Applies a response that arrives after the outcome of its renewal, which may list the ends of runs. */
   private async handleLateOutcome ({ outcome, sentAt, hasTimedOut }: LateOutcome, token: number): Promise<void> {
     const { worker, engine, clock, logger, metrics } = this.options
--- a/src/instance/WorkerLeaseLoops.ts
+++ b/src/instance/WorkerLeaseLoops.ts
@@ -14,6 +14,8 @@
   loop: WorkerLeaseLoop
   client: WorkerClient
   address: string
+  /** When the listed incarnation started, in Unix milliseconds; 0 when it is unknown. */
+  bornAtMilliseconds: number
 }
 
 /** Runs one lease loop and keeps one client for each worker of the owner. */
@@ -38,13 +40,19 @@
   /**
    * Starts the loop of a worker that is not followed yet, or calls it at the address of its present entry. A worker
    * that was removed and is listed again has another record, which the loop of the former one does not update.
+   * @param worker The worker.
+   * @param entry Its present entry, which may be that of an incarnation that has not reported yet.
    */
-  follow (worker: WorkerRecord): void {
-    const { workerId } = worker.entry
+  follow (worker: WorkerRecord, entry: WorkerEntry = worker.entry): void {
+    const { workerId } = entry
     if (this.followed.has(workerId) && this.followed.get(workerId)?.worker !== worker) this.stop(workerId)
     const followed = this.followed.get(workerId)
-    if (followed === undefined) this.start(worker)
-    else if (followed.address !== worker.entry.address) this.replaceClient(followed, worker.entry)
+    if (followed === undefined) return this.start(worker)
+    const hasRestarted = followed.bornAtMilliseconds > 0 &&
+      entry.bornAtMilliseconds > Math.max(followed.bornAtMilliseconds, worker.entry.bornAtMilliseconds)
+    if (hasRestarted || followed.address !== entry.address) this.replaceClient(followed, entry)
+    if (hasRestarted) this.callNewProcess(followed, entry)
+    followed.bornAtMilliseconds = entry.bornAtMilliseconds
   }
 
   /** Returns the client of a worker, or undefined when the worker is not followed. */
@@ -74,7 +82,8 @@
   private start (worker: WorkerRecord): void {
     const { createWorkerClient, ...loopOptions } = this.options
     const { workerId, address } = worker.entry
-    const followed = { worker, client: createWorkerClient(worker.entry), address }
+    const { bornAtMilliseconds } = worker.entry
+    const followed = { worker, client: createWorkerClient(worker.entry), address, bornAtMilliseconds }
     const loop = WorkerLeaseLoop.create({
       ...loopOptions,
       endedRuns: this.endedRuns,
@@ -86,10 +95,20 @@
     loop.run()
   }
 
-  /** Calls a worker at its new address; calls in flight to the former one end as failed. */
+  /** Calls a new process at once: until then, it may execute calls that were sent to the earlier one. */
+  private callNewProcess ({ loop, bornAtMilliseconds }: FollowedWorker, entry: WorkerEntry): void {
+    this.options.logger.info('worker is listed with another process', {
+      worker: entry.workerId, earlierBornAt: bornAtMilliseconds, bornAt: entry.bornAtMilliseconds
+    })
+    loop.callNow()
+  }
+
+  /** Calls a worker at its new address, or its new process; calls in flight to the former one end as failed. */
   private replaceClient (followed: FollowedWorker, entry: WorkerEntry): void {
     const { workerId, address } = entry
-    this.options.logger.info('worker has another address', { worker: workerId, from: followed.address, to: address })
+    if (address !== followed.address) {
+      this.options.logger.info('worker has another address', { worker: workerId, from: followed.address, to: address })
+    }
     followed.client.close()
     followed.client = this.options.createWorkerClient(entry)
     followed.address = address
