Log from which copy a number of waiting jobs comes, and how old it is

The instance that is asked logs its answer, the address that it asked and the time; the owner logs its counts by progress, its epoch, and the ages of its renewal and of its copy of the job table. No answer changes.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -115,11 +115,23 @@
 
   /** Counts the jobs of a queue for which no task has started. */
   countWaiting (queueName: string): number {
-    let count = 0
+    return this.countByProgress(queueName).waiting
+  }
+
+  /**
+   * Counts the jobs of a queue that are live or whose final state is not durable yet.
+   * @param queueName The queue.
+   * @returns The jobs for which no task has started, those for which one has, and those with a final state.
+   */
+  countByProgress (queueName: string): { waiting: number, started: number, ended: number } {
+    const counts = { waiting: 0, started: 0, ended: 0 }
     for (const job of this.jobs.values()) {
-      if (job.submission.queueName === queueName && !job.hasStarted && job.finalState === null) count++
+      if (job.submission.queueName !== queueName) continue
+      if (job.finalState !== null) counts.ended++
+      else if (job.hasStarted) counts.started++
+      else counts.waiting++
     }
-    return count
+    return counts
   }
 
   /**
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -240,7 +240,7 @@
         const engine = getEngine()
         return engine === null ? null : engine.jobs.getState(jobId) ?? 'unknown'
       },
-      countWaiting: queueName => getEngine()?.jobs.countWaiting(queueName) ?? null
+      countWaiting: queueName => this.dispatcher?.countWaiting(queueName) ?? null
     }
   }
 }
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -1,5 +1,6 @@
 import type { JobSpecification, JobState, JobSubmission } from '../jobs/index.js'
 import { decodeProgress } from '../jobs/index.js'
+import { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableLimits } from '../table/TableLimits.js'
@@ -73,7 +74,11 @@
   /** Monotonic time of the first failed submission since the last one that was stored. */
   private storeFailingSince: number | null = null
 
-  private constructor (private readonly options: JobGatewayOptions) {}
+  private readonly waitingCounts: BatchedLog
+
+  private constructor (private readonly options: JobGatewayOptions) {
+    this.waitingCounts = BatchedLog.create({ ...options, message: 'waiting jobs answered' })
+  }
 
   /**
    * Creates a gateway.
@@ -165,10 +170,15 @@
    * @returns The number, or null when no owner responds.
    */
   async countWaiting (queueName: string): Promise<number | null> {
-    const { isOwner, ownerApi, getOwnerAddress, peer } = this.options
-    if (isOwner()) return ownerApi.countWaiting(queueName)
-    const address = getOwnerAddress()
-    return address === null ? null : await peer.countWaiting(address, queueName)
+    const { isOwner, ownerApi, getOwnerAddress, peer, clock } = this.options
+    const since = clock.monotonicMilliseconds()
+    const isOwn = isOwner()
+    const address = isOwn ? null : getOwnerAddress()
+    let waiting = isOwn ? ownerApi.countWaiting(queueName) : null
+    if (address !== null) waiting = await peer.countWaiting(address, queueName)
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - since)
+    this.waitingCounts.add({ queue: queueName, waiting, isOwn, address, milliseconds })
+    return waiting
   }
 
   private async storeUntilSettled (
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -3,6 +3,7 @@
 } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
+import type { ElapsedTime } from '../shared/ElapsedTime.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import { RepeatBudget } from '../shared/RepeatBudget.js'
@@ -25,6 +26,7 @@
 import { RecoveryMonitor } from './RecoveryMonitor.js'
 import { ShardRowLoader } from './ShardRowLoader.js'
 import { SiteUpdater, type ChangedWorkers, type SiteState } from './SiteUpdater.js'
+import { WaitingCounter } from './WaitingCounter.js'
 import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerLeaseLoops } from './WorkerLeaseLoops.js'
 import { WorkerRegistry } from './WorkerRegistry.js'
@@ -102,7 +104,10 @@
   private readonly jobRows: JobRowReader
   private readonly siteUpdater: SiteUpdater
   private readonly rowLoader: ShardRowLoader
+  private readonly waitingCounter: WaitingCounter
   private jobFollower: TableFollower | null = null
+  /** The time since the job table was read for the load. */
+  private sinceLoadRead: ElapsedTime | null = null
   private stopped = false
   private draining = false
   private planScheduled = false
@@ -128,6 +133,9 @@
     this.waitMonitor = WaitMonitor.create({
       ...options, engine: this.engine, getStartObstacle: () => this.getStartObstacle()
     })
+    this.waitingCounter = WaitingCounter.create({
+      ...options, jobs: this.engine.jobs, epoch: options.fence.epoch, getReadAge: () => this.getJobReadAge()
+    })
     this.engine.earlierStartsEndAt = options.earlierStartsEndAt ?? -Infinity
     this.earlierStarts = EarlierStarts.create({ endAt: options.earlierStartsEndAt })
     this.rowLoader = ShardRowLoader.create(options)
@@ -242,6 +250,16 @@
     this.registry.stop()
     this.jobFollower?.stop()
     this.loops.stopAll()
+    this.waitingCounter.stop()
+  }
+
+  /**
+   * Counts the jobs of a queue that have not started yet.
+   * @param queueName The queue.
+   * @returns The number, or null before the jobs are loaded.
+   */
+  countWaiting (queueName: string): number | null {
+    return this.loaded ? this.waitingCounter.count(queueName) : null
   }
 
   /** Stores progress that is not durable yet, before the shard is released. */
@@ -269,6 +287,7 @@
     const rows = await this.rowLoader.load()
     if (rows === null || this.stopped) return false
     const { jobs, learned, unreachedReadAt } = rows
+    this.sinceLoadRead = rows.sinceJobsRead
     for (const { value } of learned) {
       this.options.errors.run('learned-row', () => this.engine.advisor.import(value as unknown as LearnedEffects))
     }
@@ -423,6 +442,10 @@
     return this.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS ? null : 'renewal-too-old'
   }
 
+  private getJobReadAge (): number {
+    return Math.min(this.jobFollower?.getReadAge() ?? Infinity, this.sinceLoadRead?.getMilliseconds() ?? Infinity)
+  }
+
   private getRenewalAge (): number {
     return this.options.getRenewalAge()
   }
--- a/src/instance/ShardRowLoader.ts
+++ b/src/instance/ShardRowLoader.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../shared/Clock.js'
+import { ElapsedTime } from '../shared/ElapsedTime.js'
 import type { Logger } from '../shared/Logger.js'
 import { getCurrentParts } from '../table/splitRecord.js'
 import type { TableFeed, TableSnapshot } from '../table/TableFeed.js'
@@ -17,6 +18,8 @@
 /** The rows of a shard as an earlier owner left them. */
 export interface ShardRows {
   jobs: TableSnapshot
+  /** The time since the first page of the job table was requested. */
+  sinceJobsRead: ElapsedTime
   progress: Row[]
   holding: Row[]
   /** The rows of what earlier owners have learned of interference, the oldest first. */
@@ -29,8 +32,8 @@
 
 /** What has been read of one table. */
 interface TableRead {
-  /** Monotonic time before the first page was requested. */
-  readonly startedAt: number
+  /** The time since the first page was requested. */
+  readonly sinceStart: ElapsedTime
   readonly progress: TableReadProgress
   snapshot: TableSnapshot | null
 }
@@ -66,10 +69,12 @@
   async load (): Promise<ShardRows | null> {
     for (const table of TABLES) if (!await this.readTable(table)) return null
     const [jobs, progress, holding, learned, unreached] = TABLES.map(table => this.reads.get(table)!.snapshot!)
-    const unreachedReadAt = this.reads.get(UNREACHED_TABLE)!.startedAt
+    const unreachedReadAt = this.reads.get(UNREACHED_TABLE)!.sinceStart.startedAt
+    const sinceJobsRead = this.reads.get(JOB_TABLE)!.sinceStart
     this.reads.clear()
     return {
       jobs,
+      sinceJobsRead,
       progress: progress.rows,
       holding: holding.rows,
       learned: [...learned.rows].sort((left, right) => left.version - right.version),
@@ -81,7 +86,7 @@
   private async readTable (table: string): Promise<boolean> {
     const { feed, clock, logger } = this.options
     const read = this.reads.get(table) ??
-      { startedAt: clock.monotonicMilliseconds(), progress: TableReadProgress.create(), snapshot: null }
+      { sinceStart: ElapsedTime.start(clock), progress: TableReadProgress.create(), snapshot: null }
     this.reads.set(table, read)
     if (read.snapshot !== null) return true
     const outcome = await feed.readTable(table, read.progress)
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../shared/Clock.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
+import { ElapsedTime } from '../shared/ElapsedTime.js'
 import type { Logger } from '../shared/Logger.js'
 import { RetryDelay } from '../shared/RetryDelay.js'
 import type { LargeTableReader } from './LargeTableReader.js'
@@ -42,7 +43,8 @@
   private stopped = false
   private version: number | null
   private lastContactAt = -Infinity
-  private readAt = -Infinity
+  /** The time since the latest call was sent whose rows were passed on. */
+  private sinceRead: ElapsedTime | null = null
   private isAvailable = true
   private readonly retryDelay: RetryDelay
   /** The read of `catchUp` in flight, if any, and the one after it, which has not been sent yet. */
@@ -77,7 +79,12 @@
    * rows that were stored later may be missing.
    */
   getReadAt (): number {
-    return this.readAt
+    return this.sinceRead?.startedAt ?? -Infinity
+  }
+
+  /** Returns the milliseconds since the time of `getReadAt`, Infinity before the first read. */
+  getReadAge (): number {
+    return this.sinceRead?.getMilliseconds() ?? Infinity
   }
 
   /** Follows the table until `stop` is called. */
@@ -129,20 +136,20 @@
 
   private async readSnapshot (): Promise<boolean> {
     const { feed, table, largeTable } = this.options
-    const sentAt = this.now()
+    const sinceSent = ElapsedTime.start(this.options.clock)
     const outcome = largeTable === undefined
       ? await feed.readTable(table)
       : await feed.readTableWithin(table, largeTable.maximumBytes)
-    return outcome.kind === 'too-large' ? await this.readLargeTable(null, sentAt) : this.applySnapshot(outcome, sentAt)
+    return outcome.kind === 'too-large' ? await this.readLargeTable(null, sinceSent) : this.applySnapshot(outcome, sinceSent)
   }
 
   private async awaitChanges (version: number, waitMilliseconds: number): Promise<boolean> {
     const { feed, table, largeTable } = this.options
-    const sentAt = this.now()
+    const sinceSent = ElapsedTime.start(this.options.clock)
     const outcome = await feed.waitForChanges(table, version, waitMilliseconds, largeTable?.maximumBytes)
     if (this.stopped) return true
     if (outcome.kind === 'unavailable') return this.recordFailure(outcome.reason)
-    if (outcome.kind === 'too-large') return await this.readLargeTable(version, sentAt)
+    if (outcome.kind === 'too-large') return await this.readLargeTable(version, sinceSent)
     this.recordContact()
     this.retryDelay.reset()
     if (outcome.kind === 'compacted') {
@@ -152,19 +159,19 @@
     }
     this.version = Math.max(version, this.version ?? version, outcome.version)
     if (outcome.changes.length > 0) this.options.onChanges(outcome.changes)
-    this.readAt = Math.max(this.readAt, sentAt)
+    this.recordRead(sinceSent)
     return true
   }
 
   /** Reads a table in another way; a too large answer is no contact before its rows have arrived. */
-  private async readLargeTable (afterVersion: number | null, sentAt: number): Promise<boolean> {
+  private async readLargeTable (afterVersion: number | null, sinceSent: ElapsedTime): Promise<boolean> {
     const { largeTable } = this.options
     if (largeTable === undefined) return this.recordFailure('too-large')
-    return this.applySnapshot(await largeTable.reader.read(afterVersion), sentAt)
+    return this.applySnapshot(await largeTable.reader.read(afterVersion), sinceSent)
   }
 
   /** Passes a snapshot on, unless newer rows were passed on meanwhile. */
-  private applySnapshot (outcome: ReadOutcome<TableSnapshot>, sentAt: number): boolean {
+  private applySnapshot (outcome: ReadOutcome<TableSnapshot>, sinceSent: ElapsedTime): boolean {
     if (this.stopped) return true
     if (outcome.kind !== 'ok') return this.recordFailure(outcome.reason)
     const snapshot = outcome.value
@@ -173,10 +180,14 @@
     if (this.version !== null && snapshot.version < this.version) return true
     this.version = snapshot.version
     this.options.onSnapshot(snapshot)
-    this.readAt = Math.max(this.readAt, sentAt)
+    this.recordRead(sinceSent)
     return true
   }
 
+  private recordRead (sinceSent: ElapsedTime): void {
+    if (sinceSent.startedAt >= this.getReadAt()) this.sinceRead = sinceSent
+  }
+
   private recordContact (): void {
     this.lastContactAt = this.now()
     if (!this.isAvailable) this.options.logger.info('table feed available again', { table: this.options.table })
