Give no number of waiting jobs from an old copy of the job table

The owner counted in its memory without a look at when the job table had last been read.

The owner now gives no number while the latest read of the job table was sent more than 4 s ago, by both clocks; the caller gets the 503 with Retry-After that it gets without an owner. No call to the store is added.

RestartJudge and earlierRenewals took a number as the sign that an owner has loaded its jobs; they now ask for the state of a job, which is null in just the cases in which the number was. The emulated site keeps the latest number of queued jobs for the processor time of its plans.

--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -167,7 +167,7 @@
   /**
    * Counts the jobs of a queue that have not started yet.
    * @param queueName The queue.
-   * @returns The number, or null when no owner responds.
+   * @returns The number, or null when no owner responds or none has read the jobs recently.
    */
   async countWaiting (queueName: string): Promise<number | null> {
     const { isOwner, ownerApi, getOwnerAddress, peer, clock } = this.options
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -46,7 +46,7 @@
   probe (address: string): Promise<ProbeOutcome>
   /** Returns the state of a job as the owner reports it. */
   getJobState (address: string, jobId: string): Promise<OwnerJobState>
-  /** Returns how many jobs of a queue have not started yet, or null when the owner did not respond. */
+  /** Returns how many jobs of a queue have not started yet, or null when the owner did not respond or cannot tell. */
   countWaiting (address: string, queueName: string): Promise<number | null>
   /** Sends a submission to the owner, which stores it. */
   storeSubmission (address: string, submission: JobSubmission): Promise<StoreOutcome>
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -256,7 +256,7 @@
   /**
    * Counts the jobs of a queue that have not started yet.
    * @param queueName The queue.
-   * @returns The number, or null before the jobs are loaded.
+   * @returns The number, or null before the jobs are loaded and while they are not read often enough.
    */
   countWaiting (queueName: string): number | null {
     return this.loaded ? this.waitingCounter.count(queueName) : null
--- a/src/instance/WaitingCounter.ts
+++ b/src/instance/WaitingCounter.ts
@@ -16,6 +16,12 @@
   getReadAge (): number
 }
 
+/**
+ * A job must be counted within 5 s of its acceptance, and a response of the feed may lack rows that were stored up to
+ * 1 s before its request.
+ */
+const READ_AGE_LIMIT_MILLISECONDS = 4000
+
 /** Counts the waiting jobs of queues for callers and peers, and logs from which copy each count comes. */
 export class WaitingCounter {
   private readonly counts: BatchedLog
@@ -36,14 +42,16 @@
   /**
    * Counts the jobs of a queue that have not started yet.
    * @param queueName The queue.
-   * @returns The number.
+   * @returns The number, or null when the copy of the job table is too old for it.
    */
-  count (queueName: string): number {
+  count (queueName: string): number | null {
     const { jobs, epoch } = this.options
+    const obstacle = this.getObstacle()
     const { waiting, started, ended } = jobs.countByProgress(queueName)
     this.counts.add({
       queue: queueName,
       waiting,
+      obstacle,
       started,
       ended,
       jobs: jobs.liveCount,
@@ -51,13 +59,18 @@
       renewalAgeMilliseconds: getLoggedAge(this.options.getRenewalAge()),
       readAgeMilliseconds: getLoggedAge(this.options.getReadAge())
     })
-    return waiting
+    return obstacle === null ? waiting : null
   }
 
   /** Logs the counts that have not been logged yet. */
   stop (): void {
     this.counts.flush()
   }
+
+  /** Returns why no count is given, null when one is. */
+  private getObstacle (): string | null {
+    return this.options.getReadAge() > READ_AGE_LIMIT_MILLISECONDS ? 'read-too-old' : null
+  }
 }
 
 function getLoggedAge (milliseconds: number): number | null {
--- a/src/instance/earlierRenewals.test.ts
+++ b/src/instance/earlierRenewals.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createRandom } from '../../stand-ins/shared/createRandom.js'
-import { EMULATED_QUEUE, EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
+import { EmulatedSite } from '../../stand-ins/platform/EmulatedSite.js'
 import { RestartJudge } from '../../stand-ins/platform/RestartJudge.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
 
@@ -132,7 +132,7 @@
       const reconnect = scenario.separateOwner()
       await scenario.waitForOwner(loadCount)
       const secondOwner = site.instances.find(other =>
-        other !== firstOwner && other.instance.ownerApi.countWaiting(EMULATED_QUEUE.name) !== null)!
+        other !== firstOwner && other.instance.ownerApi.getJobState('') !== null)!
       secondOwner.instance.stop()
       await scenario.waitForOwner(loadCount + 1)
       secondOwner.process.kill()
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -25,6 +25,7 @@
 import { gateObjects, gateTables, gateWorker } from './gateCalls.js'
 import { MemoryObjects } from './MemoryObjects.js'
 import { PathFaults } from './PathFaults.js'
+import { QueuedJobs } from './QueuedJobs.js'
 import type { LinkRoute, RegionLink } from './RegionLink.js'
 import { RunJudge } from './RunJudge.js'
 import { WorkerPaths } from './WorkerPaths.js'
@@ -153,6 +154,7 @@
   /** The time of the latest restart of each address that has been requested. */
   private readonly restartTimes = new Map<string, number>()
   private configurationVersion = 1
+  private readonly queuedJobs = QueuedJobs.create({ queueName: EMULATED_QUEUE.name })
 
   private constructor (private readonly options: EmulatedSiteOptions) {
     const { clock } = options
@@ -471,7 +473,7 @@
       counts: this.connectionCounts,
       isAlive: () => process.isAlive(),
       onStart: taskName => this.judge.recordOrder(taskName, workerId),
-      countQueuedJobs: () => this.getOwner()?.instance.ownerApi.countWaiting(EMULATED_QUEUE.name) ?? 0
+      countQueuedJobs: () => this.queuedJobs.count(this.getOwner()?.instance.ownerApi)
     })
   }
 
--- a/stand-ins/platform/RestartJudge.ts
+++ b/stand-ins/platform/RestartJudge.ts
@@ -1,5 +1,5 @@
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
-import { EMULATED_QUEUE, type EmulatedInstance, type EmulatedSite } from './EmulatedSite.js'
+import { type EmulatedInstance, type EmulatedSite } from './EmulatedSite.js'
 
 /** Options of a judge. */
 export interface RestartJudgeOptions {
@@ -153,7 +153,7 @@
     for (const instance of new Set([...this.options.site.instances, ...this.loadedAtByOwner.keys()])) {
       const { process, instance: { ownerApi } } = instance
       const isLoaded = process.isAlive() && !process.isFrozen() && ownerApi.probe().isOwner &&
-        ownerApi.countWaiting(EMULATED_QUEUE.name) !== null
+        ownerApi.getJobState('') !== null
       if (!isLoaded) {
         this.loadedAtByOwner.delete(instance)
       } else if (!this.loadedAtByOwner.has(instance)) {
