Give no number of waiting jobs after 5 s without a renewal of the ownership

A process that has been replaced and does not know it answered callers and peers with its own number of waiting jobs, in which jobs that its successor has started still wait.

The number is now given under the condition under which an owner starts tasks: a renewal within 5 s. The test of WaitingCounter fails without it (1 instead of no number at 5 s).

--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -256,7 +256,7 @@
   /**
    * Counts the jobs of a queue that have not started yet.
    * @param queueName The queue.
-   * @returns The number, or null before the jobs are loaded and while they are not read often enough.
+   * @returns The number, or null before the jobs are loaded and while they or the ownership are outdated.
    */
   countWaiting (queueName: string): number | null {
     return this.loaded ? this.waitingCounter.count(queueName) : null
--- a/src/instance/WaitingCounter.test.ts
+++ b/src/instance/WaitingCounter.test.ts
@@ -36,6 +36,13 @@
   for (ages.read of [4001, Infinity]) assert.equal(counter.count('queue'), null)
 })
 
+test('an owner that cannot renew its ownership gives no count, as another one may have started the jobs', () => {
+  const { counter, ages } = createCounter()
+  ages.renewal = 4999
+  assert.equal(counter.count('queue'), 1)
+  for (ages.renewal of [5000, Infinity]) assert.equal(counter.count('queue'), null)
+})
+
 test('counts are logged together with the owner and the ages of what they are based on', async () => {
   const { counter, ages, clock, lines } = createCounter()
   ages.renewal = 700.4
--- a/src/instance/WaitingCounter.ts
+++ b/src/instance/WaitingCounter.ts
@@ -2,6 +2,7 @@
 import { BatchedLog } from '../shared/BatchedLog.js'
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
+import { TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 
 /** Options of a counter. */
 export interface WaitingCounterOptions {
@@ -42,7 +43,7 @@
   /**
    * Counts the jobs of a queue that have not started yet.
    * @param queueName The queue.
-   * @returns The number, or null when the copy of the job table is too old for it.
+   * @returns The number, or null when the ownership or the copy of the job table is too old for it.
    */
   count (queueName: string): number | null {
     const { jobs, epoch } = this.options
@@ -69,6 +70,7 @@
 
   /** Returns why no count is given, null when one is. */
   private getObstacle (): string | null {
+    if (this.options.getRenewalAge() >= TASK_START_LIMIT_MILLISECONDS) return 'renewal-too-old'
     return this.options.getReadAge() > READ_AGE_LIMIT_MILLISECONDS ? 'read-too-old' : null
   }
 }
