Test that waiting jobs are counted until a worker begins one, with lost responses

Workers restart, 30% of the responses to orders are lost and 30% of the orders are carried out late.

--- a/src/instance/waitingCounts.test.ts
+++ b/src/instance/waitingCounts.test.ts
@@ -16,6 +16,13 @@
 const FEED_DELAY_MILLISECONDS = 1000
 const SLOW_LOAD_MILLISECONDS = 7000
 
+/** Two tasks at once fill a worker. */
+const STEP = { processorsMilli: 8000 }
+const TASK = { durationMilliseconds: 4000 }
+const LOSSY_MILLISECONDS = 30_000
+const CRASH_INTERVAL_MILLISECONDS = 3000
+const DOWN_MILLISECONDS = 300
+
 /** The answers of one process. */
 interface Answers {
   counts: number
@@ -23,17 +30,20 @@
   tooLow: string[]
 }
 
-/** A site whose jobs wait, as it has no workers, and a judge of the numbers that its instances give. */
+/** A site whose jobs wait, by default without workers, and a judge of the numbers that its instances give. */
 class Scenario {
   readonly clock = VirtualClock.create(1000)
-  readonly site = EmulatedSite.create({
-    clock: this.clock, random: createRandom(5), instanceCount: 3, workerCount: 0
-  })
-
+  readonly site: EmulatedSite
+  /** The most jobs that should have been counted at once. */
+  longestQueue = 0
   readonly answers = new Map<string, Answers>()
-  private readonly acceptedAt: number[] = []
+  private readonly acceptedAt = new Map<string, number>()
   private jobCount = 0
 
+  constructor (workerCount = 0) {
+    this.site = EmulatedSite.create({ clock: this.clock, random: createRandom(5), instanceCount: 3, workerCount })
+  }
+
   /** Waits for an owner and returns it. */
   async start (): Promise<EmulatedInstance> {
     await this.clock.advance(5000)
@@ -69,7 +79,9 @@
       return
     }
     answers.counts++
-    const expected = this.acceptedAt.filter(at => at < askedAt - VISIBLE_MILLISECONDS).length
+    const expected = [...this.acceptedAt].filter(([jobId, at]) =>
+      at < askedAt - VISIBLE_MILLISECONDS && !this.site.judge.lastRunWorkerIds.has(`${jobId}.0.0.0`)).length
+    this.longestQueue = Math.max(this.longestQueue, expected)
     if (waiting * 2 < expected) answers.tooLow.push(`${waiting} of ${expected} at ${askedAt}`)
   }
 
@@ -82,8 +94,9 @@
   }
 
   private async submit (acceptor: EmulatedInstance): Promise<void> {
-    const outcome = await this.site.submit(`job${this.jobCount++}`, [{}], {}, acceptor)
-    if (outcome.kind === 'accepted') this.acceptedAt.push(this.clock.monotonicMilliseconds())
+    const jobId = `job${this.jobCount++}`
+    const outcome = await this.site.submit(jobId, [STEP], TASK, acceptor)
+    if (outcome.kind === 'accepted') this.acceptedAt.set(jobId, this.clock.monotonicMilliseconds())
   }
 
   private async ask (instance: EmulatedInstance): Promise<void> {
@@ -191,3 +204,21 @@
   assert.deepEqual(scenario.getTooLow(), [])
   assert.ok(scenario.countAnswers() > 0)
 })
+
+test('no job counts as started before a worker has begun a task of it, while workers restart and responses are lost', async () => {
+  const scenario = new Scenario(3)
+  await scenario.start()
+  const { clock, site } = scenario
+  const workers = [...site.workers]
+  for (const [, { faults }] of workers) Object.assign(faults, { lostAnswerShare: 0.3, lateShare: 0.3 })
+  for (let elapsed = 0; elapsed < LOSSY_MILLISECONDS; elapsed += CRASH_INTERVAL_MILLISECONDS) {
+    const [workerId] = workers[(elapsed / CRASH_INTERVAL_MILLISECONDS) % workers.length]
+    site.crashWorker(workerId)
+    clock.setTimer(DOWN_MILLISECONDS, () => site.restartWorker(workerId))
+    await scenario.advance(CRASH_INTERVAL_MILLISECONDS, site.instances, site.instances)
+  }
+  for (const worker of site.workers.values()) worker.shutDown()
+  assert.deepEqual(scenario.getTooLow(), [])
+  assert.ok(scenario.longestQueue >= 10, `${scenario.longestQueue} jobs wait`)
+  assert.ok(scenario.countAnswers() > 0)
+})
