Restore from stored progress that a job has started

After a takeover, callers got jobs in the number of waiting ones of which tasks had been done or had failed, and 'pending' for a job that had been 'running' before.

The stored progress was applied to the tasks and not to the job. Done and failed tasks, checkpoints and complete occurrences now mark it as started; an assignment does not, because it is stored before the start. Four of the five new tests fail on the code before.

--- a/src/dispatch/storedOccurrences.test.ts
+++ b/src/dispatch/storedOccurrences.test.ts
@@ -61,3 +61,21 @@
   successor.jobs.add({ submission, progress, recovered: false }, 0)
   for (const { name } of tasks) assert.equal(successor.jobs.findTask(name, 0), undefined, name)
 })
+
+for (const [name, progress] of Object.entries<JsonValue>({
+  'a done task': { done: { '0.0': [0] } },
+  'a failed run': { failures: { '0.0.0': [1] } },
+  'a checkpoint': { checkpoints: { '0.0.0': 'half' } },
+  'a complete occurrence': { finished: [0] }
+})) {
+  test(`a job with ${name} in its stored progress does not wait for its first start after a takeover`, () => {
+    const { jobs } = createOwner(2, progress, true)
+    assert.equal(jobs.countWaiting('queue'), 0)
+    assert.equal(jobs.getState('job'), 'running')
+  })
+}
+
+test('a job of which only an assignment is stored waits for its first start after a takeover', () => {
+  const { jobs } = createOwner(2, { assigned: { '0.0.0': 'worker-0' } }, true)
+  assert.equal(jobs.countWaiting('queue'), 1)
+})
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -234,6 +234,7 @@
     if (key !== job.submission.jobId) job.furtherProgressKeys.add(key)
     if (row.state !== undefined) job.finalState = row.state
     if (row.assigned === 'unknown') job.hasStoredAssignments = false
+    if (hasStartedTask(row)) job.hasStarted = true
     const segment = getProgressSegment(job, segmentIndex)
     segment.isStored = true
     for (const number of row.finished ?? []) {
@@ -250,6 +251,11 @@
   return moved
 }
 
+/** Returns whether a row shows that a task has run; an assignment is stored before the start. */
+function hasStartedTask ({ finished = [], done = {}, failures = {}, checkpoints = {} }: JobProgressRow): boolean {
+  return finished.length > 0 || hasEntries(done) || hasEntries(failures) || hasEntries(checkpoints)
+}
+
 /** Applies one row to the tasks of a job and returns the indexes of the segments of these tasks. */
 function restoreRow (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): Set<number> {
   const segmentIndexes = new Set<number>()
