End a transfer over the emulated link when its caller is gone

Cause: a caller that has read all bytes so far closes its socket without a reset. The link took that for the end of one direction. When the caller then refused bytes, the link destroyed its socket and left that of the target open, read all the rest and dropped it; behind a second link, the rest used the rate of the first. Over TCP, refused bytes end the connection.

Change: a socket that is closed by an error closes the other one.

--- a/stand-ins/platform/SharedLink.test.ts
+++ b/stand-ins/platform/SharedLink.test.ts
@@ -11,11 +11,12 @@
 /** Time by which timers and the handling of events may be late. */
 const TOLERANCE_MILLISECONDS = 150
 const WINDOW_BYTES = 65_536
+const LONG_TRANSFER_BYTES = 8_000_000
 
 interface Fixture {
   link: SharedLink
-  /** Opens a connection over the link to a target of its own, and returns its two ends. */
-  open (): Promise<{ caller: Socket, target: Socket }>
+  /** Opens a connection over the link, and over another one before it, to a target of its own; returns its two ends. */
+  open (before?: SharedLink): Promise<{ caller: Socket, target: Socket }>
 }
 
 async function createFixture (context: TestContext, bitsPerSecond: number): Promise<Fixture> {
@@ -25,13 +26,14 @@
     link.close()
     for (const socket of sockets) socket.destroy()
   })
-  const open = async () => {
-    const [port, targetPort] = await findFreePorts(2)
+  const open = async (before?: SharedLink) => {
+    const [port, targetPort, portBefore] = await findFreePorts(3)
     const server = createServer()
     server.listen(targetPort, HOST)
     await once(server, 'listening')
     await link.listen(port, targetPort)
-    const caller = connect(port, HOST)
+    await before?.listen(portBefore, port)
+    const caller = connect(before === undefined ? port : portBefore, HOST)
     const [target] = await once(server, 'connection') as [Socket]
     server.close()
     for (const socket of [caller, target]) {
@@ -43,6 +45,10 @@
   return { link, open }
 }
 
+function sleep (milliseconds: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, milliseconds) })
+}
+
 /** Reads until a number of bytes or the end, and returns the time that it took and the bytes. */
 async function receive (socket: Socket, byteCount: number): Promise<{ milliseconds: number, bytes: Buffer }> {
   const startedAt = performance.now()
@@ -127,6 +133,25 @@
   assert.equal(link.toCallers.queuedMilliseconds, 0)
 })
 
+test('a caller that is gone ends the transfer of the target, also through two links', async context => {
+  const outer = await createFixture(context, 42 * MEGABIT)
+  const inner = SharedLink.create({ host: HOST, bitsPerSecond: 7 * MEGABIT, delayMilliseconds: 0 })
+  context.after(() => inner.close())
+  for (const reads of [false, true]) {
+    const { caller, target } = await outer.open(inner)
+    target.write(Buffer.alloc(LONG_TRANSFER_BYTES))
+    // Bytes that were not read when a connection closes reset it; otherwise it ends as if the caller had only sent all.
+    if (reads) await receive(caller, 1)
+    else await once(caller, 'readable')
+    caller.destroy()
+    await sleep(2 * DELAY_MILLISECONDS + TOLERANCE_MILLISECONDS)
+    const carriedBytes = outer.link.toCallers.carriedBytes
+    await sleep(TOLERANCE_MILLISECONDS)
+    assert.equal(outer.link.toCallers.carriedBytes, carriedBytes, `caller that ${reads ? 'has' : 'has not'} read`)
+    assert.ok(target.destroyed, `caller that ${reads ? 'has' : 'has not'} read`)
+  }
+})
+
 test('a target that is gone closes the connection of the caller', async context => {
   const { open } = await createFixture(context, 80 * MEGABIT)
   const { caller, target } = await open()
--- a/stand-ins/platform/SharedLink.ts
+++ b/stand-ins/platform/SharedLink.ts
@@ -69,10 +69,11 @@
       this.sockets.add(socket)
       socket.setNoDelay(true)
       socket.on('error', () => socket.destroy())
-      socket.on('close', () => {
+      socket.on('close', hadError => {
         this.sockets.delete(socket)
-        // After a regular end, the other socket ends once the bytes in the link have arrived.
-        if (!socket.readableEnded) other.destroy()
+        // After a regular end, the other socket ends once the bytes in the link have arrived. A peer that closed its
+        // socket seems to have ended one direction only, until it refuses bytes, which is an error.
+        if (hadError || !socket.readableEnded) other.destroy()
       })
     }
     SharedLinkStream.start({ from: callerSocket, to: targetSocket, direction: this.toTargets, windowBytes })
