--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -218,7 +218,7 @@
   applyReport (worker: WorkerRecord, report: WorkerReport, sentAt: number, now: number): void {
     const { entry } = worker
     if (report.bornAtMilliseconds !== entry.bornAtMilliseconds && report.bornAtMilliseconds > 0) {
-      if (entry.bornAtMilliseconds > 0) this.handleWorkerRestart(worker, now)
+      if (entry.bornAtMilliseconds > 0) this.handleWorkerRestart(worker, report.bornAtMilliseconds, now)
       worker.entry = { ...entry, bornAtMilliseconds: report.bornAtMilliseconds }
     }
     const isFirstReport = worker.clockReading === null
@@ -467,11 +467,13 @@
     this.stopper.stopJob(job)
   }
 
-  private handleWorkerRestart (worker: WorkerRecord, now: number): void {
+  private handleWorkerRestart (worker: WorkerRecord, bornAtMilliseconds: number, now: number): void {
+    const runCount = worker.runs.size
     endEarlierIncarnation(worker, {
       stop: run => this.orders.stop(worker, run),
       markRunLost: run => this.markRunLost(worker, run, 'worker-restarted', now)
     })
+    this.observer.onWorkerRestarted(worker, bornAtMilliseconds, runCount - worker.runs.size)
     this.dirty = true
   }
 
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -16,6 +16,8 @@
 export interface DispatchObserver {
   /** Is called when a run is considered over without a completion; its task may start again. */
   onRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void
+  /** Is called when a worker has reported from another process; its runs are lost, or starts that are not settled yet. */
+  onWorkerRestarted (worker: WorkerRecord, bornAtMilliseconds: number, lostRunCount: number): void
   /** Is called when a reported completion has no effect. */
   onCompletionIgnored (worker: WorkerRecord, ended: ListedCompletion, reason: IgnoredCompletionReason): void
   /** Is called when a best-effort run is stopped so that a long-running task, which has waited, gets its room. */
@@ -27,6 +29,7 @@
 /** An observer that does nothing. */
 export const silentDispatchObserver: DispatchObserver = {
   onRunLost: () => {},
+  onWorkerRestarted: () => {},
   onCompletionIgnored: () => {},
   onRunStoppedForRestart: () => {},
   onReconciled: () => {}
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -22,6 +22,13 @@
         reportAgeMilliseconds: Number.isFinite(worker.reportedAt) ? Math.round(now - worker.reportedAt) : null
       })
     },
+    onWorkerRestarted: (worker, bornAtMilliseconds, lostRunCount) => logger.info('worker reports from another process', {
+      worker: worker.entry.workerId,
+      earlierBornAt: worker.entry.bornAtMilliseconds,
+      bornAt: bornAtMilliseconds,
+      lostRuns: lostRunCount,
+      unsettledStarts: worker.runs.size
+    }),
     onCompletionIgnored: (worker, ended, reason) => {
       metrics.ignoredEndedRuns.inc({ reason })
       // Not logged, because workers report the ended runs of finished jobs again to each new owner.
