Settle what another process of a worker changes outside of its reports

- A list of live machines from before a process reported ended the runs of that process.
- A report to a call from before the proof that the process had ended brought its runs back.
- A listed start time later than that of the reporting process, as after a clock step, raised a token per call.
- The response to a call that was given up counted as a late one, and its error was not confined.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -93,6 +93,7 @@
   const events: string[] = []
   const observer: DispatchObserver = {
     onRunLost: (worker, run, cause) => events.push(`${worker.entry.workerId} ${run.task.name}#${run.attempt} ${cause}`),
+    onWorkerRestarted: worker => events.push(`${worker.entry.workerId} restarted`),
     onCompletionIgnored: (worker, ended, reason) => events.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`),
     onRunStoppedForRestart: () => {},
     onReconciled: () => {}
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -31,8 +31,8 @@
 import { applyStartOutcome } from './applyStartOutcome.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, LATE_CALL_LIMIT_MILLISECONDS, recordFailure, removeRun,
-  updateClockReading, type WorkerEntry, type WorkerRecord
+  addRun, createWorkerRecord, getEarliestWorkerTime, isLeaseExpired, isListedAnew, isOverWithLease,
+  LATE_CALL_LIMIT_MILLISECONDS, recordFailure, removeRun, updateClockReading, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** Options of a dispatch engine. */
@@ -143,11 +143,7 @@
       return worker
     }
     // A new incarnation counts only once the worker itself reports it, together with its runs.
-    if (entry.bornAtMilliseconds > existing.entry.bornAtMilliseconds) {
-      this.markUnreachable(existing, null)
-      existing.mayHaveRestarted = true
-      existing.hasProcessEnded = true
-    }
+    if (isListedAnew(existing, entry)) this.markReplaced(existing)
     existing.changeCount++
     existing.entry = { ...entry, bornAtMilliseconds: existing.entry.bornAtMilliseconds }
     existing.listed = true
@@ -279,6 +275,7 @@
   applyStartOutcome (worker: WorkerRecord, run: RunRecord, outcome: OrderOutcome, now: number): void {
     if (outcome.kind === 'accepted') this.acceptedStarts.add()
     else this.dirty = true
+    if (outcome.kind === 'accepted') this.noticeReplacedProcess(worker, run, outcome.workerMilliseconds, now)
     if (!run.task.runs.includes(run)) return
     applyStartOutcome(worker, run, outcome, {
       now,
@@ -373,6 +370,26 @@
     }
   }
 
+  private markReplaced (worker: WorkerRecord): void {
+    this.markUnreachable(worker, null)
+    worker.mayHaveRestarted = true
+    worker.hasProcessEnded = true
+  }
+
+  /**
+   * Handles an accepted start whose response has a reading from before its send: the clock of the worker has started
+   * anew, so another process has accepted the start and grants leases by its own clock.
+   */
+  private noticeReplacedProcess (
+    worker: WorkerRecord, run: RunRecord, workerMilliseconds: number | null, now: number
+  ): void {
+    const earliestTime = getEarliestWorkerTime(worker, run.sentAt)
+    if (workerMilliseconds === null || earliestTime === null || workerMilliseconds >= earliestTime) return
+    this.markReplaced(worker)
+    worker.clockReading = { workerMilliseconds, receivedAt: now }
+    worker.leaseDeadline = workerMilliseconds + this.leaseMilliseconds + LATE_CALL_LIMIT_MILLISECONDS
+  }
+
   /**
    * Updates what a report shows of calls of earlier owners, or to earlier incarnations: the worker executes none of
    * them after one with a higher token. Before that, each may start a run, or renew the lease for the longest time.
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -16,7 +16,7 @@
 export interface DispatchObserver {
   /** Is called when a run is considered over without a completion; its task may start again. */
   onRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void
-  /** Is called when a worker has reported from another process; its runs are lost, or starts that are not settled yet. */
+  /** Is called when a worker has reported from another process, in which none of its earlier runs is left. */
   onWorkerRestarted (worker: WorkerRecord, bornAtMilliseconds: number, lostRunCount: number): void
   /** Is called when a reported completion has no effect. */
   onCompletionIgnored (worker: WorkerRecord, ended: ListedCompletion, reason: IgnoredCompletionReason): void
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -81,6 +81,8 @@
   exitConfirmedAt: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
   failureTimes: [number, number]
+  /** Identifies the incarnation before the one that reported last, which the list may still name; 0 for none. */
+  endedBornAtMilliseconds: number
   /** Whether the process that reported last is known to have ended, so that its clock says nothing of the next one. */
   hasProcessEnded: boolean
   /**
@@ -163,6 +165,7 @@
     reportAwaitedUntil: -Infinity,
     exitConfirmedAt: -Infinity,
     failureTimes: [-Infinity, -Infinity],
+    endedBornAtMilliseconds: 0,
     hasProcessEnded: false,
     mayHaveRestarted: false,
     tokenRaiseCount: 0,
@@ -179,6 +182,17 @@
   }
 }
 
+/**
+ * Returns whether a worker is listed with a later incarnation than the one that reported last.
+ * @param worker The worker.
+ * @param listed The entry in the platform's list.
+ * @returns Whether the process that reported has ended.
+ */
+export function isListedAnew ({ entry, endedBornAtMilliseconds }: WorkerRecord, listed: WorkerEntry): boolean {
+  // The clock of a machine may be set back, so that the ended incarnation has the later time.
+  return listed.bornAtMilliseconds > entry.bornAtMilliseconds && listed.bornAtMilliseconds !== endedBornAtMilliseconds
+}
+
 /**
  * Clears the state that belongs to the earlier incarnation of a worker.
  * @param worker The worker, whose runs are left unchanged.
--- a/src/dispatch/endEarlierIncarnation.ts
+++ b/src/dispatch/endEarlierIncarnation.ts
@@ -27,5 +27,6 @@
     }
   }
   clearProcessState(worker)
+  worker.endedBornAtMilliseconds = worker.entry.bornAtMilliseconds
   worker.mayHaveRestarted = true
 }
--- a/src/dispatch/fenceUncertainStarts.ts
+++ b/src/dispatch/fenceUncertainStarts.ts
@@ -1,6 +1,6 @@
 import type { RunRecord } from '../jobs/index.js'
 import type { OrderOutcome } from './WorkerProtocol.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { hasSlowPath, type WorkerRecord } from './WorkerRecord.js'
 
 /** The distance between the epochs of two owners, so that an owner may raise its fencing token this often less one. */
 export const EPOCH_STEP = 4096
@@ -31,7 +31,7 @@
   const unsettled = [...worker.runs.values()].filter(run => isUnsettledStart(run) && run.sentAt >= worker.tokenRaisedAt)
   const isOverdue = worker.syncState === 'synchronized' &&
     unsettled.some(run => now - run.sentAt >= UNSETTLED_START_LIMIT_MILLISECONDS)
-  if (!isOverdue && !worker.mayHaveRestarted) return []
+  if (!isOverdue && !(worker.mayHaveRestarted && mayBeReplaced(worker, now))) return []
   worker.mayHaveRestarted = false
   if (worker.tokenRaiseCount >= EPOCH_STEP - 1) return []
   worker.tokenRaiseCount++
@@ -39,6 +39,14 @@
   return unsettled.filter(run => run.sentAt < now)
 }
 
+/**
+ * Returns whether a worker whose calls have failed may have another process. Over a slow path the responses of the same
+ * process arrive late, and stops on other connections would arrive after calls with a higher token.
+ */
+function mayBeReplaced (worker: WorkerRecord, now: number): boolean {
+  return worker.hasProcessEnded || worker.syncState === 'unknown' || !hasSlowPath(worker, now)
+}
+
 /**
  * Marks the starts without a response as known to the worker that it refuses since it has seen a higher token, so that
  * they are over unless its report lists them.
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -392,13 +392,16 @@
   private async checkUnresponsiveWorkers (): Promise<void> {
     const unresponsiveWorkers = this.engine.getUnresponsiveWorkers()
     if (unresponsiveWorkers.length === 0) return
-    this.nextLivenessCheckAt = this.now() + LONGEST_LIVENESS_CHECK_MILLISECONDS
+    const askedAt = this.now()
+    this.nextLivenessCheckAt = askedAt + LONGEST_LIVENESS_CHECK_MILLISECONDS
     const living = await this.options.livenessSource.listLiveWorkers()
     this.nextLivenessCheckAt = this.now() + LIVENESS_CHECK_MILLISECONDS
     if (this.stopped || living.kind !== 'ok') return
     for (const worker of unresponsiveWorkers) {
       const { workerId } = worker.entry
       if (living.value.has(workerId) || worker.syncState === 'synchronized') continue
+      // The list may be from before the process started that has reported since.
+      if (worker.reportedAt >= askedAt) continue
       this.options.logger.info('worker process has ended', { worker: workerId, runs: worker.runs.size })
       this.options.metrics.endedWorkers.inc()
       this.engine.confirmWorkerExited(worker, this.now())
--- a/src/instance/SiteUpdater.ts
+++ b/src/instance/SiteUpdater.ts
@@ -1,4 +1,4 @@
-import type { DispatchEngine, WorkerEntry, WorkerRecord } from '../dispatch/index.js'
+import { isListedAnew, type DispatchEngine, type WorkerEntry, type WorkerRecord } from '../dispatch/index.js'
 import { findRunsToDrain } from '../dispatch/findRunsToMove.js'
 import type { SiteConfiguration } from './SiteConfiguration.js'
 
@@ -72,8 +72,7 @@
     const entry = site.getWorkers().get(workerId)
     const worker = engine.workers.get(workerId)
     if (entry === undefined || worker === undefined) return false
-    const isNewer = entry.bornAtMilliseconds > worker.entry.bornAtMilliseconds &&
-      (worker.syncState === 'synchronized' || !worker.hasProcessEnded)
+    const isNewer = isListedAnew(worker, entry) && (worker.syncState === 'synchronized' || !worker.hasProcessEnded)
     const hasRunsToDrain = entry.state === 'draining' && findRunsToDrain(worker).length > 0
     if (isNewer || hasRunsToDrain) this.apply(workerId)
     return isNewer || hasRunsToDrain
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -116,7 +116,7 @@
   }
 
   private async callWorker (): Promise<void> {
-    const { worker, engine, client, clock, leaseMilliseconds } = this.options
+    const { worker, engine, client, clock, leaseMilliseconds, errors } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const workerTime = getEarliestWorkerTime(worker, sentAt)
     // Calls may still reach an unresponsive worker: renewing its lease blindly would keep the lease from expiring.
@@ -146,13 +146,16 @@
       // Calls to a worker whose process has ended fail at once, and are not made more often.
       repeatsFailures: !this.lastCallFailed,
       mayRepeat: () => !isAbandoned && this.mayRepeat(),
-      onLateOutcome: late => this.receiveLateOutcome(late, token)
+      onLateOutcome: late => { errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token)) }
     })
     const renewal = await Promise.race([sending, this.waitForInterrupt()])
     if (this.stopped) return
     if (renewal === 'interrupted') {
       isAbandoned = true
-      sending.then(({ outcome, sentAt }) => this.receiveLateOutcome({ outcome, sentAt, hasTimedOut: true }, token))
+      errors.runAsync('late-report', async () => {
+        const { outcome, sentAt } = await sending
+        await this.handleLateOutcome({ outcome, sentAt, hasTimedOut: false }, token)
+      })
       this.recordOutcome(REPLACED_PROCESS, clock.monotonicMilliseconds() - sentAt)
       return engine.markUnreachable(worker, null)
     }
@@ -245,10 +248,6 @@
     return new Promise(resolve => { this.interrupt = () => resolve('interrupted') })
   }
 
-  private receiveLateOutcome (late: LateOutcome, token: number): void {
-    this.options.errors.runAsync('late-report', async () => await this.handleLateOutcome(late, token))
-  }
-
   /** Applies a response that arrives after the outcome of its renewal, which may list the ends of runs. */
   private async handleLateOutcome ({ outcome, sentAt, hasTimedOut }: LateOutcome, token: number): Promise<void> {
     const { worker, engine, clock, logger, metrics } = this.options
@@ -290,7 +289,7 @@
   private async applyReport (report: WorkerReport, sentAt: number): Promise<boolean> {
     const { worker, engine, clock } = this.options
     await this.options.prepareReport(worker)
-    if (this.stopped || sentAt <= worker.reportedAt) return false
+    if (this.stopped || sentAt <= worker.reportedAt || sentAt < worker.exitConfirmedAt) return false
     const lastAppliedBefore = worker.appliedCompletion
     engine.applyReport(worker, report, sentAt, clock.monotonicMilliseconds())
     this.logEndedRuns(report, lastAppliedBefore)
--- a/src/instance/siteSearch.test.ts
+++ b/src/instance/siteSearch.test.ts
@@ -141,8 +141,8 @@
 })
 
 test('a search plays all kinds of jobs and of faults', () => {
-  const schedules = Array.from({ length: PLAY_COUNT }, (_, index) =>
-    addRestartFaults(addSiteWideFaults(createSearchSchedule(getTestSeed() + index))))
+  const schedules = Array.from({ length: PLAY_COUNT }, (_, index) => createSearchSchedule(getTestSeed() + index))
+    .flatMap(schedule => [addSiteWideFaults(schedule), addRestartFaults(schedule)])
   const jobKinds = new Set(schedules.flatMap(({ jobs }) => jobs.map(({ kind }) => kind)))
   const faultKinds = new Set(schedules.flatMap(({ faults }) => faults.map(({ kind }) => kind)))
   assert.deepEqual([...jobKinds].sort(), [...SEARCH_JOB_KINDS].sort())
--- a/stand-ins/platform/createLeaseLoop.ts
+++ b/stand-ins/platform/createLeaseLoop.ts
@@ -1,6 +1,7 @@
 import type { DispatchEngine, WorkerClient, WorkerRecord } from '../../src/dispatch/index.js'
 import { WorkerLeaseLoop } from '../../src/instance/WorkerLeaseLoop.js'
 import { BatchedLog } from '../../src/shared/BatchedLog.js'
+import type { ErrorBoundary } from '../../src/shared/ErrorBoundary.js'
 import { silentLogger } from '../../src/shared/Logger.js'
 import type { RepeatBudget } from '../../src/shared/RepeatBudget.js'
 import type { VirtualClock } from '../../src/shared/VirtualClock.js'
@@ -15,6 +16,8 @@
   client: WorkerClient
   /** Limits the repeats of calls without a response; by default, nothing does. */
   repeats?: Pick<RepeatBudget, 'tryWithdraw'>
+  /** Confines unexpected errors; by default, they fail the test. */
+  errors?: ErrorBoundary
   /** Called when the worker has a newer owner; does nothing by default. */
   onFenced? (): void
 }
@@ -35,7 +38,7 @@
     leaseMilliseconds: 6000,
     logger: silentLogger,
     endedRuns: BatchedLog.create({ clock, logger: silentLogger, message: 'ended runs applied' }),
-    errors: createTestErrors(clock),
+    errors: options.errors ?? createTestErrors(clock),
     metrics: createTestMetrics(true),
     mayRenewLeases: () => true,
     prepareReport: async () => {},
