--- /dev/null
+++ b/src/accounts/index.ts
@@ -0,0 +1,1 @@
+export * from './ClientAccount.js'
--- a/src/instance/SiteConfiguration.ts
+++ b/src/instance/SiteConfiguration.ts
@@ -1,3 +1,4 @@
+import type { ClientAccount } from '../accounts/index.js'
 import { QueueIndex } from './QueueIndex.js'
 
 /** A queue of jobs, as operators configure it. */
@@ -11,6 +12,8 @@
   stretch: number
   targetLatencyMilliseconds: number
   timeoutMilliseconds: number
+  /** Whether callers need no key; by default they do on a site with client accounts. */
+  isPublic?: boolean
 }
 
 /** The configuration of a site, which operators write. */
@@ -18,6 +21,8 @@
   version: number
   queues: QueueConfiguration[]
   maximumBodyBytes: number
+  /** The client accounts; absent or null for a configuration that names none. */
+  accounts?: ClientAccount[] | null
 }
 
 /** The index of each configuration that has been searched. */
--- a/src/jobs/JobSpecification.ts
+++ b/src/jobs/JobSpecification.ts
@@ -57,6 +57,8 @@
 export interface JobSubmission {
   jobId: string
   queueName: string
+  /** The client account of the job; absent on a site without accounts and for a call without a key. */
+  accountName?: string
   serviceName: string
   /** 0 is the highest priority. */
   priority: number
