Check the keys of callers at the caller port

A call needs a key of a client account unless its queue is public. A copy of a large operators' table has no known age, because it may lack earlier changes.

The account is stored with the job. A call with the key of another account gets 403 for its state, its cancellation and a repeat of its submission. Sites without accounts send and store the same as before.

--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -28,11 +28,19 @@
   hasStoredAssignments?: boolean
 }
 
+/** A job that has ended. */
+interface FinishedJob {
+  state: FinalJobState
+  /** The monotonic time since which the state is durable. */
+  since: number
+  accountName: string | undefined
+}
+
 /** The jobs of one shard and the states that are reported to their submitters. */
 export class JobTable {
   readonly waitingRestarts = WaitingRestarts.create()
   private readonly jobs = new Map<string, JobRecord>()
-  private readonly finalStates = new Map<string, { state: FinalJobState, since: number }>()
+  private readonly finalStates = new Map<string, FinishedJob>()
   /** The segments with progress that is not durable yet, those first that changed first. */
   private changed = new Set<ProgressSegment>()
 
@@ -62,7 +70,9 @@
     if (this.jobs.has(submission.jobId) || this.finalStates.has(submission.jobId)) return
     const job = createJobRecord({ ...added, now })
     const moved = restoreProgress(job, added.progress, this.firstAttempt, now)
-    if (job.finalState !== null) return this.setFinalState(submission.jobId, job.finalState, now)
+    if (job.finalState !== null) {
+      return this.setFinalState(submission.jobId, job.finalState, now, submission.accountName)
+    }
     this.jobs.set(submission.jobId, job)
     for (const segment of moved) this.markChanged(segment)
     this.completeRestored(job)
@@ -70,8 +80,8 @@
   }
 
   /** Keeps a durable final state for queries. */
-  setFinalState (jobId: string, state: FinalJobState, now: number): void {
-    this.finalStates.set(jobId, { state, since: now })
+  setFinalState (jobId: string, state: FinalJobState, now: number, accountName?: string): void {
+    this.finalStates.set(jobId, { state, since: now, accountName })
   }
 
   /** Returns a job that is live or whose final state is not durable yet. */
@@ -113,6 +123,15 @@
     return job.hasStarted ? 'running' : 'pending'
   }
 
+  /**
+   * Returns the client account of a job.
+   * @param jobId The job.
+   * @returns The name, or undefined when the job has none or is unknown.
+   */
+  getAccountName (jobId: string): string | undefined {
+    return this.jobs.get(jobId)?.submission.accountName ?? this.finalStates.get(jobId)?.accountName
+  }
+
   /**
    * Counts the jobs of a queue that are live or whose final state is not durable yet.
    * @param queueName The queue.
@@ -243,7 +262,7 @@
       if (state === null) continue
       this.jobs.delete(job.submission.jobId)
       this.changed.delete(getProgressSegment(job, 0))
-      this.setFinalState(job.submission.jobId, state, now)
+      this.setFinalState(job.submission.jobId, state, now, job.submission.accountName)
     }
   }
 
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,4 +1,5 @@
 import type { Registry } from 'prom-client'
+import { isForeignAccount } from '../accounts/index.js'
 import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
@@ -41,6 +42,8 @@
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
   resources: InstanceResources
+  /** How long a removed key of a caller may be accepted; Infinity, the default, for no limit. */
+  keyRemovalMilliseconds?: number
   createWorkerClient (entry: WorkerEntry): WorkerClient
   random (): number
 }
@@ -53,6 +56,8 @@
 const OWNER_WRITE_REPEATS_PER_SECOND = 40
 /** The repeats of the writes of callers and peers. */
 const CALLER_WRITE_REPEATS_PER_SECOND = 20
+/** The wait of a read of the configuration, so that one lost call leaves time for the next within the limit. */
+const KEY_REMOVAL_WAIT_SHARE = 0.2
 /** Worker clocks may be 2% slow; the remaining 3% covers the network delay of the last renewal. */
 const LEASE_MARGIN_SHARE = 0.05
 
@@ -62,7 +67,7 @@
   readonly ownerApi: OwnerApi
   /** Confines unexpected errors, and counts them in the metrics of this instance. */
   readonly errors: ErrorBoundary
-  private readonly metrics: InstanceMetrics
+  readonly metrics: InstanceMetrics
   /** Repeats the owner's writes. */
   private readonly ownerRepeater: TransactionRepeater
   private readonly election: OwnerElection
@@ -95,6 +100,7 @@
       resourceDelayMilliseconds: getPublishingDelay(options.resources),
       isPublisher: () => this.election.isOwner(),
       random: options.random,
+      longestOperatorWaitMilliseconds: (options.keyRemovalMilliseconds ?? Infinity) * KEY_REMOVAL_WAIT_SHARE,
       onChange: changed => this.updateDispatcher(changed)
     })
     this.ownerRepeater = this.createRepeater(OWNER_WRITE_REPEATS_PER_SECOND)
@@ -151,6 +157,11 @@
     return this.site.getConfiguration()
   }
 
+  /** Returns the age of the configuration, see `SiteWatch.getReadAge`. */
+  getConfigurationAge (): number {
+    return this.site.getReadAge()
+  }
+
   /** Returns whether callers can be served: the configuration is recent and the process is not stopping. */
   isReady (): boolean {
     const age = this.options.clock.monotonicMilliseconds() - this.site.getLastContactAt()
@@ -235,10 +246,13 @@
         return { isOwner: this.election.isOwner(), renewalAge }
       },
       storeSubmission: submission => this.gateway.storeSubmission(submission),
-      storeCancellation: jobId => this.gateway.storeCancellation(jobId),
-      getJobState: jobId => {
+      storeCancellation: (jobId, accountName) => this.gateway.storeCancellation(jobId, accountName),
+      getJobState: (jobId, accountName = null) => {
         const engine = getEngine()
-        return engine === null ? null : engine.jobs.getState(jobId) ?? 'unknown'
+        if (engine === null) return null
+        const state = engine.jobs.getState(jobId)
+        if (state === null) return 'unknown'
+        return isForeignAccount(accountName, engine.jobs.getAccountName(jobId)) ? 'foreign' : state
       },
       countWaiting: queueName => this.dispatcher?.countWaiting(queueName) ?? null
     }
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -10,6 +10,7 @@
 /** The counters and histograms that an instance updates. */
 export interface InstanceMetrics {
   submissions: Counter<'outcome'>
+  refusedCalls: Counter<'reason'>
   submissionSeconds: Histogram
   starts: Counter<'outcome'>
   startSeconds: Histogram
@@ -68,6 +69,12 @@
       labelNames: ['outcome'],
       registers
     }),
+    refusedCalls: new Counter({
+      name: 'papayamoor_instance_refused_calls_total',
+      help: 'Calls of callers that were refused because of their keys, by reason.',
+      labelNames: ['reason'],
+      registers
+    }),
     submissionSeconds: new Histogram({
       name: 'papayamoor_instance_submission_seconds',
       help: 'Time from a submission to its answer.',
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -1,3 +1,4 @@
+import { isForeignAccount } from '../accounts/index.js'
 import type { JobSpecification, JobState, JobSubmission } from '../jobs/index.js'
 import { decodeProgress } from '../jobs/index.js'
 import { BatchedLog } from '../shared/BatchedLog.js'
@@ -7,7 +8,7 @@
 import type { TableService, Transaction, TransactionOutcome } from '../table/TableService.js'
 import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
-import { getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import { getAccountName, getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
 import type { OwnerApi, OwnerJobState, OwnerPeer, StoreOutcome } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
 import { createSubmissionOperations } from './submissionRows.js'
@@ -16,6 +17,8 @@
 export type SubmitOutcome =
   /** The job is stored, by this request or by an earlier copy of it. */
   | { kind: 'accepted' }
+  /** A job with this identifier belongs to another client account. */
+  | { kind: 'foreign' }
   /** The job is certainly not stored and will not run unless it is submitted again. */
   | { kind: 'rejected', retryAfterSeconds: number }
   /** The job may or may not be stored; submitting it again is safe. */
@@ -25,10 +28,12 @@
 export type StateOutcome =
   | { kind: 'known', state: JobState }
   | { kind: 'missing' }
+  /** The job belongs to another client account. */
+  | { kind: 'foreign' }
   | { kind: 'unavailable' }
 
 /** The outcome of a cancellation. */
-export type CancelOutcome = { kind: 'cancelled' } | { kind: 'missing' } | { kind: 'unavailable' }
+export type CancelOutcome = { kind: 'cancelled' } | { kind: 'missing' } | { kind: 'foreign' } | { kind: 'unavailable' }
 
 /** How long a caller waits for a response; no call is made for it afterwards. */
 export interface CallerWait {
@@ -95,14 +100,16 @@
    * @param specification The specification sent by the caller.
    * @param queue The queue.
    * @param wait How long the caller waits.
+   * @param accountName The client account of the caller; null without one.
    * @returns Whether the job is stored, not stored, or possibly stored.
    */
   async submit (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait,
+    accountName: string | null = null
   ): Promise<SubmitOutcome> {
     const { clock, metrics } = this.options
     const since = clock.monotonicMilliseconds()
-    const outcome = await this.storeUntilSettled(jobId, specification, queue, wait)
+    const outcome = await this.storeUntilSettled(jobId, specification, queue, wait, accountName)
     metrics.submissions.inc({ outcome: outcome.kind })
     metrics.submissionSeconds.observe((clock.monotonicMilliseconds() - since) / 1000)
     return outcome
@@ -112,24 +119,28 @@
    * Looks up the state of a job in the owner's memory, or in the store when the owner does not respond.
    * @param jobId The job.
    * @param wait How long the caller waits.
+   * @param accountName The client account of the caller; null without one.
    * @returns The state, or that the job is missing or cannot be looked up.
    */
-  async getState (jobId: string, wait: CallerWait): Promise<StateOutcome> {
+  async getState (jobId: string, wait: CallerWait, accountName: string | null = null): Promise<StateOutcome> {
     const isExpired = this.createExpiryCheck(wait)
     if (isExpired()) return this.abandonLookup(jobId)
-    const ownerState = await this.getStateFromOwner(jobId)
+    const ownerState = await this.getStateFromOwner(jobId, accountName)
+    if (ownerState === 'foreign') return { kind: 'foreign' }
     if (ownerState !== null && ownerState !== 'unknown') return { kind: 'known', state: ownerState }
     if (isExpired()) return this.abandonLookup(jobId)
     const { tableService } = this.options
     const progress = await tableService.read({ table: PROGRESS_TABLE, key: jobId })
     if (progress.kind !== 'ok') return { kind: 'unavailable' }
     const row = progress.value === null ? null : decodeProgress(progress.value.value)
+    if (isForeignAccount(accountName, row?.account)) return { kind: 'foreign' }
     if (row?.state !== undefined) return { kind: 'known', state: row.state }
     if (row !== null) return { kind: 'known', state: 'running' }
     if (isExpired()) return this.abandonLookup(jobId)
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return { kind: 'unavailable' }
     if (job.value === null) return { kind: 'missing' }
+    if (isForeignAccount(accountName, getAccountName(job.value.value))) return { kind: 'foreign' }
     if (!isFinishedJob(job.value.value)) return { kind: 'known', state: 'pending' }
     if (isExpired()) return this.abandonLookup(jobId)
     // The job ended between the read of its progress and the read of its row.
@@ -140,24 +151,25 @@
    * Requests the cancellation of a job.
    * @param jobId The job.
    * @param wait How long the caller waits.
+   * @param accountName The client account of the caller; null without one.
    * @returns `cancelled` when the request is durable, `missing` when there is no such job, `unavailable` otherwise.
    */
-  async cancel (jobId: string, wait: CallerWait): Promise<CancelOutcome> {
+  async cancel (jobId: string, wait: CallerWait, accountName: string | null = null): Promise<CancelOutcome> {
     const { clock, logger } = this.options
     const isExpired = this.createExpiryCheck(wait)
     const end = clock.monotonicMilliseconds() + wait.milliseconds - ANSWER_MARGIN_MILLISECONDS
     do {
       if (isExpired()) break
-      let outcome = await this.storeCancellation(jobId, () => !isExpired())
+      let outcome = await this.storeCancellation(jobId, accountName, () => !isExpired())
       const address = this.getRemoteOwnerAddress()
       if ((outcome === 'unknown' || outcome === 'not-stored') && address !== null && !isExpired()) {
-        outcome = await this.options.peer.storeCancellation(address, jobId)
+        outcome = await this.options.peer.storeCancellation(address, jobId, accountName)
       }
       if (outcome === 'stored') {
         logger.info('job cancelled', { job: jobId })
         return { kind: 'cancelled' }
       }
-      if (outcome === 'missing') return { kind: 'missing' }
+      if (outcome === 'missing' || outcome === 'foreign') return { kind: outcome }
       await this.pause(RETRY_DELAY_MILLISECONDS)
     } while (clock.monotonicMilliseconds() < end)
     logger.warn('cancellation not confirmed by the store', { job: jobId })
@@ -182,12 +194,14 @@
   }
 
   private async storeUntilSettled (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait,
+    accountName: string | null
   ): Promise<SubmitOutcome> {
     const { clock, logger } = this.options
     const submission: JobSubmission = {
       jobId,
       queueName: queue.name,
+      ...accountName !== null && { accountName },
       serviceName: queue.serviceName,
       priority: queue.priority,
       attemptLimit: queue.attemptLimit,
@@ -217,6 +231,7 @@
         logger.info('job accepted', { job: jobId, queue: queue.name })
         return { kind: 'accepted' }
       }
+      if (outcome === 'foreign') return { kind: 'foreign' }
       this.storeFailingSince ??= clock.monotonicMilliseconds()
       mayBeStored ||= outcome === 'unknown'
       if (!mayBeStored) {
@@ -231,11 +246,11 @@
     }
   }
 
-  private async getStateFromOwner (jobId: string): Promise<OwnerJobState> {
+  private async getStateFromOwner (jobId: string, accountName: string | null): Promise<OwnerJobState> {
     const { isOwner, ownerApi, getOwnerAddress, peer } = this.options
-    if (isOwner()) return ownerApi.getJobState(jobId)
+    if (isOwner()) return ownerApi.getJobState(jobId, accountName)
     const address = getOwnerAddress()
-    return address === null ? null : await peer.getJobState(address, jobId)
+    return address === null ? null : await peer.getJobState(address, jobId, accountName)
   }
 
   private async readFinalState (jobId: string): Promise<StateOutcome> {
@@ -251,27 +266,41 @@
    * only if the store has none of this job, and stays there when the job has ended.
    * @param submission The submission.
    * @param mayRepeat Returns whether the write may be repeated; by default it is sent once, as for a peer that waits.
-   * @returns The outcome, which is also `stored` when an earlier copy is stored.
+   * @returns The outcome, which is also `stored` when an earlier copy is stored, and `foreign` when the stored job with
+   * its identifier belongs to another client account.
    */
   async storeSubmission (submission: JobSubmission, mayRepeat: () => boolean = () => false): Promise<StoreOutcome> {
     const operations = createSubmissionOperations(submission, this.options.tableLimits)
     const outcome = await this.transact('submission', { operations }, mayRepeat)
-    if (outcome.kind === 'committed' || outcome.kind === 'conflict') return 'stored'
+    if (outcome.kind === 'committed') return 'stored'
+    if (outcome.kind === 'conflict') return await this.checkStoredAccount(submission)
     return outcome.kind === 'unavailable' ? 'not-stored' : 'unknown'
   }
 
+  /** Returns whether the stored job with the identifier of a submission is its earlier copy. */
+  private async checkStoredAccount ({ jobId, accountName }: JobSubmission): Promise<StoreOutcome> {
+    if (accountName === undefined) return 'stored'
+    const stored = await this.options.tableService.read({ table: JOB_TABLE, key: jobId })
+    if (stored.kind !== 'ok' || stored.value === null) return 'unknown'
+    return isForeignAccount(accountName, getAccountName(stored.value.value)) ? 'foreign' : 'stored'
+  }
+
   /**
    * Stores a cancellation; it is repeated only while a response is overdue. A repeat is safe, because it is written
    * only to the version of the job that was read.
    * @param jobId The job.
+   * @param accountName The client account of the caller; null without one.
    * @param mayRepeat Returns whether the write may be repeated; by default it is sent once, as for a peer that waits.
    * @returns The outcome: also `stored` when the job has ended, and `missing` when there is no such job.
    */
-  async storeCancellation (jobId: string, mayRepeat: () => boolean = () => false): Promise<StoreOutcome> {
+  async storeCancellation (
+    jobId: string, accountName: string | null = null, mayRepeat: () => boolean = () => false
+  ): Promise<StoreOutcome> {
     const { tableService } = this.options
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return 'not-stored'
     if (job.value === null) return 'missing'
+    if (isForeignAccount(accountName, getAccountName(job.value.value))) return 'foreign'
     if (isFinishedJob(job.value.value)) return 'stored'
     const outcome = await this.transact('cancellation', {
       operations: [
--- a/src/instance/JobRowReader.ts
+++ b/src/instance/JobRowReader.ts
@@ -47,9 +47,9 @@
     const now = clock.monotonicMilliseconds()
     const progressByJobId = groupProgressRows(progressRows)
     for (const [jobId, progress] of progressByJobId) {
-      const state = progress.map(({ value }) => decodeProgress(value).state).find(other => other !== undefined)
-      if (state === undefined) continue
-      jobs.setFinalState(jobId, state, now)
+      const final = progress.map(({ value }) => decodeProgress(value)).find(({ state }) => state !== undefined)
+      if (final?.state === undefined) continue
+      jobs.setFinalState(jobId, final.state, now, final.account)
       cleaner.addProgressRows(progress.map(({ key }) => key).filter(key => key !== jobId))
     }
     this.addRows(jobRows, key => progressByJobId.get(key) ?? [], true)
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -9,20 +9,23 @@
   | { kind: 'refused' }
   | { kind: 'silent', reason: string }
 
-/** The state of a job as its owner reports it: `unknown` for an unknown job, null when the owner did not respond. */
-export type OwnerJobState = JobState | 'unknown' | null
+/**
+ * The state of a job as its owner reports it: `unknown` for an unknown job, `foreign` for a job of another client
+ * account, null when the owner did not respond.
+ */
+export type OwnerJobState = JobState | 'unknown' | 'foreign' | null
 
 /** The outcome of storing a submission or a cancellation. */
-export type StoreOutcome = 'stored' | 'not-stored' | 'unknown' | 'missing'
+export type StoreOutcome = 'stored' | 'not-stored' | 'unknown' | 'missing' | 'foreign'
 
 /** The calls that an owner handles for its peers. */
 export interface OwnerApi {
   /** Stores a submission for a peer to which the store is unavailable. */
   storeSubmission (submission: JobSubmission): Promise<StoreOutcome>
   /** Stores a cancellation for a peer to which the store is unavailable. */
-  storeCancellation (jobId: string): Promise<StoreOutcome>
+  storeCancellation (jobId: string, accountName?: string | null): Promise<StoreOutcome>
   probe (): { isOwner: boolean, renewalAge: number }
-  getJobState (jobId: string): OwnerJobState
+  getJobState (jobId: string, accountName?: string | null): OwnerJobState
   countWaiting (queueName: string): number | null
 }
 
@@ -44,14 +47,14 @@
 export interface OwnerPeer {
   /** Returns whether a process responds and owns the shard. */
   probe (address: string): Promise<ProbeOutcome>
-  /** Returns the state of a job as the owner reports it. */
-  getJobState (address: string, jobId: string): Promise<OwnerJobState>
+  /** Returns the state of a job as the owner reports it to a client account, or to any caller without one. */
+  getJobState (address: string, jobId: string, accountName?: string | null): Promise<OwnerJobState>
   /** Returns how many jobs of a queue have not started yet, or null when the owner did not respond or cannot tell. */
   countWaiting (address: string, queueName: string): Promise<number | null>
   /** Sends a submission to the owner, which stores it. */
   storeSubmission (address: string, submission: JobSubmission): Promise<StoreOutcome>
   /** Sends a cancellation to the owner, which stores it. */
-  storeCancellation (address: string, jobId: string): Promise<StoreOutcome>
+  storeCancellation (address: string, jobId: string, accountName?: string | null): Promise<StoreOutcome>
 }
 
 /** Client that sends the calls as JSON over HTTP. */
@@ -80,9 +83,10 @@
     return { kind: 'silent', reason: answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason }
   }
 
-  async getJobState (address: string, jobId: string): Promise<OwnerJobState> {
+  async getJobState (address: string, jobId: string, accountName: string | null = null): Promise<OwnerJobState> {
+    const query = accountName === null ? '' : `?account=${encodeURIComponent(accountName)}`
     const answer = await this.caller.call({
-      address, method: 'GET', path: `/jobs/${jobId}`, timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
+      address, method: 'GET', path: `/jobs/${jobId}${query}`, timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind !== 'answered' || answer.statusCode !== 200) return null
     const { state } = parseObject(answer.body)
@@ -105,8 +109,8 @@
     return await this.store(address, '/submissions', submission)
   }
 
-  async storeCancellation (address: string, jobId: string): Promise<StoreOutcome> {
-    return await this.store(address, '/cancellations', { jobId })
+  async storeCancellation (address: string, jobId: string, accountName: string | null = null): Promise<StoreOutcome> {
+    return await this.store(address, '/cancellations', { jobId, ...accountName !== null && { accountName } })
   }
 
   private async store (address: string, path: string, body: object): Promise<StoreOutcome> {
--- a/src/instance/SiteConfiguration.ts
+++ b/src/instance/SiteConfiguration.ts
@@ -1,4 +1,4 @@
-import type { ClientAccount } from '../accounts/index.js'
+import { AccountKeys, type ClientAccount } from '../accounts/index.js'
 import { QueueIndex } from './QueueIndex.js'
 
 /** A queue of jobs, as operators configure it. */
@@ -21,7 +21,7 @@
   version: number
   queues: QueueConfiguration[]
   maximumBodyBytes: number
-  /** The client accounts; absent or null for a configuration that names none. */
+  /** The client accounts; absent or null for a configuration that has no list of them. */
   accounts?: ClientAccount[] | null
 }
 
@@ -45,3 +45,21 @@
   }
   return index.find(host, path)
 }
+
+/** The index of the keys of each configuration that has been searched. */
+const keyIndexes = new WeakMap<SiteConfiguration, AccountKeys>()
+
+/**
+ * Finds the client account of a key.
+ * @param configuration The configuration, which does not change.
+ * @param key The key as a caller sends it.
+ * @returns The account, or null for an unknown key.
+ */
+export function findAccount (configuration: SiteConfiguration, key: string): ClientAccount | null {
+  let keys = keyIndexes.get(configuration)
+  if (keys === undefined) {
+    keys = AccountKeys.create(configuration.accounts ?? [])
+    keyIndexes.set(configuration, keys)
+  }
+  return keys.find(key)
+}
--- a/src/instance/SiteWatch.ts
+++ b/src/instance/SiteWatch.ts
@@ -16,7 +16,8 @@
 
 /** A decoded row of the operators' table. */
 export type OperatorRow =
-  | { kind: 'configuration', configuration: SiteConfiguration }
+  /** The faults are texts about entries of the configuration that are not used as written. */
+  | { kind: 'configuration', configuration: SiteConfiguration, faults?: readonly string[] }
   | { kind: 'data-centre-out', dataCentre: string }
   | { kind: 'ignored', reason: string }
 
@@ -47,6 +48,8 @@
   isPublisher (): boolean
   /** Returns a number from 0 to 1 for the random parts of delays. */
   random (): number
+  /** The longest time for which a call waits for changes of the operators' table; Infinity by default. */
+  longestOperatorWaitMilliseconds?: number
   onChange (changedWorkers: ChangedWorkers): void
 }
 
@@ -54,6 +57,8 @@
 const OPERATOR_WAIT_MILLISECONDS = 1500
 /** The largest answer about the operators' table that each instance receives over the link between regions. */
 const OPERATOR_ANSWER_LIMIT_BYTES = 65_536
+/** Bounds the line about the faults of a configuration. */
+const LOGGED_FAULT_LIMIT = 20
 /** A dead connection must be detected within 2.5 s, after which the owner is assumed to know that a worker drains. */
 const WORKER_WAIT_MILLISECONDS = 1500
 
@@ -86,7 +91,7 @@
       logger,
       errors,
       random,
-      waitMilliseconds: OPERATOR_WAIT_MILLISECONDS,
+      waitMilliseconds: Math.min(OPERATOR_WAIT_MILLISECONDS, options.longestOperatorWaitMilliseconds ?? Infinity),
       onSnapshot: snapshot => this.replaceOperatorRows(snapshot.rows),
       onChanges: changes => this.applyOperatorChanges(changes)
     })
@@ -158,6 +163,14 @@
     return this.workersLoaded
   }
 
+  /**
+   * Returns the milliseconds since the latest read of the operators' table was sent whose rows are in force, Infinity
+   * before the first; what operators have written later may be missing.
+   */
+  getReadAge (): number {
+    return this.operatorFollower.getReadAge()
+  }
+
   /** Returns the monotonic time of the last successful call that read the operators' table. */
   getLastContactAt (): number {
     return this.operatorFollower.getLastContactAt()
@@ -194,6 +207,13 @@
     } else if (row.configuration.version > (this.configuration?.version ?? -1)) {
       logger.info('configuration in force', { version: row.configuration.version })
       this.configuration = row.configuration
+      const faults = row.faults ?? []
+      if (faults.length > 0) {
+        const { version } = row.configuration
+        logger.warn('faults in the configuration', {
+          version, count: faults.length, faults: faults.slice(0, LOGGED_FAULT_LIMIT)
+        })
+      }
     }
   }
 
--- a/src/instance/createPeerApplication.ts
+++ b/src/instance/createPeerApplication.ts
@@ -36,7 +36,8 @@
     }
   const application = polka()
   application.get('/owner', handle(() => ownerApi.probe()))
-  application.get('/jobs/:jobId', handle(request => ({ state: ownerApi.getJobState(request.params.jobId) })))
+  application.get('/jobs/:jobId', handle(request => (
+    { state: ownerApi.getJobState(request.params.jobId, getText(request.query.account)) })))
   application.get('/queues/:queueName', handle(request => (
     { waiting: ownerApi.countWaiting(decodeURIComponent(request.params.queueName)) })))
   application.post('/submissions', handle(async request => {
@@ -44,8 +45,9 @@
     return submission === null ? null : { outcome: await ownerApi.storeSubmission(submission) }
   }))
   application.post('/cancellations', handle(async request => {
-    const body = await readJson(request) as { jobId?: JsonValue } | null
-    return typeof body?.jobId === 'string' ? { outcome: await ownerApi.storeCancellation(body.jobId) } : null
+    const body = await readJson(request) as { jobId?: JsonValue, accountName?: JsonValue } | null
+    if (typeof body?.jobId !== 'string') return null
+    return { outcome: await ownerApi.storeCancellation(body.jobId, getText(body.accountName)) }
   }))
   application.get('/metrics', async (_request, response) => {
     response.setHeader('content-type', registry.contentType)
@@ -54,6 +56,10 @@
   return application
 }
 
+function getText (value: unknown): string | null {
+  return typeof value === 'string' ? value : null
+}
+
 function sendJson (response: ServerResponse, body: object): void {
   response.writeHead(200, { 'content-type': 'application/json' })
   response.end(JSON.stringify(body))
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -93,6 +93,16 @@
   return typeof value === 'object' && value !== null && Object.keys(value).length === 0
 }
 
+/**
+ * Returns the client account of a job.
+ * @param value The value of the first row of its submission.
+ * @returns The name, or undefined when the job has none, or has ended.
+ */
+export function getAccountName (value: JsonValue): string | undefined {
+  const { accountName } = getFields(value)
+  return typeof accountName === 'string' ? accountName : undefined
+}
+
 /** Encodes a submission as a row. */
 export function encodeSubmission (submission: JobSubmission): JsonValue {
   return submission as unknown as JsonValue
--- a/src/instance/submissionRows.ts
+++ b/src/instance/submissionRows.ts
@@ -16,6 +16,8 @@
   piece: string
   /** The number of rows. */
   parts: number
+  /** The client account of the job, in the first row. */
+  accountName?: string
 }
 
 /**
@@ -26,19 +28,24 @@
  * @returns One operation, or several for a submission that exceeds a row.
  */
 export function createSubmissionOperations (submission: JobSubmission, limits: TableLimits): Operation[] {
-  const { jobId: key } = submission
+  const { jobId: key, accountName } = submission
   const value = encodeSubmission(submission)
   const text = JSON.stringify(value)
   const condition = { kind: 'absent' } as const
   if (Buffer.byteLength(text) <= limits.rowBytes) return [{ kind: 'put', table: JOB_TABLE, key, value, condition }]
   const compressed = deflateRawSync(text).toString('base64')
-  const pieceBytes = limits.rowBytes - PIECE_OVERHEAD_BYTES
+  const accountBytes = accountName === undefined ? 0 : Buffer.byteLength(JSON.stringify({ accountName }))
+  const pieceBytes = limits.rowBytes - PIECE_OVERHEAD_BYTES - accountBytes
   const parts = Math.ceil(compressed.length / pieceBytes)
   return Array.from({ length: parts }, (_, part): Operation => ({
     kind: 'put',
     table: JOB_TABLE,
     key: getSubmissionPartKey(key, part),
-    value: { piece: compressed.slice(part * pieceBytes, (part + 1) * pieceBytes), parts },
+    value: {
+      piece: compressed.slice(part * pieceBytes, (part + 1) * pieceBytes),
+      parts,
+      ...part === 0 && accountName !== undefined && { accountName }
+    },
     condition: part === 0 ? condition : { kind: 'any' }
   }))
 }
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -17,6 +17,8 @@
   state?: FinalJobState
   /** The time of day at which the final state was reached, by which old rows are removed. */
   at?: number
+  /** The client account of a job with a final state, if it has one. */
+  account?: string
   /** The numbers of the occurrences that are done. */
   finished?: number[]
   /** The indexes of done tasks by `occurrence.step`. */
@@ -70,7 +72,14 @@
  */
 export function encodeProgress (segment: ProgressSegment, wallMilliseconds: number): JobProgressRow {
   const { job } = segment
-  if (job.finalState !== null) return { state: job.finalState, at: Math.round(wallMilliseconds) }
+  const { accountName } = job.submission
+  if (job.finalState !== null) {
+    return {
+      state: job.finalState,
+      at: Math.round(wallMilliseconds),
+      ...accountName !== undefined && { account: accountName }
+    }
+  }
   const done: Record<string, number[]> = {}
   const failures: Record<string, number[]> = {}
   const checkpoints: Record<string, string> = {}
--- a/src/table/TableFollower.ts
+++ b/src/table/TableFollower.ts
@@ -167,11 +167,12 @@
   private async readLargeTable (afterVersion: number | null, sinceSent: ElapsedTime): Promise<boolean> {
     const { largeTable } = this.options
     if (largeTable === undefined) return this.recordFailure('too-large')
-    return this.applySnapshot(await largeTable.reader.read(afterVersion), sinceSent)
+    // A copy that follows another version may lack changes from before the call, so that its rows have no known age.
+    return this.applySnapshot(await largeTable.reader.read(afterVersion), afterVersion === null ? sinceSent : null)
   }
 
   /** Passes a snapshot on, unless newer rows were passed on meanwhile. */
-  private applySnapshot (outcome: ReadOutcome<TableSnapshot>, sinceSent: ElapsedTime): boolean {
+  private applySnapshot (outcome: ReadOutcome<TableSnapshot>, sinceSent: ElapsedTime | null): boolean {
     if (this.stopped) return true
     if (outcome.kind !== 'ok') return this.recordFailure(outcome.reason)
     const snapshot = outcome.value
@@ -180,7 +181,7 @@
     if (this.version !== null && snapshot.version < this.version) return true
     this.version = snapshot.version
     this.options.onSnapshot(snapshot)
-    this.recordRead(sinceSent)
+    if (sinceSent !== null) this.recordRead(sinceSent)
     return true
   }
 
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -506,14 +506,16 @@
         const answer = await callPeer(address, other => other.instance.ownerApi.probe())
         return answer === null ? { kind: 'silent', reason: 'timeout' } : { kind: 'alive', ...answer }
       },
-      getJobState: async (address, jobId) =>
-        await callPeer(address, other => other.instance.ownerApi.getJobState(jobId)),
+      getJobState: async (address, jobId, accountName) =>
+        await callPeer(address, other => other.instance.ownerApi.getJobState(jobId, accountName)),
       countWaiting: async (address, queue) =>
         await callPeer(address, other => other.instance.ownerApi.countWaiting(queue)),
       storeSubmission: async (address, submission) =>
         await (await callPeer(address, other => other.instance.ownerApi.storeSubmission(submission))) ?? 'unknown',
-      storeCancellation: async (address, jobId) =>
-        await (await callPeer(address, other => other.instance.ownerApi.storeCancellation(jobId))) ?? 'unknown'
+      storeCancellation: async (address, jobId, accountName) => {
+        const outcome = callPeer(address, other => other.instance.ownerApi.storeCancellation(jobId, accountName))
+        return await (await outcome) ?? 'unknown'
+      }
     }
   }
 }
