--- a/src/instance/SiteConfiguration.ts
+++ b/src/instance/SiteConfiguration.ts
@@ -1,3 +1,4 @@
+import { AccountKeys, type ClientAccount } from '../accounts/index.js'
 import { QueueIndex } from './QueueIndex.js'
 
 /** A queue of jobs, as operators configure it. */
@@ -11,6 +12,8 @@
   stretch: number
   targetLatencyMilliseconds: number
   timeoutMilliseconds: number
+  /** Whether callers need no key; by default they do on a site with client accounts. */
+  isPublic?: boolean
 }
 
 /** The configuration of a site, which operators write. */
@@ -18,6 +21,8 @@
   version: number
   queues: QueueConfiguration[]
   maximumBodyBytes: number
+  /** The client accounts; absent or null for a configuration that has no list of them. */
+  accounts?: ClientAccount[] | null
 }
 
 /** The index of each configuration that has been searched. */
@@ -40,3 +45,21 @@
   }
   return index.find(host, path)
 }
+
+/** The index of the keys of each configuration that has been searched. */
+const keyIndexes = new WeakMap<SiteConfiguration, AccountKeys>()
+
+/**
+ * Finds the client account of a key.
+ * @param configuration The configuration, which does not change.
+ * @param key The key as a caller sends it.
+ * @returns The account, or null for an unknown key.
+ */
+export function findAccount (configuration: SiteConfiguration, key: string): ClientAccount | null {
+  let keys = keyIndexes.get(configuration)
+  if (keys === undefined) {
+    keys = AccountKeys.create(configuration.accounts ?? [])
+    keyIndexes.set(configuration, keys)
+  }
+  return keys.find(key)
+}
