Add a check of a configuration before it is written

papayamoor-check-configuration finds entries that are not used as written or never match, limits that contradict each other, and what changes against the version in force, with exit codes and JSON for scripts. The checks are pure functions on the decoded configuration; decoding and places in the file stay in platform/.

--- /dev/null
+++ b/src/configurationCheck/index.ts
@@ -0,0 +1,3 @@
+export * from './checkConfiguration.js'
+export * from './ConfigurationFinding.js'
+export * from './DescribedConfiguration.js'
