Keep what accounts have running within their caps

Nothing compared the running total of a client account with its cap, so an account could take a whole site.

AccountUsage counts each run from the decision to start it until it is known to be over; WorkerRecord.reserve updates it. Starts of all kinds ask it before they search a worker: an account may start tasks while it is below its cap, so it exceeds the cap by less than one task, as the platform allows. A restart that waits for the cap reserves no worker. After a takeover, UnseenRuns counts the tasks that may run on workers without a report, at most every 100 ms and limited by the capacity of these workers. Runs of ended jobs count while a worker lists them, if the account and the steps of their job are known.

--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -1,4 +1,6 @@
+export * from './AccountDirectory.js'
 export * from './AccountKeys.js'
+export * from './AccountUsage.js'
 export * from './ClientAccount.js'
 export * from './decideAccess.js'
 export * from './isForeignAccount.js'
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,3 +1,4 @@
+import { AccountDirectory, type ClientAccount } from '../accounts/index.js'
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
@@ -25,6 +26,7 @@
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
+import { UnseenRuns } from './UnseenRuns.js'
 import { WorkerCosts } from './WorkerCosts.js'
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
 import { applyCompletions, applyReport, type ReportContext } from './applyReport.js'
@@ -32,8 +34,8 @@
 import { isAcceptedByAnother, isListedAnew, markProcessEnded, startClockAnew, updateFence } from './replacedProcesses.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, removeRun, updateClockReading,
-  type WorkerEntry, type WorkerRecord
+  addRun, clearOrphanedRuns, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, releaseOrphanedRuns,
+  removeRun, updateClockReading, type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
 /** Options of a dispatch engine. */
@@ -53,6 +55,8 @@
  * orders that `takeOrders` returns.
  */
 export class DispatchEngine {
+  /** The client accounts, with what they have running. */
+  readonly accounts = AccountDirectory.create()
   readonly jobs: JobTable
   readonly workers = new Map<string, WorkerRecord>()
   readonly advisor = ColocationAdvisor.create()
@@ -77,12 +81,15 @@
   private readonly acceptedStarts = AcceptedStarts.create()
   /** The token raises for workers that were removed: a worker with the same ID may have seen their tokens. */
   private readonly removedTokenRaises = new Map<string, number>()
+  private readonly unseenRuns: UnseenRuns
   private dirty = true
 
   private constructor (
     readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number
   ) {
-    this.jobs = JobTable.create({ epoch })
+    const { accounts, unreconciled, workers } = this
+    this.jobs = JobTable.create({ epoch, accounts })
+    this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
   }
 
   /**
@@ -105,6 +112,13 @@
     this.dirty = true
   }
 
+  /** Sets the client accounts of the latest configuration; null when it has no list of them. */
+  setAccounts (accounts: readonly ClientAccount[] | null): void {
+    this.accounts.setAccounts(accounts)
+    this.unseenRuns.invalidate()
+    this.dirty = true
+  }
+
   /** Sets the data centres whose workers get no new work. */
   setDataCentresOut (dataCentres: ReadonlySet<string>): void {
     this.dataCentresOut = dataCentres
@@ -165,7 +179,7 @@
    */
   confirmWorkerExited (worker: WorkerRecord, now: number): void {
     for (const run of [...worker.runs.values()]) this.markRunLost(worker, run, 'worker-gone', now)
-    worker.orphanedRuns.clear()
+    clearOrphanedRuns(worker)
     worker.exitConfirmedAt = now
     markProcessEnded(worker)
     this.unreconciled.markReconciled(worker, 'process-ended')
@@ -181,7 +195,8 @@
   explainWaiting (task: TaskRecord, now: number): WaitingExplanation {
     const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
     const explanation = explainWaiting(task, this.workers.values(), conditions)
-    const reason = this.unreconciled.mayRun(task) ? 'unreconciled-worker' : explanation.reason
+    const isUnreconciled = explanation.reason !== 'account-cap' && this.unreconciled.mayRun(task)
+    const reason = isUnreconciled ? 'unreconciled-worker' : explanation.reason
     return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
@@ -342,6 +357,7 @@
     if (!mayStart || !(this.dirty || this.acceptedStarts.requirePlan(now)) || startLimit <= 0) return
     this.dirty = false
     this.acceptedStarts.recordPlan(now)
+    this.unseenRuns.update(now, wallMilliseconds)
     const workers = [...this.workers.values()]
     const unsteadyDataCentres = findUnsteadyDataCentres(workers, now)
     const getConditions = (serviceName: string): ChoiceConditions =>
@@ -466,7 +482,9 @@
     this.dirty = true
   }
 
-  private remove ({ entry: { workerId }, tokenRaiseCount }: WorkerRecord): void {
+  private remove (worker: WorkerRecord): void {
+    const { entry: { workerId }, tokenRaiseCount } = worker
+    clearOrphanedRuns(worker)
     this.workers.delete(workerId)
     this.removedTokenRaises.set(workerId, tokenRaiseCount)
   }
@@ -476,6 +494,7 @@
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
       const isExpired = isLeaseExpired(worker)
+      if (isExpired && worker.orphanedRuns.size > 0) releaseOrphanedRuns(worker)
       if (isExpired && worker.runs.size > 0) {
         const lostRuns = [...worker.runs.values()].filter(run => isOverWithLease(run, worker, now))
         for (const run of lostRuns) this.markRunLost(worker, run, 'lease-expired', now)
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,8 +1,9 @@
+import { AccountDirectory, type AccountUsage } from '../accounts/index.js'
 import {
   createJobRecord, findTask, getLastSegmentIndex, getOccurrence, getOccurrenceCount, getOccurrenceSegment,
   getProgressSegment, getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord,
-  type JobState, type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StoredProgressRow,
-  type TaskRecord
+  type JobState, type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StepSpecification,
+  type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { isNextOccurrenceDue } from './hasWaitingTask.js'
@@ -34,6 +35,15 @@
   /** The monotonic time since which the state is durable. */
   since: number
   accountName: string | undefined
+  /** The steps of a job with an account, whose runs may not be over; null when they are not known or needed. */
+  steps: readonly StepSpecification[] | null
+}
+
+/** Tasks of one step that an earlier owner may have started. */
+export interface EndedTasks {
+  account: AccountUsage
+  specification: StepSpecification
+  taskCount: number
 }
 
 /** The jobs of one shard and the states that are reported to their submitters. */
@@ -43,16 +53,19 @@
   private readonly finalStates = new Map<string, FinishedJob>()
   /** The segments with progress that is not durable yet, those first that changed first. */
   private changed = new Set<ProgressSegment>()
+  /** The tasks of cancelled and failed jobs that earlier owners accepted; empty once all workers are reconciled. */
+  private endedRecoveredTasks: EndedTasks[] = []
+  private recoveries = 0
 
-  private constructor (private readonly epoch: number) {}
+  private constructor (private readonly epoch: number, private readonly accounts: AccountDirectory) {}
 
   /**
    * Creates an empty table.
-   * @param options The epoch of the owner, which selects the range of attempt numbers.
+   * @param options The epoch of the owner, which selects the range of attempt numbers, and the client accounts.
    * @returns The table.
    */
-  static create (options: { epoch: number }): JobTable {
-    return new JobTable(options.epoch)
+  static create (options: { epoch: number, accounts?: AccountDirectory }): JobTable {
+    return new JobTable(options.epoch, options.accounts ?? AccountDirectory.create())
   }
 
   /** The number of the first attempt of a task under this owner. */
@@ -67,11 +80,15 @@
    */
   add (added: NewJob, now: number): void {
     const { submission } = added
-    if (this.jobs.has(submission.jobId) || this.finalStates.has(submission.jobId)) return
-    const job = createJobRecord({ ...added, now })
+    if (this.jobs.has(submission.jobId)) return
+    const job = createJobRecord({ ...added, account: this.accounts.getUsage(submission.accountName), now })
+    const finished = this.finalStates.get(submission.jobId)
+    if (finished !== undefined) return this.keepEnded(job, finished)
+    if (added.recovered) this.recoveries++
     const moved = restoreProgress(job, added.progress, this.firstAttempt, now)
     if (job.finalState !== null) {
-      return this.setFinalState(submission.jobId, job.finalState, now, submission.accountName)
+      this.setFinalState(submission.jobId, job.finalState, now, submission.accountName)
+      return this.keepEnded(job, this.finalStates.get(submission.jobId)!)
     }
     this.jobs.set(submission.jobId, job)
     for (const segment of moved) this.markChanged(segment)
@@ -81,7 +98,17 @@
 
   /** Keeps a durable final state for queries. */
   setFinalState (jobId: string, state: FinalJobState, now: number, accountName?: string): void {
-    this.finalStates.set(jobId, { state, since: now, accountName })
+    this.finalStates.set(jobId, { state, since: now, accountName, steps: null })
+  }
+
+  /** The number of added jobs that earlier owners may have started. */
+  get recoveryCount (): number {
+    return this.recoveries
+  }
+
+  /** Returns the tasks of ended jobs that earlier owners accepted, and that may run on unreconciled workers. */
+  getEndedRecoveredTasks (): readonly EndedTasks[] {
+    return this.endedRecoveredTasks
   }
 
   /** Returns a job that is live or whose final state is not durable yet. */
@@ -101,6 +128,7 @@
 
   /** Records that the runs of all earlier owners are known, so that every task without a run may start. */
   confirmRecovered (): void {
+    this.endedRecoveredTasks = []
     for (const job of this.jobs.values()) {
       if (!job.recovered) continue
       job.recovered = false
@@ -132,6 +160,22 @@
     return this.jobs.get(jobId)?.submission.accountName ?? this.finalStates.get(jobId)?.accountName
   }
 
+  /**
+   * Finds what a run counts for that belongs to no live task.
+   * @param taskName The name of its task.
+   * @returns The account and what the run reserves, or null when the job or its account is unknown.
+   */
+  findEndedTask (taskName: string): { account: AccountUsage, resources: StepSpecification } | null {
+    const [jobId, , stepIndex] = taskName.split('.')
+    const finished = this.finalStates.get(jobId)
+    const submission = this.jobs.get(jobId)?.submission
+    const accountName = submission?.accountName ?? finished?.accountName
+    const steps = submission?.specification.steps ?? finished?.steps
+    const resources = steps?.[Number(stepIndex)]
+    if (accountName === undefined || resources === undefined) return null
+    return { account: this.accounts.getUsage(accountName), resources }
+  }
+
   /**
    * Counts the jobs of a queue that are live or whose final state is not durable yet.
    * @param queueName The queue.
@@ -263,6 +307,7 @@
       this.jobs.delete(job.submission.jobId)
       this.changed.delete(getProgressSegment(job, 0))
       this.setFinalState(job.submission.jobId, state, now, job.submission.accountName)
+      this.keepEnded(job, this.finalStates.get(job.submission.jobId)!)
     }
   }
 
@@ -281,6 +326,27 @@
     return expired
   }
 
+  /** Keeps what the runs of an ended job count for in its account, until a report shows that they are over. */
+  private keepEnded (job: JobRecord, finished: FinishedJob): void {
+    const { account, submission: { accountName, specification: { steps } } } = job
+    if (accountName === undefined || account === null || finished.steps !== null) return
+    finished.steps = steps
+    // The tasks of a completed job are done.
+    if (!job.recovered || finished.state === 'completed') return
+    this.recoveries++
+    if (job.occurrences.size === 0) {
+      for (const specification of steps) {
+        this.endedRecoveredTasks.push({ account, specification, taskCount: specification.taskCount })
+      }
+      return
+    }
+    for (const occurrence of job.occurrences.values()) {
+      for (const { specification, tasks } of occurrence.steps) {
+        this.endedRecoveredTasks.push({ account, specification, taskCount: tasks.remainingCount })
+      }
+    }
+  }
+
   /**
    * Completes what the stored progress implies: the members of a gang are done together, but are stored in several
    * rows, not all of which may have been written.
--- a/src/dispatch/SlowedRunMover.ts
+++ b/src/dispatch/SlowedRunMover.ts
@@ -36,6 +36,8 @@
     for (const worker of workers) {
       for (const run of worker.runs.values()) {
         if (!mayMoveSlowedRun(run, now)) continue
+        // The cap could keep the task from starting again.
+        if (run.task.step.occurrence.job.account?.isAtCap === true) continue
         const { workerId, serviceName } = worker.entry
         const conditions = { ...getConditions(serviceName), excludedWorkerId: workerId }
         const other = chooseWorker(run.task, workers, conditions)
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,5 +1,6 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
 import type { ChoiceConditions } from './chooseWorker.js'
+import { fitsAccountCap } from './fitsAccountCap.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
@@ -105,6 +106,7 @@
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
+    if (!fitsAccountCap(step)) return
     if (!step.specification.gang) return this.placeTasks(step, serviceName)
     // By preference, the gang would go back to workers that refuse it rather than to paused ones.
     if (hasRefusedTask(step)) this.placeOverdue(step, serviceName)
@@ -171,6 +173,7 @@
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
     const { specification: { longRunning, fills }, tasks } = step
+    if (!fitsAccountCap(step)) return
     if (!longRunning && (!this.isIdle(serviceName) || this.isAtWork(step))) return
     const conditions = this.options.getConditions(serviceName)
     // The next task would get no record while tasks wait that have run before.
@@ -220,7 +223,8 @@
 
   /** Returns whether the task got a worker. */
   private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
-    if (this.mustWaitForStore(task.step)) return false
+    // A task that its cap keeps from starting says nothing about the room for others of its size.
+    if (this.mustWaitForStore(task.step) || !fitsAccountCap(task.step)) return false
     const candidates = this.getCandidates(serviceName, relaxation)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -1,3 +1,4 @@
+import type { AccountResources, AccountUsage } from '../accounts/index.js'
 import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
 import { ResponseTimeEstimate, type ResponseTimeEstimateOptions } from '../shared/ResponseTimeEstimate.js'
 
@@ -31,6 +32,14 @@
  */
 export type WorkerSyncState = 'unknown' | 'synchronized' | 'unreachable'
 
+/** A run without a live task, which is being stopped. */
+export interface OrphanedRun {
+  name: string
+  attempt: number
+  /** What the run counts for; null when its account is unknown, or the lease of its worker has expired. */
+  usage: { account: AccountUsage, resources: AccountResources } | null
+}
+
 /** The state of one worker, as known to the shard owner. */
 export interface WorkerRecord {
   entry: WorkerEntry
@@ -46,7 +55,7 @@
   syncState: WorkerSyncState
   runs: Map<string, RunRecord>
   /** Runs without a live task, which are being stopped; the worker gets no new work while it lists any. */
-  orphanedRuns: Map<string, { name: string, attempt: number }>
+  orphanedRuns: Map<string, OrphanedRun>
   /** The resources reserved by runs. */
   reserved: WorkerCapacity
   /** The waiting restart for which room is reserved, see `RestartReservations`; null for none. */
@@ -187,7 +196,7 @@
  * @param worker The worker, whose runs are left unchanged.
  */
 export function clearProcessState (worker: WorkerRecord): void {
-  worker.orphanedRuns.clear()
+  clearOrphanedRuns(worker)
   worker.appliedCompletion = 0
   worker.durableCompletion = 0
   worker.leaseDeadline = 0
@@ -248,6 +257,49 @@
   reserve(worker, run, -1)
 }
 
+/**
+ * Adds a run without a live task that a worker lists, and counts it for its account.
+ * @param worker The worker.
+ * @param run The run, which is not counted yet; it may replace a record of it that is not counted.
+ */
+export function addOrphanedRun (worker: WorkerRecord, run: OrphanedRun): void {
+  run.usage?.account.add(run.usage.resources)
+  worker.orphanedRuns.set(getRunKey(run.name, run.attempt), run)
+}
+
+/**
+ * Removes a run without a live task that is over.
+ * @param worker The worker.
+ * @param key The key of the run.
+ */
+export function removeOrphanedRun (worker: WorkerRecord, key: string): void {
+  const run = worker.orphanedRuns.get(key)
+  if (run !== undefined) releaseOrphanedRun(run)
+  worker.orphanedRuns.delete(key)
+}
+
+/**
+ * Removes all runs without a live task, which are over.
+ * @param worker The worker.
+ */
+export function clearOrphanedRuns (worker: WorkerRecord): void {
+  releaseOrphanedRuns(worker)
+  worker.orphanedRuns.clear()
+}
+
+/**
+ * Counts the runs without a live task no longer, because the lease of their worker has expired.
+ * @param worker The worker, which gets no new work until it reports.
+ */
+export function releaseOrphanedRuns (worker: WorkerRecord): void {
+  for (const run of worker.orphanedRuns.values()) releaseOrphanedRun(run)
+}
+
+function releaseOrphanedRun (run: OrphanedRun): void {
+  run.usage?.account.remove(run.usage.resources)
+  run.usage = null
+}
+
 /**
  * Returns whether the worker of a run may have received its start order.
  * @param run The run.
@@ -403,7 +455,9 @@
 }
 
 function reserve (worker: WorkerRecord, run: RunRecord, sign: 1 | -1): void {
-  const { specification } = run.task.step
+  const { specification, occurrence: { job: { account } } } = run.task.step
+  if (sign === 1) account?.add(specification)
+  else account?.remove(specification)
   worker.changeCount++
   worker.reserved.memoryMegabytes += sign * specification.memoryMegabytes
   worker.reserved.accelerators += sign * specification.accelerators
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -2,7 +2,9 @@
 import type { IgnoredCompletionReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
 import type { ListedCompletion, ListedRun, WorkerReport } from './WorkerProtocol.js'
-import { addRun, getRunKey, isServing, removeRun, type WorkerRecord } from './WorkerRecord.js'
+import {
+  addOrphanedRun, addRun, getRunKey, isServing, removeOrphanedRun, removeRun, type WorkerRecord
+} from './WorkerRecord.js'
 
 /** The maximum number of completions in one report; further ones follow after an acknowledgement. */
 const MAXIMUM_LISTED_COMPLETIONS = 500
@@ -57,7 +59,9 @@
     applyRunning(worker, row, context)
   }
   for (const key of worker.orphanedRuns.keys()) {
-    if (!listed.has(key)) changed = worker.orphanedRuns.delete(key) || changed
+    if (listed.has(key)) continue
+    removeOrphanedRun(worker, key)
+    changed = true
   }
   if (report.ended.length < MAXIMUM_LISTED_COMPLETIONS) changed = removeMissingRuns(worker, listed, context) || changed
   return changed
@@ -88,9 +92,12 @@
   if (run === undefined) {
     const task = context.jobs.findTask(row.taskName, now)
     if (task === undefined) {
-      const isKnown = worker.orphanedRuns.has(key)
-      worker.orphanedRuns.set(key, { name: row.taskName, attempt: row.attempt })
-      if (!isKnown) context.stopOrphaned(row.taskName, row.attempt)
+      const known = worker.orphanedRuns.get(key)
+      if (known === undefined || known.usage === null) {
+        const usage = context.jobs.findEndedTask(row.taskName)
+        addOrphanedRun(worker, { name: row.taskName, attempt: row.attempt, usage })
+      }
+      if (known === undefined) context.stopOrphaned(row.taskName, row.attempt)
       return
     }
     run = adoptRun(worker, task, row, now)
--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -1,17 +1,19 @@
 import type { TaskRecord } from '../jobs/index.js'
 import { chooseEligibleWorker, fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
+import { fitsAccountCap } from './fitsAccountCap.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * Why a ready task has no run: a worker that may run it has not been reconciled, a member of its gang is done or has a
- * run that is not over, no worker may get new work, all that are in service are paused after failures or not rid of
- * runs without a job, no worker that may get new work has the free capacity, those that have it run as many tasks of
- * the step as the step allows on one worker, the task would bring serving tasks above their targets on each of them,
- * they have room for some members of its gang only, or there is a worker for it that no plan has chosen yet.
+ * run that is not over, its client account has reached its cap, no worker may get new work, all that are in service are
+ * paused after failures or not rid of runs without a job, no worker that may get new work has the free capacity, those
+ * that have it run as many tasks of the step as the step allows on one worker, the task would bring serving tasks above
+ * their targets on each of them, they have room for some members of its gang only, or there is a worker for it that no
+ * plan has chosen yet.
  */
 export type WaitingReason =
-  'unreconciled-worker' | 'gang-not-over' | 'no-eligible-worker' | 'workers-paused' | 'no-free-capacity' |
+  'unreconciled-worker' | 'gang-not-over' | 'account-cap' | 'no-eligible-worker' | 'workers-paused' | 'no-free-capacity' |
   'limit-per-worker' | 'interference' | 'no-room-for-gang' | 'not-planned'
 
 /** Why a task waits, and on how many workers that was decided; all counts are of workers that have its label. */
@@ -48,6 +50,7 @@
   const isBelowLimit = (worker: WorkerRecord): boolean => limit === 0 || countRunsOfStep(worker, task.step) < limit
   const getReason = (): WaitingReason => {
     if (isGangNotOver(task)) return 'gang-not-over'
+    if (!fitsAccountCap(task.step)) return 'account-cap'
     if (eligible.length === 0) return inService.length > 0 ? 'workers-paused' : 'no-eligible-worker'
     if (fitting.length === 0) return 'no-free-capacity'
     if (!fitting.some(isBelowLimit)) return 'limit-per-worker'
--- a/src/dispatch/findWaitingTasks.ts
+++ b/src/dispatch/findWaitingTasks.ts
@@ -16,7 +16,8 @@
       for (const step of steps) {
         const task = findWaitingTask(step, waitingBefore)
         if (task === null) continue
-        const size = `${job.submission.serviceName} ${job.submission.queueName} ${getSizeKey(step)}`
+        const { serviceName, queueName, accountName = '' } = job.submission
+        const size = `${serviceName} ${queueName} ${getSizeKey(step)} ${accountName}`
         if (sizes.has(size)) continue
         sizes.add(size)
         yield task
--- a/src/dispatch/findWorkerObstacles.ts
+++ b/src/dispatch/findWorkerObstacles.ts
@@ -1,18 +1,20 @@
 import type { TaskRecord } from '../jobs/index.js'
 import { fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
 import { hasPersistentViolation } from './decidePace.js'
+import { fitsAccountCap } from './fitsAccountCap.js'
 import { countRunsOfStep, getFreeCapacity, type WorkerRecord } from './WorkerRecord.js'
 
 /**
- * What keeps a worker with room from getting a task: its latest call has failed (`unreachable`), the store does not
- * hold yet that it may run tasks (`not-registered`) or holds that it is not reached (`recorded-unreached`), its data
- * centre is out of service, it lists runs without a job, it is paused after failures, its room is reserved for a
- * restart, best-effort tasks request all unused processors (`no-unused-processors`), it runs as many tasks of the step
- * as the step allows on one worker, a serving task there is above its target (`target-exceeded`), or the task is
- * expected to bring one above it (`interference`); nothing otherwise (`none`).
+ * What keeps a worker with room from getting a task: the client account of the task has reached its cap
+ * (`account-cap`), the worker's latest call has failed (`unreachable`), the store does not hold yet that it may run
+ * tasks (`not-registered`) or holds that it is not reached (`recorded-unreached`), its data centre is out of service,
+ * it lists runs without a job, it is paused after failures, its room is reserved for a restart, best-effort tasks
+ * request all unused processors (`no-unused-processors`), it runs as many tasks of the step as the step allows on one
+ * worker, a serving task there is above its target (`target-exceeded`), or the task is expected to bring one above it
+ * (`interference`); nothing otherwise (`none`).
  */
 export type WorkerObstacle =
-  'unreachable' | 'not-registered' | 'recorded-unreached' | 'data-centre-out' | 'runs-without-job' | 'paused' |
+  'account-cap' | 'unreachable' | 'not-registered' | 'recorded-unreached' | 'data-centre-out' | 'runs-without-job' | 'paused' |
   'reserved' | 'no-unused-processors' | 'limit-per-worker' | 'target-exceeded' | 'interference' | 'none'
 
 /** The listed workers that have room for a task, by what keeps them from getting it. */
@@ -35,13 +37,14 @@
 ): WorkerObstacles {
   const { requiredLabel } = task.step.specification
   const counts: Partial<Record<WorkerObstacle, number>> = {}
+  const isAtCap = !fitsAccountCap(task.step)
   let workersWithRoom = 0
   let oldestReportAt = Infinity
   for (const worker of workers) {
     const { state, serviceName, labels } = worker.entry
     if (!worker.listed || state !== 'ready' || serviceName !== conditions.serviceName) continue
     if ((requiredLabel !== '' && !labels.includes(requiredLabel)) || !hasRoom(worker, task)) continue
-    const obstacle = getObstacle(worker, task, conditions)
+    const obstacle = isAtCap ? 'account-cap' : getObstacle(worker, task, conditions)
     counts[obstacle] = (counts[obstacle] ?? 0) + 1
     workersWithRoom++
     oldestReportAt = Math.min(oldestReportAt, worker.reportedAt)
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,4 +1,5 @@
 import { isStepReady, type JobRecord, type OccurrenceRecord, type TaskRecord } from '../jobs/index.js'
+import { fitsAccountCap } from './fitsAccountCap.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
 import type { JobTable } from './JobTable.js'
 import { hasStartedOccurrence, hasStartedTask } from './hasStartedTask.js'
@@ -45,13 +46,20 @@
   const startable = [...jobs.getJobs()].filter(job =>
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
-  for (const [priority, ranked] of groupByPriority(rankJobs(startable, wallMilliseconds))) {
+  const startableWithinCap = startable.filter(isWithinCap)
+  for (const [priority, ranked] of groupByPriority(rankJobs(startableWithinCap, wallMilliseconds))) {
     placeJobs(ranked, getSizeClassShares(context, priority), context)
     if (plan.isFull) return 'plan-full'
   }
   return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
 }
 
+/** Returns whether the cap of the account of a job allows a start of any of its steps. */
+function isWithinCap ({ account, submission: { specification: { steps } } }: JobRecord): boolean {
+  if (account === null || !account.isAtCap) return true
+  return steps.some(step => account.fits(step, step.gang ? step.taskCount : 1))
+}
+
 /** Groups jobs that are sorted by priority. */
 function groupByPriority (ranked: readonly RankedJob[]): Map<number, RankedJob[]> {
   const groups = new Map<number, RankedJob[]>()
@@ -135,6 +143,10 @@
     if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return
     const { job } = task.step.occurrence
     if (job.finalState !== null || !mayStart(task)) continue
+    if (!fitsAccountCap(task.step)) {
+      reservations.release(task)
+      continue
+    }
     const serviceName = getServiceName(job)
     if (plan.placeRestart(task, serviceName)) reservations.release(task)
     else reservations.reserve(task, plan.workers, plan.getConditions(serviceName))
--- a/src/instance/SiteUpdater.test.ts
+++ b/src/instance/SiteUpdater.test.ts
@@ -35,7 +35,9 @@
 
   configure (version: number, serviceName: string): void {
     const queue = { name: 'queue', serviceName } as QueueConfiguration
-    this.configuration = { version, queues: [queue], maximumBodyBytes: 1000 }
+    const cap = { processorsMilli: version % 3 * 2000, memoryMegabytes: 0, accelerators: 0 }
+    const accounts = version % 4 === 0 ? null : [{ name: 'coop', keyDigests: [], weight: 1, cap }]
+    this.configuration = { version, queues: [queue], maximumBodyBytes: 1000, accounts }
   }
 }
 
@@ -93,6 +95,7 @@
   const { configuration } = site
   if (configuration !== null) {
     engine.setQueueServices(new Map(configuration.queues.map(queue => [queue.name, queue.serviceName])))
+    engine.setAccounts(configuration.accounts ?? null)
   }
   engine.setDataCentresOut(site.dataCentresOut)
   for (const entry of site.workers.values()) follow(engine.setWorker(entry))
@@ -164,7 +167,10 @@
       const step = {
         longRunning: random() < 0.5, checkpointing: random() < 0.5, taskCount: 2, estimateMilliseconds: 3000
       }
-      const submission = createSubmission([step], { jobId: `job-${++jobs}`, serviceName: choose(SERVICES) })
+      const accountName = jobs % 2 === 0 ? 'coop' : undefined
+      const submission = createSubmission([step], {
+        jobId: `job-${++jobs}`, serviceName: choose(SERVICES), ...accountName !== undefined && { accountName }
+      })
       for (const { engine } of both) engine.jobs.add({ submission, progress: [], recovered: false }, now)
     }
   }
--- a/src/instance/SiteUpdater.ts
+++ b/src/instance/SiteUpdater.ts
@@ -16,7 +16,8 @@
 export interface SiteUpdaterOptions {
   site: SiteState
   engine: Pick<
-    DispatchEngine, 'setQueueServices' | 'setDataCentresOut' | 'setWorker' | 'markRemoved' | 'markDirty' | 'workers'>
+    DispatchEngine,
+    'setQueueServices' | 'setAccounts' | 'setDataCentresOut' | 'setWorker' | 'markRemoved' | 'markDirty' | 'workers'>
   /** Called for each worker whose entry was applied, with the entry. */
   follow (worker: WorkerRecord, entry: WorkerEntry): void
 }
@@ -83,6 +84,7 @@
     const configuration = site.getConfiguration()
     if (configuration === null || configuration === this.configuration) return false
     engine.setQueueServices(new Map(configuration.queues.map(queue => [queue.name, queue.serviceName])))
+    engine.setAccounts(configuration.accounts ?? null)
     this.configuration = configuration
     return true
   }
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -1,3 +1,4 @@
+import type { AccountUsage } from '../accounts/index.js'
 import { IndexRanges } from './IndexRanges.js'
 import type { FinalJobState, JobSubmission, StepSpecification } from './JobSpecification.js'
 import { getOccurrenceTaskCount, type ProgressSegment } from './ProgressSegment.js'
@@ -107,6 +108,8 @@
 /** A job that has no final state yet, or whose final state is not durable yet. */
 export interface JobRecord {
   submission: JobSubmission
+  /** What the client account of the job has running; null when it is not counted. */
+  account: AccountUsage | null
   occurrences: Map<number, OccurrenceRecord>
   /** Each occurrence with a lower number is created or done. */
   nextOccurrenceNumber: number
@@ -129,6 +132,8 @@
 /** Options of a job record. */
 export interface JobRecordOptions {
   submission: JobSubmission
+  /** What the client account of the job has running; null, the default, when it is not counted. */
+  account?: AccountUsage | null
   /** Whether an earlier owner accepted the job. */
   recovered?: boolean
   /** Whether all owners since the submission of the job have stored the assignments of its long-running tasks. */
@@ -143,9 +148,10 @@
  * @returns The record, without occurrences.
  */
 export function createJobRecord (options: JobRecordOptions): JobRecord {
-  const { submission, recovered = false, hasStoredAssignments = false, now } = options
+  const { submission, account = null, recovered = false, hasStoredAssignments = false, now } = options
   return {
     submission,
+    account,
     occurrences: new Map(),
     nextOccurrenceNumber: 0,
     finishedOccurrences: IndexRanges.create(),
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -59,6 +59,11 @@
     return this.records?.get(index)
   }
 
+  /** The number of tasks that have records. */
+  get createdCount (): number {
+    return this.records?.size ?? 0
+  }
+
   /** Returns the tasks that have records; the other ones are done or have not been started. */
   getAllCreated (): Iterable<TaskRecord> {
     return this.records?.values() ?? []
