Start the work of accounts within their share first

On a full site, an account that sends many times its usual rate delayed the jobs of all others of its priority.

Within a priority, jobs that have not begun of accounts whose dominant share is at most an even split by weight now come before the others, late ones too; useless, long-running and too large jobs follow last in the same order. Each start counts at once, and what the first group leaves goes to the second. Without accounts in the configuration the order is as before.

--- a/src/accounts/AccountUsage.ts
+++ b/src/accounts/AccountUsage.ts
@@ -74,6 +74,11 @@
     }
   }
 
+  /** Whether the account has runs, or may have some that this owner has not seen. */
+  get isRunning (): boolean {
+    return this.runCount > 0 || this.unseen.processorsMilli > 0 || this.unseen.memoryMegabytes > 0
+  }
+
   /** Whether the account has a cap on any resource. */
   get hasCap (): boolean {
     const { processorsMilli, memoryMegabytes, accelerators } = this.cap
--- a/src/accounts/index.ts
+++ b/src/accounts/index.ts
@@ -1,5 +1,6 @@
 export * from './AccountDirectory.js'
 export * from './AccountKeys.js'
+export * from './AccountShares.js'
 export * from './AccountUsage.js'
 export * from './ClientAccount.js'
 export * from './decideAccess.js'
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -372,6 +372,7 @@
     })
     const outcome = placeWaitingTasks({
       jobs: this.jobs,
+      accounts: this.accounts,
       plan,
       restartLimit: this.restartShare.reserve(startLimit),
       reservations: this.reservations,
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -5,7 +5,7 @@
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
 import { isRestart } from './WaitingRestarts.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import type { WorkerCapacity, WorkerRecord } from './WorkerRecord.js'
 
 /**
  * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
@@ -100,6 +100,17 @@
     return this.options.workers.reduce((sum, { entry }) => sum + entry.capacity.processorsMilli, 0)
   }
 
+  /** The resources of all workers. */
+  get capacity (): WorkerCapacity {
+    const sum = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
+    for (const { entry: { capacity } } of this.options.workers) {
+      sum.processorsMilli += capacity.processorsMilli
+      sum.memoryMegabytes += capacity.memoryMegabytes
+      sum.accelerators += capacity.accelerators
+    }
+    return sum
+  }
+
   /**
    * Places the waiting tasks of a step while workers have free capacity.
    * @param step The step, which must be ready to start.
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,3 +1,4 @@
+import { AccountShares, type AccountDirectory, type AccountUsage } from '../accounts/index.js'
 import { isStepReady, type JobRecord, type OccurrenceRecord, type TaskRecord } from '../jobs/index.js'
 import { fitsAccountCap } from './fitsAccountCap.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
@@ -17,6 +18,8 @@
 /** The jobs of a plan and the conditions of their starts. */
 export interface PlanContext {
   jobs: JobTable
+  /** The client accounts, whose shares count where the configuration has some. */
+  accounts: AccountDirectory
   plan: StartPlan
   /** The number of restarts of long-running tasks that precede all other work. */
   restartLimit: number
@@ -47,8 +50,9 @@
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
   const startableWithinCap = startable.filter(isWithinCap)
+  const accountShares = createAccountShares(startableWithinCap, context)
   for (const [priority, ranked] of groupByPriority(rankJobs(startableWithinCap, wallMilliseconds))) {
-    placeJobs(ranked, getSizeClassShares(context, priority), context)
+    placeJobs(ranked, getSizeClassShares(context, priority), accountShares, context)
     if (plan.isFull) return 'plan-full'
   }
   return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
@@ -60,6 +64,14 @@
   return steps.some(step => account.fits(step, step.gang ? step.taskCount : 1))
 }
 
+/** Returns the shares of the accounts with waiting or running work; null without accounts in the configuration. */
+function createAccountShares (waiting: readonly JobRecord[], { accounts, plan }: PlanContext): AccountShares | null {
+  if (!accounts.hasAccounts) return null
+  const active = new Set<AccountUsage>(accounts.getAll().filter(account => account.isRunning))
+  for (const { account } of waiting) if (account !== null) active.add(account)
+  return AccountShares.create(plan.capacity, active)
+}
+
 /** Groups jobs that are sorted by priority. */
 function groupByPriority (ranked: readonly RankedJob[]): Map<number, RankedJob[]> {
   const groups = new Map<number, RankedJob[]>()
@@ -84,10 +96,14 @@
  * shares of their sizes, and all others in the order of their rank. Of a scheduled job, only the occurrences that have
  * begun come first, or one whose occurrences overlap would leave nothing to others.
  * A job that is too large for the site is among these, so that it delays no others by work that is wasted.
+ *
+ * With client accounts, jobs that have not begun of accounts within their share come before those of other accounts,
+ * unless they are useless, long-running or too large; these follow last, again accounts within their share first.
  */
-function placeJobs (ranked: readonly RankedJob[], shares: SizeClassShares, context: PlanContext): void {
-  const { plan, now } = context
-  const { processorsMilli } = plan
+function placeJobs (
+  ranked: readonly RankedJob[], shares: SizeClassShares, accountShares: AccountShares | null, context: PlanContext
+): void {
+  const { processorsMilli } = context.plan
   const begun: RankedJob[] = []
   const unstarted: RankedJob[] = []
   const others: RankedJob[] = []
@@ -102,10 +118,43 @@
     if (row.timeliness.urgency === 'in-time') unstarted.push(row)
     else others.push(row)
   }
-  unstarted.sort(compareSlack)
-  const waiting = unstarted.map(({ job, timeliness: { isStarved } }) => ({ job, isStarved }))
   placeInOrder(begun.flatMap(({ job }) => [...job.occurrences.values()].filter(hasStartedOccurrence)), context)
+  if (accountShares === null) {
+    placeUnstarted(unstarted, shares, () => true, context)
+    return placeRanked(others, () => true, context)
+  }
+  const deferred = new Set<JobRecord>()
+  const isWithinShare = (job: JobRecord): boolean => {
+    const isWithin = job.account === null || accountShares.isWithinShare(job.account)
+    if (!isWithin) deferred.add(job)
+    return isWithin
+  }
+  const isDeferred = (job: JobRecord): boolean => deferred.has(job)
+  const isLate = (row: RankedJob): boolean => row.timeliness.urgency === 'late' && !row.isLongRunning
+  const late = others.filter(isLate)
+  const last = others.filter(row => !isLate(row))
+  placeUnstarted(unstarted, shares, isWithinShare, context)
+  placeRanked(late, isWithinShare, context)
+  placeUnstarted(unstarted.filter(({ job }) => isDeferred(job)), shares, () => true, context)
+  placeRanked(late, isDeferred, context)
+  placeRanked(last, isWithinShare, context)
+  placeRanked(last, isDeferred, context)
+}
+
+/**
+ * Places jobs that have not begun and can end in time, in the order of the shares of their sizes.
+ * @param rows The jobs.
+ * @param shares The shares of the classes of sizes.
+ * @param isNext Returns whether a job is placed now; asked for each job after the starts before it.
+ * @param context The plan.
+ */
+function placeUnstarted (
+  rows: readonly RankedJob[], shares: SizeClassShares, isNext: (job: JobRecord) => boolean, context: PlanContext
+): void {
+  const { plan, now } = context
+  const waiting = rows.toSorted(compareSlack).map(({ job, timeliness: { isStarved } }) => ({ job, isStarved }))
   for (const job of shares.selectJobs(waiting, now)) {
+    if (!isNext(job)) continue
     const isScheduled = job.submission.specification.repeatCount > 0
     for (const occurrence of job.occurrences.values()) {
       if (plan.isFull) return
@@ -115,7 +164,11 @@
       if (plan.startCount > startCount && hasStartedOccurrence(occurrence)) shares.recordStart(job)
     }
   }
-  placeInOrder(others.flatMap(({ job }) => [...job.occurrences.values()]), context)
+}
+
+/** Places jobs in the order of their rank; `isNext` is asked for each job after the starts before it. */
+function placeRanked (rows: readonly RankedJob[], isNext: (job: JobRecord) => boolean, context: PlanContext): void {
+  for (const { job } of rows) if (isNext(job)) placeInOrder([...job.occurrences.values()], context)
 }
 
 function placeInOrder (occurrences: readonly OccurrenceRecord[], context: PlanContext): void {
