--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,10 +1,11 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
 import type { ChoiceConditions } from './chooseWorker.js'
+import { fitsAccountCap } from './fitsAccountCap.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
 import { isRestart } from './WaitingRestarts.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import type { WorkerCapacity, WorkerRecord } from './WorkerRecord.js'
 
 /**
  * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
@@ -99,12 +100,24 @@
     return this.options.workers.reduce((sum, { entry }) => sum + entry.capacity.processorsMilli, 0)
   }
 
+  /** The resources of all workers. */
+  get capacity (): WorkerCapacity {
+    const sum = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
+    for (const { entry: { capacity } } of this.options.workers) {
+      sum.processorsMilli += capacity.processorsMilli
+      sum.memoryMegabytes += capacity.memoryMegabytes
+      sum.accelerators += capacity.accelerators
+    }
+    return sum
+  }
+
   /**
    * Places the waiting tasks of a step while workers have free capacity.
    * @param step The step, which must be ready to start.
    * @param serviceName The service whose workers may run the step.
    */
   placeStep (step: StepRecord, serviceName: string): void {
+    if (!fitsAccountCap(step)) return
     if (!step.specification.gang) return this.placeTasks(step, serviceName)
     // By preference, the gang would go back to workers that refuse it rather than to paused ones.
     if (hasRefusedTask(step)) this.placeOverdue(step, serviceName)
@@ -171,6 +184,7 @@
    */
   private placeOverdue (step: StepRecord, serviceName: string): void {
     const { specification: { longRunning, fills }, tasks } = step
+    if (!fitsAccountCap(step)) return
     if (!longRunning && (!this.isIdle(serviceName) || this.isAtWork(step))) return
     const conditions = this.options.getConditions(serviceName)
     // The next task would get no record while tasks wait that have run before.
@@ -220,7 +234,8 @@
 
   /** Returns whether the task got a worker. */
   private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
-    if (this.mustWaitForStore(task.step)) return false
+    // A task that its cap keeps from starting says nothing about the room for others of its size.
+    if (this.mustWaitForStore(task.step) || !fitsAccountCap(task.step)) return false
     const candidates = this.getCandidates(serviceName, relaxation)
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
