Learn the ratios of run times to estimates from ended runs

The engine learns the ratio per queue and kind of room, from runs that it has started itself; nothing uses it yet. A run of an earlier owner is marked as adopted, because its start is not known.

--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './RunTimeRatios.js'
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,3 +1,4 @@
+import { RunTimeRatios } from '../admission/index.js'
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
@@ -56,6 +57,8 @@
   readonly jobs: JobTable
   readonly workers = new Map<string, WorkerRecord>()
   readonly advisor = ColocationAdvisor.create()
+  /** The ratios of the run times of ended runs to their estimates. */
+  readonly runTimeRatios = RunTimeRatios.create()
   private readonly orders = PendingOrders.create()
   private readonly stopper = RunStopper.create({ workers: this.workers, orders: this.orders })
   private dataCentresOut: ReadonlySet<string> = new Set()
@@ -398,11 +401,19 @@
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
       stopRuns: task => this.stopper.stopTask(task),
+      recordCompletedRun: run => this.recordRunTime(run, now),
       markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
   }
 
+  private recordRunTime ({ task: { step }, isAdopted, confirmedAt, startedAt }: RunRecord, now: number): void {
+    const { specification: { longRunning, estimateMilliseconds, fills }, occurrence } = step
+    if (isAdopted || longRunning || estimateMilliseconds <= 0) return
+    const ratio = (now - (confirmedAt ?? startedAt)) / estimateMilliseconds
+    this.runTimeRatios.recordRun(occurrence.job.submission.queueName, fills, ratio, now)
+  }
+
   private readonly mayStart = (task: TaskRecord): boolean => !this.unreconciled.mayRun(task)
 
   private getServiceName (job: JobRecord): string {
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -37,6 +37,8 @@
   failJob (job: JobRecord): void
   /** Stops all runs of a task. */
   stopRuns (task: TaskRecord): void
+  /** Handles the end of a run that has completed its task. */
+  recordCompletedRun (run: RunRecord): void
   /** Handles a run that is over although the worker reported no completion of it. */
   markRunLost (run: RunRecord): void
   reportIgnoredCompletion (ended: ListedCompletion, reason: IgnoredCompletionReason): void
@@ -129,6 +131,7 @@
 function adoptRun (worker: WorkerRecord, task: TaskRecord, row: ListedRun, now: number): RunRecord {
   const run: RunRecord = {
     ...createRun(task, worker.entry.workerId, row.attempt, now),
+    isAdopted: true,
     state: 'running',
     confirmedAt: now,
     percent: row.percent,
@@ -168,6 +171,7 @@
   task.nextAttempt = Math.max(task.nextAttempt, ended.attempt + 1)
   if (ended.end === 'done') {
     endQuarantine(worker, run)
+    if (run !== undefined) context.recordCompletedRun(run)
     if (isLive) finishTask(task, context)
     return
   }
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -37,6 +37,7 @@
     task: createOccurrence(job, 0, 1, 0).steps[0].tasks.get(0)!,
     attempt: 1,
     workerId: 'worker',
+    isAdopted: false,
     state: 'running',
     startedAt: -10_000,
     sentAt: -10_000,
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -12,6 +12,8 @@
   /** The attempt number, unique for the task across all owners. */
   attempt: number
   workerId: string
+  /** Whether an earlier owner started the run; `startedAt` is then the time of the first report of it. */
+  isAdopted: boolean
   state: RunState
   /** Monotonic time at which the owner decided the start. */
   startedAt: number
@@ -260,6 +262,7 @@
     task,
     attempt,
     workerId,
+    isAdopted: false,
     state: 'starting',
     startedAt: now,
     sentAt: -Infinity,
