Decide by the load of the owner which jobs can only be useless

LoadMeter measures, per priority and kind of room, how long the work that certainly precedes a new job takes, as the lowest value of 5 s; decideAdmission refuses a job that this makes later than three times its objective. Nothing uses the decision yet.

A calm site, and bursts of 3 s, refuse nothing.

--- /dev/null
+++ b/src/admission/LoadMeter.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createSubmission } from '../../stand-ins/platform/createSubmission.js'
+import { createWorkerEntry } from '../../stand-ins/platform/createWorkerEntry.js'
+import { playOverload, type OverloadOptions, type PlayedJob } from '../../stand-ins/platform/playOverload.js'
+import { scoreKind } from '../../stand-ins/platform/scoreOverload.js'
+import { createLognormalMix } from '../../stand-ins/platform/sizeMixes.js'
+import { DispatchEngine } from '../dispatch/index.js'
+import { getTestSeed } from '../shared/testSeed.js'
+import { LoadMeter } from './LoadMeter.js'
+
+const LIMITS = ['reserved', 'best-effort', 'starts'] as const
+const BURST_MILLISECONDS = 3000
+
+function play (options: Omit<OverloadOptions, 'seed' | 'arrivalMilliseconds' | 'hasAdmission'>, hasAdmission = true) {
+  return playOverload({ ...options, seed: getTestSeed(), arrivalMilliseconds: 60_000, hasAdmission })
+}
+
+function createKinds (urgentLoad: number, wideLoad: number): OverloadOptions['kinds'] {
+  return [
+    { queueName: 'urgent', priority: 0, mix: createLognormalMix(4, 0.8), load: urgentLoad },
+    { queueName: 'wide', priority: 2, mix: createLognormalMix(12, 0.8), load: wideLoad }
+  ]
+}
+
+function countServed (jobs: readonly PlayedJob[], queueName: string): number {
+  return jobs.filter(job => job.queueName === queueName && job.completedAt !== null &&
+    job.completedAt - job.submittedAt <= job.objectiveMilliseconds).length
+}
+
+for (const limit of LIMITS) {
+  test(`a calm site, and one with a short burst that drains in time, refuse nothing (${limit})`, () => {
+    const getBurst = (milliseconds: number): number => milliseconds % 20_000 < BURST_MILLISECONDS ? 3 : 0.6
+    for (const [load, getLoadFactor] of [[0.35, () => 1], [0.35, getBurst]] as const) {
+      const jobs = play({ kinds: createKinds(load, load), limit, getLoadFactor })
+      assert.equal(jobs.filter(job => job.isRefused).length, 0)
+    }
+  })
+
+  test(`refusing jobs that can only be useless lowers neither urgent nor other jobs in time (${limit})`, context => {
+    const options = { kinds: createKinds(1.5, 0.5), limit }
+    const [without, withAdmission] = [play(options, false), play(options)]
+    for (const queueName of ['urgent', 'wide']) {
+      const [before, after] = [without, withAdmission].map(jobs => countServed(jobs, queueName))
+      const refused = withAdmission.filter(job => job.queueName === queueName && job.isRefused).length
+      const count = withAdmission.filter(job => job.queueName === queueName).length
+      context.diagnostic(`${queueName}: ${before} in time without, ${after} with, ${refused} of ${count} refused`)
+      assert.ok(after >= before, `${queueName}: ${after} of ${before}`)
+    }
+    const urgent = scoreKind(withAdmission.filter(({ queueName }) => queueName === 'urgent'))
+    assert.ok(Math.min(urgent.worstBandInTime, urgent.worstBandUseful) >= 0.5)
+    assert.ok(withAdmission.some(job => job.isRefused))
+  })
+}
+
+test('an owner publishes no load before it has lasted, nor while nothing runs', () => {
+  const engine = DispatchEngine.create({ epoch: 3 })
+  const meter = LoadMeter.create({ ...engine, epoch: 3 })
+  const submission = createSubmission([{ taskCount: 1000, processorsMilli: 1000, estimateMilliseconds: 1000 }])
+  engine.jobs.add({ submission, progress: [], recovered: false }, 0)
+  const measureUntil = (from: number, end: number): void => {
+    for (let now = from; now <= end; now += 250) meter.measure(now, 0)
+  }
+  measureUntil(0, 10_000)
+  assert.deepEqual(meter.getSummary(10_000), { epoch: 3, ageMilliseconds: 0, classes: [] })
+  const worker = engine.setWorker(createWorkerEntry({
+    workerId: 'worker', capacity: { processorsMilli: 10_000, memoryMegabytes: 64_000, accelerators: 0 }
+  }))
+  worker.registered = true
+  engine.applyReport(worker, { workerMilliseconds: 0, bornAtMilliseconds: 1, running: [], ended: [] }, 0, 0)
+  engine.plan(10_100, 0, true, 10)
+  measureUntil(10_250, 14_750)
+  assert.deepEqual(meter.getSummary(14_800).classes, [])
+  measureUntil(15_000, 15_500)
+  const [load, ...others] = meter.getSummary(15_600).classes
+  assert.deepEqual(others, [])
+  assert.deepEqual(load, { priority: 0, fills: false, aheadMilliseconds: 99_000, excessShare: 0, meanWork: 0 })
+})
--- /dev/null
+++ b/src/admission/LoadMeter.ts
@@ -0,0 +1,243 @@
+import type { JobTable } from '../dispatch/JobTable.js'
+import { getUrgency, type Urgency } from '../dispatch/rankJobs.js'
+import type { WorkerRecord } from '../dispatch/WorkerRecord.js'
+import { hasLongRunningStep, type JobRecord, type StepRecord } from '../jobs/index.js'
+import type { ClassLoad, LoadSummary } from './LoadSummary.js'
+import type { RunTimeRatios } from './RunTimeRatios.js'
+
+/** Options of a meter. */
+export interface LoadMeterOptions {
+  /** The epoch of the owner. */
+  epoch: number
+  jobs: Pick<JobTable, 'getJobs'>
+  workers: ReadonlyMap<string, WorkerRecord>
+  runTimeRatios: RunTimeRatios
+}
+
+/** The least time between two measurements. */
+const INTERVAL_MILLISECONDS = 250
+/** A load counts when it has lasted this long; bursts that drain sooner delay their own jobs only. */
+const SUSTAINED_MILLISECONDS = 5000
+/** After this time, work that has arrived or ended counts half. */
+const HALF_LIFE_MILLISECONDS = 10_000
+
+/** Work of one priority and kind of room, in thousandths of a processor times milliseconds. */
+interface ClassTotals {
+  priority: number
+  fills: boolean
+  /** The decayed work and number of the jobs that have arrived. */
+  arrivedWork: number
+  arrivedCount: number
+  /** The decayed work of completed tasks. */
+  endedWork: number
+  /** The work that waits now, by the urgency of its job. */
+  waiting: Record<Urgency, number>
+}
+
+/** What is known of a job from the last measurement. */
+interface MeasuredJob {
+  /** The completed work by kind of room. */
+  doneWork: KindAmounts
+}
+
+/** An amount for reserved processors and one for best-effort tasks. */
+type KindAmounts = [reserved: number, bestEffort: number]
+
+interface Measurement {
+  at: number
+  classes: ClassLoad[]
+}
+
+/**
+ * Measures the load that new jobs meet, from the jobs and workers of the owner.
+ *
+ * Designed for lasting overloads of a site by jobs of several priorities. All values err on the side of less load: work
+ * is compared with the larger of the processors that run such work and the rate at which it ends, work of higher
+ * priority that has yet to arrive does not count, and the values of a summary are the lowest of some seconds.
+ */
+export class LoadMeter {
+  private readonly classes = new Map<string, ClassTotals>()
+  private measuredJobs = new Map<JobRecord, MeasuredJob>()
+  private history: Measurement[] = []
+  private measuredAt = -Infinity
+
+  private constructor (private readonly options: LoadMeterOptions) {}
+
+  /**
+   * Creates a meter without measurements.
+   * @param options The jobs and the workers of the owner.
+   * @returns The meter.
+   */
+  static create (options: LoadMeterOptions): LoadMeter {
+    return new LoadMeter(options)
+  }
+
+  /**
+   * Measures the load unless that was done a moment ago; called at short intervals.
+   * @param now The monotonic time.
+   * @param wallMilliseconds The time of day.
+   */
+  measure (now: number, wallMilliseconds: number): void {
+    if (now - this.measuredAt < INTERVAL_MILLISECONDS) return
+    this.decay(now)
+    this.measureJobs(wallMilliseconds)
+    this.measuredAt = now
+    this.history.push({ at: now, classes: this.getClassLoads() })
+    // One measurement from before the time that counts remains, so that all of that time is covered.
+    while (this.history.length > 1 && this.history[1].at <= now - SUSTAINED_MILLISECONDS) this.history.shift()
+  }
+
+  /**
+   * Returns the load that has lasted.
+   * @param now The monotonic time.
+   * @returns The lowest values of the last seconds; none before as many seconds have been measured.
+   */
+  getSummary (now: number): LoadSummary {
+    const { epoch } = this.options
+    const ageMilliseconds = Math.max(0, Math.round(now - this.measuredAt))
+    const [first, ...others] = this.history
+    const isCovered = first !== undefined && first.at <= this.measuredAt - SUSTAINED_MILLISECONDS
+    if (!isCovered) return { epoch, ageMilliseconds: 0, classes: [] }
+    const classes = others.reduce((lowest, { classes }) => lowest.flatMap(load => {
+      const other = classes.find(({ priority, fills }) => priority === load.priority && fills === load.fills)
+      return other === undefined ? [] : [getLowest(load, other)]
+    }), first.classes)
+    return { epoch, ageMilliseconds, classes: classes.filter(load => load.aheadMilliseconds > 0) }
+  }
+
+  private measureJobs (wallMilliseconds: number): void {
+    for (const totals of this.classes.values()) totals.waiting = { 'in-time': 0, late: 0, useless: 0 }
+    const isFirst = this.measuredAt === -Infinity
+    const measuredJobs = new Map<JobRecord, MeasuredJob>()
+    const previousJobs = this.measuredJobs
+    for (const job of this.options.jobs.getJobs()) {
+      if (job.submission.specification.repeatCount > 0 || hasLongRunningStep(job)) continue
+      const previous = previousJobs.get(job)
+      previousJobs.delete(job)
+      // The arrivals of the jobs that an earlier owner accepted are not known.
+      if (previous === undefined && !isFirst) this.countArrival(job)
+      const doneWork = this.countEnds(job, isFirst ? null : previous?.doneWork ?? [0, 0])
+      if (job.finalState !== null) continue
+      measuredJobs.set(job, { doneWork })
+      this.addWaiting(job, getUrgency(job, wallMilliseconds))
+    }
+    // The other ones have ended since, and their final states are durable.
+    for (const [job, { doneWork }] of previousJobs) this.countEnds(job, doneWork)
+    this.measuredJobs = measuredJobs
+  }
+
+  private countArrival (job: JobRecord): void {
+    const work: KindAmounts = [0, 0]
+    for (const step of job.submission.specification.steps) {
+      work[Number(step.fills)] += step.taskCount * step.processorsMilli * this.getRunTime(job, step)
+    }
+    for (const fills of [false, true]) {
+      if (work[Number(fills)] === 0) continue
+      const totals = this.getTotals(job, fills)
+      totals.arrivedWork += work[Number(fills)]
+      totals.arrivedCount++
+    }
+  }
+
+  /** Counts the work that was completed since the last measurement, null for none; returns all that is completed. */
+  private countEnds (job: JobRecord, previous: KindAmounts | null): KindAmounts {
+    const done: KindAmounts = [0, 0]
+    const steps = job.occurrences.get(0)?.steps
+    for (const [index, step] of job.submission.specification.steps.entries()) {
+      const isOver = steps === undefined && job.finalState === 'completed'
+      const remaining = isOver ? 0 : steps?.[index].tasks.remainingCount ?? step.taskCount
+      done[Number(step.fills)] += (step.taskCount - remaining) * step.processorsMilli * step.estimateMilliseconds
+    }
+    if (previous === null) return done
+    for (const fills of [false, true]) {
+      const estimated = done[Number(fills)] - previous[Number(fills)]
+      if (estimated <= 0) continue
+      const ratio = this.options.runTimeRatios.getRunTimeRatio(job.submission.queueName, fills)
+      this.getTotals(job, fills).endedWork += estimated * ratio
+    }
+    return done
+  }
+
+  private addWaiting (job: JobRecord, urgency: Urgency): void {
+    for (const { steps } of job.occurrences.values()) {
+      for (const step of steps) {
+        const { fills, processorsMilli } = step.specification
+        const waiting = countIdle(step) * processorsMilli * this.getRunTime(job, step.specification)
+        if (waiting > 0) this.getTotals(job, fills).waiting[urgency] += waiting
+      }
+    }
+  }
+
+  private getRunTime ({ submission }: JobRecord, step: { estimateMilliseconds: number, fills: boolean }): number {
+    return step.estimateMilliseconds * this.options.runTimeRatios.getRunTimeRatio(submission.queueName, step.fills)
+  }
+
+  private getClassLoads (): ClassLoad[] {
+    const running = this.getRunningProcessors()
+    const sorted = [...this.classes.values()].sort((left, right) => left.priority - right.priority)
+    return [false, true].flatMap(fills => {
+      const members = sorted.filter(totals => totals.fills === fills)
+      const ended = members.reduce((sum, { endedWork }) => sum + endedWork, 0) * Math.LN2 / HALF_LIFE_MILLISECONDS
+      const rate = Math.max(running[Number(fills)], ended)
+      // Nothing is known of a site on which no such work runs or has ended.
+      if (rate <= 0) return []
+      let higher = 0
+      return members.map((totals): ClassLoad => {
+        const { priority, waiting, arrivedWork, arrivedCount, endedWork } = totals
+        const ahead = higher + waiting['in-time']
+        higher += waiting['in-time'] + waiting.late + waiting.useless
+        return {
+          priority,
+          fills,
+          aheadMilliseconds: Math.round(ahead / rate),
+          excessShare: arrivedWork > 0 ? Math.max(0, 1 - endedWork / arrivedWork) : 0,
+          meanWork: arrivedCount > 0 ? arrivedWork / arrivedCount : 0
+        }
+      })
+    })
+  }
+
+  /** Returns the processors of running tasks that end, by kind of room. */
+  private getRunningProcessors (): KindAmounts {
+    const running: KindAmounts = [0, 0]
+    for (const worker of this.options.workers.values()) {
+      for (const { task: { step: { specification } } } of worker.runs.values()) {
+        if (!specification.longRunning) running[Number(specification.fills)] += specification.processorsMilli
+      }
+    }
+    return running
+  }
+
+  private getTotals ({ submission: { priority } }: JobRecord, fills: boolean): ClassTotals {
+    const key = `${priority} ${fills}`
+    const existing = this.classes.get(key)
+    if (existing !== undefined) return existing
+    const waiting = { 'in-time': 0, late: 0, useless: 0 }
+    const totals = { priority, fills, arrivedWork: 0, arrivedCount: 0, endedWork: 0, waiting }
+    this.classes.set(key, totals)
+    return totals
+  }
+
+  private decay (now: number): void {
+    const factor = 0.5 ** ((now - this.measuredAt) / HALF_LIFE_MILLISECONDS)
+    for (const totals of this.classes.values()) {
+      totals.arrivedWork *= factor
+      totals.arrivedCount *= factor
+      totals.endedWork *= factor
+    }
+  }
+}
+
+function countIdle ({ tasks }: StepRecord): number {
+  let count = tasks.remainingCount
+  if (count > 0) for (const { runs } of tasks.getAllCreated()) if (runs.length > 0) count--
+  return Math.max(0, count)
+}
+
+function getLowest (left: ClassLoad, right: ClassLoad): ClassLoad {
+  return {
+    ...right,
+    aheadMilliseconds: Math.min(left.aheadMilliseconds, right.aheadMilliseconds),
+    excessShare: Math.min(left.excessShare, right.excessShare)
+  }
+}
--- a/stand-ins/platform/playOverload.ts
+++ b/stand-ins/platform/playOverload.ts
@@ -1,5 +1,6 @@
+import { decideAdmission, getDraw, LoadMeter } from '../../src/admission/index.js'
 import { DispatchEngine, type ListedCompletion, type WorkerRecord } from '../../src/dispatch/index.js'
-import type { JobRecord, RunRecord } from '../../src/jobs/index.js'
+import type { JobRecord, JobSubmission, RunRecord } from '../../src/jobs/index.js'
 import { createRandom } from '../shared/createRandom.js'
 import { createSubmission } from './createSubmission.js'
 import { createWorkerEntry } from './createWorkerEntry.js'
@@ -43,6 +44,10 @@
   limit: SiteLimit
   /** How long jobs arrive; then the site gets half of that time to complete what is left. */
   arrivalMilliseconds: number
+  /** Whether jobs may be refused by the load that the owner publishes; false by default. */
+  hasAdmission?: boolean
+  /** Returns the factor of the load at a time; 1 by default. */
+  getLoadFactor? (milliseconds: number): number
 }
 
 /** A job of a simulated overload. */
@@ -54,6 +59,7 @@
   /** The time from submission in which the job must complete to be in time. */
   objectiveMilliseconds: number
   completedAt: number | null
+  isRefused: boolean
 }
 
 interface ArrivingJob {
@@ -65,6 +71,7 @@
 class OverloadedSite {
   private readonly random: () => number
   private readonly engine = DispatchEngine.create({ epoch: 1 })
+  private readonly loadMeter: LoadMeter | null
   private readonly jobs = new Map<string, ArrivingJob>()
   private readonly workers: Array<{ worker: WorkerRecord, endedCount: number }>
   private readonly startsPerStep: number
@@ -73,6 +80,9 @@
 
   private constructor (private readonly options: OverloadOptions) {
     this.random = createRandom(options.seed)
+    this.loadMeter = options.hasAdmission === true
+      ? LoadMeter.create({ ...this.engine, epoch: 1 })
+      : null
     this.workers = Array.from({ length: WORKER_COUNT }, (_, index) => {
       const capacity = { processorsMilli: WORKER_PROCESSORS * 1000, memoryMegabytes: 64_000, accelerators: 0 }
       const worker = this.engine.setWorker(createWorkerEntry({ workerId: `worker-${index}`, capacity }))
@@ -92,10 +102,12 @@
     const due = kinds.map(() => 0)
     for (; this.now < arrivalMilliseconds * 1.5; this.now += STEP_MILLISECONDS) {
       for (const [index, kind] of kinds.entries()) {
-        due[index] += this.now < arrivalMilliseconds ? rates[index] * 2 * this.random() : 0
+        const rate = rates[index] * (this.options.getLoadFactor?.(this.now) ?? 1)
+        due[index] += this.now < arrivalMilliseconds ? rate * 2 * this.random() : 0
         for (; due[index] >= 1; due[index]--) this.addJob(kind)
       }
       for (const row of this.workers) this.report(row)
+      this.loadMeter?.measure(this.now, this.now)
       this.startTasks()
       this.completeJobs()
     }
@@ -134,21 +146,33 @@
       }
     })
     const work = durations.flat().reduce((sum, duration) => sum + duration, 0)
+    const submission = createSubmission(steps, {
+      jobId,
+      queueName,
+      priority,
+      stretch: STRETCH,
+      targetLatencyMilliseconds: TARGET_LATENCY_MILLISECONDS,
+      acceptedAtMilliseconds: now
+    })
+    const isRefused = this.isRefused(submission)
     this.jobs.set(jobId, {
-      played: { queueName, work, submittedAt: now, objectiveMilliseconds, completedAt: null }, durations
+      played: { queueName, work, submittedAt: now, objectiveMilliseconds, completedAt: null, isRefused }, durations
+    })
+    if (!isRefused) this.engine.jobs.add({ submission, progress: [], recovered: false }, now)
+  }
+
+  private isRefused (submission: JobSubmission): boolean {
+    const summary = this.loadMeter?.getSummary(this.now) ?? null
+    const decision = decideAdmission({
+      summary,
+      summaryAge: summary?.ageMilliseconds ?? 0,
+      ownerEpoch: 1,
+      queue: submission,
+      specification: submission.specification,
+      draw: getDraw(submission.jobId),
+      random: 0.5
     })
-    this.engine.jobs.add({
-      submission: createSubmission(steps, {
-        jobId,
-        queueName,
-        priority,
-        stretch: STRETCH,
-        targetLatencyMilliseconds: TARGET_LATENCY_MILLISECONDS,
-        acceptedAtMilliseconds: now
-      }),
-      progress: [],
-      recovered: false
-    }, now)
+    return decision.kind === 'refused'
   }
 
   private getDuration ({ task }: RunRecord): number {
