Refuse jobs that can only be useless, by the load that the owner publishes

Where admission control is enabled, the owner's responses to probes carry its load.

A refusal must be true, and a copy of the submission may have been stored by any instance, or its write may still be on the way, seconds after its answer was lost. The state at the owner shows neither, so a refusal is given only once a row of it is stored, on condition that there is none of the job: no such write replaces it. A request that arrives more than 2 s later does.

Instances that do not reach the owner, and those of a new owner, admit all.

--- a/src/admission/decideAdmission.ts
+++ b/src/admission/decideAdmission.ts
@@ -38,7 +38,8 @@
 const SLOWEST_TASK_FACTOR = 1.6
 /** The part of the jobs of a class that is admitted whatever is predicted, relative to the part that ends. */
 const LEAST_ADMITTED_PART = 0.5
-const SHORTEST_RETRY_MILLISECONDS = 1000
+/** A later request is told from a copy of the refused one by the clocks of two instances, which may differ by 2 s. */
+const SHORTEST_RETRY_MILLISECONDS = 4000
 const LONGEST_RETRY_MILLISECONDS = 30_000
 /** A refusal names the time of the drain, less or more than this part of it. */
 const RETRY_SPREAD_SHARE = 0.25
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,3 +1,4 @@
+export * from './AdmissionControl.js'
 export * from './decideAdmission.js'
 export * from './LoadMeter.js'
 export * from './LoadSummary.js'
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,4 +1,4 @@
-import { RunTimeRatios } from '../admission/index.js'
+import { RunTimeRatios } from '../admission/RunTimeRatios.js'
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,4 +1,5 @@
 import type { Registry } from 'prom-client'
+import { AdmissionControl, type LoadSummary } from '../admission/index.js'
 import { isForeignAccount } from '../accounts/index.js'
 import type { WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
@@ -14,6 +15,7 @@
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerApi, OwnerPeer } from './OwnerPeer.js'
+import { TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 import { ShardDispatcher } from './ShardDispatcher.js'
 import type { ChangedWorkers } from './SiteUpdater.js'
 import { SiteWatch, type PlatformTables } from './SiteWatch.js'
@@ -44,6 +46,8 @@
   resources: InstanceResources
   /** How long a removed key of a caller may be accepted; Infinity, the default, for no limit. */
   keyRemovalMilliseconds?: number
+  /** Whether jobs may be refused because of the load; false by default. */
+  isAdmissionEnabled?: boolean
   createWorkerClient (entry: WorkerEntry): WorkerClient
   random (): number
 }
@@ -104,6 +108,13 @@
       onChange: changed => this.updateDispatcher(changed)
     })
     this.ownerRepeater = this.createRepeater(OWNER_WRITE_REPEATS_PER_SECOND)
+    const admission = options.isAdmissionEnabled === true
+      ? AdmissionControl.create({
+        ...options,
+        getObservedEpoch: () => this.election.getObservedEpoch(),
+        getOwnSummary: () => this.getLoad()
+      })
+      : undefined
     this.election = OwnerElection.create({
       shardId: SHARD_ID,
       instanceId,
@@ -119,7 +130,8 @@
       random: options.random,
       onAcquired: takeover => this.startDispatcher(takeover),
       onEarlierOwnerStopped: renewalsEndAt => this.dispatcher?.limitEarlierLeases(this.getLeasesEnd(renewalsEndAt)),
-      onDeposed: reason => this.stopDispatcher(reason)
+      onDeposed: reason => this.stopDispatcher(reason),
+      onLoad: (summary, since) => admission?.record(summary, since)
     })
     this.ownerApi = this.createOwnerApi()
     this.gateway = JobGateway.create({
@@ -132,6 +144,7 @@
       ownerApi: this.ownerApi,
       isOwner: () => this.election.isOwner(),
       getOwnerAddress: () => this.election.getOwnerAddress(),
+      admission,
       clock,
       logger
     })
@@ -203,6 +216,7 @@
       assignmentsStoredSince,
       earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
       earlierStartsEndAt,
+      isAdmissionEnabled: options.isAdmissionEnabled,
       createWorkerClient: options.createWorkerClient,
       random: options.random,
       getRenewalAge: () => this.election.getRenewalAge(),
@@ -237,13 +251,20 @@
     if (this.site.areWorkersLoaded()) this.dispatcher?.updateSite(changedWorkers)
   }
 
+  /** Returns the load of the shard while this process certainly owns it. */
+  private getLoad (): LoadSummary | null {
+    const isRecent = this.election.getRenewalAge() < TASK_START_LIMIT_MILLISECONDS
+    return isRecent ? this.dispatcher?.getLoad() ?? null : null
+  }
+
   private createOwnerApi (): OwnerApi {
     const getEngine = () => this.dispatcher?.isLoaded === true ? this.dispatcher.engine : null
     return {
       probe: () => {
         if (this.election.isAcquiring()) return { isOwner: true, renewalAge: 0 }
         const renewalAge = Math.round(Math.min(1e9, this.election.getRenewalAge()))
-        return { isOwner: this.election.isOwner(), renewalAge }
+        const load = this.getLoad()
+        return { isOwner: this.election.isOwner(), renewalAge, ...load !== null && { load } }
       },
       storeSubmission: submission => this.gateway.storeSubmission(submission),
       storeCancellation: (jobId, accountName) => this.gateway.storeCancellation(jobId, accountName),
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -11,6 +11,7 @@
 export interface InstanceMetrics {
   submissions: Counter<'outcome'>
   refusedCalls: Counter<'reason'>
+  refusedSubmissions: Counter<'priority' | 'reason'>
   submissionSeconds: Histogram
   starts: Counter<'outcome'>
   startSeconds: Histogram
@@ -75,6 +76,12 @@
       labelNames: ['reason'],
       registers
     }),
+    refusedSubmissions: new Counter({
+      name: 'papayamoor_instance_refused_submissions_total',
+      help: 'Submissions that were refused because of the load, by the priority of their queue and the reason.',
+      labelNames: ['priority', 'reason'],
+      registers
+    }),
     submissionSeconds: new Histogram({
       name: 'papayamoor_instance_submission_seconds',
       help: 'Time from a submission to its answer.',
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -1,3 +1,4 @@
+import type { AdmissionControl, AdmissionDecision } from '../admission/index.js'
 import { isForeignAccount } from '../accounts/index.js'
 import type { JobSpecification, JobState, JobSubmission } from '../jobs/index.js'
 import { decodeProgress } from '../jobs/index.js'
@@ -5,10 +6,12 @@
 import type { Clock } from '../shared/Clock.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableLimits } from '../table/TableLimits.js'
-import type { TableService, Transaction, TransactionOutcome } from '../table/TableService.js'
+import type { Condition, Operation, TableService, Transaction, TransactionOutcome } from '../table/TableService.js'
 import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
-import { getAccountName, getCancelKey, isFinishedJob, JOB_TABLE, PROGRESS_TABLE } from './jobRows.js'
+import {
+  createRefusedJobValue, getAccountName, getCancelKey, getRefusalTime, isFinishedJob, JOB_TABLE, PROGRESS_TABLE
+} from './jobRows.js'
 import type { OwnerApi, OwnerJobState, OwnerPeer, StoreOutcome } from './OwnerPeer.js'
 import type { QueueConfiguration } from './SiteConfiguration.js'
 import { createSubmissionOperations } from './submissionRows.js'
@@ -21,6 +24,8 @@
   | { kind: 'foreign' }
   /** The job is certainly not stored and will not run unless it is submitted again. */
   | { kind: 'rejected', retryAfterSeconds: number }
+  /** The job is not stored because of the load, and will not run unless it is submitted again. */
+  | { kind: 'refused', retryAfterSeconds: number }
   /** The job may or may not be stored; submitting it again is safe. */
   | { kind: 'unknown' }
 
@@ -57,6 +62,8 @@
   ownerApi: OwnerApi
   isOwner (): boolean
   getOwnerAddress (): string | null
+  /** Decides which jobs are refused because of the load; none by default. */
+  admission?: AdmissionControl
   clock: Clock
   logger: Logger
 }
@@ -74,15 +81,27 @@
 /** How long a write without a response is repeated before the owner is asked to store it. */
 const REPEAT_LIMIT_MILLISECONDS = 300
 
+/** Covers storing a refusal, and storing the job if the refusal fails. */
+const REFUSAL_MILLISECONDS = 2000
+/**
+ * Bounds how far the clocks of two instances differ: a request is later than a refusal only by more than this. Refused
+ * callers are asked to wait longer.
+ */
+const CLOCK_DIFFERENCE_MILLISECONDS = 2000
+/** The delay for the caller of a copy of a request that another instance has refused. */
+const REFUSED_COPY_RETRY_SECONDS = 4
+
 /** Accepts, cancels and looks up jobs for callers, in any process of the system. */
 export class JobGateway {
   /** Monotonic time of the first failed submission since the last one that was stored. */
   private storeFailingSince: number | null = null
 
   private readonly waitingCounts: BatchedLog
+  private readonly refusals: BatchedLog
 
   private constructor (private readonly options: JobGatewayOptions) {
     this.waitingCounts = BatchedLog.create({ ...options, message: 'waiting jobs answered' })
+    this.refusals = BatchedLog.create({ ...options, message: 'submission refused' })
   }
 
   /**
@@ -109,7 +128,13 @@
   ): Promise<SubmitOutcome> {
     const { clock, metrics } = this.options
     const since = clock.monotonicMilliseconds()
-    const outcome = await this.storeUntilSettled(jobId, specification, queue, wait, accountName)
+    const submission = this.createSubmission(jobId, specification, queue, accountName)
+    const decision = this.decideAdmission(submission, wait)
+    const isRefused = decision.kind === 'refused' && await this.storeRefusal(jobId)
+    const milliseconds = wait.milliseconds - (clock.monotonicMilliseconds() - since)
+    const outcome = isRefused
+      ? this.recordRefusal(submission, decision)
+      : await this.storeUntilSettled(submission, { ...wait, milliseconds })
     metrics.submissions.inc({ outcome: outcome.kind })
     metrics.submissionSeconds.observe((clock.monotonicMilliseconds() - since) / 1000)
     return outcome
@@ -139,7 +164,7 @@
     if (isExpired()) return this.abandonLookup(jobId)
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return { kind: 'unavailable' }
-    if (job.value === null) return { kind: 'missing' }
+    if (job.value === null || getRefusalTime(job.value.value) !== null) return { kind: 'missing' }
     if (isForeignAccount(accountName, getAccountName(job.value.value))) return { kind: 'foreign' }
     if (!isFinishedJob(job.value.value)) return { kind: 'known', state: 'pending' }
     if (isExpired()) return this.abandonLookup(jobId)
@@ -193,12 +218,10 @@
     return waiting
   }
 
-  private async storeUntilSettled (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait,
-    accountName: string | null
-  ): Promise<SubmitOutcome> {
-    const { clock, logger } = this.options
-    const submission: JobSubmission = {
+  private createSubmission (
+    jobId: string, specification: JobSpecification, queue: QueueConfiguration, accountName: string | null
+  ): JobSubmission {
+    return {
       jobId,
       queueName: queue.name,
       ...accountName !== null && { accountName },
@@ -207,9 +230,59 @@
       attemptLimit: queue.attemptLimit,
       stretch: queue.stretch,
       targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
-      acceptedAtMilliseconds: Math.round(clock.wallMilliseconds()),
+      acceptedAtMilliseconds: Math.round(this.options.clock.wallMilliseconds()),
       specification
     }
+  }
+
+  private decideAdmission (submission: JobSubmission, wait: CallerWait): AdmissionDecision {
+    const { admission } = this.options
+    if (admission === undefined || wait.milliseconds < REFUSAL_MILLISECONDS) return { kind: 'admitted' }
+    return admission.decide(submission.jobId, submission.specification, submission)
+  }
+
+  /**
+   * Stores that a job is refused because of the load. Another instance may have stored an earlier copy of the
+   * submission, or its write may still be on the way: a refusal is true only with a row that no such write replaces.
+   * @returns Whether the row is stored, so that the job certainly is not.
+   */
+  private async storeRefusal (jobId: string): Promise<boolean> {
+    const { clock } = this.options
+    const put = async (condition: Condition): Promise<TransactionOutcome> => {
+      const value = createRefusedJobValue(clock.wallMilliseconds())
+      const operation: Operation = { kind: 'put', table: JOB_TABLE, key: jobId, value, condition }
+      return await this.transact('submission', { operations: [operation] }, () => false)
+    }
+    const outcome = await put({ kind: 'absent' })
+    if (outcome.kind !== 'conflict') return outcome.kind === 'committed'
+    // Only the row of an earlier refusal is replaced; any other one means that the job is stored.
+    if (outcome.current === null || getRefusalTime(outcome.current.value) === null) return false
+    return (await put({ kind: 'version', version: outcome.current.version })).kind === 'committed'
+  }
+
+  private recordRefusal (
+    { jobId, queueName, priority }: JobSubmission, decision: Extract<AdmissionDecision, { kind: 'refused' }>
+  ): SubmitOutcome {
+    const { load: { aheadMilliseconds, excessShare, fills }, summaryAge, epoch } = decision
+    const retryAfterSeconds = Math.ceil(decision.retryAfterMilliseconds / 1000)
+    this.options.metrics.refusedSubmissions.inc({ priority, reason: 'useless' })
+    this.refusals.add({
+      job: jobId,
+      queue: queueName,
+      priority,
+      fills,
+      aheadMilliseconds,
+      excessShare: Math.round(excessShare * 100) / 100,
+      summaryAgeMilliseconds: Math.round(summaryAge),
+      epoch,
+      retryAfterSeconds
+    })
+    return { kind: 'refused', retryAfterSeconds }
+  }
+
+  private async storeUntilSettled (submission: JobSubmission, wait: CallerWait): Promise<SubmitOutcome> {
+    const { clock, logger } = this.options
+    const { jobId, queueName } = submission
     const isExpired = this.createExpiryCheck(wait)
     const end = clock.monotonicMilliseconds() + wait.milliseconds - ANSWER_MARGIN_MILLISECONDS
     let mayBeStored = false
@@ -228,10 +301,11 @@
       }
       if (outcome === 'stored') {
         this.storeFailingSince = null
-        logger.info('job accepted', { job: jobId, queue: queue.name })
+        logger.info('job accepted', { job: jobId, queue: queueName })
         return { kind: 'accepted' }
       }
       if (outcome === 'foreign') return { kind: 'foreign' }
+      if (outcome === 'refused') return { kind: 'refused', retryAfterSeconds: REFUSED_COPY_RETRY_SECONDS }
       this.storeFailingSince ??= clock.monotonicMilliseconds()
       mayBeStored ||= outcome === 'unknown'
       if (!mayBeStored) {
@@ -266,23 +340,26 @@
    * only if the store has none of this job, and stays there when the job has ended.
    * @param submission The submission.
    * @param mayRepeat Returns whether the write may be repeated; by default it is sent once, as for a peer that waits.
-   * @returns The outcome, which is also `stored` when an earlier copy is stored, and `foreign` when the stored job with
-   * its identifier belongs to another client account.
+   * @returns The outcome, which is also `stored` when an earlier copy is stored, `foreign` when the stored job with its
+   * identifier belongs to another client account, and `refused` when a copy of this request was refused.
    */
   async storeSubmission (submission: JobSubmission, mayRepeat: () => boolean = () => false): Promise<StoreOutcome> {
-    const operations = createSubmissionOperations(submission, this.options.tableLimits)
-    const outcome = await this.transact('submission', { operations }, mayRepeat)
-    if (outcome.kind === 'committed') return 'stored'
-    if (outcome.kind === 'conflict') return await this.checkStoredAccount(submission)
-    return outcome.kind === 'unavailable' ? 'not-stored' : 'unknown'
+    const outcome = await this.transactSubmission(submission, { kind: 'absent' }, mayRepeat)
+    if (outcome.kind !== 'conflict' || outcome.current === null) return getStoreOutcome(outcome)
+    const { value, version } = outcome.current
+    const refusedAt = getRefusalTime(value)
+    const { accountName = null, acceptedAtMilliseconds } = submission
+    if (refusedAt === null) return isForeignAccount(accountName, getAccountName(value)) ? 'foreign' : 'stored'
+    if (acceptedAtMilliseconds <= refusedAt + CLOCK_DIFFERENCE_MILLISECONDS) return 'refused'
+    // The row of a refusal gives way to a later request, unless another one has replaced it.
+    return getStoreOutcome(await this.transactSubmission(submission, { kind: 'version', version }, mayRepeat))
   }
 
-  /** Returns whether the stored job with the identifier of a submission is its earlier copy. */
-  private async checkStoredAccount ({ jobId, accountName }: JobSubmission): Promise<StoreOutcome> {
-    if (accountName === undefined) return 'stored'
-    const stored = await this.options.tableService.read({ table: JOB_TABLE, key: jobId })
-    if (stored.kind !== 'ok' || stored.value === null) return 'unknown'
-    return isForeignAccount(accountName, getAccountName(stored.value.value)) ? 'foreign' : 'stored'
+  private async transactSubmission (
+    submission: JobSubmission, condition: Condition, mayRepeat: () => boolean
+  ): Promise<TransactionOutcome> {
+    const operations = createSubmissionOperations(submission, this.options.tableLimits, condition)
+    return await this.transact('submission', { operations }, mayRepeat)
   }
 
   /**
@@ -299,7 +376,7 @@
     const { tableService } = this.options
     const job = await tableService.read({ table: JOB_TABLE, key: jobId })
     if (job.kind !== 'ok') return 'not-stored'
-    if (job.value === null) return 'missing'
+    if (job.value === null || getRefusalTime(job.value.value) !== null) return 'missing'
     if (isForeignAccount(accountName, getAccountName(job.value.value))) return 'foreign'
     if (isFinishedJob(job.value.value)) return 'stored'
     const outcome = await this.transact('cancellation', {
@@ -351,3 +428,8 @@
     return new Promise(resolve => { this.options.clock.setTimer(milliseconds, resolve) })
   }
 }
+
+function getStoreOutcome ({ kind }: TransactionOutcome): StoreOutcome {
+  if (kind === 'committed') return 'stored'
+  return kind === 'unavailable' ? 'not-stored' : 'unknown'
+}
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -1,6 +1,8 @@
+import type { LoadSummary } from '../admission/index.js'
 import { EPOCH_STEP } from '../dispatch/index.js'
 import { SHARD_HEARTBEAT_TABLE, SHARD_TABLE, ShardLease, type EarlierOwner, type Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
+import { ElapsedTime } from '../shared/ElapsedTime.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
 import type { TableService } from '../table/TableService.js'
@@ -54,6 +56,12 @@
    */
   onEarlierOwnerStopped (renewalsEndAt: number): void
   onDeposed (reason: string): void
+  /**
+   * Called when the owner has sent its load.
+   * @param summary The load.
+   * @param since The time since the request was sent.
+   */
+  onLoad? (summary: LoadSummary, since: ElapsedTime): void
 }
 
 /** The row of the shard holds this many earlier owners that may be active; more of them follow each other too fast. */
@@ -125,6 +133,11 @@
     return this.lease.getObservedOwner()?.address ?? null
   }
 
+  /** Returns the epoch of the owner that was last observed, 0 before one was. */
+  getObservedEpoch (): number {
+    return this.lease.getObservedOwner()?.epoch ?? 0
+  }
+
   /** Returns whether this process owns the shard. */
   isOwner (): boolean {
     return this.lease.getFence() !== null
@@ -292,9 +305,13 @@
   private async isOwnerAlive (): Promise<boolean> {
     const address = this.getOwnerAddress()
     if (address === null || address === this.options.address) return false
-    const outcome = await this.options.peer.probe(address)
-    this.stopDetector.record(outcome, this.options.clock.monotonicMilliseconds())
-    return outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
+    const { peer, clock, onLoad } = this.options
+    const since = ElapsedTime.start(clock)
+    const outcome = await peer.probe(address)
+    this.stopDetector.record(outcome, clock.monotonicMilliseconds())
+    const isAlive = outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
+    if (isAlive && outcome.load !== undefined) onLoad?.(outcome.load, since)
+    return isAlive
   }
 
   private pause (milliseconds: number): Promise<void> {
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -1,10 +1,11 @@
+import { decodeLoadSummary, type LoadSummary } from '../admission/index.js'
 import type { JobState, JobSubmission } from '../jobs/index.js'
 import { getTransferMilliseconds } from '../shared/getTransferMilliseconds.js'
 import type { HttpCaller } from '../shared/HttpCaller.js'
 
 /** The outcome of probing the owner. */
 export type ProbeOutcome =
-  | { kind: 'alive', isOwner: boolean, renewalAge: number }
+  | { kind: 'alive', isOwner: boolean, renewalAge: number, load?: LoadSummary }
   /** The machine refused the connection, so no process listens there. */
   | { kind: 'refused' }
   | { kind: 'silent', reason: string }
@@ -16,7 +17,7 @@
 export type OwnerJobState = JobState | 'unknown' | 'foreign' | null
 
 /** The outcome of storing a submission or a cancellation. */
-export type StoreOutcome = 'stored' | 'not-stored' | 'unknown' | 'missing' | 'foreign'
+export type StoreOutcome = 'stored' | 'not-stored' | 'unknown' | 'missing' | 'foreign' | 'refused'
 
 /** The calls that an owner handles for its peers. */
 export interface OwnerApi {
@@ -24,7 +25,8 @@
   storeSubmission (submission: JobSubmission): Promise<StoreOutcome>
   /** Stores a cancellation for a peer to which the store is unavailable. */
   storeCancellation (jobId: string, accountName?: string | null): Promise<StoreOutcome>
-  probe (): { isOwner: boolean, renewalAge: number }
+  /** Returns whether this process is the owner, and its load where admission control is enabled. */
+  probe (): { isOwner: boolean, renewalAge: number, load?: LoadSummary }
   getJobState (jobId: string, accountName?: string | null): OwnerJobState
   countWaiting (queueName: string): number | null
 }
@@ -75,9 +77,11 @@
       address, method: 'GET', path: '/owner', timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS
     })
     if (answer.kind === 'answered' && answer.statusCode === 200) {
-      const { isOwner, renewalAge } = parseObject(answer.body)
+      const { isOwner, renewalAge, load: sentLoad } = parseObject(answer.body)
       const isValid = typeof isOwner === 'boolean' && typeof renewalAge === 'number'
-      return isValid ? { kind: 'alive', isOwner, renewalAge } : { kind: 'silent', reason: 'malformed answer' }
+      if (!isValid) return { kind: 'silent', reason: 'malformed answer' }
+      const load = decodeLoadSummary(sentLoad)
+      return { kind: 'alive', isOwner, renewalAge, ...load !== null && { load } }
     }
     if (answer.kind === 'not-sent' && answer.reason === REFUSED_CODE) return { kind: 'refused' }
     return { kind: 'silent', reason: answer.kind === 'answered' ? `status ${answer.statusCode}` : answer.reason }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,3 +1,4 @@
+import { LoadMeter, type LoadSummary } from '../admission/index.js'
 import {
   DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
 } from '../dispatch/index.js'
@@ -59,6 +60,8 @@
   assignmentsStoredSince: number | null
   /** The number of processors of this process, which may be a fraction. */
   processors: number
+  /** Whether the load is measured and published for admission control; false by default. */
+  isAdmissionEnabled?: boolean
   createWorkerClient (entry: WorkerEntry): WorkerClient
   /** Returns a number from 0 to 1 for the random part of retry delays. */
   random (): number
@@ -105,6 +108,7 @@
   private readonly siteUpdater: SiteUpdater
   private readonly rowLoader: ShardRowLoader
   private readonly waitingCounter: WaitingCounter
+  private readonly loadMeter: LoadMeter | null
   private jobFollower: TableFollower | null = null
   /** The time since the job table was read for the load. */
   private sinceLoadRead: ElapsedTime | null = null
@@ -122,6 +126,9 @@
     this.engine = DispatchEngine.create({
       epoch: options.fence.epoch, observer, leaseMilliseconds: options.leaseMilliseconds
     })
+    this.loadMeter = options.isAdmissionEnabled === true
+      ? LoadMeter.create({ ...this.engine, epoch: options.fence.epoch })
+      : null
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     const repeatsPerSecond = WORKER_CALL_REPEATS_PER_PROCESSOR * options.processors
     this.workerCallRepeats = RepeatBudget.create({
@@ -264,6 +271,11 @@
     return this.loaded ? this.waitingCounter.count(queueName) : null
   }
 
+  /** Returns the load of the shard; null where it is not measured and before the jobs are loaded. */
+  getLoad (): LoadSummary | null {
+    return this.loaded ? this.loadMeter?.getSummary(this.now()) ?? null : null
+  }
+
   /** Stores progress that is not durable yet, before the shard is released. */
   async flush (): Promise<void> {
     await this.writer.flush()
@@ -383,6 +395,7 @@
     this.engine.jobs.expireFinalStates(now)
     this.recoveryMonitor.check()
     this.waitMonitor.check()
+    this.loadMeter?.measure(now, this.options.clock.wallMilliseconds())
     const removedWorkerIds = this.loops.getWorkerIds().filter(workerId => !this.engine.workers.has(workerId))
     for (const workerId of removedWorkerIds) this.loops.stop(workerId)
     this.registry.unregister(removedWorkerIds)
--- a/src/instance/jobRows.ts
+++ b/src/instance/jobRows.ts
@@ -49,6 +49,25 @@
 /** The value of the row of a finished job; the row stays, so that a late copy of its submission starts no new job. */
 export const FINISHED_JOB_VALUE = {}
 
+/**
+ * Creates the value of the row of a job that was refused because of the load. It keeps writes of earlier copies of the
+ * submission from being stored; a later request replaces it.
+ * @param wallMilliseconds The time of day of the refusal.
+ * @returns The value.
+ */
+export function createRefusedJobValue (wallMilliseconds: number): JsonValue {
+  return { refusedAtMilliseconds: Math.round(wallMilliseconds) }
+}
+
+/**
+ * Returns when a job was refused because of the load.
+ * @param value The value of a row of the job table.
+ * @returns The time of day in milliseconds, or null when the row is of another kind.
+ */
+export function getRefusalTime (value: JsonValue): number | null {
+  return getNumber(getFields(value).refusedAtMilliseconds)
+}
+
 /** Returns the key of the row that requests the cancellation of a job. */
 export function getCancelKey (jobId: string): string {
   return `${jobId}${CANCEL_SUFFIX}`
@@ -85,11 +104,12 @@
 }
 
 /**
- * Returns whether a row of the job table belongs to a finished job.
+ * Returns whether a row of the job table belongs to a job that does not run any more.
  * @param value The value of the row.
- * @returns Whether the row is the emptied row of a finished job.
+ * @returns Whether the row is the emptied row of a finished job, or that of a refused one.
  */
 export function isFinishedJob (value: JsonValue): boolean {
+  if (getRefusalTime(value) !== null) return true
   return typeof value === 'object' && value !== null && Object.keys(value).length === 0
 }
 
--- a/src/instance/submissionRows.ts
+++ b/src/instance/submissionRows.ts
@@ -2,7 +2,7 @@
 import type { JobSubmission } from '../jobs/index.js'
 import type { JsonValue } from '../shared/JsonValue.js'
 import type { TableLimits } from '../table/TableLimits.js'
-import type { Operation, Row } from '../table/TableService.js'
+import type { Condition, Operation, Row } from '../table/TableService.js'
 import { encodeSubmission, getSubmissionPartKey, getSubmissionPartOf, JOB_TABLE } from './jobRows.js'
 
 /** The bytes of a row in JSON beside its piece of the text. */
@@ -21,17 +21,18 @@
 }
 
 /**
- * Creates the operations that store a submission on condition that there is none with its identifier. All of them must
- * be in one transaction.
+ * Creates the operations that store a submission. All of them must be in one transaction.
  * @param submission The submission.
  * @param limits The limits of the store.
+ * @param condition The condition on the row of the job: by default, that there is none.
  * @returns One operation, or several for a submission that exceeds a row.
  */
-export function createSubmissionOperations (submission: JobSubmission, limits: TableLimits): Operation[] {
+export function createSubmissionOperations (
+  submission: JobSubmission, limits: TableLimits, condition: Condition = { kind: 'absent' }
+): Operation[] {
   const { jobId: key, accountName } = submission
   const value = encodeSubmission(submission)
   const text = JSON.stringify(value)
-  const condition = { kind: 'absent' } as const
   if (Buffer.byteLength(text) <= limits.rowBytes) return [{ kind: 'put', table: JOB_TABLE, key, value, condition }]
   const compressed = deflateRawSync(text).toString('base64')
   const accountBytes = accountName === undefined ? 0 : Buffer.byteLength(JSON.stringify({ accountName }))
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -57,6 +57,8 @@
   allowsUnexpectedErrors?: boolean
   /** A second region behind a link, which needs `processorTime`; by default, there is one region. */
   farRegion?: FarRegion
+  /** Whether instances may refuse jobs because of the load; the default is false. */
+  isAdmissionEnabled?: boolean
   /** How long the store takes for each call in addition to the usual time; gives table calls their time-outs. */
   getStoreDelayMilliseconds?: () => number
 }
@@ -274,12 +276,11 @@
       peer: this.createPeer(receiver, instanceId),
       registry: new Registry(),
       resources: { processors: 1, linkMegabitsPerSecond: LINK_MEGABITS_PER_SECOND },
-      livenessSource: {
-        listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers()))
-      },
+      livenessSource: { listLiveWorkers: async () => await receiver.receive(Promise.resolve(this.listLiveWorkers())) },
       clock: receiver.clock,
       logger: this.createLogger(instanceId),
       leaseMilliseconds: LEASE_MILLISECONDS,
+      isAdmissionEnabled: this.options.isAdmissionEnabled,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
