Compare the work ahead of a job with all processors that it could use, by service and account

Work of one service does not precede that of another, and work that waits for a label, accelerators, the other members of a gang or a larger worker, or on a site that has lost workers, says nothing of room: its sum let jobs appear useless that were not. Only work that fits counts, against all processors of its service beside long-running tasks, and a class of which half of the arriving work ends is never refused, as higher priorities may wait for the limits of their accounts.

--- a/src/admission/AdmissionControl.ts
+++ b/src/admission/AdmissionControl.ts
@@ -1,7 +1,7 @@
-import type { JobSpecification } from '../jobs/index.js'
+import type { JobSubmission } from '../jobs/index.js'
 import type { Clock } from '../shared/Clock.js'
 import type { ElapsedTime } from '../shared/ElapsedTime.js'
-import { decideAdmission, getDraw, type AdmissionConditions, type AdmissionDecision } from './decideAdmission.js'
+import { decideAdmission, getDraw, type AdmissionDecision } from './decideAdmission.js'
 import type { LoadSummary } from './LoadSummary.js'
 
 /** Options of an admission control. */
@@ -43,14 +43,10 @@
 
   /**
    * Decides whether a job is admitted.
-   * @param jobId The job.
-   * @param specification What the caller has sent.
-   * @param queue The queue.
+   * @param submission The job.
    * @returns The decision.
    */
-  decide (
-    jobId: string, specification: JobSpecification, queue: AdmissionConditions['queue']
-  ): AdmissionDecision {
+  decide (submission: JobSubmission): AdmissionDecision {
     const { random, getObservedEpoch, getOwnSummary } = this.options
     const ownSummary = getOwnSummary()
     const summary = ownSummary ?? this.received?.summary ?? null
@@ -59,9 +55,8 @@
       summary,
       summaryAge: elapsed + (summary?.ageMilliseconds ?? 0),
       ownerEpoch: Math.max(this.highestEpoch, getObservedEpoch()),
-      queue,
-      specification,
-      draw: getDraw(jobId),
+      submission,
+      draw: getDraw(submission.jobId),
       random: random()
     })
   }
--- a/src/admission/LoadMeter.ts
+++ b/src/admission/LoadMeter.ts
@@ -1,8 +1,9 @@
 import type { JobTable } from '../dispatch/JobTable.js'
 import { getUrgency, type Urgency } from '../dispatch/rankJobs.js'
+import { getBestEffortProcessors } from '../dispatch/getWorkerCost.js'
 import type { WorkerRecord } from '../dispatch/WorkerRecord.js'
-import { hasLongRunningStep, type JobRecord, type StepRecord } from '../jobs/index.js'
-import type { ClassLoad, LoadSummary } from './LoadSummary.js'
+import { hasLongRunningStep, type JobRecord, type StepRecord, type StepSpecification } from '../jobs/index.js'
+import { CLASS_LIMIT, isPlainStep, isSameClass, type ClassLoad, type JobClass, type LoadSummary } from './LoadSummary.js'
 import type { RunTimeRatios } from './RunTimeRatios.js'
 
 /** Options of a meter. */
@@ -21,10 +22,8 @@
 /** After this time, work that has arrived or ended counts half. */
 const HALF_LIFE_MILLISECONDS = 10_000
 
-/** Work of one priority and kind of room, in thousandths of a processor times milliseconds. */
-interface ClassTotals {
-  priority: number
-  fills: boolean
+/** The work of a class, in thousandths of a processor times milliseconds. */
+interface ClassTotals extends JobClass {
   /** The decayed work and number of the jobs that have arrived. */
   arrivedWork: number
   arrivedCount: number
@@ -43,6 +42,17 @@
 /** An amount for reserved processors and one for best-effort tasks. */
 type KindAmounts = [reserved: number, bestEffort: number]
 
+/** What a service has for tasks that end. */
+interface ServiceRoom {
+  /** The processors that such tasks use, or could use beside long-running ones, whichever is more. */
+  processors: KindAmounts
+  /** The processors that such tasks use now. */
+  running: KindAmounts
+  /** The largest worker. */
+  processorsMilli: number
+  memoryMegabytes: number
+}
+
 interface Measurement {
   at: number
   classes: ClassLoad[]
@@ -52,8 +62,9 @@
  * Measures the load that new jobs meet, from the jobs and workers of the owner.
  *
  * Designed for lasting overloads of a site by jobs of several priorities. All values err on the side of less load: work
- * is compared with the larger of the processors that run such work and the rate at which it ends, work of higher
- * priority that has yet to arrive does not count, and the values of a summary are the lowest of some seconds.
+ * is compared with all processors that such work could use, work of higher priority that has yet to arrive does not
+ * count, nor does work that may wait for something else than room, and the values of a summary are the lowest of some
+ * seconds.
  */
 export class LoadMeter {
   private readonly classes = new Map<string, ClassTotals>()
@@ -80,9 +91,10 @@
   measure (now: number, wallMilliseconds: number): void {
     if (now - this.measuredAt < INTERVAL_MILLISECONDS) return
     this.decay(now)
-    this.measureJobs(wallMilliseconds)
+    const rooms = this.getRooms()
+    this.measureJobs(rooms, wallMilliseconds)
     this.measuredAt = now
-    this.history.push({ at: now, classes: this.getClassLoads() })
+    this.history.push({ at: now, classes: this.getClassLoads(rooms) })
     // One measurement from before the time that counts remains, so that all of that time is covered.
     while (this.history.length > 1 && this.history[1].at <= now - SUSTAINED_MILLISECONDS) this.history.shift()
   }
@@ -99,13 +111,13 @@
     const isCovered = first !== undefined && first.at <= this.measuredAt - SUSTAINED_MILLISECONDS
     if (!isCovered) return { epoch, ageMilliseconds: 0, classes: [] }
     const classes = others.reduce((lowest, { classes }) => lowest.flatMap(load => {
-      const other = classes.find(({ priority, fills }) => priority === load.priority && fills === load.fills)
+      const other = classes.find(candidate => isSameClass(candidate, load))
       return other === undefined ? [] : [getLowest(load, other)]
     }), first.classes)
-    return { epoch, ageMilliseconds, classes: classes.filter(load => load.aheadMilliseconds > 0) }
+    return { epoch, ageMilliseconds, classes: classes.slice(0, CLASS_LIMIT) }
   }
 
-  private measureJobs (wallMilliseconds: number): void {
+  private measureJobs (rooms: ReadonlyMap<string, ServiceRoom>, wallMilliseconds: number): void {
     for (const totals of this.classes.values()) totals.waiting = { 'in-time': 0, late: 0, useless: 0 }
     const isFirst = this.measuredAt === -Infinity
     const measuredJobs = new Map<JobRecord, MeasuredJob>()
@@ -119,7 +131,8 @@
       const doneWork = this.countEnds(job, isFirst ? null : previous?.doneWork ?? [0, 0])
       if (job.finalState !== null) continue
       measuredJobs.set(job, { doneWork })
-      this.addWaiting(job, getUrgency(job, wallMilliseconds))
+      const room = rooms.get(job.submission.serviceName)
+      if (room !== undefined) this.addWaiting(job, getUrgency(job, wallMilliseconds), room)
     }
     // The other ones have ended since, and their final states are durable.
     for (const [job, { doneWork }] of previousJobs) this.countEnds(job, doneWork)
@@ -158,10 +171,11 @@
     return done
   }
 
-  private addWaiting (job: JobRecord, urgency: Urgency): void {
+  private addWaiting (job: JobRecord, urgency: Urgency, room: ServiceRoom): void {
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps) {
         const { fills, processorsMilli } = step.specification
+        if (!mayFit(step.specification, room)) continue
         const waiting = countIdle(step) * processorsMilli * this.getRunTime(job, step.specification)
         if (waiting > 0) this.getTotals(job, fills).waiting[urgency] += waiting
       }
@@ -172,48 +186,47 @@
     return step.estimateMilliseconds * this.options.runTimeRatios.getRunTimeRatio(submission.queueName, step.fills)
   }
 
-  private getClassLoads (): ClassLoad[] {
-    const running = this.getRunningProcessors()
-    const sorted = [...this.classes.values()].sort((left, right) => left.priority - right.priority)
-    return [false, true].flatMap(fills => {
-      const members = sorted.filter(totals => totals.fills === fills)
-      const ended = members.reduce((sum, { endedWork }) => sum + endedWork, 0) * Math.LN2 / HALF_LIFE_MILLISECONDS
-      const rate = Math.max(running[Number(fills)], ended)
-      // Nothing is known of a site on which no such work runs or has ended.
-      if (rate <= 0) return []
-      let higher = 0
-      return members.map((totals): ClassLoad => {
-        const { priority, waiting, arrivedWork, arrivedCount, endedWork } = totals
-        const ahead = higher + waiting['in-time']
-        higher += waiting['in-time'] + waiting.late + waiting.useless
-        return {
-          priority,
-          fills,
-          aheadMilliseconds: Math.round(ahead / rate),
-          excessShare: arrivedWork > 0 ? Math.max(0, 1 - endedWork / arrivedWork) : 0,
-          meanWork: arrivedCount > 0 ? arrivedWork / arrivedCount : 0
-        }
-      })
-    })
+  private getClassLoads (rooms: ReadonlyMap<string, ServiceRoom>): ClassLoad[] {
+    const groups = new Map<string, ClassTotals[]>()
+    for (const totals of this.classes.values()) {
+      const key = `${totals.fills} ${totals.serviceName}`
+      const group = groups.get(key)
+      if (group === undefined) groups.set(key, [totals])
+      else group.push(totals)
+    }
+    const loads = [...groups.values()].flatMap(group => getGroupLoads(group, rooms.get(group[0].serviceName)))
+    return loads.sort((left, right) => right.aheadMilliseconds - left.aheadMilliseconds)
   }
 
-  /** Returns the processors of running tasks that end, by kind of room. */
-  private getRunningProcessors (): KindAmounts {
-    const running: KindAmounts = [0, 0]
+  private getRooms (): Map<string, ServiceRoom> {
+    const rooms = new Map<string, ServiceRoom>()
     for (const worker of this.options.workers.values()) {
+      const { entry: { serviceName, capacity } } = worker
+      const room = rooms.get(serviceName) ??
+        { processors: [0, 0], running: [0, 0], processorsMilli: 0, memoryMegabytes: 0 }
+      rooms.set(serviceName, room)
+      let longRunning = 0
       for (const { task: { step: { specification } } } of worker.runs.values()) {
-        if (!specification.longRunning) running[Number(specification.fills)] += specification.processorsMilli
+        if (!specification.longRunning) room.running[Number(specification.fills)] += specification.processorsMilli
+        else if (!specification.fills) longRunning += specification.processorsMilli
       }
+      room.processors[0] += Math.max(0, capacity.processorsMilli - longRunning)
+      room.processors[1] += getBestEffortProcessors(worker)
+      room.processorsMilli = Math.max(room.processorsMilli, capacity.processorsMilli)
+      room.memoryMegabytes = Math.max(room.memoryMegabytes, capacity.memoryMegabytes)
     }
-    return running
+    return rooms
   }
 
-  private getTotals ({ submission: { priority } }: JobRecord, fills: boolean): ClassTotals {
-    const key = `${priority} ${fills}`
+  private getTotals ({ submission }: JobRecord, fills: boolean): ClassTotals {
+    const { serviceName, accountName = null, priority } = submission
+    const key = JSON.stringify([serviceName, accountName, priority, fills])
     const existing = this.classes.get(key)
     if (existing !== undefined) return existing
     const waiting = { 'in-time': 0, late: 0, useless: 0 }
-    const totals = { priority, fills, arrivedWork: 0, arrivedCount: 0, endedWork: 0, waiting }
+    const totals = {
+      serviceName, accountName, priority, fills, arrivedWork: 0, arrivedCount: 0, endedWork: 0, waiting
+    }
     this.classes.set(key, totals)
     return totals
   }
@@ -234,6 +247,33 @@
   return Math.max(0, count)
 }
 
+/** Returns whether the tasks of a step need nothing that the workers of its service may lack for ever. */
+function mayFit (step: StepSpecification, room: ServiceRoom): boolean {
+  return isPlainStep(step) && step.processorsMilli <= room.processorsMilli &&
+    step.memoryMegabytes <= room.memoryMegabytes
+}
+
+/** Returns the loads of the classes of one service and kind of room; none where it has no room for such work. */
+function getGroupLoads (group: readonly ClassTotals[], room: ServiceRoom | undefined): ClassLoad[] {
+  const kind = Number(group[0].fills)
+  const ended = group.reduce((sum, { endedWork }) => sum + endedWork, 0) * Math.LN2 / HALF_LIFE_MILLISECONDS
+  const rate = Math.max(ended, room?.processors[kind] ?? 0, room?.running[kind] ?? 0)
+  if (rate <= 0) return []
+  return group.flatMap((totals): ClassLoad[] => {
+    const { serviceName, accountName, priority, fills, arrivedWork, arrivedCount, endedWork } = totals
+    let ahead = 0
+    for (const { priority: other, waiting } of group) {
+      if (other < priority) ahead += waiting['in-time'] + waiting.late + waiting.useless
+      if (other === priority) ahead += waiting['in-time']
+    }
+    const aheadMilliseconds = Math.round(ahead / rate)
+    const excessShare = arrivedWork > 0 ? Math.max(0, 1 - endedWork / arrivedWork) : 0
+    if (aheadMilliseconds === 0 || excessShare === 0) return []
+    const meanWork = arrivedCount > 0 ? arrivedWork / arrivedCount : 0
+    return [{ serviceName, accountName, priority, fills, aheadMilliseconds, excessShare, meanWork }]
+  })
+}
+
 function getLowest (left: ClassLoad, right: ClassLoad): ClassLoad {
   return {
     ...right,
--- a/src/admission/LoadSummary.ts
+++ b/src/admission/LoadSummary.ts
@@ -1,8 +1,17 @@
-/** The load that jobs of one priority and kind of room meet, as the lowest values of the last seconds. */
-export interface ClassLoad {
+import type { StepSpecification } from '../jobs/index.js'
+
+/** The jobs that meet the same load. */
+export interface JobClass {
+  serviceName: string
+  /** The client account; null for jobs without one. */
+  accountName: string | null
   priority: number
   /** Whether the tasks are best-effort. */
   fills: boolean
+}
+
+/** The load that the jobs of a class meet, as the lowest values of the last seconds. */
+export interface ClassLoad extends JobClass {
   /** How long the work takes that certainly precedes a new job: that of higher priorities, and that can be in time. */
   aheadMilliseconds: number
   /** The share of the work that arrives and does not end. */
@@ -20,8 +29,8 @@
   classes: ClassLoad[]
 }
 
-/** The most classes that are read from a summary. */
-const CLASS_LIMIT = 100
+/** The most classes in a summary, which each instance gets several times a second. */
+export const CLASS_LIMIT = 100
 
 /**
  * Reads a summary that a peer has sent.
@@ -36,8 +45,9 @@
 }
 
 function isClassLoad (value: unknown): value is ClassLoad {
-  const { priority, fills, aheadMilliseconds, excessShare, meanWork } = getFields(value)
-  return typeof priority === 'number' && typeof fills === 'boolean' && isAmount(excessShare) && excessShare <= 1 &&
+  const { serviceName, accountName, priority, fills, aheadMilliseconds, excessShare, meanWork } = getFields(value)
+  const isNamed = typeof serviceName === 'string' && (accountName === null || typeof accountName === 'string')
+  return isNamed && typeof priority === 'number' && typeof fills === 'boolean' && isAmount(excessShare) && excessShare <= 1 &&
     [aheadMilliseconds, meanWork].every(isAmount)
 }
 
@@ -48,3 +58,24 @@
 function isAmount (value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0
 }
+
+/**
+ * Returns whether two classes are the same.
+ * @param left A class.
+ * @param right Another class.
+ * @returns Whether they are equal.
+ */
+export function isSameClass (left: JobClass, right: JobClass): boolean {
+  return left.serviceName === right.serviceName && left.accountName === right.accountName &&
+    left.priority === right.priority && left.fills === right.fills
+}
+
+/**
+ * Returns whether the tasks of a step can start wherever there is room. Others may wait for a label, for accelerators
+ * or for each other, so that they neither precede other work for certain nor wait for it.
+ * @param step The step.
+ * @returns Whether only processors and memory limit its starts.
+ */
+export function isPlainStep ({ gang, requiredLabel, accelerators, maximumPerWorker }: StepSpecification): boolean {
+  return !gang && requiredLabel === '' && accelerators === 0 && maximumPerWorker === 0
+}
--- a/src/admission/decideAdmission.ts
+++ b/src/admission/decideAdmission.ts
@@ -1,5 +1,5 @@
-import type { JobSpecification } from '../jobs/index.js'
-import type { ClassLoad, LoadSummary } from './LoadSummary.js'
+import type { JobSubmission } from '../jobs/index.js'
+import { isPlainStep, isSameClass, type ClassLoad, type LoadSummary } from './LoadSummary.js'
 
 /** What decides whether a job is admitted. */
 export interface AdmissionConditions {
@@ -9,9 +9,7 @@
   summaryAge: number
   /** The epoch of the latest owner that this process knows of. */
   ownerEpoch: number
-  /** The queue of the job. */
-  queue: { priority: number, stretch: number, targetLatencyMilliseconds: number }
-  specification: JobSpecification
+  submission: JobSubmission
   /** A number from 0 to 1 that all copies of a submission share, see `getDraw`. */
   draw: number
   /** A number from 0 to 1 that spreads the retries of refused callers. */
@@ -36,6 +34,11 @@
 const USELESS_MULTIPLE = 3
 /** The slowest task of a step takes about this many times the mean run time. */
 const SLOWEST_TASK_FACTOR = 1.6
+/**
+ * A class is served, whatever is ahead of it, when less than this share of its arriving work does not end: work of
+ * higher priority may wait for something else than room, such as the limit of its client account.
+ */
+const LEAST_EXCESS_SHARE = 0.5
 /** The part of the jobs of a class that is admitted whatever is predicted, relative to the part that ends. */
 const LEAST_ADMITTED_PART = 0.5
 /** A later request is told from a copy of the refused one by the clocks of two instances, which may differ by 2 s. */
@@ -57,30 +60,32 @@
  * @returns The decision, with the time after which the caller should try again.
  */
 export function decideAdmission (conditions: AdmissionConditions): AdmissionDecision {
-  const { summary, summaryAge, ownerEpoch, queue, specification, draw, random } = conditions
+  const { summary, summaryAge, ownerEpoch, submission, draw, random } = conditions
   if (summary === null || summary.epoch < ownerEpoch) return ADMITTED
   if (!(summaryAge >= 0 && summaryAge <= SUMMARY_AGE_LIMIT_MILLISECONDS)) return ADMITTED
-  const { steps, repeatCount, startAtMilliseconds } = specification
-  if (repeatCount > 0 || startAtMilliseconds > 0 || steps.some(step => step.longRunning)) return ADMITTED
-  const load = findLoad(summary, queue.priority, specification)
-  if (load === null) return ADMITTED
-  const chain = getLongestChain(specification)
-  const objective = queue.stretch * chain * SLOWEST_TASK_FACTOR + queue.targetLatencyMilliseconds
+  const { steps, repeatCount, startAtMilliseconds } = submission.specification
+  if (repeatCount > 0 || startAtMilliseconds > 0) return ADMITTED
+  if (steps.some(step => step.longRunning || !isPlainStep(step))) return ADMITTED
+  const load = findLoad(summary, submission)
+  if (load === null || load.excessShare < LEAST_EXCESS_SHARE) return ADMITTED
+  const chain = getLongestChain(submission)
+  const objective = submission.stretch * chain * SLOWEST_TASK_FACTOR + submission.targetLatencyMilliseconds
   const excess = load.aheadMilliseconds + chain - objective * USELESS_MULTIPLE
   if (excess <= 0 || draw >= 1 - (1 - load.excessShare) * LEAST_ADMITTED_PART) return ADMITTED
   const drain = Math.min(LONGEST_RETRY_MILLISECONDS, Math.max(SHORTEST_RETRY_MILLISECONDS, excess))
   // Half of the spread is random, so that callers don't return together, and half lets smaller jobs return first.
-  const work = getWork(specification)
+  const work = getWork(submission)
   const position = (random + work / Math.max(1, work + load.meanWork)) / 2
   const retryAfterMilliseconds = Math.round(drain * (1 + RETRY_SPREAD_SHARE * (2 * position - 1)))
   return { kind: 'refused', retryAfterMilliseconds, load, summaryAge, epoch: summary.epoch }
 }
 
 /** Returns the load of the kinds of room that a job needs; that of the one with less work ahead for a job with both. */
-function findLoad ({ classes }: LoadSummary, priority: number, { steps }: JobSpecification): ClassLoad | null {
+function findLoad ({ classes }: LoadSummary, submission: JobSubmission): ClassLoad | null {
+  const { serviceName, accountName = null, priority, specification: { steps } } = submission
   let least: ClassLoad | null = null
   for (const fills of new Set(steps.map(step => step.fills))) {
-    const load = classes.find(candidate => candidate.priority === priority && candidate.fills === fills)
+    const load = classes.find(candidate => isSameClass(candidate, { serviceName, accountName, priority, fills }))
     if (load === undefined) return null
     if (least === null || load.aheadMilliseconds < least.aheadMilliseconds) least = load
   }
@@ -88,7 +93,7 @@
 }
 
 /** Returns the estimated time of the longest chain of steps that wait for each other. */
-function getLongestChain ({ steps }: JobSpecification): number {
+function getLongestChain ({ specification: { steps } }: JobSubmission): number {
   const ends: number[] = []
   for (const { afterSteps, estimateMilliseconds } of steps) {
     const start = afterSteps.reduce((latest, index) => Math.max(latest, ends[index] ?? 0), 0)
@@ -97,7 +102,7 @@
   return ends.reduce((latest, end) => Math.max(latest, end), 0)
 }
 
-function getWork ({ steps }: JobSpecification): number {
+function getWork ({ specification: { steps } }: JobSubmission): number {
   return steps.reduce((work, step) => work + step.taskCount * step.processorsMilli * step.estimateMilliseconds, 0)
 }
 
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -238,7 +238,7 @@
   private decideAdmission (submission: JobSubmission, wait: CallerWait): AdmissionDecision {
     const { admission } = this.options
     if (admission === undefined || wait.milliseconds < REFUSAL_MILLISECONDS) return { kind: 'admitted' }
-    return admission.decide(submission.jobId, submission.specification, submission)
+    return admission.decide(submission)
   }
 
   /**
--- a/stand-ins/platform/playOverload.ts
+++ b/stand-ins/platform/playOverload.ts
@@ -167,8 +167,7 @@
       summary,
       summaryAge: summary?.ageMilliseconds ?? 0,
       ownerEpoch: 1,
-      queue: submission,
-      specification: submission.specification,
+      submission,
       draw: getDraw(submission.jobId),
       random: 0.5
     })
