--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -44,6 +44,8 @@
 export interface CallerWait {
   /** Time that remains when the gateway is called. */
   milliseconds: number
+  /** Time since the head of the request has arrived; 0 by default. */
+  elapsedMilliseconds?: number
   /** Returns whether the caller has closed its connection. */
   hasDisconnected (): boolean
 }
@@ -128,7 +130,10 @@
   ): Promise<SubmitOutcome> {
     const { clock, metrics } = this.options
     const since = clock.monotonicMilliseconds()
-    const submission = this.createSubmission(jobId, specification, queue, accountName)
+    // A request whose body arrives slowly is no later one than a copy of it that was refused meanwhile.
+    const elapsed = this.options.admission === undefined ? 0 : wait.elapsedMilliseconds ?? 0
+    const acceptedAtMilliseconds = Math.round(clock.wallMilliseconds() - elapsed)
+    const submission = createSubmission({ jobId, specification, queue, accountName, acceptedAtMilliseconds })
     const decision = this.decideAdmission(submission, wait)
     const isRefused = decision.kind === 'refused' && await this.storeRefusal(jobId)
     const milliseconds = wait.milliseconds - (clock.monotonicMilliseconds() - since)
@@ -218,23 +223,6 @@
     return waiting
   }
 
-  private createSubmission (
-    jobId: string, specification: JobSpecification, queue: QueueConfiguration, accountName: string | null
-  ): JobSubmission {
-    return {
-      jobId,
-      queueName: queue.name,
-      ...accountName !== null && { accountName },
-      serviceName: queue.serviceName,
-      priority: queue.priority,
-      attemptLimit: queue.attemptLimit,
-      stretch: queue.stretch,
-      targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
-      acceptedAtMilliseconds: Math.round(this.options.clock.wallMilliseconds()),
-      specification
-    }
-  }
-
   private decideAdmission (submission: JobSubmission, wait: CallerWait): AdmissionDecision {
     const { admission } = this.options
     if (admission === undefined || wait.milliseconds < REFUSAL_MILLISECONDS) return { kind: 'admitted' }
@@ -429,6 +417,27 @@
   }
 }
 
+function createSubmission ({ jobId, specification, queue, accountName, acceptedAtMilliseconds }: {
+  jobId: string
+  specification: JobSpecification
+  queue: QueueConfiguration
+  accountName: string | null
+  acceptedAtMilliseconds: number
+}): JobSubmission {
+  return {
+    jobId,
+    queueName: queue.name,
+    ...accountName !== null && { accountName },
+    serviceName: queue.serviceName,
+    priority: queue.priority,
+    attemptLimit: queue.attemptLimit,
+    stretch: queue.stretch,
+    targetLatencyMilliseconds: queue.targetLatencyMilliseconds,
+    acceptedAtMilliseconds,
+    specification
+  }
+}
+
 function getStoreOutcome ({ kind }: TransactionOutcome): StoreOutcome {
   if (kind === 'committed') return 'stored'
   return kind === 'unavailable' ? 'not-stored' : 'unknown'
--- a/src/instance/refusedSubmissions.test.ts
+++ b/src/instance/refusedSubmissions.test.ts
@@ -56,7 +56,9 @@
       clock,
       logger: silentLogger
     })
-    return { state, client, gateway, submit: () => gateway.submit('a', SPECIFICATION, EMULATED_QUEUE, EMULATED_WAIT) }
+    const submit = (elapsedMilliseconds = 0) =>
+      gateway.submit('a', SPECIFICATION, EMULATED_QUEUE, { ...EMULATED_WAIT, elapsedMilliseconds })
+    return { state, client, gateway, submit }
   }
   const settle = async <Value>(promise: Promise<Value>): Promise<Value> => {
     await clock.advance(4000)
@@ -131,6 +133,15 @@
   assert.equal(isStored(), false)
 })
 
+test('a copy whose body arrives long after the other one was refused is refused too', async () => {
+  const { first, second, settle, isStored } = createGateways()
+  second.state.isRefusing = true
+  assert.equal((await settle(second.submit())).kind, 'refused')
+  assert.equal((await settle(first.submit(4000))).kind, 'refused')
+  assert.equal(isStored(), false)
+  assert.equal((await settle(first.submit())).kind, 'accepted')
+})
+
 test('a refusal that cannot be stored is not given', async () => {
   const { first, settle, isStored } = createGateways()
   first.state.isRefusing = true
