--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,5 @@
+export * from './AdmissionControl.js'
+export * from './decideAdmission.js'
+export * from './LoadMeter.js'
+export * from './LoadSummary.js'
+export * from './RunTimeRatios.js'
