--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -5,7 +5,7 @@
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
 import { isRestart } from './WaitingRestarts.js'
-import type { WorkerCapacity, WorkerRecord } from './WorkerRecord.js'
+import { sumCapacity, type WorkerCapacity, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
@@ -102,13 +102,7 @@
 
   /** The resources of all workers. */
   get capacity (): WorkerCapacity {
-    const sum = { processorsMilli: 0, memoryMegabytes: 0, accelerators: 0 }
-    for (const { entry: { capacity } } of this.options.workers) {
-      sum.processorsMilli += capacity.processorsMilli
-      sum.memoryMegabytes += capacity.memoryMegabytes
-      sum.accelerators += capacity.accelerators
-    }
-    return sum
+    return sumCapacity(this.options.workers)
   }
 
   /**
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -219,6 +219,21 @@
   }
 }
 
+/**
+ * Returns what all workers have together.
+ * @param workers The workers.
+ * @returns The sums of their capacities.
+ */
+export function sumCapacity (workers: Iterable<WorkerRecord>): WorkerCapacity {
+  const sum = { ...NO_CAPACITY }
+  for (const { entry: { capacity } } of workers) {
+    sum.processorsMilli += capacity.processorsMilli
+    sum.memoryMegabytes += capacity.memoryMegabytes
+    sum.accelerators += capacity.accelerators
+  }
+  return sum
+}
+
 /**
  * Returns the key of a run in the maps of its worker.
  * @param name The name of the task.
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from './ColocationAdvisor.js'
+export * from './countWaitingTasks.js'
 export * from './DispatchEngine.js'
 export * from './DispatchObserver.js'
 export type { WaitingExplanation, WaitingReason } from './explainWaiting.js'
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -10,6 +10,8 @@
 import type { TableService } from '../table/TableService.js'
 import { TransactionRepeater } from '../table/TransactionRepeater.js'
 import { getPublishingDelay } from './getPublishingDelay.js'
+import { createAccountMetrics } from './createAccountMetrics.js'
+import { describeAccounts, type AccountDescription } from './describeAccounts.js'
 import { createInstanceMetrics, type InstanceMetrics } from './InstanceMetrics.js'
 import { JobGateway } from './JobGateway.js'
 import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
@@ -82,6 +84,7 @@
       countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0,
       countUnreconciledWorkers: () => this.dispatcher?.engine.unreconciled.getExpiries().size ?? 0
     })
+    createAccountMetrics(options.registry, () => this.describeAccounts() ?? [])
     const errors = ErrorBoundary.create({
       clock, logger, onError: activity => this.metrics.unexpectedErrors.inc({ activity })
     })
@@ -237,6 +240,13 @@
     if (this.site.areWorkersLoaded()) this.dispatcher?.updateSite(changedWorkers)
   }
 
+  /** Returns the client accounts, or null when this process has not loaded the shard as its owner. */
+  private describeAccounts (): AccountDescription[] | null {
+    const { dispatcher } = this
+    if (dispatcher?.isLoaded !== true || !this.election.isOwner()) return null
+    return describeAccounts(dispatcher.engine, this.options.clock.monotonicMilliseconds())
+  }
+
   private createOwnerApi (): OwnerApi {
     const getEngine = () => this.dispatcher?.isLoaded === true ? this.dispatcher.engine : null
     return {
@@ -254,7 +264,12 @@
         if (state === null) return 'unknown'
         return isForeignAccount(accountName, engine.jobs.getAccountName(jobId)) ? 'foreign' : state
       },
-      countWaiting: queueName => this.dispatcher?.countWaiting(queueName) ?? null
+      countWaiting: queueName => this.dispatcher?.countWaiting(queueName) ?? null,
+      describeAccounts: () => {
+        const accounts = this.describeAccounts()
+        if (accounts !== null) return { kind: 'owner', accounts }
+        return { kind: 'not-owner', ownerAddress: this.election.getOwnerAddress() }
+      }
     }
   }
 }
--- a/src/instance/OwnerPeer.ts
+++ b/src/instance/OwnerPeer.ts
@@ -1,6 +1,7 @@
 import type { JobState, JobSubmission } from '../jobs/index.js'
 import { getTransferMilliseconds } from '../shared/getTransferMilliseconds.js'
 import type { HttpCaller } from '../shared/HttpCaller.js'
+import type { AccountDescription } from './describeAccounts.js'
 
 /** The outcome of probing the owner. */
 export type ProbeOutcome =
@@ -27,8 +28,15 @@
   probe (): { isOwner: boolean, renewalAge: number }
   getJobState (jobId: string, accountName?: string | null): OwnerJobState
   countWaiting (queueName: string): number | null
+  /** Returns the client accounts for operators, or the address of the owner when this process is not the owner. */
+  describeAccounts (): AccountsAnswer
 }
 
+/** The client accounts, from the owner only. */
+export type AccountsAnswer =
+  | { kind: 'owner', accounts: AccountDescription[] }
+  | { kind: 'not-owner', ownerAddress: string | null }
+
 /** A process that takes longer to respond to a probe counts as paused, stopped or disconnected. */
 const PROBE_TIMEOUT_MILLISECONDS = 600
 /** The owner responds from memory; when it takes longer than this, the store is read instead. */
--- a/src/instance/createPeerApplication.ts
+++ b/src/instance/createPeerApplication.ts
@@ -49,6 +49,11 @@
     if (typeof body?.jobId !== 'string') return null
     return { outcome: await ownerApi.storeCancellation(body.jobId, getText(body.accountName)) }
   }))
+  application.get('/accounts', (_request, response) => {
+    const answer = ownerApi.describeAccounts()
+    if (answer.kind === 'owner') return sendJson(response, { accounts: answer.accounts })
+    sendJson(response, { ownerAddress: answer.ownerAddress }, 503)
+  })
   application.get('/metrics', async (_request, response) => {
     response.setHeader('content-type', registry.contentType)
     response.end(await registry.metrics())
@@ -60,8 +65,8 @@
   return typeof value === 'string' ? value : null
 }
 
-function sendJson (response: ServerResponse, body: object): void {
-  response.writeHead(200, { 'content-type': 'application/json' })
+function sendJson (response: ServerResponse, body: object, status = 200): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
   response.end(JSON.stringify(body))
 }
 
--- a/src/instance/oddPeerCalls.test.ts
+++ b/src/instance/oddPeerCalls.test.ts
@@ -19,7 +19,8 @@
     storeCancellation: async () => 'stored',
     probe: () => ({ isOwner: true, renewalAge: 1 }),
     getJobState: () => 'running',
-    countWaiting: () => 3
+    countWaiting: () => 3,
+    describeAccounts: () => ({ kind: 'owner', accounts: [] })
   }
   const logger = { info: () => {}, warn: (message: string) => { warnings.push(message) }, error: () => {} }
   const server = createServer(createPeerApplication({ ownerApi, registry: new Registry(), logger }).handler)
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -79,6 +79,11 @@
     return this.nextIndex < this.count || this.busyCount < (this.records?.size ?? 0)
   }
 
+  /** The number of tasks that have no run and are not done, whether they may start or not. */
+  get idleCount (): number {
+    return this.remainingCount - this.busyCount
+  }
+
   /** Returns whether a task that is not done has a run. */
   hasBusy (): boolean {
     return this.busyCount > 0
--- a/stand-ins/platform/absentOwnerAnswers.ts
+++ b/stand-ins/platform/absentOwnerAnswers.ts
@@ -5,6 +5,7 @@
   probe: () => ({ isOwner: false, renewalAge: 0 }),
   getJobState: () => null,
   countWaiting: () => null,
+  describeAccounts: () => ({ kind: 'not-owner', ownerAddress: null }),
   storeSubmission: async () => 'unknown',
   storeCancellation: async () => 'unknown'
 }
