--- a/src/instance/WaitMonitor.test.ts
+++ b/src/instance/WaitMonitor.test.ts
@@ -24,9 +24,10 @@
     worker.registered = true
     engine.applyReport(worker, EMPTY_REPORT, clock.monotonicMilliseconds() - 1, clock.monotonicMilliseconds())
   }
-  const submit = (jobId: string, step: Partial<StepSpecification>): void => {
+  const submit = (jobId: string, step: Partial<StepSpecification>, accountName?: string): void => {
     const now = clock.monotonicMilliseconds()
-    engine.jobs.add({ submission: createSubmission([step], { jobId }), progress: [], recovered: false }, now)
+    const submission = createSubmission([step], { jobId, ...accountName !== undefined && { accountName } })
+    engine.jobs.add({ submission, progress: [], recovered: false }, now)
     engine.jobs.createDueOccurrences(engine.jobs.getJob(jobId)!, 0, now)
   }
   const checkFor = async (milliseconds: number): Promise<void> => {
@@ -102,3 +103,21 @@
     ['run not settled', 'short.0.0.0', 'starting', false]
   ])
 })
+
+test('names the cap of an account for each account, and for long-running tasks, and not a worker', async () => {
+  const { engine, lines, submit, checkFor } = createScenario(2)
+  for (const worker of engine.workers.values()) worker.quarantinedUntil = Infinity
+  const cap = { processorsMilli: 1000, memoryMegabytes: 0, accelerators: 0 }
+  engine.setAccounts([{ name: 'coop', keyDigests: [], weight: 1, cap }])
+  engine.accounts.getUsage('coop').add(cap)
+  submit('capped', {}, 'coop')
+  submit('capped-too', {}, 'coop')
+  submit('lasting', { longRunning: true }, 'coop')
+  submit('free', {}, 'utility')
+  await checkFor(4000)
+  assert.deepEqual(lines.map(([message, { task, reason, obstacles }]) => [message, task, reason, obstacles]), [
+    ['task waits', 'capped.0.0.0', 'account-cap', { 'account-cap': 2 }],
+    ['task waits', 'free.0.0.0', 'workers-paused', { paused: 2 }],
+    ['long-running task waits', 'lasting.0.0.0', 'account-cap', undefined]
+  ])
+})
