Keep capacity free for urgent work on sites that are nearly full of long-running tasks

Next starts of long-running tasks, and smaller urgent ones, took each piece of capacity that became free, so that larger urgent tasks waited although hundreds of processors were free in pieces. With the new engine option protectsUrgentWork, first starts of long-running tasks leave the decayed peak of urgent demand free in pieces that hold its larger tasks, and workers are reserved for urgent tasks that have waited for 500 ms. Both end after 2 s where a long-running task has room twice over, which bounds its wait below 3 s. Off by default.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -14,7 +14,7 @@
 import { JobTable } from './JobTable.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
-import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
+import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import { RestartReservations } from './RestartReservations.js'
@@ -29,6 +29,7 @@
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
 import { applyCompletions, applyReport, type ReportContext } from './applyReport.js'
 import { applyStartOutcome } from './applyStartOutcome.js'
+import { UrgentWorkProtection } from './headroom/UrgentWorkProtection.js'
 import { isAcceptedByAnother, isListedAnew, markProcessEnded, startClockAnew, updateFence } from './replacedProcesses.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
@@ -44,6 +45,8 @@
   observer?: DispatchObserver
   /** The longest lease that workers grant; 0 by default, as for workers that were never called before. */
   leaseMilliseconds?: number
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
 }
 
 /**
@@ -74,15 +77,22 @@
   private readonly sizeClassShares = new Map<number, SizeClassShares>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
+  /** Null where the deployment does not enable it. */
+  private readonly protection: UrgentWorkProtection | null
   private readonly acceptedStarts = AcceptedStarts.create()
   /** The token raises for workers that were removed: a worker with the same ID may have seen their tokens. */
   private readonly removedTokenRaises = new Map<string, number>()
   private dirty = true
 
   private constructor (
-    readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number
+    readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number,
+    protectsUrgentWork: boolean
   ) {
     this.jobs = JobTable.create({ epoch })
+    const getServiceName = (job: JobRecord): string => this.getServiceName(job)
+    this.protection = protectsUrgentWork
+      ? UrgentWorkProtection.create({ getObserver: () => this.observer, getServiceName })
+      : null
   }
 
   /**
@@ -91,7 +101,8 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver, options.leaseMilliseconds ?? 0)
+    const { epoch, observer = silentDispatchObserver, leaseMilliseconds = 0, protectsUrgentWork = false } = options
+    return new DispatchEngine(epoch, observer, leaseMilliseconds, protectsUrgentWork)
   }
 
   /** Returns the decided orders and clears them. */
@@ -181,7 +192,14 @@
   explainWaiting (task: TaskRecord, now: number): WaitingExplanation {
     const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
     const explanation = explainWaiting(task, this.workers.values(), conditions)
-    const reason = this.unreconciled.mayRun(task) ? 'unreconciled-worker' : explanation.reason
+    const getReason = (): WaitingReason => {
+      if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
+      const { headroom } = this.protection ?? {}
+      const isHeldBack = explanation.reason === 'not-planned' &&
+        headroom?.holdsBack(task, [...this.workers.values()], conditions) === true
+      return isHeldBack ? 'urgent-headroom' : explanation.reason
+    }
+    const reason = getReason()
     return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
@@ -346,8 +364,10 @@
     const unsteadyDataCentres = findUnsteadyDataCentres(workers, now)
     const getConditions = (serviceName: string): ChoiceConditions =>
       ({ ...this.getConditions(serviceName, now), unsteadyDataCentres })
+    this.protection?.headroom.beginPlan(this.jobs.getJobs(), workers, now)
     const plan = StartPlan.create({
       workers,
+      headroom: this.protection?.headroom,
       startLimit,
       storedStartLimit,
       getConditions,
@@ -360,6 +380,7 @@
       restartLimit: this.restartShare.reserve(startLimit),
       reservations: this.reservations,
       sizeClassShares: this.sizeClassShares,
+      protection: this.protection ?? undefined,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -12,6 +12,17 @@
 /** How it became certain which runs of earlier owners a worker has. */
 export type ReconciliationCause = 'reported' | 'process-ended' | 'lease-expired'
 
+/** Why the first start of a long-running task is held back; the processors are in thousandths. */
+export interface HeldBackStart {
+  /** What urgent work needs beside what it uses. */
+  missingMilli: number
+  /** The size of the larger urgent tasks. */
+  pieceMilli: number
+  /** What is free in pieces of this size. */
+  freeMilli: number
+  waitMilliseconds: number
+}
+
 /** Receives events of the engine for logs and counters, without influence on its decisions. */
 export interface DispatchObserver {
   /** Is called when a run is considered over without a completion; its task may start again. */
@@ -22,6 +33,8 @@
   onCompletionIgnored (worker: WorkerRecord, ended: ListedCompletion, reason: IgnoredCompletionReason): void
   /** Is called when a best-effort run is stopped so that a long-running task, which has waited, gets its room. */
   onRunStoppedForRestart (run: RunRecord, waiting: TaskRecord, now: number): void
+  /** Is called once for each long-running task whose first start is held back for urgent work. */
+  onStartHeldBack (task: TaskRecord, inputs: HeldBackStart): void
   /** Is called when the runs of earlier owners on a worker are known or certainly over. */
   onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
 }
@@ -32,5 +45,6 @@
   onWorkerRestarted: () => {},
   onCompletionIgnored: () => {},
   onRunStoppedForRestart: () => {},
+  onStartHeldBack: () => {},
   onReconciled: () => {}
 }
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -20,6 +20,8 @@
 const UNSTEADY_DELAY_MILLISECONDS = 1500
 /** The interval between two searches, each of which looks at all runs of a service. */
 const SEARCH_INTERVAL_MILLISECONDS = 30
+/** Later than the end of any short run that a reservation waits for. */
+const CANCELLATION_MILLISECONDS = 600_000
 /** The time after which a worker is searched for again when none can get enough room. */
 const RETRY_MILLISECONDS = 500
 
@@ -51,7 +53,7 @@
 }
 
 /**
- * Reserves workers for restarts that fit nowhere.
+ * Reserves workers for restarts that fit nowhere, and for urgent tasks, see `UrgentReservations`.
  *
  * On a full service smaller tasks take each part of a worker that becomes free, so that a larger task never finds
  * enough room on one. A reserved worker gives no room that the restart needs to other tasks until the restart starts.
@@ -145,6 +147,23 @@
     }
   }
 
+  /**
+   * Places tasks with reservations, which all of these may use; the reservations of the tasks that still wait go on.
+   * @param tasks The tasks, in the order in which they are placed.
+   * @param tryToPlace Returns whether a task was placed.
+   */
+  placeFirst (tasks: Iterable<TaskRecord>, tryToPlace: (task: TaskRecord) => boolean): void {
+    const reserved = [...tasks].flatMap(task => {
+      const reservation = this.reservations.get(task)
+      return reservation === undefined ? [] : [{ task, reservation }]
+    })
+    for (const { reservation } of reserved) setApplied(reservation, null)
+    for (const { task, reservation } of reserved) {
+      if (tryToPlace(task)) this.reservations.delete(task)
+      else setApplied(reservation, task)
+    }
+  }
+
   /** Returns the tasks that reserve together; none when the gang of the task has reserved or is not started. */
   private getMembers (task: TaskRecord): TaskRecord[] {
     const { step } = task
@@ -302,6 +321,19 @@
   return true
 }
 
+/**
+ * Returns a delay by which workers are ranked that get enough room only when long-running jobs there are cancelled:
+ * behind all others, those that miss the least first. Restarts wait for no such worker.
+ */
+function getCancellationDelay ({ entry, reserved }: WorkerRecord, { step: { specification } }: TaskRecord): number {
+  const { longRunning, processorsMilli, memoryMegabytes, accelerators } = specification
+  if (longRunning) return Infinity
+  const { capacity } = entry
+  if (processorsMilli > capacity.processorsMilli || memoryMegabytes > capacity.memoryMegabytes) return Infinity
+  if (accelerators > capacity.accelerators) return Infinity
+  return CANCELLATION_MILLISECONDS + reserved.processorsMilli + processorsMilli - capacity.processorsMilli
+}
+
 function isLikelyToFail (worker: WorkerRecord, { now, unsteadyDataCentres }: ChoiceConditions): boolean {
   return isUnsteady(worker, now) || unsteadyDataCentres?.has(worker.entry.dataCentre) === true
 }
@@ -311,18 +343,18 @@
   task: TaskRecord, eligible: readonly WorkerRecord[], conditions: ChoiceConditions
 ): WorkerRecord[] {
   const { now } = conditions
-  const { requiredLabel, maximumPerWorker } = task.step.specification
+  const { requiredLabel, maximumPerWorker, longRunning } = task.step.specification
   const stopTime = Math.max(0, STOP_WAIT_MILLISECONDS - (now - task.waitingSince)) + STOP_MILLISECONDS
   const getRemaining = (run: RunRecord): number => {
     const remaining = estimateRemaining(run, now)
-    return mayStopForRestart(run) ? Math.min(remaining, stopTime) : remaining
+    return longRunning && mayStopForRestart(run) ? Math.min(remaining, stopTime) : remaining
   }
   const ranked: Array<{ worker: WorkerRecord, delay: number }> = []
   for (const worker of eligible) {
     if (worker.reservingTask !== null) continue
     if (requiredLabel !== '' && !worker.entry.labels.includes(requiredLabel)) continue
     if (maximumPerWorker > 0 && countRunsOfStep(worker, task.step) >= maximumPerWorker) continue
-    const delay = estimateTimeUntilFit(worker, task, getRemaining)
+    const delay = Math.min(estimateTimeUntilFit(worker, task, getRemaining), getCancellationDelay(worker, task))
     if (delay === Infinity) continue
     ranked.push({ worker, delay: delay + (isLikelyToFail(worker, conditions) ? UNSTEADY_DELAY_MILLISECONDS : 0) })
   }
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -1,5 +1,7 @@
 import type { StepRecord, TaskRecord } from '../jobs/index.js'
 import type { ChoiceConditions } from './chooseWorker.js'
+import type { HeadroomUse } from './headroom/mayStartLongRunning.js'
+import type { UrgentHeadroom } from './headroom/UrgentHeadroom.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
@@ -26,6 +28,8 @@
 /** What a choice permits that it does not by preference, see `ChoiceConditions`. */
 type Relaxation = Pick<ChoiceConditions, 'includesPaused' | 'acceptsInterference' | 'exceedsUnusedProcessors'>
 
+const NO_RELAXATION: Relaxation = {}
+
 /** Options of a plan. */
 export interface StartPlanOptions {
   workers: readonly WorkerRecord[]
@@ -33,6 +37,8 @@
   startLimit: number
   /** The number of starts of long-running tasks, whose assignments are stored before they are sent. */
   storedStartLimit: number
+  /** The capacity that is kept free for urgent work; none by default. */
+  headroom?: UrgentHeadroom
   getConditions (serviceName: string): ChoiceConditions
   /** Returns whether no unknown run of a task can exist. */
   mayStart (task: TaskRecord): boolean
@@ -138,6 +144,16 @@
       (mayUsePaused && this.placeGang(step, { ...conditions, includesPaused: true }))
   }
 
+  /**
+   * Places a short task for which a worker was reserved.
+   * @param task The task, which must wait and be ready to start.
+   * @param serviceName The service whose workers may run the task.
+   * @returns Whether it was placed.
+   */
+  placeReserved (task: TaskRecord, serviceName: string): boolean {
+    return this.placeTask(task, serviceName)
+  }
+
   /** Returns whether the members of the gang got workers. */
   private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
     if (this.mustWaitForStore(step)) return false
@@ -145,6 +161,7 @@
     if (workers.length === 0) return false
     const members = step.tasks.createAll()
     if (!members.every(this.options.mayStart)) return false
+    if (this.options.headroom?.mayStartGang(members, conditions) === false) return false
     const attempt = members.reduce((highest, { nextAttempt }) => Math.max(highest, nextAttempt), 0)
     for (const [index, member] of members.entries()) this.start(member, workers[index], attempt)
     return true
@@ -219,14 +236,19 @@
   }
 
   /** Returns whether the task got a worker. */
-  private placeTask (task: TaskRecord, serviceName: string, relaxation: Relaxation = {}): boolean {
+  private placeTask (task: TaskRecord, serviceName: string, relaxation = NO_RELAXATION): boolean {
     if (this.mustWaitForStore(task.step)) return false
-    const candidates = this.getCandidates(serviceName, relaxation)
+    const { headroom } = this.options
+    const candidates = this.getCandidates(serviceName, relaxation, headroom?.getUse(task, serviceName))
     const size = getSizeKey(task.step)
     if (candidates.unplaceableSizes.has(size)) return false
     const worker = candidates.choose(task)
-    if (worker === null) candidates.unplaceableSizes.add(size)
-    else this.start(task, worker, task.nextAttempt)
+    if (worker !== null) {
+      this.start(task, worker, task.nextAttempt)
+    } else {
+      candidates.unplaceableSizes.add(size)
+      headroom?.recordRefusal(task, this.options.getConditions(serviceName))
+    }
     return worker !== null
   }
 
@@ -238,16 +260,23 @@
     this.placedCount++
     if (task.step.specification.longRunning) this.storedCount++
     this.options.start(task, worker, attempt)
+    this.options.headroom?.recordStart(task, worker)
   }
 
-  private getCandidates (serviceName: string, relaxation: Relaxation = {}): StartCandidates {
+  private getCandidates (
+    serviceName: string, relaxation = NO_RELAXATION, headroomUse: HeadroomUse = 'all'
+  ): StartCandidates {
     const { includesPaused = false, acceptsInterference = false, exceedsUnusedProcessors = false } = relaxation
-    const key = `${includesPaused} ${acceptsInterference} ${exceedsUnusedProcessors} ${serviceName}`
+    const key = `${includesPaused} ${acceptsInterference} ${exceedsUnusedProcessors} ${headroomUse} ${serviceName}`
     const existing = this.candidates.get(key)
     if (existing !== undefined) return existing
-    const conditions = {
+    const conditions: ChoiceConditions = {
       ...this.options.getConditions(serviceName), includesPaused, acceptsInterference, exceedsUnusedProcessors
     }
+    const { headroom } = this.options
+    if (headroom !== undefined && headroomUse !== 'all') {
+      conditions.mayUse = (task, worker) => headroom.mayUse(task, worker, headroomUse, conditions)
+    }
     const candidates = StartCandidates.create(this.options.workers, conditions)
     this.candidates.set(key, candidates)
     return candidates
--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -48,6 +48,8 @@
   acceptsInterference?: boolean
   /** Whether a best-effort task may ask for more than the unused processors, see `fits`; false by default. */
   exceedsUnusedProcessors?: boolean
+  /** Returns whether a task may use a worker with room for it; it always may by default. */
+  mayUse? (task: TaskRecord, worker: WorkerRecord): boolean
 }
 
 /**
@@ -153,6 +155,7 @@
       cost += TARGET_EXCEEDED_PENALTY
       if (cost >= bestCost) continue
     }
+    if (conditions.mayUse?.(task, worker) === false) continue
     best = worker
     bestCost = cost
   }
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -1,5 +1,6 @@
 import { isStepReady, type JobRecord, type OccurrenceRecord, type TaskRecord } from '../jobs/index.js'
 import { hasWaitingTask } from './hasWaitingTask.js'
+import type { UrgentWorkProtection } from './headroom/UrgentWorkProtection.js'
 import type { JobTable } from './JobTable.js'
 import { hasStartedOccurrence, hasStartedTask } from './hasStartedTask.js'
 import { compareSlack, getTotalWork, rankJobs, type RankedJob } from './rankJobs.js'
@@ -22,6 +23,8 @@
   reservations: RestartReservations
   /** The shares of the classes of job sizes by priority, kept across plans. */
   sizeClassShares: Map<number, SizeClassShares>
+  /** What gives way to urgent work in an overload; nothing by default. */
+  protection?: UrgentWorkProtection
   /** The time of day. */
   wallMilliseconds: number
   /** The monotonic time. */
@@ -40,15 +43,18 @@
 export function placeWaitingTasks (context: PlanContext): 'complete' | 'plan-full' {
   const { jobs, plan, wallMilliseconds, now, mayStart } = context
   context.reservations.suspend(now)
-  placeRestarts(context)
+  const hasWaitingRestart = placeRestarts(context)
   context.reservations.resume(task => plan.getConditions(context.getServiceName(task.step.occurrence.job)))
+  context.protection?.placeReserved(context, hasWaitingRestart)
   const startable = [...jobs.getJobs()].filter(job =>
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
-  for (const [priority, ranked] of groupByPriority(rankJobs(startable, wallMilliseconds))) {
+  const ranking = rankJobs(startable, wallMilliseconds)
+  for (const [priority, ranked] of groupByPriority(ranking)) {
     placeJobs(ranked, getSizeClassShares(context, priority), context)
     if (plan.isFull) return 'plan-full'
   }
+  context.protection?.handleWaitingJobs(ranking, context)
   return plan.hasReachedStoredStartLimit ? 'plan-full' : 'complete'
 }
 
@@ -129,16 +135,23 @@
   return urgency === 'in-time' || remainingWork <= LATE_WORTH_SHARE * getTotalWork(job)
 }
 
-function placeRestarts (context: PlanContext): void {
+/** Returns whether a restart that could start has found no worker. */
+function placeRestarts (context: PlanContext): boolean {
   const { jobs, plan, restartLimit, reservations, getServiceName, mayStart } = context
+  let hasWaiting = false
   for (const task of jobs.waitingRestarts.getWaiting()) {
-    if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return
+    if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return true
     const { job } = task.step.occurrence
     if (job.finalState !== null || !mayStart(task)) continue
     const serviceName = getServiceName(job)
-    if (plan.placeRestart(task, serviceName)) reservations.release(task)
-    else reservations.reserve(task, plan.workers, plan.getConditions(serviceName))
+    if (plan.placeRestart(task, serviceName)) {
+      reservations.release(task)
+    } else {
+      reservations.reserve(task, plan.workers, plan.getConditions(serviceName))
+      hasWaiting = true
+    }
   }
+  return hasWaiting
 }
 
 function placeOccurrence ({ job, steps }: OccurrenceRecord, { plan, getServiceName }: PlanContext): void {
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -21,6 +21,7 @@
   paceChanges: Counter
   lostRuns: Counter<'cause'>
   ignoredEndedRuns: Counter<'reason'>
+  heldBackStarts: Counter
   reconciledWorkers: Counter<'cause'>
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
@@ -132,6 +133,11 @@
       labelNames: ['reason'],
       registers
     }),
+    heldBackStarts: new Counter({
+      name: 'papayamoor_instance_held_back_starts_total',
+      help: 'Long-running tasks whose first start was held back for urgent work.',
+      registers
+    }),
     reconciledWorkers: new Counter({
       name: 'papayamoor_instance_reconciled_workers_total',
       help: 'Workers whose runs of earlier owners became known or were certainly over, by cause.',
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -50,6 +50,17 @@
       waitingTask: waiting.name,
       waitMilliseconds: Math.round(now - waiting.waitingSince)
     }),
+    onStartHeldBack: (task, { missingMilli, pieceMilli, freeMilli, waitMilliseconds }) => {
+      metrics.heldBackStarts.inc()
+      logger.info('long-running start held back', {
+        task: task.name,
+        processorsMilli: task.step.specification.processorsMilli,
+        urgentMissingMilli: Math.round(missingMilli),
+        urgentPieceMilli: Math.round(pieceMilli),
+        freeInPiecesMilli: Math.round(freeMilli),
+        waitMilliseconds: Math.round(waitMilliseconds)
+      })
+    },
     onReconciled: (worker, cause) => {
       metrics.reconciledWorkers.inc({ cause })
       // Not logged, because nearly all workers report within a second of a takeover.
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -79,6 +79,11 @@
     return this.busyCount > 0
   }
 
+  /** The number of tasks that are not done and have a run. */
+  get busyTaskCount (): number {
+    return this.busyCount
+  }
+
   /** The number of workers on which a run of a task has failed under this owner. */
   get failedWorkerCount (): number {
     return this.failedWorkerIds?.size ?? 0
--- a/stand-ins/platform/PlannedSite.ts
+++ b/stand-ins/platform/PlannedSite.ts
@@ -20,6 +20,8 @@
   /** Returns the outcome of a start; workers accept all by default. */
   getStartOutcome? (run: RunRecord): OrderOutcome
   observer?: DispatchObserver
+  /** See `DispatchEngineOptions`; false by default. */
+  protectsUrgentWork?: boolean
 }
 
 /** The interval between two plans, and between two reports of a worker. */
@@ -43,7 +45,9 @@
 
   private constructor (private readonly options: PlannedSiteOptions) {
     this.random = createRandom(options.seed)
-    this.engine = DispatchEngine.create({ epoch: 1, observer: options.observer })
+    this.engine = DispatchEngine.create({
+      epoch: 1, observer: options.observer, protectsUrgentWork: options.protectsUrgentWork
+    })
     for (let index = 0; index < options.workerCount; index++) {
       const labels = options.getLabels?.(index) ?? ['a']
       const entry = createWorkerEntry({ workerId: `worker-${index}`, labels, capacity: { ...options.capacity } })
@@ -70,11 +74,13 @@
    * @param prefix The first part of its name.
    * @param steps The steps, each with the fields that differ from `createStep`.
    * @param submission The fields that differ from the default submission.
+   * @returns The identifier of the job.
    */
-  submit (prefix: string, steps: Array<Partial<StepSpecification>>, submission: Partial<JobSubmission> = {}): void {
+  submit (prefix: string, steps: Array<Partial<StepSpecification>>, submission: Partial<JobSubmission> = {}): string {
     const jobId = `${prefix}-${this.jobCount++}`
     const job = createSubmission(steps, { jobId, acceptedAtMilliseconds: this.now, ...submission })
     this.engine.jobs.add({ submission: job, progress: [], recovered: false }, this.now)
+    return jobId
   }
 
   /** Ends the process of a worker, as known to the owner at once. */
