Judge the urgency of jobs by learned run times

Best-effort tasks take 1.5 times their estimates at the median, so jobs that could only end late were ranked as in time and began before others. The engine takes a function getRunTimeRatio(queueName, fills), 1 by default, as a factor of the remaining chain.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -17,6 +17,7 @@
 import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
+import type { GetRunTimeRatio } from './rankJobs.js'
 import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
@@ -47,6 +48,8 @@
   leaseMilliseconds?: number
   /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
   protectsUrgentWork?: boolean
+  /** Returns the learned ratio of run times to estimates, by which the urgency of jobs is judged; 1 by default. */
+  getRunTimeRatio?: GetRunTimeRatio
 }
 
 /**
@@ -86,15 +89,17 @@
 
   private constructor (
     readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number,
-    protectsUrgentWork: boolean
+    protectsUrgentWork: boolean, private readonly getRunTimeRatio?: GetRunTimeRatio
   ) {
     this.jobs = JobTable.create({ epoch })
-    const getServiceName = (job: JobRecord): string => this.getServiceName(job)
-    this.protection = protectsUrgentWork
-      ? UrgentWorkProtection.create({
-        getObserver: () => this.observer, getServiceName, stop: (worker, run) => this.orders.stop(worker, run)
+    this.protection = !protectsUrgentWork
+      ? null
+      : UrgentWorkProtection.create({
+        getRunTimeRatio,
+        getObserver: () => this.observer,
+        getServiceName: job => this.getServiceName(job),
+        stop: (worker, run) => this.orders.stop(worker, run)
       })
-      : null
   }
 
   /**
@@ -104,7 +109,7 @@
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
     const { epoch, observer = silentDispatchObserver, leaseMilliseconds = 0, protectsUrgentWork = false } = options
-    return new DispatchEngine(epoch, observer, leaseMilliseconds, protectsUrgentWork)
+    return new DispatchEngine(epoch, observer, leaseMilliseconds, protectsUrgentWork, options.getRunTimeRatio)
   }
 
   /** Returns the decided orders and clears them. */
@@ -383,6 +388,7 @@
       reservations: this.reservations,
       sizeClassShares: this.sizeClassShares,
       protection: this.protection ?? undefined,
+      getRunTimeRatio: this.getRunTimeRatio,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
--- a/src/dispatch/displacement/RunDisplacer.ts
+++ b/src/dispatch/displacement/RunDisplacer.ts
@@ -2,7 +2,7 @@
 import { isEligible, type ChoiceConditions } from '../chooseWorker.js'
 import { hasPersistentViolation } from '../decidePace.js'
 import type { DispatchObserver } from '../DispatchObserver.js'
-import { getUrgency, type Urgency } from '../rankJobs.js'
+import { getUrgency, type GetRunTimeRatio, type Urgency } from '../rankJobs.js'
 import type { WaitingStep } from '../headroom/WaitingSteps.js'
 import type { WorkerRecord } from '../WorkerRecord.js'
 import { DisplacementBudget } from './DisplacementBudget.js'
@@ -15,6 +15,8 @@
 export interface RunDisplacerOptions {
   /** Returns the observer, which receives the stops. */
   getObserver (): DispatchObserver
+  /** Returns the learned ratio of run times to estimates; 1 by default. */
+  getRunTimeRatio?: GetRunTimeRatio
   /** Stops a run, so that its task waits again. */
   stop (worker: WorkerRecord, run: RunRecord): void
 }
@@ -68,7 +70,7 @@
         return workers.filter(worker => mayTake(worker, task, conditions))
       },
       getUrgency: job => {
-        const urgency = urgencies.get(job) ?? getUrgency(job, wallMilliseconds)
+        const urgency = urgencies.get(job) ?? getUrgency(job, wallMilliseconds, this.options.getRunTimeRatio)
         urgencies.set(job, urgency)
         return urgency
       },
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -3,7 +3,7 @@
 import type { UrgentWorkProtection } from './headroom/UrgentWorkProtection.js'
 import type { JobTable } from './JobTable.js'
 import { hasStartedOccurrence, hasStartedTask } from './hasStartedTask.js'
-import { compareSlack, getTotalWork, rankJobs, type RankedJob } from './rankJobs.js'
+import { compareSlack, getTotalWork, rankJobs, type GetRunTimeRatio, type RankedJob } from './rankJobs.js'
 import type { RestartReservations } from './RestartReservations.js'
 import { SizeClassShares } from './SizeClassShares.js'
 import type { StartPlan } from './StartPlan.js'
@@ -25,6 +25,8 @@
   sizeClassShares: Map<number, SizeClassShares>
   /** What gives way to urgent work in an overload; nothing by default. */
   protection?: UrgentWorkProtection
+  /** Returns the learned ratio of run times to estimates; 1 by default. */
+  getRunTimeRatio?: GetRunTimeRatio
   /** The time of day. */
   wallMilliseconds: number
   /** The monotonic time. */
@@ -49,7 +51,7 @@
   const startable = [...jobs.getJobs()].filter(job =>
     job.finalState === null && hasWaitingTask(job, wallMilliseconds, mayStart))
   for (const job of startable) jobs.createDueOccurrences(job, wallMilliseconds, now)
-  const ranking = rankJobs(startable, wallMilliseconds)
+  const ranking = rankJobs(startable, wallMilliseconds, context.getRunTimeRatio)
   for (const [priority, ranked] of groupByPriority(ranking)) {
     placeJobs(ranked, getSizeClassShares(context, priority), context)
     if (plan.isFull) return 'plan-full'
--- a/src/dispatch/rankJobs.ts
+++ b/src/dispatch/rankJobs.ts
@@ -56,17 +56,30 @@
   isStarved: boolean
 }
 
+/**
+ * Returns the ratio of run times to the estimates of submitters, learned from ended runs.
+ * @param queueName The queue of the job.
+ * @param fills Whether the tasks are best-effort.
+ * @returns The ratio, 1 when nothing is learned.
+ */
+export type GetRunTimeRatio = (queueName: string, fills: boolean) => number
+
+const getUnlearnedRatio: GetRunTimeRatio = () => 1
+
 /**
  * Returns whether a job can still meet its objective, based on its submitter's estimates.
  * @param job The job.
  * @param wallMilliseconds The time of day.
+ * @param getRunTimeRatio Returns by how much the estimates of a queue are wrong; 1 by default.
  * @returns Its urgency.
  */
-export function getUrgency (job: JobRecord, wallMilliseconds: number): Urgency {
-  return getTimeliness(job, wallMilliseconds).urgency
+export function getUrgency (
+  job: JobRecord, wallMilliseconds: number, getRunTimeRatio: GetRunTimeRatio = getUnlearnedRatio
+): Urgency {
+  return getTimeliness(job, wallMilliseconds, getRunTimeRatio).urgency
 }
 
-function getTimeliness (job: JobRecord, wallMilliseconds: number): Timeliness {
+function getTimeliness (job: JobRecord, wallMilliseconds: number, getRunTimeRatio: GetRunTimeRatio): Timeliness {
   const { submission } = job
   if (submission.specification.repeatCount > 0) {
     return { urgency: 'in-time', slackShare: AMPLE_SLACK_SHARE, remainingMilliseconds: Infinity, isStarved: false }
@@ -81,7 +94,9 @@
     for (const step of occurrence.steps) {
       const duration = getDuration(step) * SLOWEST_TASK_FACTOR
       chain += duration
-      if (step.tasks.remainingCount > 0) remaining += duration
+      if (step.tasks.remainingCount > 0) {
+        remaining += duration * getRunTimeRatio(submission.queueName, step.specification.fills)
+      }
     }
   }
   const objective = submission.stretch * chain + submission.targetLatencyMilliseconds
@@ -118,13 +133,16 @@
  * Sorts jobs into the order in which their tasks should start, regardless of the shares of sizes.
  * @param jobs The jobs.
  * @param wallMilliseconds The time of day.
+ * @param getRunTimeRatio Returns by how much the estimates of a queue are wrong; 1 by default.
  * @returns A new list, highest rank first.
  */
-export function rankJobs (jobs: Iterable<JobRecord>, wallMilliseconds: number): RankedJob[] {
+export function rankJobs (
+  jobs: Iterable<JobRecord>, wallMilliseconds: number, getRunTimeRatio: GetRunTimeRatio = getUnlearnedRatio
+): RankedJob[] {
   const rows: RankedJob[] = []
   for (const job of jobs) {
     const isLongRunning = hasLongRunningStep(job)
-    const timeliness = getTimeliness(job, wallMilliseconds)
+    const timeliness = getTimeliness(job, wallMilliseconds, getRunTimeRatio)
     const group = URGENCY_RANK[timeliness.urgency] + (isLongRunning ? LONG_RUNNING_RANK : 0)
     const { priority } = job.submission
     rows.push({ job, priority, isLongRunning, timeliness, remainingWork: getRemainingWork(job), group })
--- a/stand-ins/platform/playOverload.ts
+++ b/stand-ins/platform/playOverload.ts
@@ -45,6 +45,8 @@
   arrivalMilliseconds: number
   /** See `DispatchEngineOptions`; false by default. */
   protectsUrgentWork?: boolean
+  /** See `DispatchEngineOptions`. */
+  getRunTimeRatio? (queueName: string, fills: boolean): number
   /**
    * Returns the run times of a job relative to its estimates, from which its objective follows; by default, run times
    * are near the estimates.
@@ -81,7 +83,9 @@
 
   private constructor (private readonly options: OverloadOptions) {
     this.random = createRandom(options.seed)
-    this.engine = DispatchEngine.create({ epoch: 1, protectsUrgentWork: options.protectsUrgentWork })
+    this.engine = DispatchEngine.create({
+      epoch: 1, protectsUrgentWork: options.protectsUrgentWork, getRunTimeRatio: options.getRunTimeRatio
+    })
     this.workers = Array.from({ length: WORKER_COUNT }, (_, index) => {
       const capacity = { processorsMilli: WORKER_PROCESSORS * 1000, memoryMegabytes: 64_000, accelerators: 0 }
       const worker = this.engine.setWorker(createWorkerEntry({ workerId: `worker-${index}`, capacity }))
