--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -16,9 +16,10 @@
 import { JobTable } from './JobTable.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
-import { explainWaiting, type WaitingExplanation } from './explainWaiting.js'
+import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
+import type { GetRunTimeRatio } from './rankJobs.js'
 import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
@@ -32,6 +33,7 @@
 import { UnreconciledWorkers } from './UnreconciledWorkers.js'
 import { applyCompletions, applyReport, type ReportContext } from './applyReport.js'
 import { applyStartOutcome } from './applyStartOutcome.js'
+import { UrgentWorkProtection } from './headroom/UrgentWorkProtection.js'
 import { isAcceptedByAnother, isListedAnew, markProcessEnded, startClockAnew, updateFence } from './replacedProcesses.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
@@ -47,6 +49,10 @@
   observer?: DispatchObserver
   /** The longest lease that workers grant; 0 by default, as for workers that were never called before. */
   leaseMilliseconds?: number
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
+  /** Returns the learned ratio of run times to estimates, by which the urgency of jobs is judged; 1 by default. */
+  getRunTimeRatio?: GetRunTimeRatio
 }
 
 /**
@@ -81,6 +87,8 @@
   private readonly sizeClassShares = new Map<number, SizeClassShares>()
   private readonly costs = WorkerCosts.create()
   private readonly slowedRunMover = SlowedRunMover.create()
+  /** Null where the deployment does not enable it. */
+  private readonly protection: UrgentWorkProtection | null
   private readonly acceptedStarts = AcceptedStarts.create()
   /** The token raises for workers that were removed: a worker with the same ID may have seen their tokens. */
   private readonly removedTokenRaises = new Map<string, number>()
@@ -88,11 +96,20 @@
   private dirty = true
 
   private constructor (
-    readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number
+    readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number,
+    protectsUrgentWork: boolean, private readonly getRunTimeRatio?: GetRunTimeRatio
   ) {
     const { accounts, unreconciled, workers } = this
     this.jobs = JobTable.create({ epoch, accounts })
     this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
+    this.protection = !protectsUrgentWork
+      ? null
+      : UrgentWorkProtection.create({
+        getRunTimeRatio,
+        getObserver: () => this.observer,
+        getServiceName: job => this.getServiceName(job),
+        stop: (worker, run) => this.orders.stop(worker, run)
+      })
   }
 
   /**
@@ -101,7 +118,8 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    return new DispatchEngine(options.epoch, options.observer ?? silentDispatchObserver, options.leaseMilliseconds ?? 0)
+    const { epoch, observer = silentDispatchObserver, leaseMilliseconds = 0, protectsUrgentWork = false } = options
+    return new DispatchEngine(epoch, observer, leaseMilliseconds, protectsUrgentWork, options.getRunTimeRatio)
   }
 
   /** Returns the decided orders and clears them. */
@@ -198,8 +216,15 @@
   explainWaiting (task: TaskRecord, now: number): WaitingExplanation {
     const conditions = this.getConditions(this.getServiceName(task.step.occurrence.job), now)
     const explanation = explainWaiting(task, this.workers.values(), conditions)
-    const isUnreconciled = explanation.reason !== 'account-cap' && this.unreconciled.mayRun(task)
-    const reason = isUnreconciled ? 'unreconciled-worker' : explanation.reason
+    const getReason = (): WaitingReason => {
+      if (explanation.reason === 'account-cap') return 'account-cap'
+      if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
+      const { headroom } = this.protection ?? {}
+      const isHeldBack = explanation.reason === 'not-planned' &&
+        headroom?.holdsBack(task, [...this.workers.values()], conditions) === true
+      return isHeldBack ? 'urgent-headroom' : explanation.reason
+    }
+    const reason = getReason()
     return { ...explanation, reason, reservedWorker: this.reservations.getWorker(task)?.entry.workerId ?? null }
   }
 
@@ -365,8 +390,10 @@
     const unsteadyDataCentres = findUnsteadyDataCentres(workers, now)
     const getConditions = (serviceName: string): ChoiceConditions =>
       ({ ...this.getConditions(serviceName, now), unsteadyDataCentres })
+    this.protection?.headroom.beginPlan(this.jobs.getJobs(), workers, now)
     const plan = StartPlan.create({
       workers,
+      headroom: this.protection?.headroom,
       startLimit,
       storedStartLimit,
       getConditions,
@@ -380,6 +407,8 @@
       restartLimit: this.restartShare.reserve(startLimit),
       reservations: this.reservations,
       sizeClassShares: this.sizeClassShares,
+      protection: this.protection ?? undefined,
+      getRunTimeRatio: this.getRunTimeRatio,
       wallMilliseconds,
       now,
       getServiceName: job => this.getServiceName(job),
