--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -96,6 +96,8 @@
     onWorkerRestarted: worker => events.push(`${worker.entry.workerId} restarted`),
     onCompletionIgnored: (worker, ended, reason) => events.push(`${worker.entry.workerId} ${ended.taskName} ${reason}`),
     onRunStoppedForRestart: () => {},
+    onRunDisplaced: () => {},
+    onStartHeldBack: () => {},
     onReconciled: () => {}
   }
   const engine = createEngine(1, [{ taskCount: 2 }], 3, observer)
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -22,6 +22,8 @@
   paceChanges: Counter
   lostRuns: Counter<'cause'>
   ignoredEndedRuns: Counter<'reason'>
+  displacedRuns: Counter<'priority'>
+  heldBackStarts: Counter
   reconciledWorkers: Counter<'cause'>
   longRunningRestartSeconds: Histogram
   workerCallFailures: Counter<'reason'>
@@ -139,6 +141,17 @@
       labelNames: ['reason'],
       registers
     }),
+    displacedRuns: new Counter({
+      name: 'papayamoor_instance_displaced_runs_total',
+      help: 'Runs of useless jobs that were stopped for jobs that could be in time, by the priority of the stopped job.',
+      labelNames: ['priority'],
+      registers
+    }),
+    heldBackStarts: new Counter({
+      name: 'papayamoor_instance_held_back_starts_total',
+      help: 'Long-running tasks whose first start was held back for urgent work.',
+      registers
+    }),
     reconciledWorkers: new Counter({
       name: 'papayamoor_instance_reconciled_workers_total',
       help: 'Workers whose runs of earlier owners became known or were certainly over, by cause.',
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -50,6 +50,28 @@
       waitingTask: waiting.name,
       waitMilliseconds: Math.round(now - waiting.waitingSince)
     }),
+    onRunDisplaced: (run, waiting, lostWork) => {
+      metrics.displacedRuns.inc({ priority: String(run.task.step.occurrence.job.submission.priority) })
+      logger.info('run displaced', {
+        task: run.task.name,
+        attempt: run.attempt,
+        worker: run.workerId,
+        percent: run.percent,
+        lostProcessorMilliseconds: Math.round(lostWork / 1000),
+        waitingTask: waiting.name
+      })
+    },
+    onStartHeldBack: (task, { missingMilli, pieceMilli, freeMilli, waitMilliseconds }) => {
+      metrics.heldBackStarts.inc()
+      logger.info('long-running start held back', {
+        task: task.name,
+        processorsMilli: task.step.specification.processorsMilli,
+        urgentMissingMilli: Math.round(missingMilli),
+        urgentPieceMilli: Math.round(pieceMilli),
+        freeInPiecesMilli: Math.round(freeMilli),
+        waitMilliseconds: Math.round(waitMilliseconds)
+      })
+    },
     onReconciled: (worker, cause) => {
       metrics.reconciledWorkers.inc({ cause })
       // Not logged, because nearly all workers report within a second of a takeover.
--- a/stand-ins/platform/playOverload.ts
+++ b/stand-ins/platform/playOverload.ts
@@ -48,6 +48,15 @@
   hasAdmission?: boolean
   /** Returns the factor of the load at a time; 1 by default. */
   getLoadFactor? (milliseconds: number): number
+  /** See `DispatchEngineOptions`; false by default. */
+  protectsUrgentWork?: boolean
+  /** See `DispatchEngineOptions`. */
+  getRunTimeRatio? (queueName: string, fills: boolean): number
+  /**
+   * Returns the run times of a job relative to its estimates, from which its objective follows; by default, run times
+   * are near the estimates.
+   */
+  drawRunTimeFactor? (random: () => number): number
 }
 
 /** A job of a simulated overload. */
@@ -70,8 +79,9 @@
 /** A site whose tasks run for their true time, on which jobs of several kinds arrive at a constant rate. */
 class OverloadedSite {
   private readonly random: () => number
-  private readonly engine = DispatchEngine.create({ epoch: 1 })
   private readonly loadMeter: LoadMeter | null
+  private readonly engine: DispatchEngine
+  private readonly stopped = new Set<RunRecord>()
   private readonly jobs = new Map<string, ArrivingJob>()
   private readonly workers: Array<{ worker: WorkerRecord, endedCount: number }>
   private readonly startsPerStep: number
@@ -80,6 +90,9 @@
 
   private constructor (private readonly options: OverloadOptions) {
     this.random = createRandom(options.seed)
+    this.engine = DispatchEngine.create({
+      epoch: 1, protectsUrgentWork: options.protectsUrgentWork, getRunTimeRatio: options.getRunTimeRatio
+    })
     this.loadMeter = options.hasAdmission === true
       ? LoadMeter.create({ ...this.engine, epoch: 1 })
       : null
@@ -129,18 +142,21 @@
   private addJob ({ queueName, priority, mix }: PlayedKind): void {
     const { random, now } = this
     const jobId = `job-${this.jobs.size}`
+    const factor = this.options.drawRunTimeFactor?.(random)
     const durations = mix(random).map(width => {
-      const mean = TASK_MILLISECONDS * (0.75 + 0.5 * random())
+      const mean = TASK_MILLISECONDS * (0.75 + 0.5 * random()) * (factor ?? 1)
       return Array.from({ length: width }, () => mean * (1 + UNEVEN_SHARE * (2 * random() - 1)))
     })
     const chain = durations.reduce((sum, step) => sum + Math.max(...step), 0)
-    const objectiveMilliseconds = STRETCH * chain + TARGET_LATENCY_MILLISECONDS
+    const objectiveMilliseconds = STRETCH * chain / (factor ?? 1) + TARGET_LATENCY_MILLISECONDS
     const steps = durations.map((step, index) => {
       const mean = step.reduce((sum, duration) => sum + duration, 0) / step.length
       return {
         taskCount: step.length,
         memoryMegabytes: 100,
-        estimateMilliseconds: mean * (1 + ESTIMATE_ERROR_SHARE * (2 * random() - 1)),
+        estimateMilliseconds: factor === undefined
+          ? mean * (1 + ESTIMATE_ERROR_SHARE * (2 * random() - 1))
+          : mean / factor,
         afterSteps: index === 0 ? [] : [index - 1],
         fills: this.options.limit === 'best-effort'
       }
@@ -186,7 +202,9 @@
     for (const run of row.worker.runs.values()) {
       const share = (now - run.startedAt) / this.getDuration(run)
       const { task: { name: taskName }, attempt } = run
-      if (share >= 1) ended.push({ number: ++row.endedCount, taskName, attempt, end: 'done', checkpoint: '' })
+      const isStopped = this.stopped.delete(run)
+      if (isStopped) ended.push({ number: ++row.endedCount, taskName, attempt, end: 'stopped', checkpoint: '' })
+      else if (share >= 1) ended.push({ number: ++row.endedCount, taskName, attempt, end: 'done', checkpoint: '' })
       else running.push({ taskName, attempt, checkpoint: '', percent: Math.floor(share * 100), usageFigure: 1000 })
     }
     this.engine.applyReport(
@@ -199,6 +217,10 @@
     engine.markDirty()
     engine.plan(now, now, true, Math.floor(this.unsentStarts))
     for (const order of engine.takeOrders()) {
+      if (order.kind === 'stop' && order.run !== null) {
+        this.stopped.add(order.run)
+        engine.applyStopOutcome(order.run, { kind: 'accepted', workerMilliseconds: now }, now)
+      }
       if (order.kind !== 'start') continue
       this.unsentStarts--
       engine.applyStartOutcome(order.worker, order.run, { kind: 'accepted', workerMilliseconds: now }, now)
