--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -9,8 +9,8 @@
  * run that is not over, its client account has reached its cap, no worker may get new work, all that are in service are
  * paused after failures or not rid of runs without a job, no worker that may get new work has the free capacity, those
  * that have it run as many tasks of the step as the step allows on one worker, the task would bring serving tasks above
- * their targets on each of them, they have room for some members of its gang only, there is a worker for it that no plan
- * has chosen yet, or its room is kept free for urgent work, see `UrgentHeadroom`.
+ * their targets on each of them, they have room for some members of its gang only, there is a worker for it that no
+ * plan has chosen yet, or its room is kept free for urgent work, see `UrgentHeadroom`.
  */
 export type WaitingReason =
   'unreconciled-worker' | 'gang-not-over' | 'account-cap' | 'no-eligible-worker' | 'workers-paused' |
