Judge the caps of client accounts on emulated sites

The dispatch learns caps of accounts at the same time, and nothing showed whether a start exceeds one. CapJudge counts what the workers run for each account, also what an owner has not seen or is stopping, and reports a start above the highest cap that may be in force by more than a tenth and its own task. The configuration of an emulated site gets accounts, jobs get the account of their caller, and LostJobJudge lets tasks wait from half of a cap on. What operators store moves to EmulatedOperators.

--- a/stand-ins/platform/EmulatedJobs.ts
+++ b/stand-ins/platform/EmulatedJobs.ts
@@ -14,6 +14,8 @@
   intervalMilliseconds?: number
   /** The number of occurrences; the default is 0, for a job without a schedule. */
   repeatCount?: number
+  /** The client account of the caller; the default is none. */
+  accountName?: string | null
 }
 
 /** The behaviour of a task that runs for a short time and completes. */
@@ -25,6 +27,7 @@
   /** The behaviour of all tasks of a job, by job ID, which is the first part of each task name. */
   readonly tasks = new Map<string, EmulatedTask>()
   private readonly queuesByJob = new Map<string, QueueConfiguration>()
+  private readonly accountNames = new Map<string, string>()
 
   private constructor (readonly queues: readonly QueueConfiguration[]) {}
 
@@ -58,6 +61,7 @@
     this.tasks.set(jobId, { processorsMilli, memoryMegabytes, accelerators, ...DEFAULT_TASK, ...task })
     this.specifications.set(jobId, specification)
     this.queuesByJob.set(jobId, queue)
+    if (options.accountName != null) this.accountNames.set(jobId, options.accountName)
     return { specification, queue }
   }
 
@@ -66,6 +70,11 @@
     return this.queuesByJob.get(jobId)!
   }
 
+  /** Returns the client account of a job, or of the job of a task; null if it has none. */
+  getAccountName (name: string): string | null {
+    return this.accountNames.get(splitTaskName(name).jobId) ?? null
+  }
+
   /** Returns the behaviour of a task of a job that was submitted. */
   getTask (taskName: string): EmulatedTask {
     return this.tasks.get(splitTaskName(taskName).jobId)!
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -1,7 +1,8 @@
 import { Registry } from 'prom-client'
+import type { ClientAccount } from '../../src/accounts/index.js'
 import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
 import {
-  Instance, JOB_TABLE, type CallerWait, type OperatorRow, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
+  Instance, JOB_TABLE, type CallerWait, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
 import type { StepSpecification } from '../../src/jobs/index.js'
 import type { JsonValue } from '../../src/shared/JsonValue.js'
@@ -17,6 +18,7 @@
 import { DistantTables } from './DistantTables.js'
 import { EmulatedConnections, type ConnectionCounts, type ExpiredCalls } from './EmulatedConnections.js'
 import { EmulatedJobs, type SubmissionOptions } from './EmulatedJobs.js'
+import { EmulatedOperators, OPERATOR_TABLE } from './EmulatedOperators.js'
 import { EmulatedProcessor } from './EmulatedProcessor.js'
 import { EmulatedTables, type EmulatedTableClient } from './EmulatedTables.js'
 import type { EmulatedTask, EmulatedWorker } from './EmulatedWorker.js'
@@ -40,6 +42,10 @@
   workers?: EmulatedWorkerDescription[]
   /** The queues of the configuration; by default, `EMULATED_QUEUE` only. */
   queues?: QueueConfiguration[]
+  /** The client accounts of the first configuration; by default, it has no list of accounts. */
+  accounts?: readonly ClientAccount[]
+  /** How long a removed key may be accepted, on the pages `revokeMs`; the default is without a limit. */
+  keyRemovalMilliseconds?: number
   /** Selects which best-effort tasks disturb which serving tasks; the default is 1. */
   interferenceSeed?: number
   /** Emulates limited processor time and limited connections to workers; by default, computation takes no time. */
@@ -124,7 +130,6 @@
 const PEER_TIMEOUT_MILLISECONDS = 600
 const PEER_MESSAGE_BYTES = 400
 const LINK_MEGABITS_PER_SECOND = 1000
-const OPERATOR_TABLE = 'operators'
 /** The table of the workers that the platform lists. */
 export const WORKER_TABLE = 'listed-workers'
 
@@ -142,7 +147,9 @@
   /** The networks to the workers, which can lose packets if processor time is emulated. */
   readonly paths = new Map<string, WorkerPaths>()
   readonly instances: EmulatedInstance[] = []
-  private readonly jobs: EmulatedJobs
+  /** The jobs that clients have submitted, whether or not they were accepted. */
+  readonly jobs: EmulatedJobs
+  readonly operators: EmulatedOperators
   private readonly workerList: EmulatedWorkers
   /** The faults of the paths between single instances and single workers. */
   readonly pathFaults = PathFaults.create()
@@ -153,7 +160,6 @@
   readonly listeners: SiteListeners = { started: new Set(), submitted: new Set(), accepted: new Set() }
   /** The time of the latest restart of each address that has been requested. */
   private readonly restartTimes = new Map<string, number>()
-  private configurationVersion = 1
   private readonly queuedJobs = QueuedJobs.create({ queueName: EMULATED_QUEUE.name })
 
   private constructor (private readonly options: EmulatedSiteOptions) {
@@ -161,6 +167,9 @@
     this.tables = EmulatedTables.create({ clock })
     this.objects = MemoryObjects.create({ clock })
     this.jobs = EmulatedJobs.create(options.queues ?? [EMULATED_QUEUE])
+    this.operators = EmulatedOperators.create({
+      tables: this.tables, queues: this.jobs.queues, accounts: options.accounts
+    })
     this.judge = RunJudge.create({
       treatsListedAsAcknowledged: options.treatsListedAsAcknowledged ?? false,
       starts: { clock, getRules: taskName => this.jobs.getRules(taskName) }
@@ -183,7 +192,6 @@
    */
   static create (options: EmulatedSiteOptions): EmulatedSite {
     const site = new EmulatedSite(options)
-    site.putRow(OPERATOR_TABLE, 'configuration', 1)
     const { workers, workerCount = 0 } = options
     for (const description of workers ?? []) site.addWorker(description.workerId, description)
     if (workers === undefined) for (let index = 0; index < workerCount; index++) site.addWorker(`worker-${index}`)
@@ -268,7 +276,7 @@
         feed: gatedTables,
         operatorTable: OPERATOR_TABLE,
         workerTable: WORKER_TABLE,
-        decodeOperatorRow: (key, value) => decodeOperatorRow(key, value, this.jobs.queues),
+        decodeOperatorRow: (key, value) => this.operators.decodeRow(key, value),
         decodeWorker: (_key, value) => value as unknown as WorkerEntry
       },
       peer: this.createPeer(receiver, instanceId),
@@ -280,6 +288,7 @@
       clock: receiver.clock,
       logger: this.createLogger(instanceId),
       leaseMilliseconds: LEASE_MILLISECONDS,
+      keyRemovalMilliseconds: this.options.keyRemovalMilliseconds,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
       random
     })
@@ -341,7 +350,7 @@
     for (const onSubmitted of this.listeners.submitted) onSubmitted(target)
     if (processor !== null) await processor.receive(Promise.resolve(), 'request')
     const outcome = await process.receive(
-      instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT))
+      instance.gateway.submit(jobId, specification, queue, EMULATED_WAIT, options.accountName ?? null))
     if (outcome.kind === 'accepted') for (const onAccepted of this.listeners.accepted) onAccepted(target)
     return outcome
   }
@@ -351,24 +360,9 @@
     return this.jobs.getQueue(jobId).serviceName
   }
 
-  /** Returns whether operators have taken a data centre out of service. */
-  isDataCentreOut (dataCentre: string): boolean {
-    return this.tables.get({ table: OPERATOR_TABLE, key: `out/${dataCentre}` }) !== null
-  }
-
   /** Takes a data centre out of service, or brings it back. */
   setDataCentreOut (dataCentre: string, isOut: boolean): void {
-    if (isOut) this.putRow(OPERATOR_TABLE, `out/${dataCentre}`, dataCentre)
-    else this.deleteRow(OPERATOR_TABLE, `out/${dataCentre}`)
-  }
-
-  /**
-   * Stores a new version of the configuration.
-   * @param changes What differs from the first version in the queue.
-   */
-  changeConfiguration (changes: Partial<QueueConfiguration>): void {
-    this.configurationVersion++
-    this.putRow(OPERATOR_TABLE, 'configuration', { version: this.configurationVersion, changes })
+    this.operators.setDataCentreOut(dataCentre, isOut)
   }
 
   /** Returns a random instance whose process runs and is not frozen, or the first instance if there is none. */
@@ -443,10 +437,6 @@
     this.tables.apply({ operations: [{ kind: 'put', table, key, value, condition: { kind: 'any' } }] })
   }
 
-  private deleteRow (table: string, key: string): void {
-    this.tables.apply({ operations: [{ kind: 'delete', table, key, condition: { kind: 'any' } }] })
-  }
-
   private createProcessor (process: SimulatedProcess): EmulatedProcessor | null {
     const { processorTime } = this.options
     if (processorTime === undefined) return null
@@ -523,17 +513,6 @@
 /** The clock of a process, and the way in which it receives results: only while it runs and its processor is free. */
 type Receiver = Pick<SimulatedProcess, 'clock' | 'receive'>
 
-function decodeOperatorRow (key: string, value: JsonValue, queues: readonly QueueConfiguration[]): OperatorRow {
-  if (key.startsWith('out/')) return { kind: 'data-centre-out', dataCentre: String(value) }
-  const { version, changes } = typeof value === 'number'
-    ? { version: value, changes: {} }
-    : value as unknown as { version: number, changes: Partial<QueueConfiguration> }
-  return {
-    kind: 'configuration',
-    configuration: { version, queues: queues.map(queue => ({ ...queue, ...changes })), maximumBodyBytes: 100_000 }
-  }
-}
-
 function neverRespond (): Promise<never> {
   return new Promise(() => {})
 }
--- a/stand-ins/platform/EmulatedTables.ts
+++ b/stand-ins/platform/EmulatedTables.ts
@@ -125,6 +125,11 @@
     this.notify()
   }
 
+  /** Whether feeds return no changes until `resumeFeeds`. */
+  get areFeedsPaused (): boolean {
+    return this.pausedVersion !== null
+  }
+
   /** Drops the history of changes, so that clients must read whole tables again. */
   compact (): void {
     this.history = []
--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -12,6 +12,8 @@
   getCalmSince (): number | null
   /** Returns whether a fault keeps a worker from running tasks or from being reached by all instances. */
   isWorkerAffected (workerId: string): boolean
+  /** Returns whether the tasks of a step may wait for the cap of their client account; by default, none may. */
+  mayWaitForCap? (jobId: string, step: StepSpecification): boolean
 }
 
 /** A job, or a long-running task, that could run and did not for longer than the bound. */
@@ -149,7 +151,7 @@
     const found: ListedWorker[] = []
     for (const [workerId, worker] of site.workers) {
       const entry = site.getWorkerEntry(workerId)
-      if (!worker.isAlive || entry?.state !== 'ready' || site.isDataCentreOut(entry.dataCentre)) continue
+      if (!worker.isAlive || entry?.state !== 'ready' || site.operators.isDataCentreOut(entry.dataCentre)) continue
       found.push({ workerId, worker, entry })
     }
     return found
@@ -198,7 +200,7 @@
   private hasRoom (job: ObservedJob, workers: ListedWorker[], occurrence: number, step: number): boolean {
     const specification = job.specification.steps[step]
     const needed = (specification.gang ? specification.taskCount : 1) * ROOM_FACTOR
-    return this.countRoom(workers, job.jobId, occurrence, step, specification) >= needed
+    return this.countStartable(workers, job.jobId, occurrence, step, specification) >= needed
   }
 
   private checkLongRunningTasks (
@@ -207,7 +209,7 @@
     const calmSince = this.options.getCalmSince()
     for (const [step, specification] of job.specification.steps.entries()) {
       if (!specification.longRunning || !this.isReady(job, 0, specification)) continue
-      const room = this.countRoom(workers, job.jobId, 0, step, specification)
+      const room = this.countStartable(workers, job.jobId, 0, step, specification)
       for (let index = 0; index < specification.taskCount; index++) {
         const name = `${job.jobId}.0.${step}.${index}`
         if (running.has(name)) {
@@ -238,7 +240,7 @@
         if (specification.longRunning || !this.isReady(job, occurrence, specification)) continue
         if (this.isStepDone(job, occurrence, step)) continue
         const needed = (specification.gang ? specification.taskCount : 1) * ROOM_FACTOR
-        const room = this.countRoom(workers, job.jobId, occurrence, step, specification)
+        const room = this.countStartable(workers, job.jobId, occurrence, step, specification)
         if (room >= needed) return { step, room }
       }
     }
@@ -270,6 +272,14 @@
     return true
   }
 
+  /** Returns how many more tasks of a step could start: none that may wait for the cap of their account. */
+  private countStartable (
+    workers: readonly ListedWorker[], jobId: string, occurrence: number, step: number, specification: StepSpecification
+  ): number {
+    if (this.options.mayWaitForCap?.(jobId, specification) === true) return 0
+    return this.countRoom(workers, jobId, occurrence, step, specification)
+  }
+
   /**
    * Returns how many more tasks of a step the workers can run, with its label and within its limit per worker. The
    * processors of best-effort tasks do not count against the capacity of a worker.
--- a/stand-ins/platform/PlatformDisruptions.ts
+++ b/stand-ins/platform/PlatformDisruptions.ts
@@ -104,7 +104,7 @@
       this.begin(workers.map(({ workerId }) => workerId), fault.durationMilliseconds, end)
     },
     'configuration-change': ({ variant }) => {
-      this.options.context.site.changeConfiguration(chooseForm([
+      this.options.context.site.operators.changeQueues(chooseForm([
         { priority: 1 }, { timeoutMilliseconds: 2000 }, { stretch: 3 }, {}
       ], variant))
       this.begin([], 0, () => {})
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -8,9 +8,19 @@
   starts?: StartJudgeOptions
 }
 
+/** Observes what the workers execute. */
+export interface RunObserver {
+  /** Called when a worker has executed a start; `isLate` if that was long after it was sent. */
+  recordStart (taskName: string, attempt: number, workerId: string, isLate: boolean): void
+  /** Called when a run has ended in any way. */
+  recordRunEnd (taskName: string): void
+}
+
 /** Test oracle that records the runs of all emulated workers and collects violations of the invariants on runs. */
 export class RunJudge {
   readonly violations: string[] = []
+  /** Further oracles, each of which judges the same runs. */
+  readonly observers = new Set<RunObserver>()
   private readonly running = new Map<string, Set<string>>()
   private readonly acknowledged = new Set<string>()
   /** Tasks with a listed completion, whether or not it was acknowledged. */
@@ -70,6 +80,9 @@
     taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean, circumstances?: StartCircumstances
   ): void {
     this.startCount++
+    for (const observer of this.observers) {
+      observer.recordStart(taskName, attempt, workerId, circumstances?.isLate === true)
+    }
     this.startWorkerIds.push(workerId)
     this.lastRunWorkerIds.set(taskName, workerId)
     const runs = this.running.get(taskName) ?? new Set()
@@ -93,6 +106,7 @@
   /** Records that a run has ended in any way. */
   recordRunEnd (taskName: string, attempt: number, workerId: string): void {
     if (this.running.get(taskName)?.delete(`${workerId}#${attempt}`) !== true) return
+    for (const observer of this.observers) observer.recordRunEnd(taskName)
     const jobId = taskName.split('.', 1)[0]
     this.runCountByJob.set(jobId, (this.runCountByJob.get(jobId) ?? 0) - 1)
     this.startJudge?.recordRunEnd(taskName, workerId)
--- a/stand-ins/search/SearchPlay.ts
+++ b/stand-ins/search/SearchPlay.ts
@@ -1,5 +1,6 @@
 import type { LogFields } from '../../src/shared/Logger.js'
 import { VirtualClock } from '../../src/shared/VirtualClock.js'
+import { createSiteCapJudge, type CapJudge } from '../accounts/index.js'
 import { EMULATED_WAIT, EmulatedSite } from '../platform/EmulatedSite.js'
 import type { EmulatedWorkerDescription } from '../platform/EmulatedWorkerDescription.js'
 import { LostJobJudge } from '../platform/LostJobJudge.js'
@@ -57,6 +58,8 @@
   /** The faults of workers that last until the jobs were judged. */
   private readonly lastingFaults: SiteFaults
   private readonly lostJobs: LostJobJudge
+  /** Null for a site without accounts. */
+  private readonly caps: CapJudge | null
   private readonly clients: ClientRecord[] = []
   private readonly violations: string[] = []
   private readonly descriptions: Map<string, EmulatedWorkerDescription>
@@ -72,6 +75,7 @@
       workerCount: schedule.workers.length,
       workers: schedule.workers,
       queues: [...SEARCH_QUEUES],
+      accounts: schedule.accounts ?? undefined,
       interferenceSeed: schedule.seed,
       onLog: onLog === undefined
         ? undefined
@@ -85,12 +89,14 @@
     }
     this.faults = SiteFaults.create(options)
     this.lastingFaults = SiteFaults.create(options)
+    this.caps = schedule.accounts === null ? null : createSiteCapJudge(this.site, clock)
     this.lostJobs = LostJobJudge.create({
       site: this.site,
       clock,
       getCalmSince: () => this.getCalmSince(),
       isWorkerAffected: workerId =>
-        this.faults.isWorkerAffected(workerId) || this.lastingFaults.isWorkerAffected(workerId)
+        this.faults.isWorkerAffected(workerId) || this.lastingFaults.isWorkerAffected(workerId),
+      mayWaitForCap: (jobId, step) => this.caps?.mayWait(this.site.jobs.getAccountName(jobId), step) === true
     })
   }
 
@@ -125,7 +131,7 @@
     await this.checkStates()
     const lost = lostJobs.violations.map(work => `lost: ${JSON.stringify(work)}`)
     return {
-      violations: [...this.getRunViolations(), ...lost, ...this.violations],
+      violations: [...this.getRunViolations(), ...this.caps?.violations ?? [], ...lost, ...this.violations],
       acceptedCount: this.clients.filter(({ isAccepted }) => isAccepted).length,
       startCount: this.site.judge.startCount,
       longestWaitMilliseconds: lostJobs.longestWaitMilliseconds
@@ -158,6 +164,9 @@
     const { schedule, clock, lostJobs } = this
     const events = [
       ...schedule.jobs.map(job => ({ at: job.atMilliseconds, run: () => { this.submit(job) } })),
+      ...schedule.accountVersions.map(({ atMilliseconds, accounts }) => ({
+        at: atMilliseconds, run: () => { this.site.operators.changeAccounts(accounts) }
+      })),
       ...schedule.faults.map(fault => ({ at: fault.atMilliseconds, run: () => { this.faults.start(fault) } }))
     ]
     events.sort((left, right) => left.at - right.at)
@@ -180,13 +189,13 @@
 
   private async send (client: ClientRecord): Promise<void> {
     const { job } = client
+    const { jobId, steps, task, schedule, queueName, accountName, isRepeated, cancelAfterMilliseconds } = job
     const outcome = await this.site.submit(
-      job.jobId, job.steps, job.task, this.site.chooseInstance(), { queueName: job.queueName, ...job.schedule })
+      jobId, steps, task, this.site.chooseInstance(), { queueName, accountName, ...schedule })
     if (outcome.kind !== 'accepted' || client.isAccepted) return
     client.isAccepted = true
-    if (job.task.failsAlways !== true) this.lostJobs.recordAcceptedJob(job.jobId)
-    if (job.isRepeated) this.clock.setTimer(REPETITION_DELAY_MILLISECONDS, () => { this.send(client) })
-    const { cancelAfterMilliseconds } = job
+    if (task.failsAlways !== true) this.lostJobs.recordAcceptedJob(jobId)
+    if (isRepeated) this.clock.setTimer(REPETITION_DELAY_MILLISECONDS, () => { this.send(client) })
     if (cancelAfterMilliseconds !== null) this.clock.setTimer(cancelAfterMilliseconds, () => this.cancel(client))
   }
 
--- a/stand-ins/search/SearchSchedule.ts
+++ b/stand-ins/search/SearchSchedule.ts
@@ -1,3 +1,4 @@
+import type { ClientAccount } from '../../src/accounts/index.js'
 import type { StepSpecification } from '../../src/jobs/index.js'
 import type { EmulatedTask } from '../platform/EmulatedWorker.js'
 import type { EmulatedWorkerDescription } from '../platform/EmulatedWorkerDescription.js'
@@ -26,6 +27,14 @@
   cancelAfterMilliseconds: number | null
   /** Whether a copy of the request arrives seconds after it was accepted. */
   isRepeated: boolean
+  /** The client account of the caller, or null. */
+  accountName: string | null
+}
+
+/** A version of the client accounts and when it is stored. */
+export interface ScheduledAccounts {
+  atMilliseconds: number
+  accounts: ClientAccount[]
 }
 
 /** A fault and when it begins. */
@@ -40,6 +49,9 @@
   workers: EmulatedWorkerDescription[]
   jobs: SearchJob[]
   faults: ScheduledFault[]
+  /** The client accounts of the first configuration; null for a site without accounts. */
+  accounts: ClientAccount[] | null
+  accountVersions: ScheduledAccounts[]
   /** The time from the start of the site until all faults have ended. */
   lengthMilliseconds: number
   /** The faults with which the play ends, all at once. */
--- a/stand-ins/search/createSearchJob.ts
+++ b/stand-ins/search/createSearchJob.ts
@@ -160,6 +160,7 @@
     task: { durationMilliseconds, failureCount: random.isTrue(0.15) ? 1 : 0, ...task },
     schedule: { startAtMilliseconds: atMilliseconds + 1000, intervalMilliseconds: 0, repeatCount: 0, ...schedule },
     cancelAfterMilliseconds: random.isTrue(CANCELLED_SHARE) ? random.integer(0, 6000) : null,
-    isRepeated: random.isTrue(REPEATED_SHARE)
+    isRepeated: random.isTrue(REPEATED_SHARE),
+    accountName: null
   }
 }
--- a/stand-ins/search/createSearchSchedule.ts
+++ b/stand-ins/search/createSearchSchedule.ts
@@ -40,6 +40,8 @@
     workers: createWorkers(random),
     jobs,
     faults,
+    accounts: null,
+    accountVersions: [],
     lengthMilliseconds,
     closing: Array.from({ length: random.integer(0, 2) }, (): SiteFault => ({
       ...createFault(random, CLOSING_FAULT_KINDS), durationMilliseconds: random.integer(300, 1500)
--- a/stand-ins/search/index.ts
+++ b/stand-ins/search/index.ts
@@ -1,3 +1,4 @@
+export { ACCOUNT_DISRUPTION_KINDS, addAccounts } from './addAccounts.js'
 export { addRestartFaults } from './addRestartFaults.js'
 export { addSiteWideFaults } from './addSiteWideFaults.js'
 export { createSearchSchedule } from './createSearchSchedule.js'
--- a/stand-ins/search/reduceSchedule.ts
+++ b/stand-ins/search/reduceSchedule.ts
@@ -1,7 +1,7 @@
 import type { SearchSchedule } from './SearchSchedule.js'
 
 /** The lists of a schedule that are made shorter, those that matter least first. */
-const LISTS = ['faults', 'lasting', 'closing', 'jobs', 'workers'] as const
+const LISTS = ['faults', 'lasting', 'closing', 'accountVersions', 'jobs', 'workers'] as const
 
 /**
  * Makes a schedule smaller as long as it still shows a failure.
--- a/tools/search/search.ts
+++ b/tools/search/search.ts
@@ -3,7 +3,8 @@
 import { parseArgs } from 'node:util'
 import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads'
 import {
-  addRestartFaults, addSiteWideFaults, createSearchSchedule, reduceSchedule, SearchPlay, type SearchSchedule
+  addAccounts, addRestartFaults, addSiteWideFaults, createSearchSchedule, reduceSchedule, SearchPlay,
+  type SearchSchedule
 } from '../../stand-ins/search/index.js'
 import { playCurve } from './playCurve.js'
 
@@ -24,6 +25,8 @@
   isSiteWide: boolean
   /** Workers that start again under their IDs, and calls that are executed late. */
   hasRestarts: boolean
+  /** Client accounts with caps, and their disruptions. */
+  hasAccounts: boolean
 }
 
 /** The plays of a thread. */
@@ -32,10 +35,11 @@
   further: FurtherFaults
 }
 
-function createSchedule (seed: number, { isSiteWide, hasRestarts }: FurtherFaults): SearchSchedule {
+function createSchedule (seed: number, { isSiteWide, hasRestarts, hasAccounts }: FurtherFaults): SearchSchedule {
   const schedule = createSearchSchedule(seed)
   const withSiteWideFaults = isSiteWide ? addSiteWideFaults(schedule) : schedule
-  return hasRestarts ? addRestartFaults(withSiteWideFaults) : withSiteWideFaults
+  const withRestarts = hasRestarts ? addRestartFaults(withSiteWideFaults) : withSiteWideFaults
+  return hasAccounts ? addAccounts(withRestarts) : withRestarts
 }
 
 async function play (seed: number, further: FurtherFaults): Promise<PlayReport> {
@@ -122,11 +126,14 @@
       curve: { type: 'boolean', default: false },
       'site-wide': { type: 'boolean', default: false },
       restarts: { type: 'boolean', default: false },
+      accounts: { type: 'boolean', default: false },
       reduce: { type: 'string' },
       log: { type: 'string' }
     }
   })
-  const further: FurtherFaults = { isSiteWide: values['site-wide'], hasRestarts: values.restarts }
+  const further: FurtherFaults = {
+    isSiteWide: values['site-wide'], hasRestarts: values.restarts, hasAccounts: values.accounts
+  }
   const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
   if (values.curve) {
     await playCurve(seeds, Number(values.parallel))
