--- a/src/admission/LoadMeter.ts
+++ b/src/admission/LoadMeter.ts
@@ -49,7 +49,7 @@
 
 /** What a service has for tasks that end. */
 interface ServiceRoom {
-  /** The processors that such tasks use, or could use beside long-running ones, whichever is more. */
+  /** The processors that such tasks could use beside long-running ones. */
   processors: KindAmounts
   /** The processors that such tasks use now. */
   running: KindAmounts
--- a/tools/admission/compareAdmission.ts
+++ b/tools/admission/compareAdmission.ts
@@ -6,7 +6,8 @@
 
 /**
  * Compares what callers get in overloads without and with admission control, by queue and by size:
- * `node dist/tools/admission/compareAdmission.js [SEED,...]`. Each cell is the share in percent without and with it.
+ * `node dist/tools/admission/compareAdmission.js [SEED,...] [TITLE]` plays the overloads whose title contains a text.
+ * Each cell is the share in percent without and with admission control.
  */
 
 const ARRIVAL_MILLISECONDS = 60_000
@@ -62,6 +63,5 @@
 }
 
 const seeds = (process.argv[2] ?? '1,2,3').split(',').map(Number)
-for (const limit of LIMITS) {
-  for (const [title, kinds] of [...ALONE, ...BESIDE_URGENT]) compare(title, kinds, limit, seeds)
-}
+const played = [...ALONE, ...BESIDE_URGENT].filter(([title]) => title.includes(process.argv[3] ?? ''))
+for (const limit of LIMITS) for (const [title, kinds] of played) compare(title, kinds, limit, seeds)
