Look for runs to displace only where a useless job has some

The search compared each waiting step with all workers in each look, also when no run could be stopped for it, and urgent steps that nothing could help used up the limit of steps. It now looks at the jobs first and leaves out steps that no run gives way to. The tests of displacement pass.

--- a/src/dispatch/displacement/selectRunsToDisplace.ts
+++ b/src/dispatch/displacement/selectRunsToDisplace.ts
@@ -1,8 +1,8 @@
-import type { JobRecord, RunRecord, TaskRecord } from '../../jobs/index.js'
+import type { JobRecord, RunRecord, StepRecord, TaskRecord } from '../../jobs/index.js'
 import { estimateRemaining } from '../estimateRoom.js'
 import { getBestEffortProcessors } from '../getWorkerCost.js'
 import type { Urgency } from '../rankJobs.js'
-import { countRunsOfStep, isServing, type WorkerRecord } from '../WorkerRecord.js'
+import { countRunsOfStep, type WorkerRecord } from '../WorkerRecord.js'
 
 /** A run that ends within this time by itself frees its capacity as soon as a stop would. */
 const ENDING_MILLISECONDS = 500
@@ -129,9 +129,21 @@
   return { room, candidates }
 }
 
-function mayDisplace (run: RunRecord, { getUrgency, mayDisplace }: DisplacementInputs): boolean {
-  const { specification: { longRunning, gang, maximumAway }, occurrence: { job } } = run.task.step
-  if (run.state !== 'running' || longRunning || gang || maximumAway > 0 || isServing(run.task)) return false
+function mayDisplace (run: RunRecord, inputs: DisplacementInputs): boolean {
+  return run.state === 'running' && mayDisplaceStep(run.task.step, inputs)
+}
+
+/**
+ * Returns whether runs of a step may be stopped for tasks that they could make room for.
+ * @param step The step.
+ * @param inputs The urgency of jobs, and which were displaced too often.
+ * @returns Whether they may.
+ */
+export function mayDisplaceStep (
+  step: StepRecord, { getUrgency, mayDisplace }: Pick<DisplacementInputs, 'getUrgency' | 'mayDisplace'>
+): boolean {
+  const { specification: { longRunning, gang, maximumAway, targetMilliseconds }, occurrence: { job } } = step
+  if (longRunning || gang || maximumAway > 0 || targetMilliseconds > 0) return false
   return job.finalState === null && getUrgency(job) === 'useless' && mayDisplace(job)
 }
 
--- a/src/dispatch/headroom/UrgentWorkProtection.ts
+++ b/src/dispatch/headroom/UrgentWorkProtection.ts
@@ -2,6 +2,7 @@
 import type { ChoiceConditions } from '../chooseWorker.js'
 import { RunDisplacer } from '../displacement/RunDisplacer.js'
 import type { DispatchObserver } from '../DispatchObserver.js'
+import type { JobTable } from '../JobTable.js'
 import type { GetRunTimeRatio, RankedJob } from '../rankJobs.js'
 import type { WorkerRecord } from '../WorkerRecord.js'
 import { AmpleRoom } from './AmpleRoom.js'
@@ -22,6 +23,7 @@
 
 /** The state of the plan that the protection uses. */
 export interface ProtectionContext extends UrgentReservationContext {
+  jobs: JobTable
   /** The monotonic time. */
   now: number
   /** The time of day. */
@@ -73,6 +75,8 @@
     const getConditions = (job: JobRecord): ChoiceConditions => plan.getConditions(getServiceName(job))
     if (this.ampleRoom.look(ranked, plan.workers, getConditions, now)) this.reservations.releaseAll(reservations)
     else this.reservations.reserve(waiting, context)
-    this.displacer.displace(waiting, { workers: plan.workers, getConditions, mayStart, now, wallMilliseconds })
+    this.displacer.displace(waiting, {
+      jobs: context.jobs.getJobs(), workers: plan.workers, getConditions, mayStart, now, wallMilliseconds
+    })
   }
 }
