--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -44,6 +44,8 @@
   resources: InstanceResources
   /** How long a removed key of a caller may be accepted; Infinity, the default, for no limit. */
   keyRemovalMilliseconds?: number
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
   createWorkerClient (entry: WorkerEntry): WorkerClient
   random (): number
 }
@@ -200,6 +202,7 @@
       livenessSource: options.livenessSource,
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
+      protectsUrgentWork: options.protectsUrgentWork,
       assignmentsStoredSince,
       earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
       earlierStartsEndAt,
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -48,6 +48,8 @@
   metrics: InstanceMetrics
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
   earlierLeasesEndAt: number
   /**
@@ -120,7 +122,10 @@
   private constructor (private readonly options: ShardDispatcherOptions) {
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({
-      epoch: options.fence.epoch, observer, leaseMilliseconds: options.leaseMilliseconds
+      epoch: options.fence.epoch,
+      observer,
+      leaseMilliseconds: options.leaseMilliseconds,
+      protectsUrgentWork: options.protectsUrgentWork
     })
     this.eventLoopDelay = EventLoopDelayMonitor.create(options)
     const repeatsPerSecond = WORKER_CALL_REPEATS_PER_PROCESSOR * options.processors
