--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -93,19 +93,23 @@
   /** The token raises for workers that were removed: a worker with the same ID may have seen their tokens. */
   private readonly removedTokenRaises = new Map<string, number>()
   private readonly unseenRuns: UnseenRuns
+  /** Returns by how much estimates are wrong; undefined where they count as right. */
+  private readonly getRunTimeRatio: GetRunTimeRatio | undefined
   private dirty = true
 
   private constructor (
     readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number,
-    protectsUrgentWork: boolean, private readonly getRunTimeRatio?: GetRunTimeRatio
+    protectsUrgentWork: boolean, getRunTimeRatio?: GetRunTimeRatio
   ) {
-    const { accounts, unreconciled, workers } = this
+    const { accounts, unreconciled, workers, runTimeRatios } = this
+    const learnedRatio = protectsUrgentWork ? runTimeRatios.getRunTimeRatio.bind(runTimeRatios) : undefined
+    this.getRunTimeRatio = getRunTimeRatio ?? learnedRatio
     this.jobs = JobTable.create({ epoch, accounts })
     this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
     this.protection = !protectsUrgentWork
       ? null
       : UrgentWorkProtection.create({
-        getRunTimeRatio,
+        getRunTimeRatio: this.getRunTimeRatio,
         getObserver: () => this.observer,
         getServiceName: job => this.getServiceName(job),
         stop: (worker, run) => this.orders.stop(worker, run)
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -50,6 +50,8 @@
   keyRemovalMilliseconds?: number
   /** Whether jobs may be refused because of the load; false by default. */
   isAdmissionEnabled?: boolean
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
   createWorkerClient (entry: WorkerEntry): WorkerClient
   random (): number
 }
@@ -222,6 +224,7 @@
       livenessSource: options.livenessSource,
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
+      protectsUrgentWork: options.protectsUrgentWork,
       assignmentsStoredSince,
       earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
       earlierStartsEndAt,
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -49,6 +49,8 @@
   metrics: InstanceMetrics
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
+  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
+  protectsUrgentWork?: boolean
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
   earlierLeasesEndAt: number
   /**
@@ -124,7 +126,10 @@
   private constructor (private readonly options: ShardDispatcherOptions) {
     const observer = createDispatchObserver(options.logger, options.metrics)
     this.engine = DispatchEngine.create({
-      epoch: options.fence.epoch, observer, leaseMilliseconds: options.leaseMilliseconds
+      epoch: options.fence.epoch,
+      observer,
+      leaseMilliseconds: options.leaseMilliseconds,
+      protectsUrgentWork: options.protectsUrgentWork
     })
     this.loadMeter = options.isAdmissionEnabled === true
       ? LoadMeter.create({ ...this.engine, epoch: options.fence.epoch })
