--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -11,6 +11,7 @@
 export interface InstanceMetrics {
   submissions: Counter<'outcome'>
   refusedCalls: Counter<'reason'>
+  clientLimits: Counter<'server' | 'limit'>
   submissionSeconds: Histogram
   starts: Counter<'outcome'>
   startSeconds: Histogram
@@ -75,6 +76,12 @@
       labelNames: ['reason'],
       registers
     }),
+    clientLimits: new Counter({
+      name: 'papayamoor_instance_client_limits_total',
+      help: 'Limits of clients that were reached, by server and limit.',
+      labelNames: ['server', 'limit'],
+      registers
+    }),
     submissionSeconds: new Histogram({
       name: 'papayamoor_instance_submission_seconds',
       help: 'Time from a submission to its answer.',
