--- a/src/http/ClientServer.ts
+++ b/src/http/ClientServer.ts
@@ -57,10 +57,12 @@
 const UNREAD_CONNECTION_BYTES = 65_536
 const RETRY_AFTER_SECONDS = 1
 /**
- * After this many requests in one turn of the event loop the other connections are read in a later one. Node.js parses
+ * After this many requests in one turn of the event loop the other connections are not read for a while. Node.js parses
  * all requests of a read, up to 2,500 of 3 KB each, and releases those of a closed connection at the end of the turn.
  */
 const REQUESTS_IN_TURN = 200
+/** Leaves time for the collection of garbage, and for other work of the process. */
+const READ_PAUSE_MILLISECONDS = 25
 /** Which connections are closed first when there are too many; those that serve a request are not closed. */
 const CLOSING_ORDER: ConnectionPhase[] = ['closing', 'receiving', 'idle']
 
@@ -74,8 +76,8 @@
   private readonly calls = new WeakMap<IncomingMessage, ClientCall>()
   private cancelCheck: CancelTimer | null = null
   private requestsInTurn = 0
-  /** The connections that are not read in this turn of the event loop. */
-  private pausedSockets: Socket[] = []
+  /** The connections that are not read for a while; null while all are read. */
+  private pausedSockets: Socket[] | null = null
 
   private constructor (private readonly options: ClientServerOptions) {
     const { limits } = options
@@ -222,9 +224,8 @@
     const connection = ClientConnection.create(
       socket, clock.monotonicMilliseconds(), refused => this.refuse(refused, 'budget'))
     this.connections.set(socket, connection)
-    socket.once('close', () => {
-      this.release(connection)
-    })
+    this.pauseReading(socket)
+    socket.once('close', () => this.release(connection))
     this.cancelCheck ??= clock.setTimer(CHECK_MILLISECONDS, () => this.check())
   }
 
@@ -254,9 +255,7 @@
       return
     }
     const heldBytes = CALL_BYTES + request.rawHeaders.length / 2 * HEADER_FIELD_BYTES
-    const call: ClientCall = {
-      request, response, isPassedOn: false, heldBytes, awaitsContinue, endBody: null
-    }
+    const call: ClientCall = { request, response, isPassedOn: false, heldBytes, awaitsContinue, endBody: null }
     this.calls.set(request, call)
     connection.calls.add(call)
     response.once('close', () => this.finish(connection, call))
@@ -273,21 +272,21 @@
   /** Defers reading from the other connections when very many requests have arrived in a turn of the event loop. */
   private countRequest (): void {
     this.requestsInTurn++
-    if (this.requestsInTurn === 1) setImmediate(() => this.endTurn())
-    if (this.requestsInTurn !== REQUESTS_IN_TURN) return
-    for (const socket of this.connections.keys()) {
-      if (socket.isPaused()) continue
-      socket.pause()
-      this.pausedSockets.push(socket)
-    }
+    if (this.requestsInTurn === 1) setImmediate(() => { this.requestsInTurn = 0 })
+    if (this.requestsInTurn < REQUESTS_IN_TURN || this.pausedSockets !== null) return
+    this.pausedSockets = []
+    for (const socket of this.connections.keys()) this.pauseReading(socket)
+    this.options.clock.setTimer(READ_PAUSE_MILLISECONDS, () => {
+      const paused = this.pausedSockets ?? []
+      this.pausedSockets = null
+      for (const socket of paused) socket.resume()
+    })
   }
 
-  private endTurn (): void {
-    const paused = this.pausedSockets
-    this.requestsInTurn = 0
-    this.pausedSockets = []
-    // Closed connections are released after the callbacks of `setImmediate`, so that reading goes on one turn later.
-    if (paused.length > 0) setImmediate(() => { for (const socket of paused) socket.resume() })
+  private pauseReading (socket: Socket): void {
+    if (this.pausedSockets === null || socket.isPaused()) return
+    socket.pause()
+    this.pausedSockets.push(socket)
   }
 
   /** Releases what a request holds when its response is complete or its connection is closed. */
