--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -5,7 +5,7 @@
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
 import { isRestart } from './WaitingRestarts.js'
-import type { WorkerRecord } from './WorkerRecord.js'
+import { sumCapacity, type WorkerCapacity, type WorkerRecord } from './WorkerRecord.js'
 
 /**
  * A restart that has waited this long may use a worker that is paused after failures: the pause can be longer than the
@@ -100,6 +100,11 @@
     return this.options.workers.reduce((sum, { entry }) => sum + entry.capacity.processorsMilli, 0)
   }
 
+  /** The resources of all workers. */
+  get capacity (): WorkerCapacity {
+    return sumCapacity(this.options.workers)
+  }
+
   /**
    * Places the waiting tasks of a step while workers have free capacity.
    * @param step The step, which must be ready to start.
