--- a/tools/search/search.ts
+++ b/tools/search/search.ts
@@ -7,6 +7,7 @@
   type SearchSchedule
 } from '../../stand-ins/search/index.js'
 import { playCurve } from './playCurve.js'
+import { playHotAccounts } from './playHotAccounts.js'
 
 const SIGNATURE_LENGTH = 60
 
@@ -127,6 +128,7 @@
       'site-wide': { type: 'boolean', default: false },
       restarts: { type: 'boolean', default: false },
       accounts: { type: 'boolean', default: false },
+      'hot-account': { type: 'boolean', default: false },
       reduce: { type: 'string' },
       log: { type: 'string' }
     }
@@ -137,6 +139,8 @@
   const seeds = Array.from({ length: Number(values.plays) }, (_, index) => Number(values.seed) + index)
   if (values.curve) {
     await playCurve(seeds, Number(values.parallel))
+  } else if (values['hot-account']) {
+    await playHotAccounts(seeds)
   } else if (values.reduce !== undefined) {
     await reduce(Number(values.reduce), further)
   } else if (values.log !== undefined) {
