--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -12,6 +12,7 @@
   submissions: Counter<'outcome'>
   refusedCalls: Counter<'reason'>
   refusedSubmissions: Counter<'priority' | 'reason'>
+  clientLimits: Counter<'server' | 'limit'>
   submissionSeconds: Histogram
   starts: Counter<'outcome'>
   startSeconds: Histogram
@@ -84,6 +85,12 @@
       labelNames: ['priority', 'reason'],
       registers
     }),
+    clientLimits: new Counter({
+      name: 'papayamoor_instance_client_limits_total',
+      help: 'Limits of clients that were reached, by server and limit.',
+      labelNames: ['server', 'limit'],
+      registers
+    }),
     submissionSeconds: new Histogram({
       name: 'papayamoor_instance_submission_seconds',
       help: 'Time from a submission to its answer.',
