--- a/src/admission/LoadMeter.test.ts
+++ b/src/admission/LoadMeter.test.ts
@@ -66,6 +66,8 @@
   engine.setWorker(createWorkerEntry({
     workerId: 'worker', capacity: { processorsMilli: 10_000, memoryMegabytes: 64_000, accelerators: 0 }
   }))
+  const cap = { processorsMilli: 500_000, memoryMegabytes: 0, accelerators: 0 }
+  engine.setAccounts([{ name: 'capped', keyDigests: [], weight: 1, cap }])
   const meter = LoadMeter.create({ ...engine, epoch: 3 })
   const measureUntil = (from: number, end: number): void => {
     for (let now = from; now <= end; now += 500) meter.measure(now, 0)
@@ -103,7 +105,7 @@
   const blocked: Array<[Partial<StepSpecification>, Partial<JobSubmission>]> = [
     [{ requiredLabel: 'absent' }, {}], [{ gang: true }, {}], [{ accelerators: 1 }, {}], [{ maximumPerWorker: 1 }, {}],
     [{ processorsMilli: 10_001 }, {}], [{ memoryMegabytes: 64_001 }, {}], [{}, { serviceName: 'other' }],
-    [{ fills: true }, {}], [{ longRunning: true }, {}]
+    [{ fills: true }, {}], [{ longRunning: true }, {}], [{}, { accountName: 'capped' }]
   ]
   for (const [index, [step, changes]] of blocked.entries()) {
     addJob({ taskCount: 1000, ...step }, { jobId: `blocked-${index}`, ...changes })
--- a/src/admission/LoadMeter.ts
+++ b/src/admission/LoadMeter.ts
@@ -177,6 +177,8 @@
   }
 
   private addWaiting (job: JobRecord, urgency: Urgency, room: ServiceRoom): void {
+    // The cap of its account may hold the work back, whatever room there is.
+    if (job.account?.hasCap === true) return
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps) {
         const { fills, processorsMilli } = step.specification
