--- a/src/dispatch/headroom/AmpleRoom.ts
+++ b/src/dispatch/headroom/AmpleRoom.ts
@@ -100,9 +100,11 @@
 function hasAmpleRoom (
   { specification }: StepRecord, workers: readonly WorkerRecord[], conditions: ChoiceConditions
 ): boolean {
+  // Overdue tasks may start on paused workers, so room there counts as well.
+  const withPaused = { ...conditions, includesPaused: true }
   let missing = AMPLE_FACTOR * (specification.gang ? specification.taskCount : 1)
   for (const worker of workers) {
-    if (!isEligible(worker, conditions)) continue
+    if (!isEligible(worker, withPaused)) continue
     const { reserved, entry: { capacity, labels } } = worker
     if (specification.requiredLabel !== '' && !labels.includes(specification.requiredLabel)) continue
     const neededMilli = specification.fills ? 0 : specification.processorsMilli
