Give the callers of the soak accounts with keys, one of them with a cap

The soak ran without accounts, so that neither keys nor caps were used by the deployed program. Its callers now have keys of two accounts, some calls have an unknown one, and it reports starts above the cap, accepted unknown keys and refused known ones.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { EMULATED_ROUTE, HttpPlatform } from '../platform/emulator/HttpPlatform.js'
 import { HttpCaller } from '../src/shared/HttpCaller.js'
+import { CapHistory, CapJudge } from '../stand-ins/accounts/index.js'
 import { createRandom } from '../stand-ins/shared/createRandom.js'
 import { findFreePorts } from '../stand-ins/shared/findFreePorts.js'
 import { LoopbackProxy, type ProxyMode } from './LoopbackProxy.js'
@@ -60,6 +61,16 @@
 const HEARTBEAT_MILLISECONDS = 500
 /** How much of the error output of a process is kept. */
 const ERROR_TEXT_LENGTH = 1000
+/** The callers' accounts; the jobs of the second one use three quarters of its cap, and reach it after an outage. */
+const ACCOUNTS = [
+  { name: 'coop', key: 'key-of-coop', processorsMilli: 0 },
+  { name: 'utility', key: 'key-of-utility', processorsMilli: 8000 }
+]
+/** One of so many calls has a key that no version has. */
+const UNKNOWN_KEY_INTERVAL = 20
+const UNKNOWN_KEY = 'key-of-nobody'
+/** What each task of a job asks for. */
+const TASK = { processorsMilli: 1000, memoryMegabytes: 500, accelerators: 0 }
 const PROXY_MODES: ProxyMode[] = ['delay', 'silent', 'silent-answers']
 
 /** Runs the deployed program as separate processes and injects the faults that follow from one seed. */
@@ -71,10 +82,22 @@
   private readonly acceptedJobs = new Set<string>()
   private readonly faults: string[] = []
   private readonly violations: string[] = []
+  private readonly caps: CapJudge
+  private callCount = 0
   private isEnded = false
 
   private constructor (private readonly options: SoakRunOptions, private readonly platform: HttpPlatform) {
     this.random = createRandom(options.seed)
+    const history = CapHistory.create({ now: () => performance.now(), getStoreDisturbedAt: () => -Infinity })
+    history.recordVersion(ACCOUNTS.map(({ name, processorsMilli }) => (
+      { name, keyDigests: [], weight: 1, cap: { processorsMilli, memoryMegabytes: 0, accelerators: 0 } }
+    )))
+    this.caps = CapJudge.create({
+      history,
+      getAccountName: taskName => getAccount(taskName.split('.', 1)[0]).name,
+      getResources: () => TASK
+    })
+    platform.judge.observers.add(this.caps)
   }
 
   /**
@@ -89,7 +112,10 @@
       storePort: ports[0],
       machinesPort: ports[1],
       workerPorts: ports.slice(2, 2 + options.workerCount),
-      random: createRandom(options.seed + 1)
+      random: createRandom(options.seed + 1),
+      accounts: ACCOUNTS.map(({ name, key, processorsMilli }) => (
+        { name, apiKeys: [key], weight: 1, cap: { cpu: processorsMilli, memMb: 0, gpu: 0 } }
+      ))
     })
     platform.putOddEntries()
     const run = new SoakRun(options, platform)
@@ -112,7 +138,7 @@
       this.options.hasOtherFaults === false ? null : this.injectFaultsUntil(end)
     ])
     await this.checkJobs()
-    this.violations.push(...this.platform.judge.violations)
+    this.violations.push(...this.platform.judge.violations, ...this.caps.violations)
     return {
       seed: this.options.seed,
       acceptedCount: this.acceptedJobs.size,
@@ -137,7 +163,8 @@
       platform: { address: `${HOST}:${storeProxyPort}` },
       limits: { cpuShare: 1, linkMbps: 1000 },
       cloud: { address: `${HOST}:${platformPorts[1]}` },
-      bounds: { maxHoldMs: 6000, graceS: 6 }
+      bounds: { maxHoldMs: 6000, graceS: 6, revokeStrict: true, revokeMs: 5000 },
+      contracts: ['base', 'tenants']
     }))
     const program: Program = { name, child: null, isTerminating: false, settingsPath, callerPort, proxy }
     this.programs.push(program)
@@ -177,7 +204,8 @@
 
   /** Submits a job up to five times, each time to a random process, until it is accepted or rejected. */
   private async submit (jobId: string): Promise<void> {
-    const step = { count: LONG_RUNNING_TASK_COUNT, cpu: 1000, memMb: 500, estimateMs: 300 }
+    const { processorsMilli: cpu, memoryMegabytes: memMb } = TASK
+    const step = { count: LONG_RUNNING_TASK_COUNT, cpu, memMb, estimateMs: 300 }
     const isLongRunning = this.platform.longRunningJobs.has(jobId)
     const steps = isLongRunning ? [{ ...step, longRunning: true }] : [step, { ...step, count: 2, after: [0] }]
     const body = JSON.stringify({ taskSpec: 'text', steps })
@@ -302,15 +330,23 @@
 
   private async call (method: 'GET' | 'POST', jobId: string, body?: string) {
     const program = this.programs[Math.floor(Math.random() * this.programs.length)]
+    const isUnknown = ++this.callCount % UNKNOWN_KEY_INTERVAL === 0
+    const key = isUnknown ? UNKNOWN_KEY : getAccount(jobId).key
     const response = await this.caller.call({
       address: `${HOST}:${program.callerPort}`,
       method,
       path: `${EMULATED_ROUTE.prefix}${jobId}`,
-      headers: { host: EMULATED_ROUTE.host, 'deadline-ms': '2500' },
+      headers: { host: EMULATED_ROUTE.host, 'deadline-ms': '2500', authorization: `Token ${key}` },
       body,
       timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS
     })
-    return response.kind === 'answered' ? response : null
+    if (response.kind !== 'answered') return null
+    const { statusCode } = response
+    if (isUnknown && statusCode === 200) this.violations.push(`route: ${program.name} accepted ${key}`)
+    if (!isUnknown && (statusCode === 401 || statusCode === 403)) {
+      this.violations.push(`config: ${program.name} refused ${key} with ${statusCode}`)
+    }
+    return response
   }
 
   private async shutDown (): Promise<void> {
@@ -326,6 +362,11 @@
   }
 }
 
+/** Returns the account of a job; long-running ones, which would fill a cap, have even numbers. */
+function getAccount (jobId: string) {
+  return ACCOUNTS[Number(BigInt(`0x${jobId}`) % 2n)]
+}
+
 function pause (milliseconds: number): Promise<void> {
   return new Promise(resolve => { setTimeout(resolve, milliseconds) })
 }
