Exceed a cap by no more than the starts that may still be executed

Starts are decided while the account is below its cap, so that the last one may exceed it by a large task. A small start that was decided before it and is executed after it then found the account further above its cap than by its own size.

--- a/src/accounts/AccountUsage.ts
+++ b/src/accounts/AccountUsage.ts
@@ -1,8 +1,15 @@
 import type { AccountResources, ClientAccount } from './ClientAccount.js'
 
+const RESOURCES = ['processorsMilli', 'memoryMegabytes', 'accelerators'] as const
 /** Tolerance for rounding in sums of fractions. */
 const ROUNDING_MARGIN = 1e-6
 
+/** A run of which it matters whether its worker has confirmed its start. */
+export interface CountedRun {
+  /** The time of the confirmation; null while the start may still be executed. */
+  readonly confirmedAt: number | null
+}
+
 /**
  * What one client account has running on all workers, and its cap.
  *
@@ -14,6 +21,8 @@
   cap: Readonly<AccountResources> = createResources()
   private readonly running = createResources()
   private runCount = 0
+  /** The runs with what they reserve, as far as their starts can be told apart. */
+  private readonly runs = new Map<CountedRun, AccountResources>()
   private unseen: Readonly<AccountResources> = createResources()
 
   private constructor (readonly name: string | null) {}
@@ -39,18 +48,22 @@
   /**
    * Counts a run.
    * @param resources What the run reserves, with the processors that a best-effort run requests.
+   * @param run The run; absent for one that a worker has listed.
    */
-  add (resources: AccountResources): void {
+  add (resources: AccountResources, run?: CountedRun): void {
     this.runCount++
+    if (run !== undefined) this.runs.set(run, resources)
     addResources(this.running, resources, 1)
   }
 
   /**
    * Counts a run no longer, because it is known to be over.
    * @param resources What was added for the run.
+   * @param run The run, if it was added.
    */
-  remove (resources: AccountResources): void {
+  remove (resources: AccountResources, run?: CountedRun): void {
     this.runCount--
+    if (run !== undefined) this.runs.delete(run)
     // Sums of fractions do not return to exactly 0.
     if (this.runCount === 0) Object.assign(this.running, createResources())
     else addResources(this.running, resources, -1)
@@ -96,20 +109,40 @@
    *
    * Starts are allowed while the account is below its cap, so that it exceeds the cap by less than one task. Platforms
    * allow for one task, and tasks that must fit below the cap would wait behind smaller ones that take what is left.
+   * They allow for the size of the task that starts: a smaller one whose start is executed later must not find the
+   * account further above its cap than by its own size.
    * @param resources What one task asks for.
    * @param count The number of tasks.
-   * @returns Whether the account is below its cap before the last of the starts.
+   * @returns Whether the account is below its cap before the last of the starts, and then above it by no more than each
+   * start asks for that may still be executed.
    */
   fits (resources: AccountResources, count = 1): boolean {
-    return !this.hasCap || !(this.isReachedBefore('processorsMilli', resources, count) ||
-      this.isReachedBefore('memoryMegabytes', resources, count) ||
-      this.isReachedBefore('accelerators', resources, count))
+    if (!this.hasCap) return true
+    const isReached = RESOURCES.some(resource => this.isReachedBefore(resource, resources, count))
+    return !isReached && !this.exceedsOpenStarts(resources, count)
   }
 
   private isReachedBefore (resource: keyof AccountResources, resources: AccountResources, count: number): boolean {
     return resources[resource] > 0 && this.isReached(resource, resources[resource] * (count - 1))
   }
 
+  /** Returns whether starts would bring the account further above its cap than an open start asks for. */
+  private exceedsOpenStarts (resources: AccountResources, count: number): boolean {
+    const excess = RESOURCES.map(resource => this.getExcess(resource, resources[resource] * count))
+    if (excess.every(amount => amount <= ROUNDING_MARGIN)) return false
+    const exceeds = (open: AccountResources): boolean =>
+      RESOURCES.some((resource, index) => excess[index] > open[resource] + ROUNDING_MARGIN)
+    // The sizes of starts that an earlier owner may have sent are not known.
+    if (RESOURCES.some(resource => this.unseen[resource] > 0)) return true
+    for (const [{ confirmedAt }, open] of this.runs) if (confirmedAt === null && exceeds(open)) return true
+    return false
+  }
+
+  private getExcess (resource: keyof AccountResources, added: number): number {
+    const cap = this.cap[resource]
+    return cap > 0 && added > 0 ? this.running[resource] + this.unseen[resource] + added - cap : 0
+  }
+
   private isReached (resource: keyof AccountResources, added: number): boolean {
     const cap = this.cap[resource]
     return cap > 0 && this.running[resource] + this.unseen[resource] + added + ROUNDING_MARGIN >= cap
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -471,8 +471,8 @@
 
 function reserve (worker: WorkerRecord, run: RunRecord, sign: 1 | -1): void {
   const { specification, occurrence: { job: { account } } } = run.task.step
-  if (sign === 1) account?.add(specification)
-  else account?.remove(specification)
+  if (sign === 1) account?.add(specification, run)
+  else account?.remove(specification, run)
   worker.changeCount++
   worker.reserved.memoryMegabytes += sign * specification.memoryMegabytes
   worker.reserved.accelerators += sign * specification.accelerators
