--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,85 +1,78 @@
-// Clients hand in jobs of legal size that are made of very many short steps.
+// The owner is killed; before another one is there, more tasks end on each runner than one list of ends holds (500).
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { pause } from '../lib2/http.mjs'
 import { runCase } from '../lib2/site.mjs'
 
-const LARGE_JOBS = Number(process.env.LARGE_JOBS ?? 40)
-const LANES = 4
-const STEP_TEXT = '{"count":1,"cpu":999}'
-const ORDINARY = { count: 2, cpu: 1000, memMb: 512, estimateMs: 500 }
-/** `maxBodyBytes` of the configuration. */
-const BODY_BYTES = 262_144
-const PLAY_S = 60
-/** A job that was accepted this long ago (`finish_s`) and has had nothing running for `NOTHING_RUNNING_S` is lost. */
-const FINISH_S = 14
-const NOTHING_RUNNING_S = 3
-const RUNNERS = 8
-const RUNNER_MILLI = 16_000
+const JOB = '5c0e7a21d94b36f8'
+const STEP = { count: 2400, cpu: 20, memMb: 50, estimateMs: 10_000 }
+/** The tasks work on until the event that they all wait for; only then do they end. */
+const LONGEST_MS = 40_000
+/** The runs that each runner has at least when the owner is killed. */
+const RUNS = 780
 
 runCase(dirname(fileURLToPath(import.meta.url)), async (site, hasTrouble) => {
   const violations = []
-  let starts = 0
-  /** When a task of an ordinary job last started or ended. */
-  const lastRunAt = new Map()
+  /** The runs that have ended done, and the starts after such an end. */
+  const done = new Map()
+  const runs = new Map()
+  const restarted = new Map()
+  const noted = new Set()
+  let durationMs = LONGEST_MS
   await site.startPlatform({
-    runners: Array.from({ length: RUNNERS }, (_, index) => ({
-      id: `i-${index}a91c2`, zone: 'south-a', capacity: { cpu: RUNNER_MILLI, memMb: 64_000, gpu: 0 }, labels: ['a', 'r1-1']
+    runners: Array.from({ length: 2 }, (_, index) => ({
+      id: `i-${index}a91c2`, zone: 'south-a', capacity: { cpu: 16_000, memMb: 64_000, gpu: 0 }, labels: ['a', 'r1-1']
     })),
-    describe: () => ({ step: ORDINARY, durationMs: 500 }),
-    on: ({ kind, task }) => {
-      if (kind === 'start') starts++
-      if (task?.startsWith('aaaa')) lastRunAt.set(task.split('.', 1)[0], site.seconds())
+    describe: () => ({ step: STEP, durationMs }),
+    on: ({ kind, runner, task, attempt, how, hasLapsed }) => {
+      if (kind === 'start') {
+        site.record(`start ${task} #${attempt} at ${runner}`)
+        if (done.has(task)) restarted.set(task, [...restarted.get(task) ?? [], `run ${attempt} at ${runner}`])
+        if (runs.has(task)) violations.push(`TWICE: ${task} runs at ${runs.get(task)} and at ${runner}`)
+        runs.set(task, runner)
+      }
+      if (kind === 'end' || kind === 'gone') {
+        site.record(`end ${task} #${attempt} at ${runner}: ${how ?? kind}`)
+        runs.delete(task)
+        if (how === 'done' && !done.has(task)) done.set(task, `run ${attempt} at ${runner}`)
+      }
+      // An end counts as taken note of unless the lease of its runner has lapsed in between.
+      if (kind === 'noted' && how === 'done' && !hasLapsed) noted.add(task)
     }
   })
   await site.startInstances(3)
   await site.waitUntilReady()
   await site.waitForOwner()
   await pause(1000)
-  const ordinary = []
-  const submitOrdinary = async () => {
-    const id = `aaaa${String(ordinary.length).padStart(12, '0')}`
-    if (await site.submit(id, { taskSpec: 'text', steps: [ORDINARY] }) === true) ordinary.push({ id, at: site.seconds() })
-  }
-  for (let index = 0; index < 3; index++) await submitOrdinary()
-  await pause(2000)
-  for (const { id } of ordinary) {
-    if (await site.getState(id) !== 'completed') throw new Error('an ordinary job was not completed in calm')
+  if (await site.submit(JOB, { taskSpec: 'text', steps: [STEP] }) !== true) throw new Error('the job was not accepted')
+  const sizes = () => site.runners.runners.map(({ runs: present, ends }) => `${present.size} running ${ends.length} ends`).join(', ')
+  const getRunners = () => site.runners.runners
+  const limitAt = performance.now() + 25_000
+  while (getRunners().some(({ runs: present }) => present.size < RUNS)) {
+    if (performance.now() > limitAt) throw new Error('the tasks were not started in time')
+    await pause(20)
   }
+  site.record(`runners: ${sizes()}`)
   if (hasTrouble) {
-    const stepCount = Math.floor((BODY_BYTES - 40) / (STEP_TEXT.length + 1))
-    const body = `{"taskSpec":"text","steps":[${Array.from({ length: stepCount }, () => STEP_TEXT).join(',')}]}`
-    site.record(`${LARGE_JOBS} jobs of ${stepCount} steps in ${body.length} bytes follow`)
-    const ids = Array.from({ length: LARGE_JOBS }, (_, index) =>
-      `${(index % 16).toString(16)}bbb${String(index).padStart(12, '0')}`)
-    let count = 0
-    await Promise.all(Array.from({ length: LANES }, async (_, lane) => {
-      for (let index = lane; index < ids.length; index += LANES) {
-        if (await site.submit(ids[index], body) === true) count++
-      }
-    }))
-    site.record(`${count} of these jobs were accepted`)
+    site.signal(await site.waitForOwner(), 'SIGKILL')
+    await pause(100)
   }
-  const since = site.seconds()
-  while (site.seconds() - since < PLAY_S) {
-    await pause(3000)
-    await submitOrdinary()
-    const states = await Promise.all(ordinary.slice(-4).map(({ id }) => site.getState(id)))
-    site.record(`ordinary jobs: ${states.join(', ')}; processes that ended by themselves: ${site.ownEnds.length}`)
-    if (!hasTrouble && site.seconds() - since > 20) break
+  // Whatever starts from now on finds that the event has come, and takes half a second.
+  durationMs = 500
+  for (const runner of getRunners()) for (const run of [...runner.runs.values()]) runner.end(run, 'done')
+  site.record(`the tasks end; runners: ${sizes()}`)
+  const endAt = performance.now() + 45_000
+  let state = null
+  while (state !== 'completed' && performance.now() < endAt) {
+    await pause(500)
+    site.record(`runners: ${sizes()}`)
+    state = await site.getState(JOB)
   }
-  const used = site.runners.runners.reduce((sum, { runs }) => sum + runs.size * 999, 0)
-  site.record(`${used} of ${RUNNERS * RUNNER_MILLI} thousandths of a core are in use; ${starts} tasks were started`)
-  for (const { id, at } of ordinary) {
-    const now = site.seconds()
-    const state = await site.getState(id)
-    const idleS = now - (lastRunAt.get(id) ?? at)
-    if (state === 'completed' || now - at <= FINISH_S || idleS <= NOTHING_RUNNING_S || used > RUNNERS * RUNNER_MILLI / 2) continue
-    violations.push(`LOST: the job ${id} was accepted ${(now - at).toFixed(1)} s ago, is told as ${state} and has had nothing running for ${idleS.toFixed(1)} s`)
+  await pause(1000)
+  site.record(`the job is told as ${state}`)
+  for (const [task, starts] of restarted) {
+    if (noted.has(task)) violations.push(`TWICE: ${task} had ended done (${done.get(task)}), that end was taken note of, and it was started again as ${starts.join(' and ')}`)
   }
-  const counts = new Map()
-  for (const { name } of site.ownEnds) counts.set(name, (counts.get(name) ?? 0) + 1)
-  for (const [name, count] of counts) site.record(`the process on ${name} ended by itself ${count} times`)
-  if (!hasTrouble && site.ownEnds.length > 0) violations.push('a process ended by itself')
+  if (!hasTrouble && state !== 'completed') violations.push(`the job is told as ${state}`)
   return violations
 })
