--- a/review/lib3/play.mjs
+++ b/review/lib3/play.mjs
@@ -64,28 +64,24 @@
 }
 
 // LOST: finish_s after the end of the traffic, each accepted job is asked for, and the runners are watched for 3 s.
-export async function findLostWork (site) {
+export async function findLostWork (site, trouble) {
   await pause(FINISH_MS)
   const awayTasks = new Set(getLastingTasks())
   const hadRuns = new Set()
   let largestUse = 0
-  let isWatching = true
   const end = performance.now() + NOTHING_RUNS_MS
   const watching = (async () => {
-    while (isWatching || performance.now() < end) {
-      if (performance.now() < end) {
-        for (const task of site.getRunning()) {
-          awayTasks.delete(task)
-          hadRuns.add(task.split('.', 1)[0])
-        }
-        largestUse = Math.max(largestUse, site.getUse())
+    while (performance.now() < end) {
+      for (const task of site.getRunning()) {
+        awayTasks.delete(task)
+        hadRuns.add(task.split('.', 1)[0])
       }
+      largestUse = Math.max(largestUse, site.getUse())
       await pause(20)
     }
   })()
   const ids = [...site.accepted.keys()].filter(id => !LASTING_JOBS.includes(id))
   const states = await Promise.all(ids.map(async id => [id, await site.getState(id)]))
-  isWatching = false
   await watching
   site.note('largest-share-of-capacity-in-use', { share: Math.round(largestUse * 1000) / 1000 })
   const faults = []
@@ -102,7 +98,7 @@
   const endsByThemselves = site.instances.reduce((sum, { ends }) => sum + ends, 0)
   for (const fault of faults) site.note('rule-broken', { fault })
   site.note('result', { accepted: site.accepted.size, faults: faults.length, endsByThemselves })
-  console.log(`${hasTrouble ? 'one process killed' : 'no disruption'}: ${site.accepted.size} jobs accepted, ` +
+  console.log(`${hasTrouble ? trouble : 'no disruption'}: ${site.accepted.size} jobs accepted, ` +
     `${faults.length} jobs or lasting tasks lost, processes ended by themselves ${endsByThemselves} times`)
   return faults
 }
--- a/review/lib3/runner.mjs
+++ b/review/lib3/runner.mjs
@@ -1,6 +1,7 @@
 // A stand-in of a runner, by PROTOCOL.md: starts, stops, leases, fences, checkpoints and gangs.
 // The text of a task says how it behaves: {"ms":500} works that long, {"lasting":true} works on.
 import http from 'node:http'
+import { pause } from './store.mjs'
 
 const ENDS_PER_ANSWER = 500
 const MAX_HOLD_MS = 6000
@@ -41,8 +42,8 @@
 }
 
 export class Runner {
-  constructor ({ id, store, note, service, gangs = new Gangs(), zone = 'south-a', labels = ['a', 'r1-1'], capacity = { cpu: 16000, memMb: 62500, gpu: 0 }, getTask, stopMs = 100 }) {
-    Object.assign(this, { id, store, note, service, gangs, zone, labels, capacity, getTask, stopMs })
+  constructor ({ id, store, note, service, gangs = new Gangs(), zone = 'south-a', labels = ['a', 'r1-1'], capacity = { cpu: 16000, memMb: 62500, gpu: 0 }, getTask, stopMs = 100, answerMs = 0 }) {
+    Object.assign(this, { id, store, note, service, gangs, zone, labels, capacity, getTask, stopMs, answerMs })
     this.port = 0
     this.startLife()
   }
@@ -66,7 +67,9 @@
   }
 
   async start () {
-    this.server = http.createServer((request, response) => { this.serve(request, response).catch(() => response.destroy()) })
+    this.server = http.createServer((request, response) => {
+      this.serve(request, response).catch(() => response.destroy())
+    })
     this.server.keepAliveTimeout = 0
     await new Promise(resolve => this.server.listen(this.port, '127.0.0.1', resolve))
     this.port = this.server.address().port
@@ -152,7 +155,10 @@
     response.on('error', () => {})
     const chunks = []
     for await (const chunk of request) chunks.push(chunk)
-    const send = (statusCode, body) => {
+    // The way there and back; a call is carried out in the middle of it.
+    if (this.answerMs > 0) await pause(this.answerMs / 2)
+    const send = async (statusCode, body) => {
+      if (this.answerMs > 0) await pause(this.answerMs / 2)
       response.writeHead(statusCode, { 'content-type': 'application/json' })
       response.end(JSON.stringify({ clockMs: this.clockMs, born: this.born, ...body }))
     }
@@ -183,7 +189,8 @@
     if (deadlineMs <= this.clockMs) return send(409, { reason: 'late' })
     this.highest.set(task, attempt)
     const { ms, lasting, saves, gang, cpu = 0 } = this.getTask(task, taskSpec)
-    const run = { task, attempt, saved: checkpoint, timers: [], load: lasting === true ? 0 : cpu, end: how => this.endRun(run, how) }
+    const load = lasting === true ? 0 : cpu
+    const run = { task, attempt, saved: checkpoint, timers: [], load, end: how => this.endRun(run, how) }
     run.getPercent = () => lasting === true ? 100 : 0
     this.runs.set(task, run)
     this.note('run-start', { runner: this.id, task, attempt, fencingToken, checkpoint })
@@ -196,7 +203,8 @@
       const startedAt = performance.now() + delayMs - earlierMs
       run.getPercent = () => Math.max(0, Math.min(100, Math.floor((performance.now() - startedAt) / ms * 100)))
       run.timers.push(setTimeout(() => run.end('done'), ms - earlierMs + delayMs))
-      for (let savedMs = earlierMs + SAVE_MS; saves === true && savedMs < ms; savedMs += SAVE_MS) {
+      if (saves !== true) return
+      for (let savedMs = earlierMs + SAVE_MS; savedMs < ms; savedMs += SAVE_MS) {
         const value = `${savedMs.toString(16).padStart(8, '0')}${task.slice(4, 12)}`
         run.timers.push(setTimeout(() => { run.saved = value }, savedMs - earlierMs + delayMs))
       }
--- a/review/lib3/site.mjs
+++ b/review/lib3/site.mjs
@@ -18,11 +18,40 @@
 const CALL_MS = 3000
 
 const BOUNDS = {
-  seedLagS: 3, reuseDelayS: 2, contactMs: 4000, ackMs: 5000, catchUpS: 4, drainMs: 2500, graceS: 6, lossSlackMs: 200,
-  configApplyMs: 2500, rollbackSlackMs: 250, maxStretchMs: 6000, coldOvershoot: 1.5, coldSlack: 5, evacuateMs: 5000,
-  recoveryS: 12, maxHoldMs: 6000, stopTimeoutMs: 200, gangTimeoutMs: 3000, cancel_ms: 3000, visible_ms: 3000,
-  early_ms: 250, finish_s: 14, status_s: 120, farFactor: 3, checkpointS: 1, restoreMs: 250, noticeMs: 5500,
-  moveS: 1.5, maintenanceS: 2, fencingRequired: true, leaseMs: 3000, thawSlackMs: 300, paceMs: 100, harmMs: 4000
+  seedLagS: 3,
+  reuseDelayS: 2,
+  contactMs: 4000,
+  ackMs: 5000,
+  catchUpS: 4,
+  drainMs: 2500,
+  graceS: 6,
+  lossSlackMs: 200,
+  configApplyMs: 2500,
+  rollbackSlackMs: 250,
+  maxStretchMs: 6000,
+  coldOvershoot: 1.5,
+  coldSlack: 5,
+  evacuateMs: 5000,
+  recoveryS: 12,
+  maxHoldMs: 6000,
+  stopTimeoutMs: 200,
+  gangTimeoutMs: 3000,
+  cancel_ms: 3000,
+  visible_ms: 3000,
+  early_ms: 250,
+  finish_s: 14,
+  status_s: 120,
+  farFactor: 3,
+  checkpointS: 1,
+  restoreMs: 250,
+  noticeMs: 5500,
+  moveS: 1.5,
+  maintenanceS: 2,
+  fencingRequired: true,
+  leaseMs: 3000,
+  thawSlackMs: 300,
+  paceMs: 100,
+  harmMs: 4000
 }
 
 export class Site {
@@ -35,7 +64,7 @@
   accepted = new Map()
   callCount = 0
 
-  static async open ({ instanceCount = 3, runnerCount = 6, folder, getTask = readTask }) {
+  static async open ({ instanceCount = 3, runnerCount = 6, farAnswerMs = 0, folder, getTask = readTask }) {
     const site = new Site()
     site.folder = folder
     site.temporary = mkdtempSync(join(tmpdir(), 'papayamoor-review-'))
@@ -49,12 +78,28 @@
     site.store.put('op', 'config', {
       version: 7,
       routes: [ROUTE, LASTING_ROUTE].map(({ host, prefix, service }, index) => ({
-        name: `r-${index}`, host, prefix, routeType: 'unsafe', timeoutMs: 3000, targetLatencyMs: 400, priority: 0, service,
-        attempts: 4, stretch: 1.5, allowedRegions: []
+        name: `r-${index}`,
+        host,
+        prefix,
+        routeType: 'unsafe',
+        timeoutMs: 3000,
+        targetLatencyMs: 400,
+        priority: 0,
+        service,
+        attempts: 4,
+        stretch: 1.5,
+        allowedRegions: []
       })),
       services: [{
-        name: ROUTE.service, healthPath: '/health', maxConns: 64, protocol: 'h1', tls: false, coldStartS: 0, coldPerS: 0,
-        admissionCheck: false, spare: false
+        name: ROUTE.service,
+        healthPath: '/health',
+        maxConns: 64,
+        protocol: 'h1',
+        tls: false,
+        coldStartS: 0,
+        coldPerS: 0,
+        admissionCheck: false,
+        spare: false
       }],
       limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000 }
     })
@@ -66,7 +111,8 @@
         service: ROUTE.service,
         labels: ['a', `r1-${1 + index % 2}`],
         gangs: site.gangs,
-        getTask
+        getTask,
+        ...farAnswerMs > 0 && index % 2 === 1 && { zone: 'north-a', labels: ['a', `r2-${1 + index % 4}`], answerMs: farAnswerMs }
       })
       await runner.start()
       site.runners.push(runner)
@@ -91,7 +137,7 @@
       ip: '127.0.0.1',
       zone: 'south-a',
       region: 'south',
-      zones: { 'south-a': 'south' },
+      zones: { 'south-a': 'south', 'north-a': 'north' },
       listenAddrs: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, control: `127.0.0.1:${control}` },
       portRange: [peer, peer],
       seeds: [],
@@ -107,8 +153,18 @@
       bounds: BOUNDS,
       orders: 'rpc',
       platform: {
-        address: this.store.address, form: 'table', writesPerS: 800, readsPerS: 2000, txMs: 3, partWritesPerS: 300,
-        rowBytes: 65536, across: true, historyS: 20, blobBytes: 8388608, blobMs: 25, blobMbPerS: 80
+        address: this.store.address,
+        form: 'table',
+        writesPerS: 800,
+        readsPerS: 2000,
+        txMs: 3,
+        partWritesPerS: 300,
+        rowBytes: 65536,
+        across: true,
+        historyS: 20,
+        blobBytes: 8388608,
+        blobMs: 25,
+        blobMbPerS: 80
       },
       cloud: { address: `127.0.0.1:${this.cloud.address().port}`, ratePerS: 60, duties: [], dutyPerS: 60 }
     }))
@@ -173,7 +229,11 @@
   call (instance, method, path, body, headers = {}) {
     return new Promise(resolve => {
       const request = http.request({
-        host: '127.0.0.1', port: instance.front, method, path, agent: false,
+        host: '127.0.0.1',
+        port: instance.front,
+        method,
+        path,
+        agent: false,
         headers: { host: ROUTE.host, 'deadline-ms': String(CALL_MS), ...(body === undefined ? {} : { 'content-type': 'application/json' }), ...headers }
       }, response => {
         const chunks = []
@@ -211,7 +271,8 @@
   }
 
   async submitLasting (id, count) {
-    return await this.submit(id, [{ count, cpu: 500, memMb: 256, estimateMs: 1000, longRunning: true }], { lasting: true }, LASTING_ROUTE)
+    const step = { count, cpu: 500, memMb: 256, estimateMs: 1000, longRunning: true }
+    return await this.submit(id, [step], { lasting: true }, LASTING_ROUTE)
   }
 
   async getState (id, tries = 4) {
@@ -272,11 +333,19 @@
   return JSON.parse(taskSpec)
 }
 
+// Below the ports that the system gives to connections, so that none of them takes the port of a process that is down.
 async function findFreePorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise((resolve, reject) => {
-    const server = net.createServer().once('error', reject).listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map(server => server.address().port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
+  const ports = new Set()
+  while (ports.size < count) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000)
+    if (!ports.has(port) && await isFree(port)) ports.add(port)
+  }
+  return [...ports]
+}
+
+function isFree (port) {
+  return new Promise(resolve => {
+    const server = net.createServer().once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
 }
--- a/review/lib3/store.mjs
+++ b/review/lib3/store.mjs
@@ -24,7 +24,9 @@
   intercept = null
 
   async open () {
-    this.server = http.createServer((request, response) => { this.serve(request, response).catch(() => response.destroy()) })
+    this.server = http.createServer((request, response) => {
+      this.serve(request, response).catch(() => response.destroy())
+    })
     this.server.keepAliveTimeout = 0
     await new Promise(resolve => this.server.listen(0, '127.0.0.1', resolve))
     this.address = `127.0.0.1:${this.server.address().port}`
@@ -76,7 +78,8 @@
     if (!place.rows.has(key) || value === undefined) place.keys = null
     if (value === undefined) place.rows.delete(key)
     else place.rows.set(key, { value, ver })
-    this.history.push({ at: performance.now(), row: { table, part, key, ver, ...(value === undefined ? { tombstone: true } : { value }) } })
+    const content = value === undefined ? { tombstone: true } : { value }
+    this.history.push({ at: performance.now(), row: { table, part, key, ver, ...content } })
   }
 
   wake () {
@@ -201,7 +204,8 @@
     const after = Number(query.get('after') ?? 0)
     const end = performance.now() + Math.min(30_000, Number(query.get('waitMs') ?? 0))
     if (after < this.droppedThrough) return answer(response, 410, {})
-    const find = () => this.isFeedSilent ? [] : this.history.filter(({ row }) => row.table === table && row.ver > after).map(({ row }) => row)
+    const isNew = ({ row }) => row.table === table && row.ver > after
+    const find = () => this.isFeedSilent ? [] : this.history.filter(isNew).map(({ row }) => row)
     const { socket } = request
     this.feedSockets.add(socket)
     let rows = find()
