Reconcile a worker only by a report that lists all its ends

The cause: a report lists at most 500 ends, and the first one reconciled its worker also when further ends were to follow. removeMissingRuns knew the limit, markReconciled did not. listsAllEnds is now the one place that does.

Related paths: a worker that has reported, and then does not respond, is given up only when the lease of this owner is over, not those of earlier ones; a run without a job keeps its room until a whole list.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -14,6 +14,7 @@
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
+import { listsAllEnds } from './listsAllEnds.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
 import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
@@ -72,7 +73,7 @@
   private readonly orders = PendingOrders.create()
   private readonly stopper = RunStopper.create({ workers: this.workers, orders: this.orders })
   private dataCentresOut: ReadonlySet<string> = new Set()
-  /** The workers that may run tasks of earlier owners and have not reported to this owner yet. */
+  /** The workers that may hold runs of earlier owners, or ends of these, that they have not listed to this owner. */
   readonly unreconciled = UnreconciledWorkers.create({
     workers: this.workers, onReconciled: (worker, cause) => this.handleReconciliation(worker, cause)
   })
@@ -272,7 +273,7 @@
       isFirst: isFirstReport,
       earlierLeaseMilliseconds: Math.max(this.leaseMilliseconds, earlierLeaseEndsAt - sentAt)
     })
-    this.unreconciled.markReconciled(worker, 'reported')
+    if (listsAllEnds(report)) this.unreconciled.markReconciled(worker, 'reported')
     if (changed) this.dirty = true
     this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,6 +1,6 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ReconciliationCause } from './DispatchObserver.js'
-import { LATE_REPORT_LIMIT_MILLISECONDS, type WorkerRecord } from './WorkerRecord.js'
+import { isLeaseExpired, LATE_REPORT_LIMIT_MILLISECONDS, type WorkerRecord } from './WorkerRecord.js'
 
 /** Options of the set. */
 export interface UnreconciledWorkersOptions {
@@ -10,7 +10,7 @@
   onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
 }
 
-/** Workers that may run tasks of earlier owners and have not reported to this owner yet. */
+/** Workers that may hold runs of earlier owners, or ends of these, that they have not listed to this owner. */
 export class UnreconciledWorkers {
   /** Monotonic time from which no run of an earlier owner can exist, by worker. */
   private readonly expiries = new Map<string, number>()
@@ -84,6 +84,7 @@
    * Removes workers that did not respond to a call sent after their expiry.
    *
    * A worker that was not called may still hold completions from before the expiry, so time alone removes no worker.
+   * One that has reported only some of its completions may have got a later lease from this owner.
    * @param now The monotonic time.
    */
   expire (now: number): void {
@@ -92,6 +93,7 @@
       const callSentAt = worker?.unansweredCallSentAt ?? null
       if (worker === undefined) continue
       if (now < Math.min(worker.reportAwaitedUntil, expiresAt + LATE_REPORT_LIMIT_MILLISECONDS)) continue
+      if (worker.clockReading !== null && !isLeaseExpired(worker)) continue
       if (callSentAt !== null && callSentAt >= expiresAt) {
         this.markReconciled(worker, 'lease-expired')
       }
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,13 +1,12 @@
 import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import type { IgnoredCompletionReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
+import { listsAllEnds } from './listsAllEnds.js'
 import type { ListedCompletion, ListedRun, WorkerReport } from './WorkerProtocol.js'
 import {
   addOrphanedRun, addRun, getRunKey, isServing, removeOrphanedRun, removeRun, type WorkerRecord
 } from './WorkerRecord.js'
 
-/** The maximum number of completions in one report; further ones follow after an acknowledgement. */
-const MAXIMUM_LISTED_COMPLETIONS = 500
 /** This many failed runs in a row, without a success between them, point to a fault of the worker, not of the tasks. */
 const QUARANTINE_STREAK = 3
 /** A step whose tasks have failed on this many workers, and succeeded on none, says nothing about further workers. */
@@ -60,13 +59,14 @@
     listed.add(getRunKey(row.taskName, row.attempt))
     applyRunning(worker, row, context)
   }
+  // A worker frees the capacity of a run once it lists the end, which may be among those that follow.
+  if (!listsAllEnds(report)) return changed
   for (const key of worker.orphanedRuns.keys()) {
     if (listed.has(key)) continue
     removeOrphanedRun(worker, key)
     changed = true
   }
-  if (report.ended.length < MAXIMUM_LISTED_COMPLETIONS) changed = removeMissingRuns(worker, listed, context) || changed
-  return changed
+  return removeMissingRuns(worker, listed, context) || changed
 }
 
 /**
