Do not judge tasks as lost whose start is executed late

LostJobJudge counted a step as lost whose only open tasks had a start that their worker had left unanswered, to execute it later.

All other waits are judged as before, with the same bounds.

--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -129,7 +129,8 @@
   async start (order: StartOrder): Promise<OrderOutcome> {
     this.callCounts.start++
     this.options.judge.recordOrder(order.taskName, this.options.workerId)
-    return await this.deliverOrder(isLate => this.executeStart(order, isLate))
+    const onLate = () => this.options.judge.recordLateOrder(order.taskName, this.options.clock.monotonicMilliseconds())
+    return await this.deliverOrder(isLate => this.executeStart(order, isLate), onLate)
   }
 
   async stop (taskName: string, attempt: number, epoch: number): Promise<OrderOutcome> {
@@ -188,7 +189,9 @@
     this.scheduleLeaseCheck()
   }
 
-  private async deliverOrder (execute: (isLate: boolean) => OrderOutcome): Promise<OrderOutcome> {
+  private async deliverOrder (
+    execute: (isLate: boolean) => OrderOutcome, onLate: () => void = () => {}
+  ): Promise<OrderOutcome> {
     const { random } = this.options
     await this.waitForRoundTrip()
     if (this.faults.cutOff || !this.alive) {
@@ -197,6 +200,7 @@
     }
     if (this.isDrawn(this.faults.resetShare)) return CONNECTION_RESET
     if (random() < this.faults.lateShare) {
+      onLate()
       this.executeLate(() => { execute(true) })
       await this.wait(CALL_TIMEOUT_MILLISECONDS)
       return { kind: 'unknown', reason: 'no answer' }
--- a/stand-ins/platform/LostJobJudge.ts
+++ b/stand-ins/platform/LostJobJudge.ts
@@ -57,6 +57,8 @@
 const CALM_MILLISECONDS = 4000
 /** A job that ends is judged while less than this share of the capacity of its service is in use. */
 const USED_SHARE_LIMIT = 0.5
+/** A worker that executes a start late does so within this time. */
+const LATE_ORDER_MILLISECONDS = 12_000
 /** A job waits for capacity unless the workers have room for this many times the task, or the gang. */
 const ROOM_FACTOR = 2
 
@@ -238,7 +240,7 @@
       if (repeatCount > 0 && startAtMilliseconds + occurrence * intervalMilliseconds > now) break
       for (const [step, specification] of steps.entries()) {
         if (specification.longRunning || !this.isReady(job, occurrence, specification)) continue
-        if (this.isStepDone(job, occurrence, step)) continue
+        if (this.isStepDone(job, occurrence, step) || this.isOrderedLate(job, occurrence, step, now)) continue
         const needed = (specification.gang ? specification.taskCount : 1) * ROOM_FACTOR
         const room = this.countStartable(workers, job.jobId, occurrence, step, specification)
         if (room >= needed) return { step, room }
@@ -255,6 +257,19 @@
     return this.isEveryTask(job, occurrence, step, name => this.options.site.judge.isDone(name))
   }
 
+  /**
+   * Returns whether each task of a step that is not done has a start that its worker executes late. Rules with a time
+   * bound do not hold for such orders: until one can no longer be executed, its task must not run elsewhere.
+   */
+  private isOrderedLate (job: ObservedJob, occurrence: number, step: number, now: number): boolean {
+    const { site: { judge } } = this.options
+    const isLate = (name: string): boolean => now - judge.getLateOrderedAt(name) < LATE_ORDER_MILLISECONDS
+    const isGang = job.specification.steps[step].gang
+    return isGang
+      ? !this.isEveryTask(job, occurrence, step, name => !isLate(name))
+      : this.isEveryTask(job, occurrence, step, name => judge.isDone(name) || isLate(name))
+  }
+
   /** Returns whether a task is done and the owner could learn of it. */
   private isKnownToBeDone (taskName: string): boolean {
     const { site: { judge }, isWorkerAffected } = this.options
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -37,6 +37,8 @@
   readonly lastRunWorkerIds = new Map<string, string>()
   /** The worker to which the last start of each task was sent, whether or not it arrived. */
   readonly lastOrderWorkerIds = new Map<string, string>()
+  /** The time at which a worker last received a start of each task that it executes later. */
+  private readonly lateOrderedAt = new Map<string, number>()
   /** The worker ID of each run that ended because the lease of its worker had expired. */
   readonly lapsedRunWorkerIds: string[] = []
   /** Number of failed runs of each task, over all workers. */
@@ -75,6 +77,16 @@
     this.lastOrderWorkerIds.set(taskName, workerId)
   }
 
+  /** Records that a worker does not respond to a start and executes it later. */
+  recordLateOrder (taskName: string, at: number): void {
+    this.lateOrderedAt.set(taskName, at)
+  }
+
+  /** Returns when a worker last received a start of a task that it executes later; -Infinity for never. */
+  getLateOrderedAt (taskName: string): number {
+    return this.lateOrderedAt.get(taskName) ?? -Infinity
+  }
+
   /** Records a start that a worker has executed, and checks the invariants. */
   recordStart (
     taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean, circumstances?: StartCircumstances
