Hold tasks whose start a later process of its worker may execute

The cause: a further send of the start, or a start elsewhere, was taken to settle the send without a response. That holds for the process that was called only: the next one knows no attempt, no token, and its clock starts anew.

The start of a task that must not run twice is now sent once, and awaited in the next report instead of being stopped. If it is not listed while orders are executed late, OpenStarts holds its task until no process of the worker can execute it. A start over a path that has failed is settled as before, unless a worker that reports shows late orders at that time. Starts whose connection breaks are sent again as before.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -4,7 +4,6 @@
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { hasUnusedProcessors, isInService, type ChoiceConditions } from './chooseWorker.js'
-import { settleFencedStarts } from './fenceUncertainStarts.js'
 import { findRunsToDrain } from './findRunsToMove.js'
 import { findUnsteadyDataCentres } from './findUnsteadyDataCentres.js'
 import { findStalledRuns, pauseStalledWorker } from './findStalledRuns.js'
@@ -14,18 +13,19 @@
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
 import { JobTable } from './JobTable.js'
-import { listsAllEnds } from './listsAllEnds.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
 import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
+import { OpenStarts } from './OpenStarts.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
 import type { GetRunTimeRatio } from './rankJobs.js'
+import { recordRunTime } from './recordRunTime.js'
 import { RestartReservations } from './RestartReservations.js'
 import { RestartShare } from './RestartShare.js'
 import { RunStopper } from './RunStopper.js'
 import type { SizeClassShares } from './SizeClassShares.js'
-import { settleExpiredStarts } from './settleExpiredStarts.js'
+import { settleUncertainStarts } from './settleUncertainStarts.js'
 import { SlowedRunMover } from './SlowedRunMover.js'
 import { StartPlan } from './StartPlan.js'
 import { UnreachedWorkers } from './UnreachedWorkers.js'
@@ -80,6 +80,8 @@
 
   /** The workers that this owner does not reach, as stored for its successor. */
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
+  /** The starts without a response that later processes of their workers may execute. */
+  readonly openStarts: OpenStarts
   /** Monotonic time until which an earlier owner may start tasks. */
   earlierStartsEndAt = -Infinity
   private queueServices: ReadonlyMap<string, string> = new Map()
@@ -106,6 +108,7 @@
     const learnedRatio = protectsUrgentWork ? runTimeRatios.getRunTimeRatio.bind(runTimeRatios) : undefined
     this.getRunTimeRatio = getRunTimeRatio ?? learnedRatio
     this.jobs = JobTable.create({ epoch, accounts })
+    this.openStarts = OpenStarts.create(leaseMilliseconds)
     this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
     this.protection = !protectsUrgentWork
       ? null
@@ -223,6 +226,7 @@
     const explanation = explainWaiting(task, this.workers.values(), conditions)
     const getReason = (): WaitingReason => {
       if (explanation.reason === 'account-cap') return 'account-cap'
+      if (this.openStarts.has(task)) return 'open-start'
       if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
       const { headroom } = this.protection ?? {}
       const isHeldBack = explanation.reason === 'not-planned' &&
@@ -258,7 +262,7 @@
       worker.endedBornAtMilliseconds = entry.bornAtMilliseconds
       worker.entry = { ...entry, bornAtMilliseconds: report.bornAtMilliseconds }
     }
-    const isFirstReport = worker.clockReading === null
+    const isFirst = worker.clockReading === null
     updateClockReading(worker, report.workerMilliseconds, now)
     worker.reportedAt = sentAt
     worker.unansweredCallSentAt = null
@@ -270,11 +274,12 @@
     updateFence(worker, {
       workerMilliseconds: report.workerMilliseconds,
       sentAt,
-      isFirst: isFirstReport,
+      isFirst,
       earlierLeaseMilliseconds: Math.max(this.leaseMilliseconds, earlierLeaseEndsAt - sentAt)
     })
-    if (listsAllEnds(report)) this.unreconciled.markReconciled(worker, 'reported')
-    if (changed) this.dirty = true
+    this.openStarts.applyReport(worker, report, sentAt)
+    this.unreconciled.applyReport(worker, report)
+    this.dirty ||= changed
     this.moveStalledRuns(worker, now)
     this.advisor.learn(worker, now)
     for (const { run, percent } of decidePace(worker, this.advisor, now)) {
@@ -432,8 +437,7 @@
   }
 
   private settleUncertainStarts (worker: WorkerRecord, report: WorkerReport, sentAt: number): void {
-    settleFencedStarts(worker, sentAt)
-    settleExpiredStarts(worker, report.workerMilliseconds)
+    settleUncertainStarts(worker, report, sentAt)
   }
 
   /** Returns whether a lease of this owner or an earlier one may have lasted at a monotonic time. */
@@ -452,20 +456,14 @@
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
       failJob: job => this.failJob(job),
       stopRuns: task => this.stopper.stopTask(task),
-      recordCompletedRun: run => this.recordRunTime(run, now),
+      recordCompletedRun: run => recordRunTime(this.runTimeRatios, run, now),
       markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
   }
 
-  private recordRunTime ({ task: { step }, isAdopted, confirmedAt, startedAt }: RunRecord, now: number): void {
-    const { specification: { longRunning, estimateMilliseconds, fills }, occurrence } = step
-    if (isAdopted || longRunning || estimateMilliseconds <= 0) return
-    const ratio = (now - (confirmedAt ?? startedAt)) / estimateMilliseconds
-    this.runTimeRatios.recordRun(occurrence.job.submission.queueName, fills, ratio, now)
-  }
-
-  private readonly mayStart = (task: TaskRecord): boolean => !this.unreconciled.mayRun(task)
+  private readonly mayStart = (task: TaskRecord): boolean =>
+    !this.openStarts.has(task) && !this.unreconciled.mayRun(task)
 
   private getServiceName (job: JobRecord): string {
     return this.queueServices.get(job.submission.queueName) ?? job.submission.serviceName
@@ -499,6 +497,7 @@
 
   private markRunLost (worker: WorkerRecord, run: RunRecord, cause: RunLossCause, now: number): void {
     this.observer.onRunLost(worker, run, cause, now)
+    this.openStarts.add(run, worker, now)
     // A start that never ran does not end the wait of its task.
     const hasNeverRun = cause === 'start-refused' || cause === 'not-sent'
     if (hasNeverRun) run.task.startRefusedAt = now
@@ -529,14 +528,15 @@
   }
 
   private remove (worker: WorkerRecord): void {
-    const { entry: { workerId }, tokenRaiseCount } = worker
+    const { entry: { workerId } } = worker
     clearOrphanedRuns(worker)
     this.workers.delete(workerId)
-    this.removedTokenRaises.set(workerId, tokenRaiseCount)
+    this.removedTokenRaises.set(workerId, worker.tokenRaiseCount)
   }
 
   private expireWorkers (now: number): void {
     this.unreconciled.expire(now)
+    this.openStarts.expire(now)
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
       const isExpired = isLeaseExpired(worker)
--- a/src/dispatch/UnreconciledWorkers.ts
+++ b/src/dispatch/UnreconciledWorkers.ts
@@ -1,5 +1,7 @@
 import type { TaskRecord } from '../jobs/index.js'
 import type { ReconciliationCause } from './DispatchObserver.js'
+import { listsAllEnds } from './listsAllEnds.js'
+import type { WorkerReport } from './WorkerProtocol.js'
 import { isLeaseExpired, LATE_REPORT_LIMIT_MILLISECONDS, type WorkerRecord } from './WorkerRecord.js'
 
 /** Options of the set. */
@@ -55,6 +57,15 @@
     return this.expiries.has(workerId)
   }
 
+  /**
+   * Removes a worker whose report lists all its ends, so that its runs of earlier owners are known.
+   * @param worker The worker.
+   * @param report The report, whose runs and ends are applied.
+   */
+  applyReport (worker: WorkerRecord, report: WorkerReport): void {
+    if (listsAllEnds(report)) this.markReconciled(worker, 'reported')
+  }
+
   /**
    * Removes a worker whose runs of earlier owners are known or certainly over.
    * @param worker The worker.
--- a/src/dispatch/WorkerProtocol.ts
+++ b/src/dispatch/WorkerProtocol.ts
@@ -60,8 +60,11 @@
    * worker or the path to it; that the order expired in the queue of this process is none.
    */
   | { kind: 'not-sent', reason: string, hasConnectionFailed?: boolean }
-  /** The worker did not respond, so it may have executed the order or may still do so. */
-  | { kind: 'unknown', reason: string }
+  /**
+   * The worker did not respond, so it may have executed the order or may still do so; a connection that has broken was
+   * lost on its way rather than kept waiting.
+   */
+  | { kind: 'unknown', reason: string, isConnectionBroken?: boolean }
 
 /** The outcome of a call that renews a worker's lease and reads its report. */
 export type HoldOutcome =
--- a/src/dispatch/WorkerRecord.ts
+++ b/src/dispatch/WorkerRecord.ts
@@ -86,6 +86,8 @@
    * expired; its response may list ends of runs.
    */
   reportAwaitedUntil: number
+  /** Monotonic time at which a report call last ended without a report; -Infinity if none has. */
+  reportFailedAt: number
   /** Monotonic time at which the worker's process was found to have ended; responses to earlier calls are ignored. */
   exitConfirmedAt: number
   /** Monotonic times of the last two failures, the earlier one first, see `recordFailure`. */
@@ -172,6 +174,7 @@
     lateReportAt: -Infinity,
     unansweredCallSentAt: null,
     reportAwaitedUntil: -Infinity,
+    reportFailedAt: -Infinity,
     exitConfirmedAt: -Infinity,
     failureTimes: [-Infinity, -Infinity],
     endedBornAtMilliseconds: 0,
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -111,6 +111,7 @@
   }
   if (run.state === 'starting') run.state = 'running'
   run.startUncertain = false
+  run.isListed = true
   run.task.hasRun = true
   run.task.step.occurrence.job.hasStarted = true
   run.confirmedAt ??= now
--- a/src/dispatch/applyStartOutcome.ts
+++ b/src/dispatch/applyStartOutcome.ts
@@ -1,5 +1,6 @@
 import type { RunRecord } from '../jobs/index.js'
 import type { RunLossCause } from './DispatchObserver.js'
+import { isSentOnce } from './OpenStarts.js'
 import type { OrderOutcome } from './WorkerProtocol.js'
 import { pauseWorker, recordFailure, type WorkerRecord } from './WorkerRecord.js'
 
@@ -44,7 +45,9 @@
   if (outcome.kind === 'unknown' || run.startUncertain) {
     run.startUncertain = true
     run.task.hasRun = true
-    if (run.state === 'starting') context.stop(run)
+    // A report shows whether the worker has executed the only send; a stop would end a run whose response was lost.
+    const awaitsReport = run.isUnanswered && isSentOnce(run.task)
+    if (run.state === 'starting' && !awaitsReport) context.stop(run)
     return
   }
   // The worker executed an earlier sending of this start, or confirmed a stop; reports show when the run is over.
--- a/src/dispatch/colocation.test.ts
+++ b/src/dispatch/colocation.test.ts
@@ -43,6 +43,8 @@
     sentAt: -10_000,
     startDeadline: Infinity,
     openSendCount: 0,
+    isUnanswered: false,
+    isListed: false,
     exceedsUnusedProcessors: false,
     startUncertain: false,
     isStopUnanswered: false,
--- a/src/dispatch/endEarlierIncarnation.ts
+++ b/src/dispatch/endEarlierIncarnation.ts
@@ -1,4 +1,5 @@
 import type { RunRecord } from '../jobs/index.js'
+import { hasOpenSend } from './OpenStarts.js'
 import { clearProcessState, type WorkerRecord } from './WorkerRecord.js'
 
 /** The callbacks for the runs of an earlier incarnation of a worker. */
@@ -17,7 +18,7 @@
  */
 export function endEarlierIncarnation (worker: WorkerRecord, context: EarlierIncarnationContext): void {
   for (const run of [...worker.runs.values()]) {
-    if (run.sentAt <= worker.reportedAt && !run.startUncertain && run.openSendCount === 0) {
+    if (run.sentAt <= worker.reportedAt && !run.startUncertain && !hasOpenSend(run)) {
       context.markRunLost(run)
     } else {
       run.startUncertain = true
--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -5,15 +5,16 @@
 import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
 /**
- * Why a ready task has no run: a worker that may run it has not been reconciled, a member of its gang is done or has a
- * run that is not over, its client account has reached its cap, no worker may get new work, all that are in service are
- * paused after failures or not rid of runs without a job, no worker that may get new work has the free capacity, those
- * that have it run as many tasks of the step as the step allows on one worker, the task would bring serving tasks above
- * their targets on each of them, they have room for some members of its gang only, there is a worker for it that no
- * plan has chosen yet, or its room is kept free for urgent work, see `UrgentHeadroom`.
+ * Why a ready task has no run: a later process of a worker may execute a start of it, see `OpenStarts`, a worker that
+ * may run it has not been reconciled, a member of its gang is done or has a run that is not over, its client account
+ * has reached its cap, no worker may get new work, all that are in service are paused after failures or not rid of runs
+ * without a job, no worker that may get new work has the free capacity, those that have it run as many tasks of the
+ * step as the step allows on one worker, the task would bring serving tasks above their targets on each of them, they
+ * have room for some members of its gang only, there is a worker for it that no plan has chosen yet, or its room is
+ * kept free for urgent work, see `UrgentHeadroom`.
  */
 export type WaitingReason =
-  'unreconciled-worker' | 'gang-not-over' | 'account-cap' | 'no-eligible-worker' | 'workers-paused' |
+  'open-start' | 'unreconciled-worker' | 'gang-not-over' | 'account-cap' | 'no-eligible-worker' | 'workers-paused' |
   'no-free-capacity' | 'limit-per-worker' | 'interference' | 'no-room-for-gang' | 'not-planned' | 'urgent-headroom'
 
 /** Why a task waits, and on how many workers that was decided; all counts are of workers that have its label. */
--- a/src/dispatch/fenceUncertainStarts.ts
+++ b/src/dispatch/fenceUncertainStarts.ts
@@ -78,5 +78,5 @@
  * @returns Whether its worker may still begin it.
  */
 export function isUnsettledStart (run: RunRecord): boolean {
-  return run.state === 'stopping' && run.startUncertain && run.confirmedAt === null
+  return run.startUncertain && run.confirmedAt === null
 }
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -88,7 +88,8 @@
     this.metrics = createInstanceMetrics(options.registry, {
       isOwner: () => this.election.isOwner(),
       countLiveJobs: () => this.dispatcher?.engine.jobs.liveCount ?? 0,
-      countUnreconciledWorkers: () => this.dispatcher?.engine.unreconciled.getExpiries().size ?? 0
+      countUnreconciledWorkers: () => this.dispatcher?.engine.unreconciled.getExpiries().size ?? 0,
+      countOpenStarts: () => this.dispatcher?.engine.openStarts.taskCount ?? 0
     })
     createAccountMetrics(options.registry, {
       getUsages: () => {
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -38,6 +38,14 @@
   wholeTableReads: Counter<'cause'>
 }
 
+/** Functions that return the values of gauges, 0 or false for an instance that is not the owner. */
+export interface InstanceGaugeReaders {
+  isOwner (): boolean
+  countLiveJobs (): number
+  countUnreconciledWorkers (): number
+  countOpenStarts (): number
+}
+
 /**
  * Creates the metrics of an instance.
  * @param registry The registry in which they are registered.
@@ -45,7 +53,7 @@
  * @returns The metrics.
  */
 export function createInstanceMetrics (
-  registry: Registry, readers: { isOwner (): boolean, countLiveJobs (): number, countUnreconciledWorkers (): number }
+  registry: Registry, readers: InstanceGaugeReaders
 ): InstanceMetrics {
   const registers = [registry]
   const owner: Gauge = new Gauge({
@@ -66,6 +74,12 @@
     registers,
     collect: () => unreconciledWorkers.set(readers.countUnreconciledWorkers())
   })
+  const openStarts: Gauge = new Gauge({
+    name: 'papayamoor_instance_open_starts',
+    help: 'Tasks of the owned shard with a start without a response that a later process may execute.',
+    registers,
+    collect: () => openStarts.set(readers.countOpenStarts())
+  })
   return {
     submissions: new Counter({
       name: 'papayamoor_instance_submissions_total',
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -1,5 +1,5 @@
 import {
-  getEarliestWorkerTime, getFencingToken, isReached, isSent, OrderGate, recordFailure, replaceOwnFence,
+  getEarliestWorkerTime, getFencingToken, isReached, isSent, isSentOnce, OrderGate, recordFailure, replaceOwnFence,
   type DispatchEngine, type DispatchOrder, type OrderOutcome, type OrderRequest, type WorkerClient, type WorkerRecord
 } from '../dispatch/index.js'
 import type { RunRecord } from '../jobs/index.js'
@@ -159,9 +159,10 @@
       worker,
       onOverdue: markOverdue,
       serialSendLimit: START_SEND_LIMIT,
+      repeatsUnanswered: !isSentOnce(run.task),
       repeatsOverSlowPath: false,
       send: async () => await this.callStart(worker, run, client),
-      isNeeded: () => !this.stopped && request.isNeeded(),
+      isNeeded: () => !this.stopped && this.mayRepeat(run) && request.isNeeded(),
       onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'start' })
     }))
     if (this.stopped) return
@@ -176,6 +177,11 @@
     this.options.onChange()
   }
 
+  /** Returns whether a start whose connection has broken may be sent again; a later process may execute both. */
+  private mayRepeat ({ task }: RunRecord): boolean {
+    return !isSentOnce(task) || !this.options.engine.openStarts.expectsLateOrders(this.now())
+  }
+
   /** Stores the assignment of a run, so that a successor knows where the run may be; returns whether it is durable. */
   private async storeAssignment (run: RunRecord): Promise<boolean> {
     this.storing++
@@ -214,6 +220,7 @@
       leaseDeadline
     }))
     if (outcome.kind !== 'unknown') run.openSendCount--
+    else if (outcome.isConnectionBroken !== true) run.isUnanswered = true
     // A later send keeps its own time.
     if (outcome.kind === 'not-sent' && run.sentAt === now) run.sentAt = sentAt
     return outcome
@@ -265,6 +272,7 @@
           worker,
           onOverdue: markOverdue,
           serialSendLimit: STOP_SEND_LIMIT,
+          repeatsUnanswered: true,
           repeatsOverSlowPath: true,
           send: call,
           isNeeded: () => !this.stopped && isNeeded(),
--- a/src/instance/WorkerLeaseLoop.ts
+++ b/src/instance/WorkerLeaseLoop.ts
@@ -308,6 +308,7 @@
     const failed = outcome.kind !== 'reported'
     const reason = outcome.kind === 'unknown' || outcome.kind === 'not-sent' ? outcome.reason : outcome.kind
     if (failed) metrics.workerCallFailures.inc({ reason })
+    if (failed) worker.reportFailedAt = this.options.clock.monotonicMilliseconds()
     if (failed !== this.lastCallFailed) {
       logger.info(failed ? 'worker does not respond' : 'worker responds again', {
         worker: worker.entry.workerId,
@@ -336,7 +337,14 @@
       worker.appliedCompletion > worker.durableCompletion || this.hasAnsweredStops ||
       this.mustSettleStarts
     if (mustNotWait) return 0
-    if (hasFailedRecently(worker, this.options.clock.monotonicMilliseconds())) return UNSTEADY_WAIT_MILLISECONDS
+    const now = this.options.clock.monotonicMilliseconds()
+    const untilSettlement = this.options.engine.openStarts.getSettlementAt(worker) - now
+    return Math.max(0, Math.min(this.getUsualWait(now), Math.ceil(untilSettlement)))
+  }
+
+  private getUsualWait (now: number): number {
+    const { worker } = this.options
+    if (hasFailedRecently(worker, now)) return UNSTEADY_WAIT_MILLISECONDS
     return worker.servingReserved > 0 && worker.bestEffortDemand > 0
       ? COLOCATION_WAIT_MILLISECONDS
       : IDLE_WAIT_MILLISECONDS
--- a/src/instance/repeatOrder.ts
+++ b/src/instance/repeatOrder.ts
@@ -11,6 +11,8 @@
   repeats: RepeatBudget
   /** The number of sends one after another, of which each but the first follows when no earlier one is in flight. */
   serialSendLimit: number
+  /** Whether the order is sent again after, or beside, sends that get no response although no connection breaks. */
+  repeatsUnanswered: boolean
   /** Whether the order is sent beside earlier sends also while the responses of the worker arrive late. */
   repeatsOverSlowPath: boolean
   /** Sends the order once more; all sends are the same order. */
@@ -40,13 +42,15 @@
  * @returns The first response, or the outcome of the last send that ended.
  */
 export function repeatOrder (options: RepeatedOrderOptions): Promise<OrderOutcome> {
-  const { worker, clock, repeats, serialSendLimit, repeatsOverSlowPath, send, isNeeded, onOverdue, onRepeat } = options
+  const { worker, clock, repeats, serialSendLimit, repeatsUnanswered, repeatsOverSlowPath } = options
+  const { send, isNeeded, onOverdue, onRepeat } = options
   const firstSentAt = clock.monotonicMilliseconds()
   let inFlightCount = 0
   let sendCount = 0
   let failureAt = -Infinity
   let isFailureUncounted = false
   let isUnsendable = false
+  let isUnanswered = false
   const sendOnce = async (): Promise<OrderOutcome> => {
     const sentAt = clock.monotonicMilliseconds()
     sendCount++
@@ -57,6 +61,7 @@
     try {
       const outcome = await send()
       if (outcome.kind === 'not-sent') isUnsendable = true
+      if (outcome.kind === 'unknown' && outcome.isConnectionBroken !== true) isUnanswered = true
       // Sends that were in flight at the same time are lost together and count as one failure.
       if (outcome.kind === 'unknown' && sentAt >= failureAt) {
         failureAt = clock.monotonicMilliseconds()
@@ -69,6 +74,7 @@
   }
   const mayRepeat = (): boolean => {
     if (isUnsendable || !isNeeded()) return false
+    if (!repeatsUnanswered && (isUnanswered || inFlightCount > 0)) return false
     if (inFlightCount === 0) return sendCount < serialSendLimit
     const now = clock.monotonicMilliseconds()
     if (now - firstSentAt > REPEAT_WINDOW_MILLISECONDS) return false
--- a/src/jobs/JobRecord.ts
+++ b/src/jobs/JobRecord.ts
@@ -27,6 +27,10 @@
   startDeadline: number
   /** The number of sends of the start order without a response, which the worker may still receive. */
   openSendCount: number
+  /** Whether a send of the start order got no response although its connection did not break. */
+  isUnanswered: boolean
+  /** Whether a report has listed the run as running. */
+  isListed: boolean
   /** Whether a best-effort run asks for more than the unused processors of its worker, see `hasUnusedProcessors`. */
   exceedsUnusedProcessors: boolean
   /** Whether the worker did not respond to the start, so that it may execute it at any time before a confirmed stop. */
@@ -274,6 +278,8 @@
     sentAt: -Infinity,
     startDeadline: Infinity,
     openSendCount: 0,
+    isUnanswered: false,
+    isListed: false,
     exceedsUnusedProcessors: false,
     startUncertain: false,
     isStopUnanswered: false,
--- a/stand-ins/platform/EmulatedWorker.ts
+++ b/stand-ins/platform/EmulatedWorker.ts
@@ -39,7 +39,7 @@
 const ROUND_TRIP_MILLISECONDS = 2
 /** A completion under an unbroken lease counts as acknowledged this long after a report has listed it. */
 const LISTING_DELAY_MILLISECONDS = 100
-const CONNECTION_RESET = { kind: 'unknown', reason: 'connection reset' } as const
+const CONNECTION_RESET = { kind: 'unknown', reason: 'connection reset', isConnectionBroken: true } as const
 const CONNECT_TIMED_OUT = { kind: 'not-sent', reason: 'connect-timeout', hasConnectionFailed: true } as const
 /** The reading of the clock of a worker at the start of each of its processes. */
 const INITIAL_CLOCK_MILLISECONDS = 100_000
--- a/stand-ins/platform/createTestMetrics.ts
+++ b/stand-ins/platform/createTestMetrics.ts
@@ -8,6 +8,6 @@
  */
 export function createTestMetrics (isOwner: boolean): InstanceMetrics {
   return createInstanceMetrics(new Registry(), {
-    isOwner: () => isOwner, countLiveJobs: () => 0, countUnreconciledWorkers: () => 0
+    isOwner: () => isOwner, countLiveJobs: () => 0, countUnreconciledWorkers: () => 0, countOpenStarts: () => 0
   })
 }
