Let all candidates for the shard act on the same knowledge of the owner

The cause: after the stop of an owner many machines try to follow it, and the store turns most of them away. Each repeated its takeover for up to 5 s, learnt of no other owner meanwhile, and watched the heartbeat for 2.2 s after that. So the large machines were not ready when the next owner could not renew, and one that had just started was. A candidate whose probe got no response knew the heartbeat earlier than the others, with the same effect.

A takeover without an outcome is now given up after 1 s, and keeps what is known of the heartbeat unless it met a conflict. Candidates read the heartbeat when the owner's last renewal is 1 s old, and count the age that the owner tells once they have seen no renewal for 1 s. Candidates log what they know of the owner, and takeovers that fail.

--- a/src/instance/OwnerElection.test.ts
+++ b/src/instance/OwnerElection.test.ts
@@ -7,7 +7,8 @@
 import type { JsonValue } from '../shared/JsonValue.js'
 import { silentLogger } from '../shared/Logger.js'
 import { VirtualClock } from '../shared/VirtualClock.js'
-import { OwnerElection, type Takeover } from './OwnerElection.js'
+import type { TableService } from '../table/TableService.js'
+import { OwnerElection, type InstanceResources, type Takeover } from './OwnerElection.js'
 import type { OwnerPeer } from './OwnerPeer.js'
 import { LEASE_RENEWAL_LIMIT_MILLISECONDS, TASK_START_LIMIT_MILLISECONDS } from './ownerTimeLimits.js'
 
@@ -121,10 +122,19 @@
   store: LimitedStore
   address: string
   probe: OwnerPeer['probe']
+  /** The client of the store; by default, one without faults. */
+  tableService?: TableService
+  /** By default, those of a process that waits for longer than others before it tries to become owner. */
+  resources?: InstanceResources
 }
 
-/** Runs an election in a process that waits for longer than others before it tries to become owner. */
-function runCandidate ({ clock, store, address, probe }: CandidateOptions) {
+const FEW_RESOURCES: InstanceResources = { processors: 0, linkMegabitsPerSecond: 1 }
+const AMPLE_RESOURCES: InstanceResources = { processors: 1.35, linkMegabitsPerSecond: 140 }
+
+/** Runs an election in one process. */
+function runCandidate (
+  { clock, store, address, probe, resources = FEW_RESOURCES, tableService = store.client }: CandidateOptions
+) {
   const takeovers: Takeover[] = []
   const stops: number[] = []
   const election = OwnerElection.create({
@@ -132,12 +142,12 @@
     instanceId: 'b',
     address,
     region: 'south',
-    tableService: store.client,
+    tableService,
     peer: { probe } as unknown as OwnerPeer,
     clock,
     logger: silentLogger,
     errors: createTestErrors(clock),
-    resources: { processors: 0, linkMegabitsPerSecond: 1 },
+    resources,
     random: () => 0,
     onAcquired: takeover => { takeovers.push(takeover) },
     onEarlierOwnerStopped: renewalsEndAt => { stops.push(renewalsEndAt) },
@@ -257,3 +267,78 @@
     if (isKnown) assert.ok(stops[0] < takeovers[0].earlierRenewalsEndAt)
   })
 }
+
+/** Time between two renewals of an owner. */
+const RENEWAL_INTERVAL_MILLISECONDS = 700
+const LAST_RENEWAL_AT = 8000
+
+/** Plays an owner that answers probes and stops renewing; one of its probes by the small candidate is lost before. */
+async function playStaleOwner (lostProbeFrom: number): Promise<{ winner: string, at: number }> {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  let renewedAt = clock.monotonicMilliseconds()
+  const probeOwner: OwnerPeer['probe'] = async () =>
+    ({ kind: 'alive', isOwner: true, renewalAge: clock.monotonicMilliseconds() - renewedAt })
+  const isLost = (): boolean => {
+    const now = clock.monotonicMilliseconds()
+    return now >= lostProbeFrom && now < lostProbeFrom + PROBE_MILLISECONDS
+  }
+  const large = runCandidate({ clock, store, address: '10.0.0.2:1', probe: probeOwner, resources: AMPLE_RESOURCES })
+  const small = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.3:1',
+    probe: async address => isLost() ? { kind: 'silent', reason: 'timeout' } : await probeOwner(address)
+  })
+  for (let beat = 1; renewedAt < LAST_RENEWAL_AT; beat++) {
+    await clock.advance(RENEWAL_INTERVAL_MILLISECONDS)
+    renewedAt = clock.monotonicMilliseconds()
+    const heartbeat: HeartbeatRow = { owner: 'a', epoch: 1, beat, summary: null, released: false }
+    store.put({ table: SHARD_HEARTBEAT_TABLE, key: 'site', value: heartbeat as unknown as JsonValue })
+  }
+  while (large.takeovers.length + small.takeovers.length === 0) await clock.advance(10)
+  const winner = large.takeovers.length > 0 ? 'large' : 'small'
+  for (const { election } of [large, small]) await election.stop()
+  return { winner, at: clock.monotonicMilliseconds() - renewedAt }
+}
+
+// LOST: a machine with few resources became owner before those whose probes were answered, and kept the shard.
+for (const lostProbeFrom of [7800, 8100, 8400]) {
+  test(`a lost probe at ${lostProbeFrom} ms gives a small machine no start before the others`, async () => {
+    const { winner, at } = await playStaleOwner(lostProbeFrom)
+    assert.equal(winner, 'large', `after ${at} ms`)
+  })
+}
+
+const NEXT_OWNER_AT = 2500
+const STORE_ANSWERS_FROM = 5000
+
+// LOST: candidates that tried to follow an earlier owner for 5 s let smaller machines go first when the store answered.
+test('a candidate whose takeover gets no answer learns of the next owner, and follows it when it fails', async () => {
+  const clock = VirtualClock.create(1000)
+  const store = LimitedStore.create()
+  putOwner(store, 1)
+  const { client } = store
+  const isAway = () => clock.monotonicMilliseconds() < STORE_ANSWERS_FROM
+  const { election, takeovers } = runCandidate({
+    clock,
+    store,
+    address: '10.0.0.2:1',
+    resources: AMPLE_RESOURCES,
+    tableService: {
+      ...client,
+      transact: async transaction => isAway()
+        ? { kind: 'unavailable', reason: 'store answered 503' }
+        : await client.transact(transaction)
+    },
+    probe: async address => address === '10.0.0.1:1'
+      ? { kind: 'refused' }
+      : { kind: 'alive', isOwner: true, renewalAge: clock.monotonicMilliseconds() - NEXT_OWNER_AT }
+  })
+  await clock.advance(NEXT_OWNER_AT - 1000)
+  putOwner(store, 2, { address: '10.0.0.9:1' })
+  await clock.advance(STORE_ANSWERS_FROM + 1000 - NEXT_OWNER_AT)
+  await election.stop()
+  assert.equal(takeovers.length, 1)
+})
--- a/src/instance/OwnerElection.ts
+++ b/src/instance/OwnerElection.ts
@@ -5,7 +5,7 @@
 import { ElapsedTime } from '../shared/ElapsedTime.js'
 import type { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
-import type { TableService } from '../table/TableService.js'
+import type { ReadOutcome, TableService } from '../table/TableService.js'
 import type { TransactionRepeater } from '../table/TransactionRepeater.js'
 import type { OwnerPeer } from './OwnerPeer.js'
 import { OwnerStopDetector } from './OwnerStopDetector.js'
@@ -64,6 +64,9 @@
   onLoad? (summary: LoadSummary, since: ElapsedTime): void
 }
 
+/** What a probe shows of the renewals of the owner; `stale` also without a response. */
+type OwnerState = 'renewing' | 'overdue' | 'stale'
+
 /** The row of the shard holds this many earlier owners that may be active; more of them follow each other too fast. */
 const ACTIVE_OWNER_LIMIT = 8
 /** Interval at which the owner renews its lease; three renewals fit into the takeover wait. */
@@ -72,7 +75,17 @@
 const PROBE_MILLISECONDS = 400
 /** A candidate takes over when the heartbeat has not changed for this long; fencing makes an early takeover safe. */
 const TAKEOVER_WAIT_MILLISECONDS = 2200
-/** When the owner's last renewal is older, the store is read to see whether there is a newer owner. */
+/**
+ * While the store does not respond to a takeover, another process may become owner, and may fail; a candidate that
+ * keeps trying would learn of neither.
+ */
+const ACQUIRE_DEADLINE_MILLISECONDS = 1000
+/**
+ * When the owner's last renewal is older, the store is read as well. Candidates then know the heartbeat at the same
+ * time whether or not their probes are answered, so that their delays decide which one goes first.
+ */
+const OVERDUE_RENEWAL_MILLISECONDS = 1000
+/** When the owner's last renewal is older, it counts as one that has given up or cannot reach the store. */
 const STALE_RENEWAL_MILLISECONDS = 2000
 /** Upper limit of the random part of a candidate's delay, which spreads the candidates over time. */
 const CANDIDATE_SPREAD_MILLISECONDS = 150
@@ -96,6 +109,10 @@
   private readonly lease: ShardLease
   private stopped = false
   private stopDetector = OwnerStopDetector.create()
+  /** What was logged last of the owner and the store, see `logCheck`. */
+  private lastCheck = 'renewing null'
+  /** The monotonic time of the owner's last renewal as its latest response to a probe tells; Infinity without one. */
+  private ownerRenewedAt = Infinity
   /** Whether a row with the address of this process may be its own. */
   private hasTriedToAcquire = false
   private readonly startedAt: number
@@ -113,7 +130,10 @@
       tableService,
       clock,
       repeater,
-      rules: { takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS },
+      rules: {
+        takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS,
+        acquireDeadlineMilliseconds: ACQUIRE_DEADLINE_MILLISECONDS
+      },
       epochStep: EPOCH_STEP,
       selectStoredOwners: () => this.activeOwners
     })
@@ -192,26 +212,31 @@
   }
 
   private async checkOwner (): Promise<void> {
-    if (await this.isOwnerAlive()) return
+    const state = await this.probeOwner()
+    if (state === 'renewing') return this.logCheck(state, null)
     const { shardId, tableService, clock } = this.options
     const sentAt = clock.monotonicMilliseconds()
     const read = await tableService.readMany([
       { table: SHARD_TABLE, key: shardId }, { table: SHARD_HEARTBEAT_TABLE, key: shardId }
     ])
-    if (read.kind !== 'ok' || this.stopped) return
+    if (this.stopped) return
+    this.logCheck(state, read.kind)
+    if (read.kind !== 'ok') return
     const now = clock.monotonicMilliseconds()
     const previousOwner = this.lease.getObservedOwner()
     this.lease.observe(read.value[0], read.value[1], now)
     const owner = this.lease.getObservedOwner()
     if (previousOwner?.epoch !== owner?.epoch) {
       this.stopDetector.handleNewOwner(previousOwner?.address === owner?.address)
+      this.ownerRenewedAt = Infinity
       // The owner was observed for the first time, so it must be probed before a takeover.
       if (previousOwner === null && this.getOwnerAddress() !== this.options.address) return
     }
+    if (state === 'overdue') return
     const isOwnEarlierIncarnation = this.getOwnerAddress() === this.options.address
     const endOfOwnIncarnations = this.hasTriedToAcquire ? now : this.startedAt
     const ownerStoppedAt = isOwnEarlierIncarnation ? endOfOwnIncarnations : this.stopDetector.stoppedAt
-    const vacantFrom = ownerStoppedAt === null ? this.lease.getEarliestTakeoverTime() : now
+    const vacantFrom = ownerStoppedAt === null ? this.lease.getEarliestTakeoverTime(this.ownerRenewedAt) : now
     if (vacantFrom === null || now < vacantFrom) return
     await this.tryToAcquire(now - sentAt, ownerStoppedAt)
   }
@@ -231,7 +256,11 @@
     const endOfStopped = stoppedAt ?? -Infinity
     this.activeOwners = this.findActiveOwners(stoppedAt)
     this.hasTriedToAcquire = true
-    if (!await this.lease.acquire({ ownerHasTerminated: ownerStoppedAt !== null, earlierRenewalsEndAt })) return
+    const ownerHasTerminated = ownerStoppedAt !== null
+    const { ownerRenewedAt } = this
+    if (!await this.lease.acquire({ ownerHasTerminated, ownerRenewedAt, earlierRenewalsEndAt })) {
+      return logger.info('ownership not acquired', { owner: instanceId, delayMilliseconds: Math.round(delay) })
+    }
     this.stopDetector = OwnerStopDetector.create()
     const fence = this.lease.getFence()
     if (fence === null) return
@@ -302,16 +331,35 @@
     }
   }
 
-  private async isOwnerAlive (): Promise<boolean> {
+  private async probeOwner (): Promise<OwnerState> {
+    this.ownerRenewedAt = Infinity
     const address = this.getOwnerAddress()
-    if (address === null || address === this.options.address) return false
+    if (address === null || address === this.options.address) return 'stale'
     const { peer, clock, onLoad } = this.options
     const since = ElapsedTime.start(clock)
     const outcome = await peer.probe(address)
-    this.stopDetector.record(outcome, clock.monotonicMilliseconds())
-    const isAlive = outcome.kind === 'alive' && outcome.isOwner && outcome.renewalAge < STALE_RENEWAL_MILLISECONDS
-    if (isAlive && outcome.load !== undefined) onLoad?.(outcome.load, since)
-    return isAlive
+    const now = clock.monotonicMilliseconds()
+    this.stopDetector.record(outcome, now)
+    if (outcome.kind !== 'alive' || !outcome.isOwner) return 'stale'
+    this.ownerRenewedAt = now - outcome.renewalAge
+    if (outcome.renewalAge >= STALE_RENEWAL_MILLISECONDS) return 'stale'
+    if (outcome.load !== undefined) onLoad?.(outcome.load, since)
+    return outcome.renewalAge < OVERDUE_RENEWAL_MILLISECONDS ? 'renewing' : 'overdue'
+  }
+
+  /** Logs what is known of the renewals of the owner, and whether the store answers, when either has changed. */
+  private logCheck (state: OwnerState, read: ReadOutcome<unknown>['kind'] | null): void {
+    const check = `${state} ${read}`
+    if (check === this.lastCheck) return
+    this.lastCheck = check
+    const { clock, logger } = this.options
+    const age = clock.monotonicMilliseconds() - this.ownerRenewedAt
+    logger.info('owner checked', {
+      owner: this.getOwnerAddress(),
+      renewals: state,
+      renewalAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
+      store: read
+    })
   }
 
   private pause (milliseconds: number): Promise<void> {
--- a/src/leases/ShardLease.ts
+++ b/src/leases/ShardLease.ts
@@ -21,7 +21,9 @@
 export const SHARD_LEASE_MILLISECONDS = 6000
 /** How long a successor waits after it first observes a heartbeat: the lease and the greatest clock drift. */
 export const TAKEOVER_WAIT_MILLISECONDS = SHARD_LEASE_MILLISECONDS * (1 + MAX_CLOCK_DRIFT_RATIO)
-/** A takeover whose outcome is still unknown after this time is abandoned, and observation starts again. */
+/** A candidate sees at least one renewal within this time while the owner's renewals are stored. */
+const SHORTEST_OBSERVATION_MILLISECONDS = 1000
+/** A takeover whose outcome is still unknown after this time is abandoned by default. */
 const ACQUIRE_DEADLINE_MILLISECONDS = 5000
 
 /** How long a release without a response is repeated; the process may exit soon after. */
@@ -47,6 +49,8 @@
   /** Whether a takeover fails if the heartbeat has changed since it was observed. */
   checkHeartbeat: boolean
   takeoverWaitMilliseconds: number
+  /** Time after which a takeover without an outcome is abandoned, so that the rows are read again. */
+  acquireDeadlineMilliseconds: number
 }
 
 /** Options of a shard lease. */
@@ -102,7 +106,12 @@
    * @returns The lease.
    */
   static create (options: ShardLeaseOptions): ShardLease {
-    const rules = { checkHeartbeat: true, takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS, ...options.rules }
+    const rules = {
+      checkHeartbeat: true,
+      takeoverWaitMilliseconds: TAKEOVER_WAIT_MILLISECONDS,
+      acquireDeadlineMilliseconds: ACQUIRE_DEADLINE_MILLISECONDS,
+      ...options.rules
+    }
     const { tableService, clock, repeater } = options
     const repeats = repeater === undefined ? undefined : { repeater, write: 'takeover' as const }
     const writer = SettledWriter.create({ tableService, clock, repeats })
@@ -217,25 +226,33 @@
 
   /**
    * Returns the earliest time at which this process may take the shard over.
+   * @param ownerRenewedAt The monotonic time of the owner's last renewal as it tells it; Infinity if it does not.
    * @returns The monotonic time, or null when the lease is not observing or nothing was observed yet.
    */
-  getEarliestTakeoverTime (): number | null {
+  getEarliestTakeoverTime (ownerRenewedAt = Infinity): number | null {
     if (this.state !== 'observing' || this.observedSince === null) return null
     const heartbeat = this.getObservedHeartbeat()
     if (heartbeat === null || heartbeat.released) return this.observedSince
-    return this.observedSince + this.rules.takeoverWaitMilliseconds
+    const { takeoverWaitMilliseconds } = this.rules
+    // An owner whose renewals are stored without a response tells an earlier time than that of the last one.
+    const earliestAsTold = Math.max(
+      ownerRenewedAt + takeoverWaitMilliseconds, this.observedSince + SHORTEST_OBSERVATION_MILLISECONDS)
+    return Math.min(this.observedSince + takeoverWaitMilliseconds, earliestAsTold)
   }
 
   /**
    * Takes the shard over, provided that the observed rows are unchanged.
    * @param options `ownerHasTerminated` skips the wait: the caller knows that the owner's process has terminated.
-   * `earlierRenewalsEndAt` is the monotonic time until which earlier owners may renew the leases of workers.
+   * `ownerRenewedAt` is the time of its last renewal as it tells it. `earlierRenewalsEndAt` is the monotonic time until
+   * which earlier owners may renew the leases of workers.
    * @returns Whether this process now holds the lease.
    */
   async acquire (
-    options: { ownerHasTerminated?: boolean, earlierRenewalsEndAt?: number | null } = {}
+    options: { ownerHasTerminated?: boolean, ownerRenewedAt?: number, earlierRenewalsEndAt?: number | null } = {}
   ): Promise<boolean> {
-    const earliestTakeover = options.ownerHasTerminated === true ? this.observedSince : this.getEarliestTakeoverTime()
+    const earliestTakeover = options.ownerHasTerminated === true
+      ? this.observedSince
+      : this.getEarliestTakeoverTime(options.ownerRenewedAt)
     const sentAt = this.options.clock.monotonicMilliseconds()
     const sentAtWallTime = this.options.clock.wallMilliseconds()
     if (earliestTakeover === null || sentAt < earliestTakeover || !this.advance('acquire')) return false
@@ -269,11 +286,12 @@
         value: heartbeat as unknown as JsonValue,
         condition: this.rules.checkHeartbeat ? getUnchangedCondition(this.observedHeartbeat) : { kind: 'any' }
       }]
-    }, { table: SHARD_TABLE, key: shardId, writeId }, { deadlineMilliseconds: ACQUIRE_DEADLINE_MILLISECONDS })
+    }, { table: SHARD_TABLE, key: shardId, writeId }, { deadlineMilliseconds: this.rules.acquireDeadlineMilliseconds })
     const rowVersion = outcome.kind === 'committed' ? outcome.versions[0] ?? await this.readOwnVersion(writeId) : null
     if (rowVersion === null) {
       this.advance('rejected')
-      this.observedSince = null
+      // Without a conflict the rows may be unchanged; the next read shows it.
+      if (outcome.kind === 'committed' || outcome.kind === 'conflict') this.observedSince = null
       return false
     }
     this.advance('acquired')
