Judge a job as lost again once its late start was executed

The judge excused a step for 12 s from a start that its worker executes late, also after that start had been executed. RULES.md excuses the order only, so a start that has been executed no longer counts; the bounds are unchanged. Two tests show the excuse and its end.

--- a/stand-ins/platform/LostJobJudge.test.ts
+++ b/stand-ins/platform/LostJobJudge.test.ts
@@ -25,7 +25,7 @@
   judge.recordAcceptedJob('job')
   if (options.isStarted) await judge.advance(1000)
   for (const { process } of site.instances) process.kill()
-  return { site, judge, affected }
+  return { clock, site, judge, affected }
 }
 
 function shutDown (site: EmulatedSite): void {
@@ -59,6 +59,33 @@
   }
 })
 
+test('a job is not lost while the start of each of its tasks may still be executed late', async () => {
+  const { clock, site, judge } = await createSite({ taskCount: 2 }, { isStarted: false })
+  judge.startFinish()
+  site.judge.recordLateOrder('job.0.0.0', clock.monotonicMilliseconds())
+  await judge.advance(250)
+  assert.deepEqual(judge.violations, [])
+  for (const taskName of ['job.0.0.0', 'job.0.0.1']) site.judge.recordLateOrder(taskName, clock.monotonicMilliseconds())
+  await judge.advance(14_500)
+  assert.deepEqual(judge.violations, [])
+  await judge.advance(1000)
+  assert.equal(judge.violations.length, 1)
+  shutDown(site)
+})
+
+test('a job whose late start was executed is judged again', async () => {
+  const { clock, site, judge } = await createSite({}, { isStarted: false })
+  judge.startFinish()
+  site.judge.recordLateOrder('job.0.0.0', clock.monotonicMilliseconds())
+  site.judge.recordStart('job.0.0.0', 1, 'worker-0', true, {
+    serviceName: '', labels: [], checkpoint: '', isLate: true
+  })
+  site.judge.recordRunEnd('job.0.0.0', 1, 'worker-0')
+  await judge.advance(3500)
+  assert.equal(judge.violations.length, 1)
+  shutDown(site)
+})
+
 test('a cancelled job is not lost', async () => {
   const { site, judge } = await createSite({}, { isStarted: false })
   judge.recordCancellation('job')
--- a/stand-ins/platform/RunJudge.ts
+++ b/stand-ins/platform/RunJudge.ts
@@ -37,8 +37,8 @@
   readonly lastRunWorkerIds = new Map<string, string>()
   /** The worker to which the last start of each task was sent, whether or not it arrived. */
   readonly lastOrderWorkerIds = new Map<string, string>()
-  /** The time at which a worker last received a start of each task that it executes later. */
-  private readonly lateOrderedAt = new Map<string, number>()
+  /** The times at which workers received starts of each task that they have not executed, the earliest first. */
+  private readonly lateOrderTimes = new Map<string, number[]>()
   /** The worker ID of each run that ended because the lease of its worker had expired. */
   readonly lapsedRunWorkerIds: string[] = []
   /** Number of failed runs of each task, over all workers. */
@@ -79,12 +79,12 @@
 
   /** Records that a worker does not respond to a start and executes it later. */
   recordLateOrder (taskName: string, at: number): void {
-    this.lateOrderedAt.set(taskName, at)
+    this.lateOrderTimes.set(taskName, [...this.lateOrderTimes.get(taskName) ?? [], at])
   }
 
-  /** Returns when a worker last received a start of a task that it executes later; -Infinity for never. */
+  /** Returns when a worker last received a start of a task that it has not executed; -Infinity for none. */
   getLateOrderedAt (taskName: string): number {
-    return this.lateOrderedAt.get(taskName) ?? -Infinity
+    return this.lateOrderTimes.get(taskName)?.at(-1) ?? -Infinity
   }
 
   /** Records a start that a worker has executed, and checks the invariants. */
@@ -92,6 +92,7 @@
     taskName: string, attempt: number, workerId: string, isWithinCapacity: boolean, circumstances?: StartCircumstances
   ): void {
     this.startCount++
+    if (circumstances?.isLate === true) this.lateOrderTimes.get(taskName)?.shift()
     for (const observer of this.observers) {
       observer.recordStart(taskName, attempt, workerId, circumstances?.isLate === true)
     }
