--- a/src/instance/lateStarts.test.ts
+++ b/src/instance/lateStarts.test.ts
@@ -8,17 +8,22 @@
 const TASKS_PER_JOB = 6
 const TASK_MILLISECONDS = 800
 const SUBMISSION_INTERVAL_MILLISECONDS = 250
-const LATE_ORDERS = { lateShare: 0.5, lateMilliseconds: 2000, latenessSpreadMilliseconds: 10_000 }
-/** The worker is cut off and crashes while orders are still executed late. */
-const LATE_BEFORE_CRASH_MILLISECONDS = 5000
+const LATENESS = { lateMilliseconds: 2000, latenessSpreadMilliseconds: 10_000 }
 const DOWN_MILLISECONDS = 500
 const CUT_MILLISECONDS = 5000
 /** The time in which all late orders are executed. */
 const AFTERWARDS_MILLISECONDS = 20_000
 const SEEDS = Array.from({ length: 10 }, (_, index) => index + 1)
 
-/** Plays a site whose workers execute half of the orders late, while one of them starts again behind a cut. */
-async function play (seed: number): Promise<string[]> {
+interface LateOrders {
+  /** The share of the orders that are executed late. */
+  share: number
+  /** How long they are before a worker is cut off and crashes. */
+  milliseconds: number
+}
+
+/** Plays a site whose workers execute some orders late, while one of them starts again behind a cut. */
+async function play ({ share, milliseconds }: LateOrders, seed: number): Promise<string[]> {
   const clock = VirtualClock.create()
   const site = EmulatedSite.create({ clock, random: createRandom(seed), instanceCount: 3, workerCount: WORKER_COUNT })
   const workers = [...site.workers.values()]
@@ -30,8 +35,8 @@
     }
   }
   await clock.advance(4000)
-  for (const { faults } of workers) Object.assign(faults, LATE_ORDERS)
-  await advance(LATE_BEFORE_CRASH_MILLISECONDS)
+  for (const { faults } of workers) Object.assign(faults, { ...LATENESS, lateShare: share })
+  await advance(milliseconds)
   const [[crashedId, crashed]] = site.workers
   crashed.faults.cutOff = true
   site.crashWorker(crashedId)
@@ -45,9 +50,19 @@
   return site.judge.violations.map(violation => `seed ${seed}: ${violation}`)
 }
 
+const CASES: LateOrders[] = [
+  { share: 0.5, milliseconds: 5000 },
+  { share: 0.055, milliseconds: 5000 },
+  { share: 0.5, milliseconds: 1500 }
+]
+
 // TWICE: a worker that had started again executed a start for its earlier process after the task was done.
-test('no task runs twice when a later process of its worker executes a start that got no response', async () => {
-  const violations: string[] = []
-  for (const seed of SEEDS) violations.push(...await play(seed))
-  assert.deepEqual(violations, [])
-})
+for (const lateOrders of CASES) {
+  const { share, milliseconds } = lateOrders
+  const title = `no task runs twice when a later process executes ${share} of the starts of ${milliseconds} ms`
+  test(title, async () => {
+    const violations: string[] = []
+    for (const seed of SEEDS) violations.push(...await play(lateOrders, seed))
+    assert.deepEqual(violations, [])
+  })
+}
