Spread the members of a wide gang over the workers

Callers saw gangs that never completed although the workers had room: all members went to the first workers that had it, two starts at a time to each, so that the last members came too late for the first ones (GANG).

--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -164,13 +164,16 @@
   /** Returns whether the members of the gang got workers. */
   private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
     if (this.mustWaitForStore(step)) return false
-    const workers = selectGangPlacement(step, this.options.workers, conditions)
-    if (workers.length === 0) return false
+    const shares = selectGangPlacement(step, this.options.workers, conditions)
+    if (shares.length === 0) return false
     const members = step.tasks.createAll()
     if (!members.every(this.options.mayStart)) return false
     if (this.options.headroom?.mayStartGang(members, conditions) === false) return false
     const attempt = members.reduce((highest, { nextAttempt }) => Math.max(highest, nextAttempt), 0)
-    for (const [index, member] of members.entries()) this.start(member, workers[index], attempt)
+    const waiting = members.values()
+    for (const { worker, count } of shares) {
+      for (let index = 0; index < count; index++) this.start(waiting.next().value!, worker, attempt)
+    }
     return true
   }
 
