Send the starts of a gang for as long as they can complete it

Callers saw wide gangs that never completed: their members ended alone (GANG), and each attempt took the starts of all other jobs.

Cause: a start that has waited for a second is withdrawn, as for any task, while the members that have started wait for it. Nothing ended the attempt then, and the next one had the same outcome.

Change: starts of gangs have a queue of their own, which holds at most the starts of one largest gang, and wait in it until the stop of the first member would come too late (GangAttempts). Attempts that cannot complete are given up: queued starts are withdrawn, and one member on each worker is stopped, whose end ends the others. Those that took too long to send are repeated with pauses from 0.5 to 16 s. A gang that is larger than what an owner sends in that time is not started. There is one log line for each attempt, and none for each member of it or of a gang that is done.

--- a/src/dispatch/DispatchEngine.test.ts
+++ b/src/dispatch/DispatchEngine.test.ts
@@ -98,6 +98,7 @@
     onRunStoppedForRestart: () => {},
     onRunDisplaced: () => {},
     onStartHeldBack: () => {},
+    onGangAbandoned: () => {},
     onReconciled: () => {}
   }
   const engine = createEngine(1, [{ taskCount: 2 }], 3, observer)
--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -1,6 +1,6 @@
 import { AccountDirectory, type ClientAccount } from '../accounts/index.js'
 import { RunTimeRatios } from '../admission/RunTimeRatios.js'
-import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
+import { createRun, type FinalJobState, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
 import { AcceptedStarts } from './AcceptedStarts.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { hasUnusedProcessors, isInService, type ChoiceConditions } from './chooseWorker.js'
@@ -12,10 +12,13 @@
 import {
   silentDispatchObserver, type DispatchObserver, type ReconciliationCause, type RunLossCause
 } from './DispatchObserver.js'
+import type { DispatchEngineOptions } from './DispatchEngineOptions.js'
 import { JobTable } from './JobTable.js'
 import { endEarlierIncarnation } from './endEarlierIncarnation.js'
 import { findWorkerObstacles, type WorkerObstacles } from './findWorkerObstacles.js'
+import { expireLease } from './expireLease.js'
 import { explainWaiting, type WaitingExplanation, type WaitingReason } from './explainWaiting.js'
+import { GangStarts } from './gangs/GangStarts.js'
 import { OpenStarts } from './OpenStarts.js'
 import { PendingOrders, type DispatchOrder } from './PendingOrders.js'
 import { placeWaitingTasks } from './placeWaitingTasks.js'
@@ -38,24 +41,10 @@
 import { isAcceptedByAnother, isListedAnew, markProcessEnded, startClockAnew, updateFence } from './replacedProcesses.js'
 import type { OrderOutcome, WorkerReport } from './WorkerProtocol.js'
 import {
-  addRun, clearOrphanedRuns, createWorkerRecord, isLeaseExpired, isOverWithLease, recordFailure, releaseOrphanedRuns,
-  removeRun, updateClockReading, type WorkerEntry, type WorkerRecord
+  addRun, clearOrphanedRuns, createWorkerRecord, isLeaseExpired, recordFailure, removeRun, updateClockReading,
+  type WorkerEntry, type WorkerRecord
 } from './WorkerRecord.js'
 
-/** Options of a dispatch engine. */
-export interface DispatchEngineOptions {
-  /** The epoch of the shard owner, which is the fencing token of all orders. */
-  epoch: number
-  /** Receives lost runs and ignored completions; does nothing by default. */
-  observer?: DispatchObserver
-  /** The longest lease that workers grant; 0 by default, as for workers that were never called before. */
-  leaseMilliseconds?: number
-  /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
-  protectsUrgentWork?: boolean
-  /** Returns the learned ratio of run times to estimates, by which the urgency of jobs is judged; 1 by default. */
-  getRunTimeRatio?: GetRunTimeRatio
-}
-
 /**
  * Decides for one shard which tasks start on which workers and which runs are stopped or paced.
  *
@@ -82,6 +71,8 @@
   readonly unreached = UnreachedWorkers.create({ workers: this.workers })
   /** The starts without a response that later processes of their workers may execute. */
   readonly openStarts: OpenStarts
+  /** The attempts to start gangs. */
+  readonly gangs: GangStarts
   /** Monotonic time until which an earlier owner may start tasks. */
   earlierStartsEndAt = -Infinity
   private queueServices: ReadonlyMap<string, string> = new Map()
@@ -102,11 +93,12 @@
 
   private constructor (
     readonly epoch: number, private readonly observer: DispatchObserver, private readonly leaseMilliseconds: number,
-    protectsUrgentWork: boolean, getRunTimeRatio?: GetRunTimeRatio
+    { protectsUrgentWork = false, gangTimes, getRunTimeRatio }: DispatchEngineOptions
   ) {
-    const { accounts, unreconciled, workers, runTimeRatios } = this
+    const { accounts, unreconciled, workers, orders, runTimeRatios } = this
     const learnedRatio = protectsUrgentWork ? runTimeRatios.getRunTimeRatio.bind(runTimeRatios) : undefined
     this.getRunTimeRatio = getRunTimeRatio ?? learnedRatio
+    this.gangs = GangStarts.create({ times: gangTimes, workers, orders, observer })
     this.jobs = JobTable.create({ epoch, accounts })
     this.openStarts = OpenStarts.create(leaseMilliseconds)
     this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
@@ -126,8 +118,8 @@
    * @returns The engine.
    */
   static create (options: DispatchEngineOptions): DispatchEngine {
-    const { epoch, observer = silentDispatchObserver, leaseMilliseconds = 0, protectsUrgentWork = false } = options
-    return new DispatchEngine(epoch, observer, leaseMilliseconds, protectsUrgentWork, options.getRunTimeRatio)
+    const { epoch, observer = silentDispatchObserver, leaseMilliseconds = 0 } = options
+    return new DispatchEngine(epoch, observer, leaseMilliseconds, options)
   }
 
   /** Returns the decided orders and clears them. */
@@ -226,6 +218,8 @@
     const explanation = explainWaiting(task, this.workers.values(), conditions)
     const getReason = (): WaitingReason => {
       if (explanation.reason === 'account-cap') return 'account-cap'
+      const gangObstacle = this.gangs.attempts.getObstacle(task.step, now)
+      if (gangObstacle !== null) return gangObstacle
       if (this.openStarts.has(task)) return 'open-start'
       if (this.unreconciled.mayRun(task)) return 'unreconciled-worker'
       const { headroom } = this.protection ?? {}
@@ -374,10 +368,7 @@
 
   /** Cancels a job: stops its runs and starts no more of its tasks. */
   cancelJob (jobId: string): void {
-    const job = this.jobs.getJob(jobId)
-    if (job === undefined || job.finalState !== null) return
-    this.jobs.finish(job, 'cancelled')
-    this.stopper.stopJob(job)
+    this.endJob(this.jobs.getJob(jobId), 'cancelled')
   }
 
   /**
@@ -387,11 +378,14 @@
    * @param mayStart Whether starts are allowed now.
    * @param startLimit The number of starts that can be sent soon; a later plan places other tasks, on newer reports.
    * @param storedStartLimit The number of them that may be of long-running tasks, whose assignments are stored first.
+   * @param gangStartLimit The number of starts of members of gangs, which are counted apart from the others.
    */
   plan (
-    now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity, storedStartLimit = Infinity
+    now: number, wallMilliseconds: number, mayStart: boolean, startLimit = Infinity, storedStartLimit = Infinity,
+    gangStartLimit = Infinity
   ): void {
     this.expireWorkers(now)
+    this.gangs.abandonOverdue(now)
     if (!mayStart || !(this.dirty || this.acceptedStarts.requirePlan(now)) || startLimit <= 0) return
     this.dirty = false
     this.acceptedStarts.recordPlan(now)
@@ -406,8 +400,10 @@
       headroom: this.protection?.headroom,
       startLimit,
       storedStartLimit,
+      gangStartLimit,
       getConditions,
       mayStart: this.mayStart,
+      getGangObstacle: step => this.gangs.attempts.getObstacle(step, now),
       start: (task, worker, attempt) => this.start(task, worker, attempt, now)
     })
     const outcome = placeWaitingTasks({
@@ -454,10 +450,11 @@
       mayEarlierOwnersStart: sentAt < this.earlierStartsEndAt,
       stop: run => this.orders.stop(worker, run),
       stopOrphaned: (taskName, attempt) => this.orders.stopOrphaned(worker, taskName, attempt),
-      failJob: job => this.failJob(job),
+      failJob: job => this.endJob(job, 'failed'),
       stopRuns: task => this.stopper.stopTask(task),
       recordCompletedRun: run => recordRunTime(this.runTimeRatios, run, now),
       markRunLost: run => this.markRunLost(worker, run, 'not-listed', now),
+      handleGangEnd: (step, attempt, run) => this.gangs.handleEnd(step, attempt, run, now),
       reportIgnoredCompletion: (ended, reason) => this.observer.onCompletionIgnored(worker, ended, reason)
     }
   }
@@ -491,6 +488,7 @@
       task.assignedWorkerId = worker.entry.workerId
       this.jobs.markTaskChanged(task)
     }
+    this.gangs.attempts.begin(task.step, attempt)
     addRun(worker, run)
     this.orders.start(worker, run)
   }
@@ -503,6 +501,7 @@
     if (hasNeverRun) run.task.startRefusedAt = now
     removeRun(worker, run, now, hasNeverRun ? run.task.waitingSince : now)
     this.jobs.waitingRestarts.add(run.task)
+    this.gangs.handleLostRun(run, cause, now)
   }
 
   private handleReconciliation (worker: WorkerRecord, cause: ReconciliationCause): void {
@@ -511,9 +510,9 @@
     if (this.unreconciled.isEmpty) this.jobs.confirmRecovered()
   }
 
-  private failJob (job: JobRecord): void {
-    if (job.finalState !== null) return
-    this.jobs.finish(job, 'failed')
+  private endJob (job: JobRecord | undefined, state: FinalJobState): void {
+    if (job === undefined || job.finalState !== null) return
+    this.jobs.finish(job, state)
     this.stopper.stopJob(job)
   }
 
@@ -539,15 +538,11 @@
     this.openStarts.expire(now)
     for (const worker of this.workers.values()) {
       if (worker.syncState === 'synchronized') continue
-      const isExpired = isLeaseExpired(worker)
-      if (isExpired && worker.orphanedRuns.size > 0) releaseOrphanedRuns(worker)
-      if (isExpired && worker.runs.size > 0) {
-        const lostRuns = [...worker.runs.values()].filter(run => isOverWithLease(run, worker, now))
-        for (const run of lostRuns) this.markRunLost(worker, run, 'lease-expired', now)
-        if (lostRuns.length > 0) this.dirty = true
-      }
+      const lostRuns = expireLease(worker, now)
+      for (const run of lostRuns) this.markRunLost(worker, run, 'lease-expired', now)
+      this.dirty ||= lostRuns.length > 0
       const isRemovable = !worker.listed && worker.runs.size === 0 && !this.unreconciled.has(worker.entry.workerId)
-      if (isRemovable && (isExpired || worker.clockReading === null)) this.remove(worker)
+      if (isRemovable && (worker.clockReading === null || isLeaseExpired(worker))) this.remove(worker)
     }
   }
 }
--- a/src/dispatch/DispatchObserver.ts
+++ b/src/dispatch/DispatchObserver.ts
@@ -1,4 +1,4 @@
-import type { RunRecord, TaskRecord } from '../jobs/index.js'
+import type { RunRecord, StepRecord, TaskRecord } from '../jobs/index.js'
 import type { ListedCompletion } from './WorkerProtocol.js'
 import type { WorkerRecord } from './WorkerRecord.js'
 
@@ -23,6 +23,21 @@
   waitMilliseconds: number
 }
 
+/**
+ * Why an attempt to start a gang was given up: not all members have started in time, a member has ended before the
+ * others have started, or the run of a member was lost.
+ */
+export type GangAbandonCause = 'overdue' | 'member-ended' | RunLossCause
+
+/** An attempt to start a gang that was given up. */
+export interface AbandonedGang {
+  step: StepRecord
+  attempt: number
+  cause: GangAbandonCause
+  /** The time before the next attempt begins. */
+  pauseMilliseconds: number
+}
+
 /** Receives events of the engine for logs and counters, without influence on its decisions. */
 export interface DispatchObserver {
   /** Is called when a run is considered over without a completion; its task may start again. */
@@ -40,6 +55,8 @@
   onRunDisplaced (run: RunRecord, waiting: TaskRecord, lostWork: number): void
   /** Is called once for each long-running task whose first start is held back for urgent work. */
   onStartHeldBack (task: TaskRecord, inputs: HeldBackStart): void
+  /** Is called when an attempt to start a gang is given up, before its runs are stopped. */
+  onGangAbandoned (abandoned: AbandonedGang): void
   /** Is called when the runs of earlier owners on a worker are known or certainly over. */
   onReconciled (worker: WorkerRecord, cause: ReconciliationCause): void
 }
@@ -52,5 +69,6 @@
   onRunStoppedForRestart: () => {},
   onRunDisplaced: () => {},
   onStartHeldBack: () => {},
+  onGangAbandoned: () => {},
   onReconciled: () => {}
 }
--- a/src/dispatch/RestartReservations.ts
+++ b/src/dispatch/RestartReservations.ts
@@ -319,9 +319,7 @@
 
 /** Returns whether all members of a gang wait; a gang with a running member is not started. */
 function isGangWaiting ({ step: { tasks } }: TaskRecord): boolean {
-  if (tasks.remainingCount < tasks.count) return false
-  for (const member of tasks.getAllCreated()) if (member.runs.length > 0) return false
-  return true
+  return tasks.remainingCount === tasks.count && !tasks.hasBusy()
 }
 
 /**
--- a/src/dispatch/StartPlan.ts
+++ b/src/dispatch/StartPlan.ts
@@ -3,6 +3,7 @@
 import { fitsAccountCap } from './fitsAccountCap.js'
 import type { HeadroomUse } from './headroom/mayStartLongRunning.js'
 import type { UrgentHeadroom } from './headroom/UrgentHeadroom.js'
+import type { GangObstacle } from './gangs/GangAttempts.js'
 import { getSizeKey } from './getSizeKey.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { StartCandidates } from './StartCandidates.js'
@@ -38,11 +39,15 @@
   startLimit: number
   /** The number of starts of long-running tasks, whose assignments are stored before they are sent. */
   storedStartLimit: number
+  /** The number of starts of members of gangs that can be sent in time; they do not count for the other limits. */
+  gangStartLimit: number
   /** The capacity that is kept free for urgent work; none by default. */
   headroom?: UrgentHeadroom
   getConditions (serviceName: string): ChoiceConditions
   /** Returns whether no unknown run of a task can exist. */
   mayStart (task: TaskRecord): boolean
+  /** Returns what keeps a gang from being started, whatever capacity is free; null for nothing and other steps. */
+  getGangObstacle (step: StepRecord): GangObstacle | null
   start (task: TaskRecord, worker: WorkerRecord, attempt: number): void
 }
 
@@ -60,6 +65,9 @@
   /** Gangs that were tried as restarts, so that one that does not fit is not tried for each of its members. */
   private readonly restartedGangs = new Set<StepRecord>()
   private placedCount = 0
+  private gangStartCount = 0
+  /** Whether a gang that has the capacity waits for earlier starts of gangs; the gangs behind it wait as well. */
+  private hasQueuedGang = false
   private storedCount = 0
 
   private constructor (private readonly options: StartPlanOptions) {}
@@ -88,7 +96,7 @@
 
   /** The number of starts that the plan has placed. */
   get startCount (): number {
-    return this.placedCount
+    return this.placedCount + this.gangStartCount
   }
 
   /** Whether the plan has reached its limit of starts. */
@@ -101,6 +109,14 @@
     return this.storedCount >= this.options.storedStartLimit
   }
 
+  /**
+   * Returns whether a step is a gang that is not started now whatever capacity is free.
+   * @param step The step.
+   */
+  isGangHeld (step: StepRecord): boolean {
+    return this.options.getGangObstacle(step) !== null
+  }
+
   /** The processors of all workers, in thousandths. */
   get processorsMilli (): number {
     return this.options.workers.reduce((sum, { entry }) => sum + entry.capacity.processorsMilli, 0)
@@ -119,6 +135,7 @@
   placeStep (step: StepRecord, serviceName: string): void {
     if (!fitsAccountCap(step)) return
     if (!step.specification.gang) return this.placeTasks(step, serviceName)
+    if (this.isGangHeld(step)) return
     // By preference, the gang would go back to workers that refuse it rather than to paused ones.
     if (hasRefusedTask(step)) this.placeOverdue(step, serviceName)
     if (!this.placeGang(step, this.options.getConditions(serviceName))) this.placeOverdue(step, serviceName)
@@ -163,9 +180,11 @@
 
   /** Returns whether the members of the gang got workers. */
   private placeGang (step: StepRecord, conditions: ChoiceConditions): boolean {
-    if (this.mustWaitForStore(step)) return false
+    if (this.hasQueuedGang || this.mustWaitForStore(step) || this.isGangHeld(step)) return false
     const shares = selectGangPlacement(step, this.options.workers, conditions)
     if (shares.length === 0) return false
+    this.hasQueuedGang = this.gangStartCount + step.tasks.count > this.options.gangStartLimit
+    if (this.hasQueuedGang) return false
     const members = step.tasks.createAll()
     if (!members.every(this.options.mayStart)) return false
     if (this.options.headroom?.mayStartGang(members, conditions) === false) return false
@@ -269,7 +288,8 @@
   }
 
   private start (task: TaskRecord, worker: WorkerRecord, attempt: number): void {
-    this.placedCount++
+    if (task.step.specification.gang) this.gangStartCount++
+    else this.placedCount++
     if (task.step.specification.longRunning) this.storedCount++
     this.options.start(task, worker, attempt)
     this.options.headroom?.recordStart(task, worker)
--- a/src/dispatch/applyReport.ts
+++ b/src/dispatch/applyReport.ts
@@ -1,4 +1,4 @@
-import { createRun, type JobRecord, type RunRecord, type TaskRecord } from '../jobs/index.js'
+import { createRun, type JobRecord, type RunRecord, type StepRecord, type TaskRecord } from '../jobs/index.js'
 import type { IgnoredCompletionReason } from './DispatchObserver.js'
 import type { JobTable } from './JobTable.js'
 import { listsAllEnds } from './listsAllEnds.js'
@@ -38,6 +38,8 @@
   failJob (job: JobRecord): void
   /** Stops all runs of a task. */
   stopRuns (task: TaskRecord): void
+  /** Handles the end of a run whose task is not done; that of a member ends its gang. */
+  handleGangEnd (step: StepRecord, attempt: number, run: RunRecord | undefined): void
   /** Handles the end of a run that has completed its task. */
   recordCompletedRun (run: RunRecord): void
   /** Handles a run that is over although the worker reported no completion of it. */
@@ -183,6 +185,8 @@
     if (isLive) finishTask(task, context)
     return
   }
+  // Members work, and so fail, only after all of them have started.
+  if (ended.end !== 'failed') context.handleGangEnd(task.step, ended.attempt, run)
   if (ended.checkpoint !== '') {
     task.checkpoint = ended.checkpoint
     if (isLive) context.jobs.markTaskChanged(task)
--- a/src/dispatch/explainWaiting.ts
+++ b/src/dispatch/explainWaiting.ts
@@ -1,6 +1,7 @@
 import type { TaskRecord } from '../jobs/index.js'
 import { chooseEligibleWorker, fits, isEligible, isInService, type ChoiceConditions } from './chooseWorker.js'
 import { fitsAccountCap } from './fitsAccountCap.js'
+import type { GangObstacle } from './gangs/GangAttempts.js'
 import { selectGangPlacement } from './selectGangPlacement.js'
 import { countRunsOfStep, isUnsteady, type WorkerRecord } from './WorkerRecord.js'
 
@@ -10,12 +11,14 @@
  * has reached its cap, no worker may get new work, all that are in service are paused after failures or not rid of runs
  * without a job, no worker that may get new work has the free capacity, those that have it run as many tasks of the
  * step as the step allows on one worker, the task would bring serving tasks above their targets on each of them, they
- * have room for some members of its gang only, there is a worker for it that no plan has chosen yet, or its room is
- * kept free for urgent work, see `UrgentHeadroom`.
+ * have room for some members of its gang only, its gang is too large to start within the time limit of the platform or
+ * pauses after attempts that took too long to send, see `GangAttempts`, there is a worker for it that no plan has
+ * chosen yet, or its room is kept free for urgent work, see `UrgentHeadroom`.
  */
 export type WaitingReason =
   'open-start' | 'unreconciled-worker' | 'gang-not-over' | 'account-cap' | 'no-eligible-worker' | 'workers-paused' |
-  'no-free-capacity' | 'limit-per-worker' | 'interference' | 'no-room-for-gang' | 'not-planned' | 'urgent-headroom'
+  'no-free-capacity' | 'limit-per-worker' | 'interference' | 'no-room-for-gang' | 'not-planned' | 'urgent-headroom' |
+  GangObstacle
 
 /** Why a task waits, and on how many workers that was decided; all counts are of workers that have its label. */
 export interface WaitingExplanation {
@@ -73,5 +76,5 @@
 /** Returns whether a task belongs to a gang that cannot start: a member is done, or its run is not over. */
 function isGangNotOver ({ step: { specification, tasks } }: TaskRecord): boolean {
   if (!specification.gang) return false
-  return tasks.remainingCount < tasks.count || [...tasks.getAllCreated()].some(({ runs }) => runs.length > 0)
+  return tasks.remainingCount < tasks.count || tasks.hasBusy()
 }
--- a/src/dispatch/failingGangs.test.ts
+++ b/src/dispatch/failingGangs.test.ts
@@ -33,3 +33,17 @@
   assert.equal(workers.length, 2)
   assert.ok(!workers.includes('worker-0'), workers.join())
 })
+
+// GANG: the other members waited for the missing one until they ended alone.
+test('members that have started are stopped at once when a worker rejects the start of another one', () => {
+  const site = PlannedSite.create({
+    seed: 1,
+    workerCount: 2,
+    capacity: CAPACITY,
+    getStartOutcome: ({ workerId }) =>
+      workerId === 'worker-1' ? { kind: 'rejected', reason: 'room' } : { kind: 'accepted', workerMilliseconds: 0 }
+  })
+  site.submit('gang', [GANG])
+  site.advance(40)
+  assert.deepEqual(site.stoppedNames, ['gang-0.0.0.0'])
+})
--- /dev/null
+++ b/src/dispatch/gangs/index.ts
@@ -0,0 +1,3 @@
+export * from './GangAttempts.js'
+export * from './GangStarts.js'
+export * from './GangTimes.js'
--- a/src/dispatch/placeWaitingTasks.ts
+++ b/src/dispatch/placeWaitingTasks.ts
@@ -206,7 +206,7 @@
     if (plan.startCount >= restartLimit || plan.hasReachedStoredStartLimit) return true
     const { job } = task.step.occurrence
     if (job.finalState !== null || !mayStart(task)) continue
-    if (!fitsAccountCap(task.step)) continue
+    if (!fitsAccountCap(task.step) || plan.isGangHeld(task.step)) continue
     const serviceName = getServiceName(job)
     if (plan.placeRestart(task, serviceName)) {
       reservations.release(task)
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -12,6 +12,7 @@
   submissions: Counter<'outcome'>
   refusedCalls: Counter<'reason'>
   refusedSubmissions: Counter<'priority' | 'reason'>
+  abandonedGangs: Counter<'cause'>
   clientLimits: Counter<'server' | 'limit'>
   submissionSeconds: Histogram
   starts: Counter<'outcome'>
@@ -99,6 +100,12 @@
       labelNames: ['priority', 'reason'],
       registers
     }),
+    abandonedGangs: new Counter({
+      name: 'papayamoor_instance_abandoned_gangs_total',
+      help: 'Attempts to start a gang that were given up before all members had started, by cause.',
+      labelNames: ['cause'],
+      registers
+    }),
     clientLimits: new Counter({
       name: 'papayamoor_instance_client_limits_total',
       help: 'Limits of clients that were reached, by server and limit.',
--- a/src/instance/OrderSender.ts
+++ b/src/instance/OrderSender.ts
@@ -34,6 +34,12 @@
 const ORDERS_PER_WORKER = 2
 /** A process with a quarter of a core handles this many responses in a third of an order's time limit. */
 const ORDERS_IN_FLIGHT = 32
+/** As many as other orders, so that a wide gang and other starts get equal parts of what the process can send. */
+const GANG_STARTS_IN_FLIGHT = 32
+/** With answers after 24 ms, a worker so takes 350 members in the time in which a gang has to start. */
+const GANG_STARTS_PER_WORKER = 4
+/** How often the queued starts of gangs are checked, of which there may be a thousand. */
+const GANG_CHECK_MILLISECONDS = 100
 /** A start queued for longer is planned again from newer reports; orders in flight ahead take a third of this. */
 const LONGEST_START_WAIT_MILLISECONDS = 1000
 /** A worker rejects a start that arrives later than this, so a delayed order has no effect. */
@@ -55,6 +61,12 @@
 /** Sends the engine's orders to workers, a limited number at a time, and retries those with an unknown outcome. */
 export class OrderSender {
   private readonly gate = OrderGate.create({ perWorkerLimit: ORDERS_PER_WORKER, totalLimit: ORDERS_IN_FLIGHT })
+  /** Limits the starts of gangs, which wait as long as they can complete their gang and delay no other orders. */
+  private readonly gangGate = OrderGate.create({
+    perWorkerLimit: GANG_STARTS_PER_WORKER, totalLimit: GANG_STARTS_IN_FLIGHT
+  })
+
+  private gangsCheckedAt = -Infinity
   /** Called with the next report of a worker. */
   private readonly reportWaiters = new Map<WorkerRecord, Set<() => void>>()
   private stopped = false
@@ -79,6 +91,7 @@
     this.stopped = true
     this.acceptedStarts.flush()
     this.gate.withdrawUnneeded()
+    this.gangGate.withdrawUnneeded()
   }
 
   /** The number of queued orders that delay further starts, see `OrderGate`. */
@@ -86,6 +99,11 @@
     return this.gate.countDelayingStarts()
   }
 
+  /** The number of queued starts of gangs. */
+  get queuedGangStartCount (): number {
+    return this.gangGate.waiting
+  }
+
   /** The number of starts whose assignments are being stored. */
   get storingCount (): number {
     return this.storing
@@ -101,6 +119,10 @@
   /** Withdraws queued orders that are no longer needed, which frees their reserved capacity at once. */
   withdrawUnneeded (): void {
     this.gate.withdrawUnneeded()
+    const now = this.now()
+    if (now - this.gangsCheckedAt < GANG_CHECK_MILLISECONDS) return
+    this.gangsCheckedAt = now
+    this.gangGate.withdrawUnneeded()
   }
 
   /**
@@ -146,12 +168,16 @@
         return
       }
     }
+    const { gang } = run.task.step.specification
     const queuedAt = this.now()
+    const isInTime = () => gang
+      ? this.options.engine.gangs.attempts.mayComplete(run, this.now())
+      : this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS
     const request: OrderRequest = {
       workerId: worker.entry.workerId,
       priority: 'start',
       isNeeded: () => this.options.engine.isStartNeeded(worker, run) && this.options.mayStart() &&
-        (isSent(run) || this.now() - queuedAt < LONGEST_START_WAIT_MILLISECONDS)
+        (isSent(run) || isInTime())
     }
     const outcome = await this.sendWhenAdmitted(request, async markOverdue => await repeatOrder({
       clock: this.options.clock,
@@ -164,7 +190,7 @@
       send: async () => await this.callStart(worker, run, client),
       isNeeded: () => !this.stopped && this.mayRepeat(run) && request.isNeeded(),
       onRepeat: () => this.options.metrics.workerCallRepeats.inc({ call: 'start' })
-    }))
+    }), gang ? this.gangGate : this.gate)
     if (this.stopped) return
     // A report that lists the run has settled its start.
     const isListed = run.state === 'running'
@@ -208,6 +234,7 @@
     const { sentAt } = run
     run.sentAt = now
     run.openSendCount++
+    if (run.task.step.specification.gang) this.options.engine.gangs.attempts.recordSend(run, now)
     if (run.startDeadline === Infinity) run.startDeadline = Math.floor(workerTime + START_WINDOW_MILLISECONDS)
     const leaseDeadline = run.startDeadline
     worker.leaseDeadline = Math.max(worker.leaseDeadline, leaseDeadline)
@@ -304,23 +331,23 @@
     return replaceOwnFence(outcome, token, getFencingToken(worker, epoch))
   }
 
-  /** Queues a call and makes it when the gate admits it and it is still needed. */
+  /** Queues a call and makes it when a gate admits it and it is still needed. */
   private async sendWhenAdmitted (
-    request: OrderRequest, call: (markOverdue: () => void) => Promise<OrderOutcome>
+    request: OrderRequest, call: (markOverdue: () => void) => Promise<OrderOutcome>, gate = this.gate
   ): Promise<SendOutcome> {
     const { workerId, isNeeded } = request
-    const admission = await this.gate.acquire({ ...request, isNeeded: () => !this.stopped && isNeeded() })
+    const admission = await gate.acquire({ ...request, isNeeded: () => !this.stopped && isNeeded() })
     if (admission === 'withdrawn') return { kind: 'withdrawn' }
     let isOverdue = false
     const markOverdue = () => {
       if (isOverdue) return
       isOverdue = true
-      this.gate.markOverdue(workerId)
+      gate.markOverdue(workerId)
     }
     try {
       return await call(markOverdue)
     } finally {
-      this.gate.release(workerId, isOverdue)
+      gate.release(workerId, isOverdue)
     }
   }
 
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -446,7 +446,8 @@
     this.sender.withdrawUnneeded()
     const startLimit = QUEUED_ORDER_LIMIT - this.sender.delayingCount
     const storedStartLimit = STORED_START_LIMIT - this.sender.storingCount
-    this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), startLimit, storedStartLimit)
+    const gangStartLimit = this.engine.gangs.attempts.largestGang - this.sender.queuedGangStartCount
+    this.engine.plan(now, clock.wallMilliseconds(), this.mayStart(), startLimit, storedStartLimit, gangStartLimit)
     for (const order of this.engine.takeOrders()) {
       const client = this.loops.getClient(order.worker.entry.workerId)
       if (client !== undefined) this.sender.send(order, client)
--- a/src/instance/createDispatchObserver.ts
+++ b/src/instance/createDispatchObserver.ts
@@ -1,4 +1,5 @@
 import type { DispatchObserver } from '../dispatch/index.js'
+import type { StepRecord } from '../jobs/index.js'
 import type { Logger } from '../shared/Logger.js'
 import type { InstanceMetrics } from './InstanceMetrics.js'
 
@@ -11,9 +12,14 @@
 export function createDispatchObserver (logger: Logger, metrics: InstanceMetrics): DispatchObserver {
   return {
     onRunLost: (worker, run, cause, now) => {
+      const { task } = run
+      // Workers list one end for all members of a gang that is done.
+      if (task.step.specification.gang && task.done) return
       metrics.lostRuns.inc({ cause })
+      // A line for each of the starts that are withdrawn with their gang would say no more than that of the gang.
+      if (task.step.specification.gang && cause === 'not-sent') return
       logger.info('run lost', {
-        task: run.task.name,
+        task: task.name,
         attempt: run.attempt,
         worker: worker.entry.workerId,
         cause,
@@ -72,6 +78,20 @@
         waitMilliseconds: Math.round(waitMilliseconds)
       })
     },
+    onGangAbandoned: ({ step, attempt, cause, pauseMilliseconds }) => {
+      metrics.abandonedGangs.inc({ cause })
+      const { occurrence: { job, number }, index, tasks } = step
+      logger.info('gang start given up', {
+        job: job.submission.jobId,
+        occurrence: number,
+        step: index,
+        attempt,
+        cause,
+        members: tasks.count,
+        startedMembers: countStartedMembers(step, attempt),
+        pauseMilliseconds
+      })
+    },
     onReconciled: (worker, cause) => {
       metrics.reconciledWorkers.inc({ cause })
       // Not logged, because nearly all workers report within a second of a takeover.
@@ -80,3 +100,12 @@
     }
   }
 }
+
+/** Counts the members of an attempt that workers have confirmed. */
+function countStartedMembers ({ tasks }: StepRecord, attempt: number): number {
+  let count = 0
+  for (const { runs } of tasks.getAllCreated()) {
+    if (runs.some(run => run.attempt === attempt && run.confirmedAt !== null)) count++
+  }
+  return count
+}
