Reject gangs that no owner can start in time

Cause: the only limit of a gang was 100,000 members. An owner that starts one needs 5.6 KB of heap for each member, most of it for the queued start, and cannot send so many starts within gangTimeoutMs in any case.

Change: the largest gang follows from gangTimeoutMs and stopTimeoutMs of the settings alone, so that all instances and each successor agree. A larger one is rejected at once with 400 and the reason.

--- a/src/dispatch/DispatchEngine.ts
+++ b/src/dispatch/DispatchEngine.ts
@@ -99,7 +99,7 @@
     const learnedRatio = protectsUrgentWork ? runTimeRatios.getRunTimeRatio.bind(runTimeRatios) : undefined
     this.getRunTimeRatio = getRunTimeRatio ?? learnedRatio
     this.gangs = GangStarts.create({ times: gangTimes, workers, orders, observer })
-    this.jobs = JobTable.create({ epoch, accounts })
+    this.jobs = JobTable.create({ epoch, accounts, largestGang: this.gangs.attempts.largestGang })
     this.openStarts = OpenStarts.create(leaseMilliseconds)
     this.unseenRuns = UnseenRuns.create({ jobs: this.jobs, accounts, unreconciled, workers })
     this.protection = !protectsUrgentWork
--- a/src/dispatch/JobTable.ts
+++ b/src/dispatch/JobTable.ts
@@ -1,9 +1,9 @@
 import { AccountDirectory, type AccountUsage } from '../accounts/index.js'
 import {
   createJobRecord, findTask, getLastSegmentIndex, getOccurrence, getOccurrenceCount, getOccurrenceSegment,
-  getProgressSegment, getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState, type JobRecord,
-  type JobState, type JobSubmission, type OccurrenceRecord, type ProgressSegment, type StepSpecification,
-  type StoredProgressRow, type TaskRecord
+  getProgressSegment, getSegmentIndex, getTaskSegment, hasLongRunningStep, restoreProgress, type FinalJobState,
+  type JobRecord, type JobState, type JobSubmission, type OccurrenceRecord, type ProgressSegment,
+  type StepSpecification, type StoredProgressRow, type TaskRecord
 } from '../jobs/index.js'
 import { hasStartedOccurrence } from './hasStartedTask.js'
 import { isNextOccurrenceDue } from './hasWaitingTask.js'
@@ -46,6 +46,16 @@
   taskCount: number
 }
 
+/** Options of a table of jobs. */
+export interface JobTableOptions {
+  /** The epoch of the owner, which selects the range of attempt numbers. */
+  epoch: number
+  /** The client accounts; none by default. */
+  accounts: AccountDirectory
+  /** The number of members of the largest gang that is started; no limit by default. */
+  largestGang: number
+}
+
 /** The jobs of one shard and the states that are reported to their submitters. */
 export class JobTable {
   readonly waitingRestarts = WaitingRestarts.create()
@@ -57,20 +67,20 @@
   private endedRecoveredTasks: EndedTasks[] = []
   private recoveries = 0
 
-  private constructor (private readonly epoch: number, private readonly accounts: AccountDirectory) {}
+  private constructor (private readonly options: JobTableOptions) {}
 
   /**
    * Creates an empty table.
-   * @param options The epoch of the owner, which selects the range of attempt numbers, and the client accounts.
+   * @param options The epoch of the owner, and what differs from the defaults.
    * @returns The table.
    */
-  static create (options: { epoch: number, accounts?: AccountDirectory }): JobTable {
-    return new JobTable(options.epoch, options.accounts ?? AccountDirectory.create())
+  static create (options: Pick<JobTableOptions, 'epoch'> & Partial<JobTableOptions>): JobTable {
+    return new JobTable({ accounts: AccountDirectory.create(), largestGang: Infinity, ...options })
   }
 
   /** The number of the first attempt of a task under this owner. */
   get firstAttempt (): number {
-    return (this.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+    return (this.options.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
   }
 
   /**
@@ -81,11 +91,11 @@
   add (added: NewJob, now: number): void {
     const { submission } = added
     if (this.jobs.has(submission.jobId)) return
-    const job = createJobRecord({ ...added, account: this.accounts.getUsage(submission.accountName), now })
+    const job = createJobRecord({ ...added, account: this.options.accounts.getUsage(submission.accountName), now })
     const finished = this.finalStates.get(submission.jobId)
     if (finished !== undefined) return this.keepEnded(job, finished)
     if (added.recovered) this.recoveries++
-    const moved = restoreProgress(job, added.progress, this.firstAttempt, now)
+    const moved = restoreProgress(job, added.progress, this.firstAttempt, now, step => this.mayStart(step))
     if (job.finalState !== null) {
       this.setFinalState(submission.jobId, job.finalState, now, submission.accountName)
       return this.keepEnded(job, this.finalStates.get(submission.jobId)!)
@@ -173,7 +183,7 @@
     const steps = submission?.specification.steps ?? finished?.steps
     const resources = steps?.[Number(stepIndex)]
     if (accountName === undefined || resources === undefined) return null
-    return { account: this.accounts.getUsage(accountName), resources }
+    return { account: this.options.accounts.getUsage(accountName), resources }
   }
 
   /**
@@ -353,17 +363,23 @@
    */
   private completeRestored (job: JobRecord): void {
     for (const occurrence of [...job.occurrences.values()]) {
-      for (const { tasks, specification } of occurrence.steps) {
+      for (const step of occurrence.steps) {
+        const { tasks, specification } = step
         if (!specification.gang || tasks.remainingCount === tasks.count) continue
-        for (const member of tasks.createAll()) {
-          tasks.markDone(member.index)
-          this.markChanged(getTaskSegment(member))
+        for (const index of tasks.getRemainingIndexes()) {
+          tasks.markDone(index)
+          this.markChanged(getProgressSegment(job, getSegmentIndex(step, index)))
         }
       }
       this.finishIfComplete(occurrence)
     }
   }
 
+  /** Returns whether this owner starts the tasks of a step; a gang that is too large never runs. */
+  private mayStart ({ gang, taskCount }: StepSpecification): boolean {
+    return !gang || taskCount <= this.options.largestGang
+  }
+
   /** Finishes an occurrence all of whose tasks are done, and with the last occurrence the job. */
   private finishIfComplete ({ job, number, steps }: OccurrenceRecord): void {
     if (steps.some(({ tasks }) => tasks.remainingCount > 0)) return
--- a/src/instance/Instance.ts
+++ b/src/instance/Instance.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import { AdmissionControl, type LoadSummary } from '../admission/index.js'
 import { isForeignAccount } from '../accounts/index.js'
-import type { DispatchEngine, WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
+import type { DispatchEngine, GangTimes, WorkerCensus, WorkerClient, WorkerEntry } from '../dispatch/index.js'
 import type { Clock } from '../shared/Clock.js'
 import { ErrorBoundary } from '../shared/ErrorBoundary.js'
 import type { Logger } from '../shared/Logger.js'
@@ -45,6 +45,8 @@
   logger: Logger
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
+  /** The time limits of gangs; those of `DEFAULT_GANG_TIMES` by default. */
+  gangTimes?: GangTimes
   resources: InstanceResources
   /** How long a removed key of a caller may be accepted; Infinity, the default, for no limit. */
   keyRemovalMilliseconds?: number
@@ -157,6 +159,7 @@
       isOwner: () => this.election.isOwner(),
       getOwnerAddress: () => this.election.getOwnerAddress(),
       admission,
+      gangTimes: options.gangTimes,
       clock,
       logger
     })
@@ -225,6 +228,7 @@
       livenessSource: options.livenessSource,
       metrics: this.metrics,
       leaseMilliseconds: options.leaseMilliseconds,
+      gangTimes: options.gangTimes,
       protectsUrgentWork: options.protectsUrgentWork,
       assignmentsStoredSince,
       earlierLeasesEndAt: this.getLeasesEnd(earlierRenewalsEndAt),
--- a/src/instance/InstanceMetrics.ts
+++ b/src/instance/InstanceMetrics.ts
@@ -96,7 +96,7 @@
     }),
     refusedSubmissions: new Counter({
       name: 'papayamoor_instance_refused_submissions_total',
-      help: 'Submissions that were refused because of the load, by the priority of their queue and the reason.',
+      help: 'Submissions that were refused because of the load or can never run, by priority of the queue and reason.',
       labelNames: ['priority', 'reason'],
       registers
     }),
--- a/src/instance/JobGateway.ts
+++ b/src/instance/JobGateway.ts
@@ -1,5 +1,6 @@
 import type { AdmissionControl, AdmissionDecision } from '../admission/index.js'
 import { isForeignAccount } from '../accounts/index.js'
+import { DEFAULT_GANG_TIMES, getLargestGang, type GangTimes } from '../dispatch/index.js'
 import type { JobSpecification, JobState, JobSubmission } from '../jobs/index.js'
 import { decodeProgress } from '../jobs/index.js'
 import { BatchedLog } from '../shared/BatchedLog.js'
@@ -26,6 +27,8 @@
   | { kind: 'rejected', retryAfterSeconds: number }
   /** The job is not stored because of the load, and will not run unless it is submitted again. */
   | { kind: 'refused', retryAfterSeconds: number }
+  /** The job can never run, whatever the load, and is not stored. */
+  | { kind: 'unservable', reason: string }
   /** The job may or may not be stored; submitting it again is safe. */
   | { kind: 'unknown' }
 
@@ -66,6 +69,8 @@
   getOwnerAddress (): string | null
   /** Decides which jobs are refused because of the load; none by default. */
   admission?: AdmissionControl
+  /** The time limits of gangs; those of `DEFAULT_GANG_TIMES` by default. */
+  gangTimes?: GangTimes
   clock: Clock
   logger: Logger
 }
@@ -122,13 +127,15 @@
    * @param queue The queue.
    * @param wait How long the caller waits.
    * @param accountName The client account of the caller; null without one.
-   * @returns Whether the job is stored, not stored, or possibly stored.
+   * @returns Whether the job is stored, not stored, possibly stored, or can never run.
    */
   async submit (
     jobId: string, specification: JobSpecification, queue: QueueConfiguration, wait: CallerWait,
     accountName: string | null = null
   ): Promise<SubmitOutcome> {
     const { clock, metrics } = this.options
+    const unservableReason = this.findUnservableGang(specification)
+    if (unservableReason !== null) return this.recordUnservable(jobId, queue, unservableReason)
     const since = clock.monotonicMilliseconds()
     // A request whose body arrives slowly is no later one than a copy of it that was refused meanwhile.
     const elapsed = this.options.admission === undefined ? 0 : wait.elapsedMilliseconds ?? 0
@@ -223,6 +230,26 @@
     return waiting
   }
 
+  /** Returns why a gang of a job can never start, whoever is the owner; null when there is no such gang. */
+  private findUnservableGang ({ steps }: JobSpecification): string | null {
+    const { gangTimes = DEFAULT_GANG_TIMES } = this.options
+    const largestGang = getLargestGang(gangTimes)
+    const index = steps.findIndex(({ gang, taskCount }) => gang && taskCount > largestGang)
+    if (index < 0) return null
+    return `step ${index} is a gang of ${steps[index].taskCount} tasks; at most ${largestGang} can start ` +
+      `within the ${gangTimes.timeoutMilliseconds} ms for which the members of a gang wait for each other`
+  }
+
+  private recordUnservable (
+    jobId: string, { name, priority }: QueueConfiguration, reason: string
+  ): SubmitOutcome {
+    const { metrics, logger } = this.options
+    metrics.refusedSubmissions.inc({ priority, reason: 'gang-too-large' })
+    metrics.submissions.inc({ outcome: 'unservable' })
+    logger.info('job rejected', { job: jobId, queue: name, reason })
+    return { kind: 'unservable', reason }
+  }
+
   private decideAdmission (submission: JobSubmission, wait: CallerWait): AdmissionDecision {
     const { admission } = this.options
     if (admission === undefined || wait.milliseconds < REFUSAL_MILLISECONDS) return { kind: 'admitted' }
--- a/src/instance/ShardDispatcher.ts
+++ b/src/instance/ShardDispatcher.ts
@@ -1,6 +1,7 @@
 import { LoadMeter, type LoadSummary } from '../admission/index.js'
 import {
-  DispatchEngine, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry, type WorkerRecord
+  DispatchEngine, type GangTimes, type LearnedEffects, type WorkerCensus, type WorkerClient, type WorkerEntry,
+  type WorkerRecord
 } from '../dispatch/index.js'
 import type { Fence } from '../leases/ShardLease.js'
 import type { Clock } from '../shared/Clock.js'
@@ -49,6 +50,8 @@
   metrics: InstanceMetrics
   /** The longest lease that workers grant. */
   leaseMilliseconds: number
+  /** The time limits of gangs; those of `DEFAULT_GANG_TIMES` by default. */
+  gangTimes?: GangTimes
   /** Whether long-running and useless work gives way to urgent work in an overload; false by default. */
   protectsUrgentWork?: boolean
   /** Monotonic time by which all worker leases granted by earlier owners have expired. */
@@ -129,6 +132,7 @@
       epoch: options.fence.epoch,
       observer,
       leaseMilliseconds: options.leaseMilliseconds,
+      gangTimes: options.gangTimes,
       protectsUrgentWork: options.protectsUrgentWork
     })
     this.loadMeter = options.isAdmissionEnabled === true
--- a/src/instance/wideGangs.test.ts
+++ b/src/instance/wideGangs.test.ts
@@ -134,3 +134,44 @@
   assert.deepEqual(seen, { kind: 'accepted', state: 'completed', gangStarts: 600, aloneEnds: [], violations: [] })
   assert.ok(longestWait < AIM_MILLISECONDS, `a small job has waited for ${longestWait} ms`)
 })
+
+// LOST: such a job was accepted, and ended its owner and each successor at the heap limit.
+test('each instance refuses a gang that no owner starts in time, and says why', async () => {
+  const play = await createPlay(null)
+  const step = { taskCount: LARGEST_GANG + 1, gang: true }
+  const outcomes = []
+  for (const target of play.site.instances) {
+    const outcome = play.site.submit('gang', [{ taskCount: 1 }, step], {}, target)
+    await play.clock.advance(100)
+    outcomes.push(await outcome)
+  }
+  const reason = 'step 1 is a gang of 946 tasks; at most 945 can start within the 3000 ms for which the members of a ' +
+    'gang wait for each other'
+  assert.deepEqual(outcomes, play.site.instances.map(() => ({ kind: 'unservable', reason })))
+  await submit(play, 'tasks', { taskCount: LARGEST_GANG + 1 })
+  await submit(play, 'largest', { taskCount: LARGEST_GANG, gang: true })
+  await play.clock.advance(20_000)
+  assert.deepEqual(await getStates(play, ['gang', 'tasks', 'largest']), ['missing', 'completed', 'completed'])
+})
+
+test('a gang that another instance has accepted and no owner starts in time delays no other job', async () => {
+  const accepting = 'instance-0'
+  const play = await createPlay(0.27, {
+    getGangTimes: instanceId => instanceId === accepting
+      ? { ...DEFAULT_GANG_TIMES, timeoutMilliseconds: 1_000_000 }
+      : DEFAULT_GANG_TIMES
+  })
+  const { site, clock } = play
+  const target = site.instances.find(({ address }) => address.startsWith(accepting))!
+  const outcome = site.submit('gang', [{ taskCount: 100_000, gang: true, processorsMilli: 1, memoryMegabytes: 1 }], {}, target)
+  await clock.advance(100)
+  assert.equal((await outcome).kind, 'accepted')
+  site.removeInstance(target)
+  for (let takeover = 0; takeover < 2; takeover++) {
+    const waits = await playSmallJobs(play, `${takeover}`)
+    assert.ok(Math.max(...waits.slice(5)) < AIM_MILLISECONDS, waits.join())
+    assert.deepEqual(await getStates(play, ['gang']), ['pending'])
+    site.replaceInstance(site.getOwner()!, 500)
+  }
+  assert.equal(site.judge.startCount, 4 * SMALL_JOB_COUNT)
+})
--- a/src/jobs/StepTasks.ts
+++ b/src/jobs/StepTasks.ts
@@ -164,11 +164,12 @@
 
   /** Returns all tasks that are not done, and creates their records. */
   createAll (): TaskRecord[] {
-    const tasks: TaskRecord[] = []
-    for (let index = 0; index < this.count; index++) {
-      if (!this.isDone(index)) tasks.push(this.getOrCreate(index))
-    }
-    return tasks
+    return [...this.getRemainingIndexes()].map(index => this.getOrCreate(index))
+  }
+
+  /** Returns the indexes of the tasks that are not done, which may become done meanwhile. */
+  * getRemainingIndexes (): Generator<number> {
+    for (let index = 0; index < this.count; index++) if (!this.isDone(index)) yield index
   }
 
   /**
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -2,7 +2,7 @@
 import {
   createOccurrence, getOccurrenceCount, hasLongRunningStep, type JobRecord, type OccurrenceRecord, type StepRecord
 } from './JobRecord.js'
-import type { FinalJobState } from './JobSpecification.js'
+import type { FinalJobState, StepSpecification } from './JobSpecification.js'
 import {
   getOccurrenceSegment, getOccurrenceTaskCount, getProgressSegment, getSegmentIndex, TASKS_PER_SEGMENT,
   type ProgressSegment
@@ -231,10 +231,13 @@
  * @param stored The stored rows.
  * @param firstAttempt The number of the first attempt of each task under this owner.
  * @param now The monotonic time.
+ * @param mayStart Returns whether this owner starts the tasks of a step. Others get no records, so that their number
+ * costs it no memory; all steps by default.
  * @returns The segments that must be stored before the first one, because another row holds their progress.
  */
 export function restoreProgress (
-  job: JobRecord, stored: readonly StoredProgressRow[], firstAttempt: number, now: number
+  job: JobRecord, stored: readonly StoredProgressRow[], firstAttempt: number, now: number,
+  mayStart: (step: StepSpecification) => boolean = () => true
 ): Set<ProgressSegment> {
   const rows = [...stored].sort((left, right) => left.version - right.version).map(({ key, value }) =>
     ({ key, segmentIndex: decodeProgressKey(key).segmentIndex, row: decodeProgress(value) }))
@@ -253,7 +256,7 @@
   }
   if (job.finalState !== null) return new Set()
   for (const { segmentIndex, row } of rows) {
-    for (const index of restoreRow(job, row, firstAttempt, now)) {
+    for (const index of restoreRow(job, row, { firstAttempt, now, mayStart })) {
       if (index !== segmentIndex) moved.add(getProgressSegment(job, index))
     }
   }
@@ -265,10 +268,22 @@
   return finished.length > 0 || hasEntries(done) || hasEntries(failures) || hasEntries(checkpoints)
 }
 
+/** How the tasks of a loaded job are restored, see `restoreProgress`. */
+interface RestoreContext {
+  firstAttempt: number
+  now: number
+  mayStart (step: StepSpecification): boolean
+}
+
 /** Applies one row to the tasks of a job and returns the indexes of the segments of these tasks. */
-function restoreRow (job: JobRecord, row: JobProgressRow, firstAttempt: number, now: number): Set<number> {
+function restoreRow (
+  job: JobRecord, row: JobProgressRow, { firstAttempt, now, mayStart }: RestoreContext
+): Set<number> {
   const segmentIndexes = new Set<number>()
+  const { steps } = job.submission.specification
   const find = (suffix: string) => {
+    const step = steps[Number(suffix.split('.')[1])]
+    if (step === undefined || !mayStart(step)) return undefined
     const task = findTask(job, suffix, firstAttempt, now)
     if (task !== undefined) segmentIndexes.add(getSegmentIndex(task.step, task.index))
     return task
--- a/stand-ins/platform/EmulatedSite.ts
+++ b/stand-ins/platform/EmulatedSite.ts
@@ -1,6 +1,6 @@
 import { Registry } from 'prom-client'
 import type { ClientAccount } from '../../src/accounts/index.js'
-import type { WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
+import type { GangTimes, WorkerClient, WorkerEntry } from '../../src/dispatch/index.js'
 import {
   Instance, JOB_TABLE, type CallerWait, type OwnerPeer, type QueueConfiguration, type SubmitOutcome
 } from '../../src/instance/index.js'
@@ -65,6 +65,8 @@
   farRegion?: FarRegion
   /** Whether instances may refuse jobs because of the load; the default is false. */
   isAdmissionEnabled?: boolean
+  /** Returns the time limits of gangs in the settings of an instance; by default, those of `DEFAULT_GANG_TIMES`. */
+  getGangTimes? (instanceId: string): GangTimes
   /** How long the store takes for each call in addition to the usual time; gives table calls their time-outs. */
   getStoreDelayMilliseconds?: () => number
 }
@@ -288,6 +290,7 @@
       clock: receiver.clock,
       logger: this.createLogger(instanceId),
       leaseMilliseconds: LEASE_MILLISECONDS,
+      gangTimes: this.options.getGangTimes?.(instanceId),
       isAdmissionEnabled: this.options.isAdmissionEnabled,
       keyRemovalMilliseconds: this.options.keyRemovalMilliseconds,
       createWorkerClient: entry => this.createWorkerClient(process, processor, entry.workerId, instanceId),
