--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -46,6 +46,9 @@
 /** One of this many jobs is long-running. */
 const LONG_RUNNING_INTERVAL = 12
 const LONG_RUNNING_TASK_COUNT = 3
+/** One of this many jobs is a gang that no owner can start in time. */
+const LARGE_GANG_INTERVAL = 10
+const LARGE_GANG_TASK_COUNT = 50_000
 /** When all processes are killed while a worker is cut off, as shares of the time in which faults are injected. */
 const KILL_TIMES = [0.3, 0.6, 0.9]
 const FAULT_INTERVAL_MILLISECONDS = 900
@@ -195,8 +198,12 @@
     const pending: Array<Promise<void>> = []
     for (let number = 0; Date.now() < end; number++) {
       const jobId = (BigInt(this.options.seed) * 1_000_000n + BigInt(number)).toString(16).padStart(16, '0').slice(-16)
-      if (number % LONG_RUNNING_INTERVAL === 0) this.platform.longRunningJobs.add(jobId)
-      pending.push(this.submit(jobId))
+      if (number % LARGE_GANG_INTERVAL === 1) {
+        pending.push(this.submitLargeGang(jobId))
+      } else {
+        if (number % LONG_RUNNING_INTERVAL === 0) this.platform.longRunningJobs.add(jobId)
+        pending.push(this.submit(jobId))
+      }
       await pause(JOB_INTERVAL_MILLISECONDS)
     }
     await Promise.all(pending)
@@ -221,6 +228,13 @@
     }
   }
 
+  /** Submits a gang that is too large; it must be refused, and the judge is not told of it, so that it must not run. */
+  private async submitLargeGang (jobId: string): Promise<void> {
+    const step = { count: LARGE_GANG_TASK_COUNT, cpu: 1, memMb: 1, estimateMs: 300, gang: true }
+    const response = await this.call('POST', jobId, JSON.stringify({ taskSpec: 'text', steps: [step] }))
+    if (response?.statusCode === 200) this.violations.push(`gang: ${jobId} was accepted`)
+  }
+
   private async injectFaultsUntil (end: number): Promise<void> {
     const cut = this.options.cutsWorkerOff === true ? this.cutWorkerDuringKillsUntil(end) : null
     while (Date.now() < end) {
